--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Commands of laburnumcleat. "make demo" runs the main job; "make test" runs every check.
+
+GO ?= go
+BIN := bin
+
+.PHONY: build demo test fmt-check vet lint model unit tidy-check
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+demo: build
+	$(BIN)/laburnum-standin demo
+
+test: fmt-check vet lint build model unit
+
+fmt-check:
+	@out=$$(gofmt -l cmd cli pkg standin test 2>/dev/null); if [ -n "$$out" ]; then echo "not formatted, run gofmt -w:"; echo "$$out"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+
+model:
+	./model/run.sh
+
+unit:
+	$(GO) test -race -timeout 20m ./...
--- /dev/null
+++ b/cmd/laburnumd/main.go
@@ -0,0 +1,4 @@
+// Command laburnumd is the node that runs beside each backend server.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/platform/httplog.go
@@ -0,0 +1,115 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+)
+
+const (
+	requestTimeout   = 5 * time.Second // for an append, and for a read beyond its wait
+	maxResponseBytes = 64 << 20
+)
+
+// HTTPLog is a Log over HTTP:
+//
+//	POST /streams/{stream}/records                          body: the record; answer: Entry without data
+//	GET  /streams/{stream}/records?from=&limit=&wait_ms=    answer: Batch
+type HTTPLog struct {
+	baseURLs []string
+	client   *http.Client
+}
+
+// NewHTTPLog returns a client of the log service. Each base URL ("http://ip:port") is tried in turn when the one before
+// it cannot be reached. The transport is the caller's, so that it can count bytes and use TLS.
+func NewHTTPLog(baseURLs []string, transport http.RoundTripper) *HTTPLog {
+	trimmed := make([]string, len(baseURLs))
+	for i, u := range baseURLs {
+		trimmed[i] = strings.TrimRight(u, "/")
+	}
+	return &HTTPLog{baseURLs: trimmed, client: &http.Client{Transport: transport}}
+}
+
+// Append implements Log. It is sent to one URL only: a second try could append twice.
+func (l *HTTPLog) Append(ctx context.Context, stream string, data json.RawMessage) (Entry, error) {
+	if len(l.baseURLs) == 0 {
+		return Entry{}, errNoURL()
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, l.recordsURL(l.baseURLs[0], stream), bytes.NewReader(data))
+	if err != nil {
+		return Entry{}, eris.Wrap(err, "building append request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	var entry Entry
+	if err := l.do(request, &entry); err != nil {
+		return Entry{}, err
+	}
+	entry.Data = data
+	return entry, nil
+}
+
+// Read implements Log.
+func (l *HTTPLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+requestTimeout)
+	defer cancel()
+	query := url.Values{}
+	query.Set("from", strconv.FormatInt(from, 10))
+	query.Set("limit", strconv.Itoa(limit))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	err := errNoURL()
+	for _, base := range l.baseURLs {
+		request, buildErr := http.NewRequestWithContext(ctx, http.MethodGet, l.recordsURL(base, stream)+"?"+query.Encode(), nil)
+		if buildErr != nil {
+			return Batch{}, eris.Wrap(buildErr, "building read request")
+		}
+		var batch Batch
+		if err = l.do(request, &batch); err == nil {
+			return batch, nil
+		}
+	}
+	return Batch{}, err
+}
+
+func (l *HTTPLog) recordsURL(base, stream string) string {
+	return base + "/streams/" + url.PathEscape(stream) + "/records"
+}
+
+func (l *HTTPLog) do(request *http.Request, result any) error {
+	response, err := l.client.Do(request)
+	if err != nil {
+		return unavailable(err.Error())
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return unavailable("answer cut short: " + err.Error())
+	}
+	if response.StatusCode != http.StatusOK {
+		return unavailable(fmt.Sprintf("status %d: %.200s", response.StatusCode, body))
+	}
+	if err := json.Unmarshal(body, result); err != nil {
+		return unavailable("answer is not valid JSON: " + err.Error())
+	}
+	return nil
+}
+
+func unavailable(cause string) error {
+	return apierror.New(apierror.Unavailable, "log service: "+cause, "check the log service and the setting platform.urls")
+}
+
+func errNoURL() error {
+	return apierror.New(apierror.Unavailable, "no log service is configured", "set platform.urls")
+}
