--- /dev/null
+++ b/pkg/settings/reference.go
@@ -0,0 +1,56 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// Reference returns the settings reference as a Markdown page.
+func Reference() string {
+	var page strings.Builder
+	page.WriteString("# Settings\n\nThe settings of a node are one JSON file. Unknown fields, missing and impossible values are refused, all in one\nerror. This page is generated from the struct tags of `pkg/settings`; a test keeps it current.\n\n")
+	page.WriteString("| field | type | unit | default | meaning |\n|---|---|---|---|---|\n")
+	writeFields(&page, reflect.TypeFor[Settings](), "")
+	return page.String()
+}
+
+func writeFields(page *strings.Builder, target reflect.Type, path string) {
+	for i := range target.NumField() {
+		field := target.Field(i)
+		name := path + field.Tag.Get("json")
+		if field.Type.Kind() == reflect.Struct {
+			writeFields(page, field.Type, name+".")
+			continue
+		}
+		fmt.Fprintf(page, "| `%s` | %s | %s | %s | %s |\n", name, typeName(field.Type), orDash(field.Tag.Get("unit")),
+			defaultText(field.Tag), field.Tag.Get("doc"))
+	}
+}
+
+func defaultText(tag reflect.StructTag) string {
+	if value, ok := tag.Lookup("default"); ok {
+		return value
+	}
+	return "required"
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+func typeName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Slice:
+		return "list of " + typeName(t.Elem())
+	case reflect.Float64:
+		return "number"
+	case reflect.Bool:
+		return "boolean"
+	default:
+		return t.Kind().String()
+	}
+}
