--- /dev/null
+++ b/cli/cmd/session.go
@@ -0,0 +1,137 @@
+package cmd
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/operator"
+)
+
+// Environment variables that stand in for flags.
+const (
+	envAPI       = "LABURNUM_API"
+	envTokenFile = "LABURNUM_TOKEN_FILE"
+)
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+
+	maxTokenFileBytes = 4 << 10
+)
+
+// session holds what all verbs share: the common flags, the client and the output.
+type session struct {
+	stdout, stderr io.Writer
+
+	api       string
+	tokenFile string
+	caFile    string
+	output    string
+
+	client *operator.Client
+}
+
+func (s *session) register(parser *flaggy.Parser) {
+	s.api = os.Getenv(envAPI)
+	s.tokenFile = os.Getenv(envTokenFile)
+	s.output = outputText
+	parser.String(&s.api, "a", "api", "addresses of nodes, ip:port or https://ip:port, separated by commas; reads fail over to the next (env "+envAPI+")")
+	parser.String(&s.tokenFile, "t", "token-file", "file that holds the operator's token (env "+envTokenFile+")")
+	parser.String(&s.caFile, "", "ca-file", "PEM file with the certificates that https addresses are verified against; default: the system's")
+	parser.String(&s.output, "o", "output", "text or json")
+}
+
+// prepare checks the common flags and builds the client.
+func (s *session) prepare() error {
+	if s.output != outputText && s.output != outputJSON {
+		return usage("output", "unknown output "+s.output, "use text or json")
+	}
+	token, err := s.readToken()
+	if err != nil {
+		return err
+	}
+	transport := &http.Transport{}
+	if s.caFile != "" {
+		roots, err := readRoots(s.caFile)
+		if err != nil {
+			return err
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
+	}
+	s.client = operator.NewClient(strings.Split(s.api, ","), token, transport)
+	return nil
+}
+
+func (s *session) readToken() (string, error) {
+	if s.tokenFile == "" {
+		return "", nil
+	}
+	data, err := readFile(s.tokenFile, maxTokenFileBytes)
+	if err != nil {
+		return "", usage("token-file", err.Error(), "name a readable file that holds only the token")
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" || strings.ContainsAny(token, "\r\n") {
+		return "", usage("token-file", s.tokenFile+" does not hold exactly one line", "write the token and nothing else into it")
+	}
+	return token, nil
+}
+
+func readRoots(path string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usage("ca-file", err.Error(), "name a readable PEM file")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(data) {
+		return nil, usage("ca-file", path+" holds no certificate", "name a PEM file with certificates")
+	}
+	return roots, nil
+}
+
+// readFile reads a file of up to limit bytes. "-" is standard input.
+func readFile(path string, limit int64) ([]byte, error) {
+	source := io.Reader(os.Stdin)
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		defer file.Close()
+		source = file
+	}
+	data, err := io.ReadAll(io.LimitReader(source, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		err = fmt.Errorf("%s exceeds %d bytes", path, limit)
+	}
+	return data, err
+}
+
+func (s *session) json() bool {
+	return s.output == outputJSON
+}
+
+// print writes the value as JSON, or calls text with --output text.
+func (s *session) print(value any, text func(out io.Writer)) error {
+	if !s.json() {
+		text(s.stdout)
+		return nil
+	}
+	encoder := json.NewEncoder(s.stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+func usage(field, message, remedy string) *apierror.Error {
+	return &apierror.Error{Kind: usageKind, Field: "--" + field, Message: message, Remedy: remedy}
+}
--- /dev/null
+++ b/cmd/laburnumctl/main.go
@@ -0,0 +1,12 @@
+// Command laburnumctl is the operators' command line. See package cli/cmd for its verbs.
+package main
+
+import (
+	"os"
+
+	"github.com/laburnumcleat/laburnumcleat/cli/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/pkg/config/record.go
+++ b/pkg/config/record.go
@@ -64,6 +64,11 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
+// ValidName reports whether a string can name a template, team, rank, service or route.
+func ValidName(name string) bool {
+	return namePattern.MatchString(name)
+}
+
 const nameRemedy = "use 1 to 63 lower-case letters, digits and inner hyphens"
 
 // ParseRecord decodes and checks the form of a record. The content is checked on replay.
--- a/pkg/config/state.go
+++ b/pkg/config/state.go
@@ -104,6 +104,15 @@
 	return s.snapshot
 }
 
+// Revision returns the latest revision of an entity, also if it is retired. It is 0 for an entity that never existed.
+func (s *State) Revision(entity Entity) int64 {
+	known, ok := s.Entities[entity.String()]
+	if !ok {
+		return 0
+	}
+	return known.Current().Revision
+}
+
 // Encode returns the state as JSON for checkpoints and transfers.
 func (s *State) Encode() ([]byte, error) {
 	return json.Marshal(s)
--- /dev/null
+++ b/pkg/operator/limits.go
@@ -0,0 +1,71 @@
+package operator
+
+import (
+	"crypto/tls"
+	"net/http"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+)
+
+// Limits bound what requests may cost.
+type Limits struct {
+	BodyBytes       int64         // of a request; default 4 MiB for validation, one record elsewhere
+	PublishTime     time.Duration // for a publish, default 20 s
+	PublishAtOnce   int           // publishes in progress, default 32
+	ValidateAtOnce  int           // validations in progress, default 4
+	ValidateRecords int           // records in one validation, default 2,000
+}
+
+const (
+	defaultBodyBytes       = 4 << 20
+	defaultPublishTime     = 20 * time.Second
+	defaultPublishAtOnce   = 32
+	defaultValidateAtOnce  = 4
+	defaultValidateRecords = 2000
+
+	// recordEnvelopeBytes is the allowance for the fields of a record beside its payload.
+	recordEnvelopeBytes = 4 << 10
+	maxRecordBodyBytes  = config.MaxRecordBytes + recordEnvelopeBytes
+	maxSmallBodyBytes   = 4 << 10 // announcements and removals
+	maxHeaderBytes      = 16 << 10
+
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 15 * time.Second
+	writeSlack        = 15 * time.Second // to send a response after the longest handler
+	idleTimeout       = 2 * time.Minute
+)
+
+func (l Limits) withDefaults() Limits {
+	if l.BodyBytes == 0 {
+		l.BodyBytes = defaultBodyBytes
+	}
+	if l.PublishTime == 0 {
+		l.PublishTime = defaultPublishTime
+	}
+	if l.PublishAtOnce == 0 {
+		l.PublishAtOnce = defaultPublishAtOnce
+	}
+	if l.ValidateAtOnce == 0 {
+		l.ValidateAtOnce = defaultValidateAtOnce
+	}
+	if l.ValidateRecords == 0 {
+		l.ValidateRecords = defaultValidateRecords
+	}
+	return l
+}
+
+// NewServer returns an HTTP server with time and size limits for the operators' interface. The caller serves it on its
+// listener and shuts it down. A nil tlsConfig means plain HTTP.
+func NewServer(o Options, tlsConfig *tls.Config) *http.Server {
+	limits := o.Limits.withDefaults()
+	return &http.Server{
+		Handler:           New(o),
+		TLSConfig:         tlsConfig,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      limits.PublishTime + writeSlack,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
