--- /dev/null
+++ b/pkg/callctx/context.go
@@ -0,0 +1,125 @@
+package callctx
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+)
+
+// MaxContextBytes limits the Laburnum-Context header.
+const MaxContextBytes = 1024
+
+// Context is what a call passes on to the calls made on its behalf.
+type Context struct {
+	RequestID string    // of this call
+	Rank      string    // name of a rank in the snapshot
+	Deadline  time.Time // resolution 1 ms
+	Depth     int       // 1 for a call from a client; 1 more for each call on behalf of another
+	Parent    string    // request id of the call on whose behalf this one is made; empty at depth 1
+}
+
+// wireContext is the signed JSON. Short keys keep the header small on every hop.
+type wireContext struct {
+	RequestID  string `json:"i"`
+	Rank       string `json:"r"`
+	DeadlineMS int64  `json:"t"` // Unix ms
+	Depth      int    `json:"d"`
+	Parent     string `json:"p,omitempty"`
+}
+
+// Signer signs and verifies contexts. It is safe for concurrent use.
+type Signer struct {
+	keys [][]byte
+}
+
+// NewSigner returns a signer. The first key signs and all keys verify, so that keys can be rotated: add the new key last
+// on all nodes, then move it to the front, then remove the old one. Without keys nothing verifies.
+func NewSigner(keys [][]byte) *Signer {
+	s := &Signer{}
+	for _, key := range keys {
+		if len(key) > 0 {
+			s.keys = append(s.keys, append([]byte(nil), key...))
+		}
+	}
+	return s
+}
+
+// Encode returns the header form: base64url(JSON) "." base64url(HMAC-SHA256). It is empty if the signer has no key or
+// the result would exceed MaxContextBytes.
+func (s *Signer) Encode(c Context) string {
+	if len(s.keys) == 0 {
+		return ""
+	}
+	wire := wireContext{RequestID: c.RequestID, Rank: c.Rank, DeadlineMS: c.Deadline.UnixMilli(), Depth: c.Depth, Parent: c.Parent}
+	payload, err := json.Marshal(wire)
+	if err != nil {
+		return ""
+	}
+	text := base64.RawURLEncoding.EncodeToString(payload)
+	header := text + "." + base64.RawURLEncoding.EncodeToString(mac(s.keys[0], text))
+	if len(header) > MaxContextBytes {
+		return ""
+	}
+	return header
+}
+
+// Decode verifies a header. Errors are of kind Invalid, TooLarge or Unauthenticated.
+func (s *Signer) Decode(header string) (Context, error) {
+	if len(header) > MaxContextBytes {
+		return Context{}, apierror.New(apierror.TooLarge, HeaderContext+" exceeds its size limit", "pass the header on unchanged")
+	}
+	text, signature, found := strings.Cut(header, ".")
+	given, err := base64.RawURLEncoding.Strict().DecodeString(signature)
+	if !found || err != nil {
+		return Context{}, errMalformed()
+	}
+	if !s.verifies(text, given) {
+		return Context{}, apierror.New(apierror.Unauthenticated, HeaderContext+" does not verify", "pass the header on unchanged; check the fleet keys of the nodes")
+	}
+	return decodePayload(text)
+}
+
+func (s *Signer) verifies(text string, given []byte) bool {
+	for _, key := range s.keys {
+		if hmac.Equal(mac(key, text), given) {
+			return true
+		}
+	}
+	return false
+}
+
+func decodePayload(text string) (Context, error) {
+	payload, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil {
+		return Context{}, errMalformed()
+	}
+	var wire wireContext
+	if err := json.Unmarshal(payload, &wire); err != nil {
+		return Context{}, errMalformed()
+	}
+	if wire.Depth < 1 {
+		return Context{}, errMalformed()
+	}
+	return Context{
+		RequestID: wire.RequestID,
+		Rank:      wire.Rank,
+		Deadline:  time.UnixMilli(wire.DeadlineMS),
+		Depth:     wire.Depth,
+		Parent:    wire.Parent,
+	}, nil
+}
+
+func mac(key []byte, text string) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte(text))
+	return h.Sum(nil)
+}
+
+func errMalformed() error {
+	return apierror.InvalidField(HeaderContext, "malformed", "pass the header on unchanged")
+}
--- /dev/null
+++ b/pkg/callctx/load.go
@@ -0,0 +1,30 @@
+package callctx
+
+import (
+	"fmt"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+)
+
+// Load is the load of a backend server as its own node counts it.
+type Load struct {
+	InFlight int // calls forwarded and not finished
+	Limit    int // current in-flight limit; 0 if the node takes no calls
+	Queued   int // calls waiting in all queues
+}
+
+// String returns the header form "inflight/limit/queued".
+func (l Load) String() string {
+	return fmt.Sprintf("%d/%d/%d", l.InFlight, l.Limit, l.Queued)
+}
+
+// ParseLoad reads the header form.
+func ParseLoad(header string) (Load, error) {
+	var l Load
+	var rest string
+	n, _ := fmt.Sscanf(header+" .", "%d/%d/%d %s", &l.InFlight, &l.Limit, &l.Queued, &rest)
+	if n != 4 || rest != "." || l.InFlight < 0 || l.Limit < 0 || l.Queued < 0 {
+		return Load{}, apierror.InvalidField(HeaderLoad, "malformed", "send inflight/limit/queued")
+	}
+	return l, nil
+}
