--- a/pkg/platform/httplog.go
+++ b/pkg/platform/httplog.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -41,7 +43,8 @@
 	return &HTTPLog{baseURLs: trimmed, client: &http.Client{Transport: transport}}
 }
 
-// Append implements Log. It is sent to one URL only: a second try could append twice.
+// Append implements Log. It is sent to one URL only: a second try could append twice. An error of kind Unavailable,
+// Overloaded or Invalid means that nothing was appended; kind Unknown means that the record may have been appended.
 func (l *HTTPLog) Append(ctx context.Context, stream string, data json.RawMessage) (Entry, error) {
 	if len(l.baseURLs) == 0 {
 		return Entry{}, errNoURL()
@@ -55,7 +58,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	var entry Entry
 	if err := l.do(request, &entry); err != nil {
-		return Entry{}, err
+		return Entry{}, appendError(err)
 	}
 	entry.Data = data
 	return entry, nil
@@ -83,6 +86,18 @@
 	return Batch{}, err
 }
 
+// appendError separates failures before the request was sent, and refusals, from lost answers.
+func appendError(err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return unavailable(err.Error())
+	}
+	if kind := apierror.KindOf(err); kind == apierror.Overloaded || kind == apierror.Invalid {
+		return err
+	}
+	return apierror.New(apierror.Unknown, "log service: "+err.Error(), "read the stream for the record id")
+}
+
 func (l *HTTPLog) recordsURL(base, stream string) string {
 	return base + "/streams/" + url.PathEscape(stream) + "/records"
 }
@@ -90,13 +105,19 @@
 func (l *HTTPLog) do(request *http.Request, result any) error {
 	response, err := l.client.Do(request)
 	if err != nil {
-		return unavailable(err.Error())
+		return &transportError{typed: unavailable(err.Error()), cause: err}
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		return unavailable("answer cut short: " + err.Error())
 	}
+	if response.StatusCode == http.StatusTooManyRequests {
+		return apierror.New(apierror.Overloaded, "log service: more appends per second than it takes", "retry later")
+	}
+	if response.StatusCode >= 400 && response.StatusCode < 500 {
+		return apierror.New(apierror.Invalid, fmt.Sprintf("log service: status %d: %.200s", response.StatusCode, body), "correct the request")
+	}
 	if response.StatusCode != http.StatusOK {
 		return unavailable(fmt.Sprintf("status %d: %.200s", response.StatusCode, body))
 	}
@@ -106,7 +127,21 @@
 	return nil
 }
 
-func unavailable(cause string) error {
+// transportError is an Unavailable error that keeps its cause.
+type transportError struct {
+	typed *apierror.Error
+	cause error
+}
+
+func (e *transportError) Error() string {
+	return e.typed.Error()
+}
+
+func (e *transportError) Unwrap() []error {
+	return []error{e.typed, e.cause}
+}
+
+func unavailable(cause string) *apierror.Error {
 	return apierror.New(apierror.Unavailable, "log service: "+cause, "check the log service and the setting platform.urls")
 }
 
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -35,7 +35,8 @@
 // Log is the log service.
 type Log interface {
 	// Append adds data to the stream. An error does not mean that nothing was appended: the answer may be lost
-	// after the append took effect. Callers put an id into data and read the stream to find out.
+	// after the append took effect, and then the error is of kind Unknown. Callers put an id into data and read the
+	// stream to find out. Errors of other kinds mean that this request appended nothing and never will.
 	Append(ctx context.Context, stream string, data json.RawMessage) (Entry, error)
 
 	// Read returns up to limit entries with offsets of at least from. It waits up to wait for the first
--- /dev/null
+++ b/standin/logservice/log.go
@@ -0,0 +1,210 @@
+// Package logservice is a stand-in for the platform's log service, for tests and the demo.
+//
+// It keeps streams in memory, expires records by age or number, limits appends per second, and can be told to fail as
+// the real one does: outages, slowness, lost answers to appends. Log is the in-process form, Server the HTTP form.
+package logservice
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+)
+
+// Defaults of Options.
+const (
+	DefaultAppendsPerSecond = 400
+	DefaultMaxBatchBytes    = 8 << 20
+	maxRecordBytes          = 32 << 20
+	maxReadEntries          = 10_000
+)
+
+// Options sets the limits of a log service. The zero value keeps records for ever.
+type Options struct {
+	RetainFor        time.Duration    // records older than this expire; 0: never
+	RetainCount      int              // each stream keeps at most this many records; 0: all
+	AppendsPerSecond int              // over all streams; 0: DefaultAppendsPerSecond, negative: unlimited
+	Now              func() time.Time // clock of the log service; nil: time.Now
+}
+
+// Log is the core of the stand-in. It implements platform.Log and is safe for concurrent use.
+type Log struct {
+	options Options
+	limiter *rate.Limiter
+	faults  *faults
+
+	mu      sync.Mutex
+	streams map[string]*stream
+}
+
+// stream holds the retained records. entries[0] has offset first.
+type stream struct {
+	entries []platform.Entry
+	first   int64
+	grown   chan struct{} // closed at each append
+}
+
+// New returns an empty log service in mode Up.
+func New(o Options) *Log {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	perSecond := o.AppendsPerSecond
+	if perSecond == 0 {
+		perSecond = DefaultAppendsPerSecond
+	}
+	limit := rate.Limit(perSecond)
+	if perSecond < 0 {
+		limit, perSecond = rate.Inf, 1
+	}
+	return &Log{
+		options: o,
+		limiter: rate.NewLimiter(limit, perSecond),
+		faults:  newFaults(),
+		streams: make(map[string]*stream),
+	}
+}
+
+// Append implements platform.Log. Data that is not JSON is kept as a JSON string. Errors are of kind Overloaded or
+// Unavailable if nothing was appended and of kind Unknown if the answer was lost.
+func (l *Log) Append(ctx context.Context, name string, data json.RawMessage) (platform.Entry, error) {
+	fault := l.faults.current()
+	if fault.Mode == Down {
+		return platform.Entry{}, errDown()
+	}
+	if len(data) > maxRecordBytes {
+		return platform.Entry{}, apierror.New(apierror.TooLarge, "record exceeds 32 MiB", "split it")
+	}
+	if !l.limiter.Allow() {
+		return platform.Entry{}, apierror.New(apierror.Overloaded, "more appends per second than allowed", "retry later")
+	}
+	if fault.Mode == Slow {
+		return l.appendLate(ctx, name, data, fault.delay())
+	}
+	entry := l.append(name, data)
+	if fault.Mode == LoseAppendAnswers {
+		return platform.Entry{}, errAnswerLost()
+	}
+	return entry, nil
+}
+
+// appendLate appends after the delay, also when the caller has given up by then.
+func (l *Log) appendLate(ctx context.Context, name string, data json.RawMessage, delay time.Duration) (platform.Entry, error) {
+	done := make(chan platform.Entry, 1)
+	kept := append(json.RawMessage(nil), data...)
+	time.AfterFunc(delay, func() { done <- l.append(name, kept) })
+	select {
+	case entry := <-done:
+		return entry, nil
+	case <-ctx.Done():
+		return platform.Entry{}, errAnswerLost()
+	}
+}
+
+func errAnswerLost() error {
+	return apierror.New(apierror.Unknown, "log service: answer lost", "read the stream for the record id")
+}
+
+func (l *Log) append(name string, data json.RawMessage) platform.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	entry := platform.Entry{Offset: s.next(), TimeMS: l.options.Now().UnixMilli(), Data: storedForm(data)}
+	s.entries = append(s.entries, entry)
+	close(s.grown)
+	s.grown = make(chan struct{})
+	l.expire(s)
+	return entry
+}
+
+// storedForm copies data, so that the caller may reuse its buffer. Text that is not JSON becomes a JSON string.
+func storedForm(data json.RawMessage) json.RawMessage {
+	if json.Valid(data) {
+		return append(json.RawMessage(nil), data...)
+	}
+	quoted, err := json.Marshal(strings.ToValidUTF8(string(data), "\uFFFD"))
+	if err != nil {
+		panic("encoding a string: " + err.Error()) // strings are always encodable
+	}
+	return quoted
+}
+
+func (l *Log) stream(name string) *stream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &stream{first: 1, grown: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (s *stream) next() int64 {
+	return s.first + int64(len(s.entries))
+}
+
+// expire drops records beyond the retention.
+func (l *Log) expire(s *stream) {
+	drop := 0
+	if l.options.RetainCount > 0 && len(s.entries) > l.options.RetainCount {
+		drop = len(s.entries) - l.options.RetainCount
+	}
+	if l.options.RetainFor > 0 {
+		oldest := l.options.Now().Add(-l.options.RetainFor).UnixMilli()
+		for drop < len(s.entries) && s.entries[drop].TimeMS < oldest {
+			drop++
+		}
+	}
+	s.first += int64(drop)
+	s.entries = s.entries[drop:]
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, name string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		fault := l.faults.current()
+		if err := fault.beforeRead(ctx); err != nil {
+			return platform.Batch{}, err
+		}
+		batch, grown := l.read(name, from, limit)
+		if len(batch.Entries) > 0 || wait <= 0 || batch.First > from {
+			return batch, nil
+		}
+		select {
+		case <-grown:
+		case <-fault.changed:
+		case <-deadline.C:
+			return batch, nil
+		case <-ctx.Done():
+			return platform.Batch{}, errCancelled(ctx)
+		}
+	}
+}
+
+func errCancelled(ctx context.Context) error {
+	return apierror.New(apierror.Unavailable, "log service: "+ctx.Err().Error(), "retry")
+}
+
+func (l *Log) read(name string, from int64, limit int) (platform.Batch, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	l.expire(s)
+	batch := platform.Batch{First: s.first, Next: s.next(), TimeMS: l.options.Now().UnixMilli(), Entries: []platform.Entry{}}
+	size := 0
+	for i := max(from-s.first, 0); i < int64(len(s.entries)); i++ {
+		if len(batch.Entries) >= min(limit, maxReadEntries) || size > DefaultMaxBatchBytes {
+			break
+		}
+		batch.Entries = append(batch.Entries, s.entries[i])
+		size += len(s.entries[i].Data)
+	}
+	return batch, s.grown
+}
