--- /dev/null
+++ b/pkg/node/api.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+	"github.com/laburnumcleat/laburnumcleat/pkg/operator"
+	"github.com/laburnumcleat/laburnumcleat/pkg/presence"
+)
+
+const (
+	announceEveryMS = 1000
+	maxTokensBytes  = 1 << 20
+)
+
+// apiHandler builds the operators' interface on top of the node.
+func (n *Node) apiHandler(tokens []operator.Token) http.Handler {
+	return operator.New(operator.Options{
+		Node:                  &view{node: n},
+		Publisher:             n.distribution,
+		Remover:               &remover{node: n},
+		Drainer:               n.drainer,
+		Backend:               n.backend,
+		Metrics:               n.metrics,
+		Logger:                n.logger,
+		Tokens:                tokens,
+		DisableAuthentication: n.settings.Operators.AllowAnonymous,
+	})
+}
+
+// readTokens loads the operators' tokens.
+func readTokens(path string) ([]operator.Token, error) {
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil || len(data) > maxTokensBytes {
+		return nil, apierror.InvalidField("operators.tokens_file", fmt.Sprintf("not readable or over 1 MiB: %v", err), "name a readable tokens file")
+	}
+	var tokens []operator.Token
+	if err := json.Unmarshal(data, &tokens); err != nil {
+		return nil, apierror.InvalidField("operators.tokens_file", "not valid JSON: "+err.Error(), "correct the file; docs/operators.md shows its form")
+	}
+	return tokens, operator.ValidateTokens("operators.tokens_file", tokens).Err()
+}
+
+// view presents the node to the operators' interface.
+type view struct {
+	node *Node
+}
+
+func (v *view) Self() operator.Member {
+	self := v.node.membership.Self()
+	member := toOperatorMember(self)
+	member.Version = v.node.distribution.State().Version
+	member.Digest = v.node.distribution.State().Digest()
+	return member
+}
+
+// Members returns the members with the versions known from the status collector, and asks it for newer ones.
+func (v *view) Members() []operator.Member {
+	members := v.node.membership.Members()
+	v.node.versions.refresh(members)
+	result := make([]operator.Member, 0, len(members))
+	for _, m := range members {
+		if m.ID == v.node.settings.ID {
+			result = append(result, v.Self())
+			continue
+		}
+		result = append(result, v.node.versions.annotate(toOperatorMember(m)))
+	}
+	return result
+}
+
+func (v *view) State() *config.State                  { return v.node.distribution.State() }
+func (v *view) Ready() (bool, string)                 { return v.node.distribution.Ready() }
+func (v *view) Events(subject string) []explain.Event { return v.node.recorder.Events(subject) }
+
+func toOperatorMember(m membership.Member) operator.Member {
+	member := operator.Member{
+		ID: m.ID, Region: m.Region, DataCentre: m.DataCentre,
+		ControlAddress: m.ControlAddress, CallAddress: m.CallAddress, APIAddress: m.APIAddress,
+		Incarnation: m.Incarnation, Status: string(m.Status),
+	}
+	if e := m.Endpoint; e != nil {
+		member.Endpoint = &operator.Endpoint{Service: e.Service, Address: e.Address, Slots: e.Slots, Connections: e.Connections, State: string(e.State)}
+	}
+	return member
+}
+
+// Announce implements operator.Backend.
+func (b *backendTracker) Announce(a operator.Announcement) (operator.AnnouncementAnswer, error) {
+	b.announce(membership.Endpoint{
+		Service: a.Service, Address: a.Address, Slots: a.Slots, Connections: a.Connections, State: membership.EndpointState(a.State),
+	})
+	return operator.AnnouncementAnswer{RenewMS: announceEveryMS, ExpireMS: announcementLifetime.Milliseconds()}, nil
+}
+
+// remover implements operator.Remover.
+type remover struct {
+	node *Node
+}
+
+func (r *remover) Remove(ctx context.Context, id string, incarnation uint64) error {
+	for _, m := range r.node.membership.Members() {
+		if m.ID == id && m.Incarnation == incarnation && m.Status == membership.StatusAlive {
+			return apierror.New(apierror.Conflict, id+" is alive", "stop the node first, or wait until it is declared dead")
+		}
+	}
+	return r.node.presence.End(ctx, presence.KindRemoved, id, incarnation)
+}
+
+// drainer implements operator.Drainer: it drains the local backend server while the node goes on routing calls of others.
+type drainer struct {
+	node *Node
+
+	mu    sync.Mutex
+	state operator.DrainState
+}
+
+func (d *drainer) Drain() operator.DrainStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.state == "" {
+		d.state = operator.DrainRunning
+		d.node.backend.leave()
+		go d.run()
+	}
+	return operator.DrainStatus{Node: d.node.settings.ID, State: d.state}
+}
+
+func (d *drainer) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.node.settings.DrainTimeout())
+	defer cancel()
+	if err := d.node.inbound.Drain(ctx); err != nil {
+		d.node.logger.Warn("drain_incomplete", zap.Error(err))
+		return
+	}
+	d.mu.Lock()
+	d.state = operator.DrainDone
+	d.mu.Unlock()
+	d.node.logger.Info("drained")
+}
--- /dev/null
+++ b/pkg/node/listeners.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/settings"
+)
+
+// listeners holds the sockets of a node and the HTTP servers on them.
+type listeners struct {
+	calls, nodes, control, api net.Listener
+
+	mu      sync.Mutex
+	servers []*http.Server
+}
+
+func (l *listeners) open(addresses settings.Listen) error {
+	wanted := []struct {
+		address string
+		target  *net.Listener
+	}{{addresses.Calls, &l.calls}, {addresses.Nodes, &l.nodes}, {addresses.Control, &l.control}, {addresses.API, &l.api}}
+	for _, w := range wanted {
+		listener, err := net.Listen("tcp", w.address)
+		if err != nil {
+			l.closeSockets()
+			return eris.Wrapf(err, "listening on %s; free the port or change the setting", w.address)
+		}
+		*w.target = listener
+	}
+	return nil
+}
+
+// serveHTTP serves a handler on a listener until close. A nil tlsConfig means plain HTTP.
+func (l *listeners) serveHTTP(group *errgroup.Group, listener net.Listener, handler http.Handler, tlsConfig *tls.Config) {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		IdleTimeout:       time.Minute, // longer than clients keep idle connections, so that the client closes first
+	}
+	if tlsConfig != nil {
+		listener = tls.NewListener(listener, tlsConfig)
+	}
+	l.mu.Lock()
+	l.servers = append(l.servers, server)
+	l.mu.Unlock()
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrapf(err, "serving %s", listener.Addr())
+		}
+		return nil
+	})
+}
+
+// close shuts the HTTP servers down after their last request and closes the sockets.
+func (l *listeners) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	l.mu.Lock()
+	servers := l.servers
+	l.mu.Unlock()
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			server.Close()
+		}
+	}
+	l.closeSockets()
+}
+
+func (l *listeners) closeSockets() {
+	for _, listener := range []net.Listener{l.calls, l.nodes, l.control, l.api} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,255 @@
+// Package node connects the parts of a node: configuration, membership, the call plane and the operators' interface.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/distribution"
+	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/inbound"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
+	"github.com/laburnumcleat/laburnumcleat/pkg/operator"
+	"github.com/laburnumcleat/laburnumcleat/pkg/outbound"
+	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/presence"
+	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
+	"github.com/laburnumcleat/laburnumcleat/pkg/security"
+	"github.com/laburnumcleat/laburnumcleat/pkg/settings"
+)
+
+const (
+	tickInterval       = 50 * time.Millisecond // of the systems that adapt limits, eject and expire
+	explainedDecisions = 2000                  // kept for laburnumctl explain
+	headerTimeout      = 5 * time.Second       // to read the header of an HTTP request
+	maxHeaderBytes     = 64 << 10
+)
+
+// Node is one running node.
+type Node struct {
+	settings *settings.Settings
+	logger   *zap.Logger
+	metrics  *metrics.Registry
+	recorder *explain.Recorder
+	keys     *security.Store
+
+	controlBytes  *rpc.Bytes
+	platformBytes *rpc.Bytes
+	server        *rpc.Server
+	client        *rpc.Client
+
+	signer       *callctx.Signer
+	presence     *presence.Presence
+	membership   *membership.Service
+	distribution *distribution.Distributor
+	inbound      *inbound.Handler
+	outbound     *outbound.Handler
+	backend      *backendTracker
+	drainer      *drainer
+	versions     *versionCollector
+	tokens       []operator.Token
+
+	listeners listeners
+}
+
+// New builds a node and opens its listeners. Start it with Run.
+func New(s *settings.Settings, logger *zap.Logger) (*Node, error) {
+	keys, err := security.Open(s.Keys)
+	if err != nil {
+		return nil, err
+	}
+	tokens, err := readTokens(s.Operators.TokensFile)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		settings:      s,
+		tokens:        tokens,
+		logger:        logger.With(zap.String("node", s.ID)),
+		metrics:       metrics.New(),
+		recorder:      explain.NewRecorder(explainedDecisions),
+		keys:          keys,
+		controlBytes:  &rpc.Bytes{},
+		platformBytes: &rpc.Bytes{},
+	}
+	n.warnAboutOpenAccess()
+	n.build()
+	if err := n.listeners.open(s.Listen); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) warnAboutOpenAccess() {
+	if n.settings.Keys.AllowPlain {
+		n.logger.Warn("tls_off", zap.String("remedy", "set keys.allow_plain to false and name the TLS files"))
+	}
+	if n.settings.Operators.AllowAnonymous {
+		n.logger.Warn("operator_authentication_off", zap.String("remedy", "set operators.allow_anonymous to false and name a tokens file"))
+	}
+}
+
+// build creates the parts. The order follows their dependencies: presence, membership, distribution, calls.
+func (n *Node) build() {
+	self := n.selfMember()
+	log := platform.NewHTTPLog(n.settings.Platform.URLs, n.platformTransport())
+	n.server = rpc.NewServer(n.controlBytes)
+	n.client = rpc.NewClient(n.controlBytes, n.keys.Client())
+	n.signer = callctx.NewSigner(n.keys.ContextKeys())
+	n.presence = presence.New(presence.Options{
+		Log: log, Self: self, Retention: n.settings.Platform.Retention(), Metrics: n.metrics, Logger: n.logger,
+	})
+	n.membership = membership.New(membership.Options{
+		Self: self, Seeds: n.settings.Seeds, Contacts: n.presence.Contacts,
+		Client: n.client, Server: n.server,
+		Beat:    func() membership.Beat { return n.distribution.Beat() },
+		OnBeat:  n.onBeat,
+		Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
+	})
+	n.distribution = distribution.New(distribution.Options{
+		Self: self, Log: log, Members: n.membership.Members, Client: n.client, Server: n.server,
+		Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
+	})
+	n.inbound = inbound.New(inbound.Options{
+		Self: self, Snapshot: n.distribution.Snapshot, Window: n.presence.Window, Retention: n.settings.Platform.Retention(),
+		Signer: n.signer, Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
+	})
+	n.inbound.RegisterRPC(n.server)
+	n.outbound = outbound.New(outbound.Options{
+		Self: self, Snapshot: n.distribution.Snapshot, Endpoints: n.membership.Endpoints, Roster: n.presence.Roster,
+		Local: n.inbound, Client: n.client, TLS: n.keys.Client(), Signer: n.signer,
+		Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
+	})
+	n.backend = newBackendTracker(n.inbound, n.membership, n.presence, n.logger)
+	n.drainer = &drainer{node: n}
+	n.versions = newVersionCollector(n.client, self.ID)
+	n.registerStatusRPC()
+}
+
+func (n *Node) onBeat(from membership.Member, beat membership.Beat) {
+	n.versions.heard(from.ID, beat.Version, beat.Digest)
+	n.distribution.OnBeat(from, beat)
+}
+
+func (n *Node) selfMember() membership.Member {
+	return membership.Member{
+		ID: n.settings.ID, Region: n.settings.Region, DataCentre: n.settings.DataCentre,
+		ControlAddress: n.settings.Listen.Control, CallAddress: n.settings.Listen.Nodes, APIAddress: n.settings.Listen.API,
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+}
+
+// platformTransport counts the bytes exchanged with the log service as control traffic.
+func (n *Node) platformTransport() http.RoundTripper {
+	dialer := &net.Dialer{Timeout: 2 * time.Second}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return rpc.CountBytes(conn, n.platformBytes), nil
+		},
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     time.Minute,
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully: new calls are refused with "not run", calls in flight finish, and
+// the node leaves the fleet.
+func (n *Node) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(background)
+	n.serve(group)
+	for _, run := range []func(context.Context){n.presence.Run, n.membership.Run, n.distribution.Run, n.tick} {
+		group.Go(func() error { run(groupCtx); return nil })
+	}
+	n.logger.Info("node_started", zap.String("calls", n.settings.Listen.Calls), zap.String("control", n.settings.Listen.Control))
+	select {
+	case <-ctx.Done():
+		n.shutdown()
+	case <-groupCtx.Done():
+	}
+	stop()
+	n.listeners.close()
+	n.server.Close()
+	n.client.Close()
+	err := group.Wait()
+	n.logger.Info("node_stopped")
+	return err
+}
+
+// serve starts the listeners.
+func (n *Node) serve(group *errgroup.Group) {
+	l := &n.listeners
+	l.serveHTTP(group, l.calls, n.outbound, nil)
+	l.serveHTTP(group, l.nodes, n.inbound, n.keys.NodeServer())
+	l.serveHTTP(group, l.api, n.apiHandler(n.tokens), n.keys.APIServer())
+	group.Go(func() error { return n.server.Serve(l.control, n.keys.NodeServer()) })
+}
+
+func (n *Node) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.backend.tick(now)
+			n.inbound.Tick(now)
+			n.outbound.Tick(now)
+			n.countBytes()
+		}
+	}
+}
+
+// countBytes publishes the socket byte counts as gauges.
+func (n *Node) countBytes() {
+	n.metrics.Gauge("control_bytes_sent").Update(n.controlBytes.Sent.Load())
+	n.metrics.Gauge("control_bytes_received").Update(n.controlBytes.Received.Load())
+	n.metrics.Gauge("platform_bytes_sent").Update(n.platformBytes.Sent.Load())
+	n.metrics.Gauge("platform_bytes_received").Update(n.platformBytes.Received.Load())
+}
+
+// ReloadKeys reads the key files again. On an error the earlier keys stay in use.
+func (n *Node) ReloadKeys() error {
+	if err := n.keys.Reload(); err != nil {
+		n.logger.Error("keys_not_reloaded", zap.Error(err))
+		return err
+	}
+	n.signer.SetKeys(n.keys.ContextKeys())
+	n.logger.Info("keys_reloaded")
+	return nil
+}
+
+// shutdown performs a planned stop. The order matters: the node first says that it is leaving, then refuses new calls,
+// and keeps answering "not run" for a while after its last call, so that other nodes stop using idle connections to it.
+func (n *Node) shutdown() {
+	n.logger.Info("node_stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout())
+	defer cancel()
+	n.backend.leave()
+	n.membership.Leave(ctx)
+	group, drainCtx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.outbound.Drain(drainCtx) })
+	group.Go(func() error { return n.inbound.Drain(drainCtx) })
+	linger := time.After(callctx.DrainLinger)
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		n.logger.Warn("drain_incomplete", zap.Error(err), zap.String("remedy", "raise drain_timeout_s above the longest route timeout"))
+	}
+	<-linger
+	if err := n.presence.End(ctx, presence.KindLeft, n.settings.ID, n.membership.Self().Incarnation); err != nil {
+		n.logger.Warn("presence_not_ended", zap.Error(err))
+	}
+}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -36,6 +36,10 @@
 	for i, seed := range s.Seeds {
 		c.address(fmt.Sprintf("seeds[%d]", i), seed)
 	}
+	for from, to := range s.DialOverrides {
+		c.address("dial_overrides", from)
+		c.address("dial_overrides."+from, to)
+	}
 	c.platform(s.Platform)
 	c.keys(s.Keys)
 	c.operators(s.Operators)
--- a/pkg/settings/reference.go
+++ b/pkg/settings/reference.go
@@ -46,6 +46,8 @@
 	switch t.Kind() {
 	case reflect.Slice:
 		return "list of " + typeName(t.Elem())
+	case reflect.Map:
+		return "object of " + typeName(t.Elem())
 	case reflect.Float64:
 		return "number"
 	case reflect.Bool:
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -14,16 +14,17 @@
 
 // Settings are the settings of one node.
 type Settings struct {
-	ID            string    `json:"id" doc:"name of the VM slot; a replacement VM takes over the name; two running nodes never share one"`
-	Region        string    `json:"region" doc:"region of the VM"`
-	DataCentre    string    `json:"data_centre" doc:"data centre of the VM"`
-	Listen        Listen    `json:"listen" doc:"addresses that the node listens on"`
-	Seeds         []string  `json:"seeds" doc:"control addresses of other nodes for the first contact; may be empty if the log service is reachable" default:"none"`
-	Platform      Platform  `json:"platform" doc:"the platform's log service"`
-	Keys          Keys      `json:"keys" doc:"keys for signing and TLS"`
-	Operators     Operators `json:"operators" doc:"access of operators and of the local backend server"`
-	DrainTimeoutS float64   `json:"drain_timeout_s" doc:"longest time that a planned stop waits for calls in flight" unit:"s" default:"60"`
-	LogLevel      string    `json:"log_level" doc:"debug, info, warn or error" default:"info"`
+	ID            string            `json:"id" doc:"name of the VM slot; a replacement VM takes over the name; two running nodes never share one"`
+	Region        string            `json:"region" doc:"region of the VM"`
+	DataCentre    string            `json:"data_centre" doc:"data centre of the VM"`
+	Listen        Listen            `json:"listen" doc:"addresses that the node listens on"`
+	DialOverrides map[string]string `json:"dial_overrides" doc:"addresses of other nodes (\"ip:port\") mapped to the addresses to connect to instead, for address translation between data centres" default:"none"`
+	Seeds         []string          `json:"seeds" doc:"control addresses of other nodes for the first contact; may be empty if the log service is reachable" default:"none"`
+	Platform      Platform          `json:"platform" doc:"the platform's log service"`
+	Keys          Keys              `json:"keys" doc:"keys for signing and TLS"`
+	Operators     Operators         `json:"operators" doc:"access of operators and of the local backend server"`
+	DrainTimeoutS float64           `json:"drain_timeout_s" doc:"longest time that a planned stop waits for calls in flight" unit:"s" default:"60"`
+	LogLevel      string            `json:"log_level" doc:"debug, info, warn or error" default:"info"`
 }
 
 // Listen holds the listening addresses, each "ip:port". Other processes connect to the same addresses.
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,333 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/settings"
+)
+
+// Ports of every node. Each node has a loopback address of its own.
+const (
+	portCalls   = 7001
+	portNodes   = 7002
+	portControl = 7003
+	portAPI     = 7004
+	portBackend = 7100
+	portLog     = 7200
+)
+
+const (
+	stopLimit       = 90 * time.Second // for a graceful stop
+	retentionS      = 3600
+	maxPerDC        = 250
+	seedsPerNode    = 3
+	startsPerSecond = 100 // processes; a faster start measures the machine instead of the fleet
+)
+
+// Options select what Start starts.
+type Options struct {
+	Deployment Deployment
+	BinDir     string // folder with the programs
+	WorkDir    string // folder for settings, keys and process logs
+	LogURL     string // URL of a log service that is running already; empty: start a stand-in
+	LogLevel   string // of the nodes; default info
+	ColdStart  time.Duration
+	NoBackends bool // start nodes only
+
+	// DialOverrides, if set, returns the address that nodes of a data centre connect to instead of another node's
+	// address, so that a fault-injecting proxy can stand between data centres.
+	DialOverrides func(dataCentre string, nodes []Address) map[string]string
+	// LogURLFor, if set, returns the URL of the log service for the nodes of a data centre.
+	LogURLFor func(dataCentre, logURL string) string
+}
+
+// Address is one listening address of a node.
+type Address struct {
+	DataCentre string
+	HostPort   string
+}
+
+// Node is one node with its backend server.
+type Node struct {
+	ID         string
+	DataCentre string
+	Service    string
+	CallURL    string // for callers
+	APIURL     string
+	BackendURL string
+
+	node    *process
+	backend *process
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Options Options
+	Nodes   []*Node
+	LogURL  string
+
+	log       *process
+	overrides map[string]map[string]string // by data centre
+}
+
+// Start starts the log service, the nodes and the backend servers. It does not wait until they are ready.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	f := &Fleet{Options: o, LogURL: o.LogURL}
+	octet, err := freeOctet()
+	if err != nil {
+		return nil, err
+	}
+	if f.LogURL == "" {
+		if err := f.startLog(octet); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.prepare(octet); err != nil {
+		f.Kill()
+		return nil, err
+	}
+	if err := f.startNodes(ctx); err != nil {
+		f.Kill()
+		return nil, err
+	}
+	return f, nil
+}
+
+// freeOctet picks the second octet of the loopback addresses, so that fleets that run at the same time do not meet.
+func freeOctet() (int, error) {
+	for range 100 {
+		n, err := rand.Int(rand.Reader, big.NewInt(200))
+		if err != nil {
+			return 0, eris.Wrap(err, "reading random bytes")
+		}
+		octet := int(n.Int64()) + 20
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", octet, portLog))
+		if err == nil {
+			listener.Close()
+			return octet, nil
+		}
+	}
+	return 0, eris.New("no free loopback addresses; end other fleets first")
+}
+
+func (f *Fleet) startLog(octet int) error {
+	address := fmt.Sprintf("127.%d.0.1:%d", octet, portLog)
+	f.LogURL = "http://" + address
+	f.log = newProcess(f.path("log.log"), f.binary("laburnum-standin"), "log", "--listen", address,
+		"--retention-s", strconv.Itoa(retentionS))
+	return f.log.start()
+}
+
+func hostPort(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+
+func (f *Fleet) path(name string) string   { return filepath.Join(f.Options.WorkDir, name) }
+func (f *Fleet) binary(name string) string { return filepath.Join(f.Options.BinDir, name) }
+
+// prepare writes keys and settings and fills in Nodes.
+func (f *Fleet) prepare(octet int) error {
+	if err := f.writeKey(); err != nil {
+		return err
+	}
+	d := f.Options.Deployment
+	slots := d.slots()
+	next := make([]int, len(d.DataCentres))
+	ips := make([]string, len(slots))
+	for i, s := range slots {
+		next[s.dataCentre]++
+		if next[s.dataCentre] > maxPerDC {
+			return eris.Errorf("more than %d nodes in a data centre; add data centres", maxPerDC)
+		}
+		ips[i] = fmt.Sprintf("127.%d.%d.%d", octet, s.dataCentre+1, next[s.dataCentre])
+	}
+	f.buildOverrides(slots, ips)
+	for i, s := range slots {
+		seeds := f.seeds(slots, ips, i)
+		if err := f.prepareNode(s, ips[i], seeds); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// buildOverrides asks Options.DialOverrides for each data centre.
+func (f *Fleet) buildOverrides(slots []slot, ips []string) {
+	f.overrides = make(map[string]map[string]string)
+	if f.Options.DialOverrides == nil {
+		return
+	}
+	d := f.Options.Deployment
+	var addresses []Address
+	for i, s := range slots {
+		for _, port := range []int{portNodes, portControl} {
+			addresses = append(addresses, Address{DataCentre: d.DataCentres[s.dataCentre], HostPort: hostPort(ips[i], port)})
+		}
+	}
+	for _, dc := range d.DataCentres {
+		f.overrides[dc] = f.Options.DialOverrides(dc, addresses)
+	}
+}
+
+func (f *Fleet) logURLFor(dataCentre string) string {
+	if f.Options.LogURLFor == nil {
+		return f.LogURL
+	}
+	return f.Options.LogURLFor(dataCentre, f.LogURL)
+}
+
+// seeds spreads the first contacts over the fleet.
+func (f *Fleet) seeds(slots []slot, ips []string, own int) []string {
+	var seeds []string
+	for k := range seedsPerNode {
+		i := k * len(slots) / seedsPerNode
+		if i != own {
+			seeds = append(seeds, hostPort(ips[i], portControl))
+		}
+	}
+	return seeds
+}
+
+func (f *Fleet) writeKey() error {
+	key := make([]byte, 32)
+	if _, err := rand.Read(key); err != nil {
+		return eris.Wrap(err, "reading random bytes")
+	}
+	return eris.Wrap(os.WriteFile(f.path("context.key"), []byte(hex.EncodeToString(key)), 0o600), "writing key")
+}
+
+func (f *Fleet) prepareNode(s slot, ip string, seeds []string) error {
+	d := f.Options.Deployment
+	at := func(port int) string { return hostPort(ip, port) }
+	dataCentre := d.DataCentres[s.dataCentre]
+	level := f.Options.LogLevel
+	if level == "" {
+		level = "info"
+	}
+	nodeSettings := settings.Settings{
+		ID: s.id, Region: d.Region, DataCentre: dataCentre,
+		Listen:        settings.Listen{Calls: at(portCalls), Nodes: at(portNodes), Control: at(portControl), API: at(portAPI)},
+		Seeds:         seeds,
+		DialOverrides: f.overrides[dataCentre],
+		Platform:      settings.Platform{URLs: []string{f.logURLFor(dataCentre)}, RetentionS: retentionS},
+		Keys:          settings.Keys{ContextFiles: []string{f.path("context.key")}, AllowPlain: true},
+		Operators:     settings.Operators{AllowAnonymous: true},
+		DrainTimeoutS: 60, LogLevel: level,
+	}
+	encoded, err := json.MarshalIndent(nodeSettings, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "encoding settings")
+	}
+	file := f.path(s.id + ".json")
+	if err := os.WriteFile(file, encoded, 0o644); err != nil {
+		return eris.Wrap(err, "writing settings")
+	}
+	n := &Node{
+		ID: s.id, DataCentre: dataCentre, Service: s.service.Name,
+		CallURL: "http://" + at(portCalls), APIURL: "http://" + at(portAPI), BackendURL: "http://" + at(portBackend),
+	}
+	n.node = newProcess(f.path(s.id+".node.log"), f.binary("laburnumd"), "--settings", file)
+	n.backend = newProcess(f.path(s.id+".backend.log"), f.binary("laburnum-standin"), "backend",
+		"--service", s.service.Name, "--listen", at(portBackend), "--api", n.APIURL,
+		"--slots", strconv.Itoa(d.Slots), "--connections", strconv.Itoa(d.Connections),
+		"--service-time-ms", strconv.Itoa(s.service.ServiceTimeMS),
+		"--cold-start-ms", strconv.FormatInt(f.Options.ColdStart.Milliseconds(), 10))
+	f.Nodes = append(f.Nodes, n)
+	return nil
+}
+
+func (f *Fleet) startNodes(ctx context.Context) error {
+	pause := time.Second / startsPerSecond
+	for _, n := range f.Nodes {
+		if err := n.start(f.Options.NoBackends); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pause):
+		}
+	}
+	return nil
+}
+
+func (n *Node) start(noBackend bool) error {
+	if err := n.node.start(); err != nil {
+		return err
+	}
+	if noBackend {
+		return nil
+	}
+	return n.backend.start()
+}
+
+// Kill ends the node's process at once, as a crash does. Its backend server goes on.
+func (n *Node) Kill() { n.node.kill() }
+
+// KillBackend ends the backend server at once.
+func (n *Node) KillBackend() { n.backend.kill() }
+
+// KillVM ends node and backend server at once.
+func (n *Node) KillVM() {
+	n.node.kill()
+	n.backend.kill()
+}
+
+// Restart starts the node's process again after Kill or Stop.
+func (n *Node) Restart() error { return n.node.start() }
+
+// RestartBackend starts the backend server again.
+func (n *Node) RestartBackend() error { return n.backend.start() }
+
+// Stop stops the node gracefully and waits until it has ended.
+func (n *Node) Stop() error {
+	if err := n.node.signal(syscall.SIGTERM); err != nil {
+		return eris.Wrap(err, "signalling node")
+	}
+	return n.node.wait(stopLimit)
+}
+
+// StopBackend stops the backend server gracefully and waits until it has ended.
+func (n *Node) StopBackend() error {
+	if err := n.backend.signal(syscall.SIGTERM); err != nil {
+		return eris.Wrap(err, "signalling backend server")
+	}
+	return n.backend.wait(stopLimit)
+}
+
+// Freeze suspends the node's process, Resume continues it.
+func (n *Node) Freeze() error { return n.node.signal(syscall.SIGSTOP) }
+
+// Resume continues a frozen process.
+func (n *Node) Resume() error { return n.node.signal(syscall.SIGCONT) }
+
+// PID returns the process id of the node.
+func (n *Node) PID() int {
+	n.node.mu.Lock()
+	defer n.node.mu.Unlock()
+	return n.node.cmd.Process.Pid
+}
+
+// Kill ends all processes at once.
+func (f *Fleet) Kill() {
+	var group errgroup.Group
+	for _, n := range f.Nodes {
+		group.Go(func() error { n.KillVM(); return nil })
+	}
+	_ = group.Wait()
+	if f.log != nil {
+		f.log.kill()
+	}
+}
