--- a/pkg/config/record.go
+++ b/pkg/config/record.go
@@ -4,8 +4,8 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
+	"fmt"
 	"regexp"
 	"strings"
 
@@ -32,8 +32,12 @@
 	KindParameters EntityKind = "parameters"
 )
 
-// MaxRecordBytes limits one record.
-const MaxRecordBytes = 256 << 10
+// Limits of one record.
+const (
+	MaxRecordBytes = 256 << 10 // without insignificant spaces
+	maxIDBytes     = 64
+	maxAuthorBytes = 128
+)
 
 // Entity names what a record changes. The name of parameters is "team/template".
 type Entity struct {
@@ -46,11 +50,25 @@
 	return string(e.Kind) + " " + e.Name
 }
 
+// TemplateEntity returns the entity of a template.
+func TemplateEntity(name string) Entity {
+	return Entity{Kind: KindTemplate, Name: name}
+}
+
 // ParametersEntity returns the entity for the parameters of a team for a template.
 func ParametersEntity(team, template string) Entity {
 	return Entity{Kind: KindParameters, Name: team + "/" + template}
 }
 
+// Split returns the team and the template of parameters. The team of a template is empty.
+func (e Entity) Split() (team, template string) {
+	if e.Kind == KindTemplate {
+		return "", e.Name
+	}
+	team, template, _ = strings.Cut(e.Name, "/")
+	return team, template
+}
+
 // Record is one change of configuration as it stands in the log.
 type Record struct {
 	ID      string          `json:"id"` // UUIDv7; a repeated id is ignored
@@ -62,7 +80,10 @@
 	Author  string          `json:"author"`
 }
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+var (
+	namePattern     = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	recordIDPattern = regexp.MustCompile(`^[0-9A-Za-z._-]{1,64}$`)
+)
 
 // ValidName reports whether a string can name a template, team, rank, service or route.
 func ValidName(name string) bool {
@@ -71,35 +92,55 @@
 
 const nameRemedy = "use 1 to 63 lower-case letters, digits and inner hyphens"
 
-// ParseRecord decodes and checks the form of a record. The content is checked on replay.
+// ParseRecord decodes a record and checks its form. Its content is checked on replay. The error is an apierror.List or
+// an *apierror.Error. If the data has the fields of a record, it is returned together with the error.
 func ParseRecord(data []byte) (*Record, error) {
-	if len(data) > MaxRecordBytes {
+	canonicalData, err := canonical(data)
+	if err != nil {
+		return nil, apierror.InvalidField("record", "not JSON: "+shorten(err.Error()), "publish through laburnumctl")
+	}
+	if len(canonicalData) > MaxRecordBytes {
 		return nil, apierror.New(apierror.TooLarge, "record exceeds 256 KiB", "split the template")
 	}
 	record := &Record{}
-	if err := decodeStrict(data, record); err != nil {
-		return nil, apierror.InvalidField("record", "not a valid record: "+err.Error(), "publish through laburnumctl")
+	if err := decodeStrict(canonicalData, record); err != nil {
+		return nil, apierror.InvalidField("record", "not a valid record: "+shorten(err.Error()), "publish through laburnumctl")
 	}
 	return record, record.checkForm().Err()
 }
 
 func (r *Record) checkForm() apierror.List {
 	var errs apierror.List
-	if r.ID == "" || len(r.ID) > 64 {
-		errs = append(errs, apierror.InvalidField("id", "missing or longer than 64 characters", "use a UUIDv7"))
+	if !recordIDPattern.MatchString(r.ID) {
+		errs = append(errs, apierror.InvalidField("id", "missing, longer than 64 characters or with other characters than letters, digits, . _ -", "use a UUIDv7"))
 	}
-	switch r.Verb {
-	case Publish, Amend, Retire, Rollback:
-	default:
-		errs = append(errs, apierror.InvalidField("verb", "unknown verb "+string(r.Verb), "use publish, amend, retire or rollback"))
+	if len(r.Author) > maxAuthorBytes {
+		errs = append(errs, apierror.InvalidField("author", fmt.Sprintf("longer than %d bytes", maxAuthorBytes), "use a short name"))
 	}
-	errs = append(errs, r.Entity.check()...)
 	if r.Base < 0 {
 		errs = append(errs, apierror.InvalidField("base", "negative revision", "use the revision shown by laburnumctl get"))
 	}
+	errs = append(errs, r.Entity.check()...)
+	return append(errs, r.checkVerb()...)
+}
+
+// checkVerb checks that exactly the fields that the verb needs are there.
+func (r *Record) checkVerb() apierror.List {
+	var errs apierror.List
+	switch r.Verb {
+	case Publish, Amend, Retire, Rollback:
+	default:
+		return apierror.List{apierror.InvalidField("verb", "unknown verb "+quoted(string(r.Verb)), "use publish, amend, retire or rollback")}
+	}
 	needsPayload := r.Verb == Publish || r.Verb == Amend
 	if needsPayload != (len(r.Payload) > 0) {
-		errs = append(errs, apierror.InvalidField("payload", "publish and amend need a payload, retire and rollback take none", ""))
+		errs = append(errs, apierror.InvalidField("payload", "publish and amend need a payload, retire and rollback take none", "add or remove it"))
+	}
+	if len(r.Payload) > 0 && r.Payload[0] != '{' {
+		errs = append(errs, apierror.InvalidField("payload", "not a JSON object", "use a template or parameters as documented"))
+	}
+	if (r.Verb == Rollback) != (r.Restore > 0) || r.Restore < 0 {
+		errs = append(errs, apierror.InvalidField("restore", "rollback needs the revision to restore, other verbs take none", "choose a revision shown by laburnumctl history"))
 	}
 	return errs
 }
@@ -112,29 +153,16 @@
 	case KindParameters:
 		wanted = 2
 	default:
-		return apierror.List{apierror.InvalidField("entity.kind", "unknown kind "+string(e.Kind), "use template or parameters")}
+		return apierror.List{apierror.InvalidField("entity.kind", "unknown kind "+quoted(string(e.Kind)), "use template or parameters")}
 	}
 	if len(parts) != wanted {
-		return apierror.List{apierror.InvalidField("entity.name", "wrong form "+e.Name, `use "template" or "team/template"`)}
+		return apierror.List{apierror.InvalidField("entity.name", "wrong form "+quoted(e.Name), `use "template" or "team/template"`)}
 	}
 	var errs apierror.List
 	for _, part := range parts {
 		if !namePattern.MatchString(part) {
-			errs = append(errs, apierror.InvalidField("entity.name", "invalid name "+part, nameRemedy))
+			errs = append(errs, apierror.InvalidField("entity.name", "invalid name "+quoted(part), nameRemedy))
 		}
 	}
 	return errs
 }
-
-// decodeStrict decodes exactly one JSON value and refuses unknown fields.
-func decodeStrict(data []byte, v any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(v); err != nil {
-		return err
-	}
-	if decoder.More() {
-		return apierror.New(apierror.Invalid, "data after the JSON value", "remove it")
-	}
-	return nil
-}
--- a/pkg/config/template.go
+++ b/pkg/config/template.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"regexp"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -12,31 +12,6 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 )
 
-// ParameterType is the JSON type of a template parameter.
-type ParameterType string
-
-// The types of parameters.
-const (
-	TypeString  ParameterType = "string"
-	TypeInteger ParameterType = "integer"
-	TypeNumber  ParameterType = "number"
-	TypeBoolean ParameterType = "boolean"
-)
-
-// teamParameter is defined for every team without a declaration.
-const teamParameter = "team"
-
-// Parameter declares one parameter of a template.
-type Parameter struct {
-	Name     string        `json:"name"`
-	Type     ParameterType `json:"type"`
-	Required bool          `json:"required,omitempty"`
-	Default  any           `json:"default,omitempty"`
-	Min      *float64      `json:"min,omitempty"` // smallest value of integer and number
-	Max      *float64      `json:"max,omitempty"` // largest value of integer and number
-	Enum     []any         `json:"enum,omitempty"`
-}
-
 // Template is a configuration with parameters. It is rendered once for each team that has parameters for it.
 type Template struct {
 	Description string          `json:"description,omitempty"`
@@ -56,85 +31,117 @@
 	Routes   []Route   `json:"routes,omitempty"`
 }
 
-var placeholder = regexp.MustCompile(`\$\{([a-z][a-z0-9_]*)\}`)
+// maxFragmentBytes limits the rendered strings of one fragment. Without it a few hundred kilobytes of placeholders with
+// long values would render to gigabytes.
+const maxFragmentBytes = 1 << 20
+
+var (
+	placeholder = regexp.MustCompile(`\$\{([a-z][a-z0-9_]{0,62})\}`)
+	opening     = regexp.MustCompile(`\$\{[^}]*\}?`)
+)
+
+// templateWire is a Template whose parameters are decoded one by one.
+type templateWire struct {
+	Description string            `json:"description"`
+	Parameters  []json.RawMessage `json:"parameters"`
+	Body        json.RawMessage   `json:"body"`
+}
+
+// ParseTemplate decodes and checks a template and returns every fault. The body is rendered on trial with values of the
+// declared types, which finds unknown fields and wrong types before a team uses the template.
+func ParseTemplate(data json.RawMessage) (*Template, apierror.List) {
+	var wire templateWire
+	errs := decodeObject("", data, &wire)
+	parameters, parameterErrs := decodeList[Parameter]("parameters", wire.Parameters)
+	errs = append(errs, parameterErrs...)
+	if len(errs) > 0 {
+		return nil, errs
+	}
+	template := &Template{Description: wire.Description, Parameters: parameters, Body: wire.Body}
+	if len(wire.Parameters) == 0 {
+		template.Parameters = nil
+	}
+	if errs := template.checkDeclarations(); len(errs) > 0 {
+		return nil, errs
+	}
+	if errs := template.renderOnTrial(); len(errs) > 0 {
+		return nil, errs
+	}
+	return template, nil
+}
+
+// ParseParameters decodes the parameters of a team. The values are checked when the template is rendered.
+func ParseParameters(data json.RawMessage) (*Parameters, apierror.List) {
+	parameters := &Parameters{}
+	if errs := decodeObject("", data, parameters); len(errs) > 0 {
+		return nil, errs
+	}
+	return parameters, nil
+}
 
 // checkDeclarations checks the declarations and that the body uses only declared parameters.
 func (t *Template) checkDeclarations() apierror.List {
 	var errs apierror.List
+	if len(t.Parameters) > maxParameters {
+		errs = append(errs, apierror.InvalidField("parameters", fmt.Sprintf("more than %d", maxParameters), "split the template"))
+	}
 	declared := map[string]bool{teamParameter: true}
 	for i, p := range t.Parameters {
 		field := fmt.Sprintf("parameters[%d]", i)
-		if !placeholder.MatchString("${" + p.Name + "}") {
-			errs = append(errs, apierror.InvalidField(field+".name", "invalid name "+strconv.Quote(p.Name), "use lower-case letters, digits and _"))
-		}
 		if declared[p.Name] {
-			errs = append(errs, apierror.InvalidField(field+".name", "declared twice: "+p.Name, "remove one declaration"))
+			errs = append(errs, apierror.InvalidField(field+".name", "declared twice: "+quoted(p.Name), "remove one declaration; team is always defined"))
 		}
 		declared[p.Name] = true
 		errs = append(errs, p.check(field)...)
 	}
-	for _, match := range placeholder.FindAllSubmatch(t.Body, -1) {
-		if name := string(match[1]); !declared[name] {
-			errs = append(errs, apierror.InvalidField("body", "undeclared parameter ${"+name+"}", "declare it under parameters"))
-		}
-	}
-	return errs
-}
-
-func (p *Parameter) check(field string) apierror.List {
-	var errs apierror.List
-	switch p.Type {
-	case TypeString, TypeInteger, TypeNumber, TypeBoolean:
-	default:
-		return append(errs, apierror.InvalidField(field+".type", "unknown type "+strconv.Quote(string(p.Type)), "use string, integer, number or boolean"))
-	}
-	if p.Default != nil {
-		errs = append(errs, p.checkValue(field+".default", p.Default)...)
-	}
-	if p.Default == nil && !p.Required {
-		errs = append(errs, apierror.InvalidField(field, "neither required nor with a default", "set required or default"))
+	var body any
+	if err := json.Unmarshal(t.Body, &body); err != nil || body == nil {
+		return append(errs, apierror.InvalidField("body", "missing", "add the ranks, services and routes"))
 	}
-	if p.Min != nil && p.Max != nil && *p.Min > *p.Max {
-		errs = append(errs, apierror.InvalidField(field+".min", "greater than max", "swap min and max"))
+	for _, text := range placeholdersIn(body) {
+		match := placeholder.FindStringSubmatch(text)
+		if match == nil || match[0] != text {
+			errs = append(errs, apierror.InvalidField("body", "malformed placeholder "+quoted(text), "write ${name}"))
+			continue
+		}
+		if !declared[match[1]] {
+			errs = append(errs, apierror.InvalidField("body", "undeclared parameter "+text, "declare it under parameters"))
+		}
 	}
 	return errs
 }
 
-// checkValue checks a value against type, range and enum.
-func (p *Parameter) checkValue(field string, value any) apierror.List {
-	if !p.hasType(value) {
-		return apierror.List{apierror.InvalidField(field, fmt.Sprintf("%v is not of type %s", value, p.Type), "give a value of that type")}
-	}
-	if number, ok := value.(float64); ok {
-		if p.Min != nil && number < *p.Min {
-			return apierror.List{apierror.InvalidField(field, fmt.Sprintf("%v is below %v", number, *p.Min), "raise it")}
-		}
-		if p.Max != nil && number > *p.Max {
-			return apierror.List{apierror.InvalidField(field, fmt.Sprintf("%v is above %v", number, *p.Max), "lower it")}
-		}
-	}
-	if len(p.Enum) == 0 {
-		return nil
-	}
-	for _, allowed := range p.Enum {
-		if allowed == value {
-			return nil
+// placeholdersIn returns the distinct placeholders in all strings below node, sorted.
+func placeholdersIn(node any) []string {
+	found := make(map[string]bool)
+	var visit func(any)
+	visit = func(node any) {
+		switch n := node.(type) {
+		case map[string]any:
+			for _, child := range n {
+				visit(child)
+			}
+		case []any:
+			for _, child := range n {
+				visit(child)
+			}
+		case string:
+			for _, match := range opening.FindAllString(n, -1) {
+				found[match] = true
+			}
 		}
 	}
-	return apierror.List{apierror.InvalidField(field, fmt.Sprintf("%v is not allowed", value), fmt.Sprintf("use one of %v", p.Enum))}
+	visit(node)
+	return sortedKeys(found)
 }
 
-func (p *Parameter) hasType(value any) bool {
-	switch v := value.(type) {
-	case string:
-		return p.Type == TypeString
-	case bool:
-		return p.Type == TypeBoolean
-	case float64:
-		return p.Type == TypeNumber || p.Type == TypeInteger && v == math.Trunc(v)
-	default:
-		return false
+func (t *Template) renderOnTrial() apierror.List {
+	values := map[string]any{teamParameter: "x"}
+	for i := range t.Parameters {
+		values[t.Parameters[i].Name] = t.Parameters[i].sample()
 	}
+	_, errs := t.substituteAll(values)
+	return errs
 }
 
 // resolveValues checks the values of a team and fills in defaults.
@@ -158,60 +165,102 @@
 	}
 	for _, name := range sortedKeys(values) {
 		if !known[name] {
-			errs = append(errs, apierror.InvalidField("values."+name, "the template has no such parameter", "remove it or declare it in the template"))
+			errs = append(errs, apierror.InvalidField("values."+shorten(name), "the template has no such parameter", "remove it or declare it in the template"))
 		}
 	}
 	return resolved, errs
 }
 
-// render returns the fragment for one team.
-func (t *Template) render(team string, values map[string]any) (*Fragment, apierror.List) {
+// Render returns the checked fragment for one team, or every fault in the values and in the fragment.
+func (t *Template) Render(team string, values map[string]any) (*Fragment, apierror.List) {
 	resolved, errs := t.resolveValues(team, values)
 	if len(errs) > 0 {
 		return nil, errs
 	}
+	fragment, errs := t.substituteAll(resolved)
+	if len(errs) > 0 {
+		return nil, errs
+	}
+	if errs := fragment.normalize(); len(errs) > 0 {
+		return nil, errs
+	}
+	return fragment, nil
+}
+
+// fragmentWire is a Fragment whose entries are decoded one by one.
+type fragmentWire struct {
+	Ranks    []json.RawMessage `json:"ranks"`
+	Services []json.RawMessage `json:"services"`
+	Routes   []json.RawMessage `json:"routes"`
+}
+
+// substituteAll puts resolved values into the body and decodes the result.
+func (t *Template) substituteAll(values map[string]any) (*Fragment, apierror.List) {
 	var body any
 	if err := json.Unmarshal(t.Body, &body); err != nil {
-		return nil, apierror.List{apierror.InvalidField("body", "not valid JSON: "+err.Error(), "correct the template")}
+		return nil, apierror.List{apierror.InvalidField("body", "not valid JSON: "+shorten(err.Error()), "correct the template")}
+	}
+	budget := maxFragmentBytes
+	body = substitute(body, values, &budget)
+	if budget < 0 {
+		return nil, apierror.List{apierror.InvalidField("body", "renders to more than 1 MiB", "split the template or shorten the values")}
 	}
-	rendered, err := json.Marshal(substitute(body, resolved))
+	rendered, err := json.Marshal(body)
 	if err != nil {
-		return nil, apierror.List{apierror.InvalidField("body", err.Error(), "correct the template")}
+		return nil, apierror.List{apierror.InvalidField("body", shorten(err.Error()), "correct the template")}
 	}
+	var wire fragmentWire
+	errs := decodeObject("body", rendered, &wire)
 	fragment := &Fragment{}
-	if err := decodeStrict(rendered, fragment); err != nil {
-		return nil, apierror.List{apierror.InvalidField("body", err.Error(), "use the fields ranks, services and routes as documented")}
+	var listErrs apierror.List
+	fragment.Ranks, listErrs = decodeList[Rank]("body.ranks", wire.Ranks)
+	errs = append(errs, listErrs...)
+	fragment.Services, listErrs = decodeList[Service]("body.services", wire.Services)
+	errs = append(errs, listErrs...)
+	fragment.Routes, listErrs = decodeList[Route]("body.routes", wire.Routes)
+	errs = append(errs, listErrs...)
+	if len(errs) > 0 {
+		return nil, errs
 	}
 	return fragment, nil
 }
 
 // substitute replaces parameters in all strings below node. A string that is one placeholder becomes the typed value;
-// inside a longer string the placeholder becomes text.
-func substitute(node any, values map[string]any) any {
+// inside a longer string the placeholder becomes text. It stops replacing when the budget of bytes is spent.
+func substitute(node any, values map[string]any, budget *int) any {
 	switch n := node.(type) {
 	case map[string]any:
 		for key, child := range n {
-			n[key] = substitute(child, values)
+			n[key] = substitute(child, values, budget)
 		}
 		return n
 	case []any:
 		for i, child := range n {
-			n[i] = substitute(child, values)
+			n[i] = substitute(child, values, budget)
 		}
 		return n
 	case string:
-		return substituteString(n, values)
+		return substituteString(n, values, budget)
 	default:
 		return node
 	}
 }
 
-func substituteString(text string, values map[string]any) any {
-	if match := placeholder.FindString(text); match == text && text != "" {
-		return values[strings.Trim(match, "${}")]
+func substituteString(text string, values map[string]any, budget *int) any {
+	if match := placeholder.FindStringSubmatch(text); match != nil && match[0] == text {
+		value := values[match[1]]
+		if typed, ok := value.(string); ok {
+			*budget -= len(typed)
+		}
+		return value
 	}
 	return placeholder.ReplaceAllStringFunc(text, func(match string) string {
-		return valueText(values[strings.Trim(match, "${}")])
+		if *budget < 0 {
+			return ""
+		}
+		replacement := valueText(values[match[2:len(match)-1]])
+		*budget -= len(replacement)
+		return replacement
 	})
 }
 
@@ -222,6 +271,23 @@
 	return fmt.Sprint(value)
 }
 
+// normalize fills in defaults, sorts the methods of routes, and checks each entry on its own.
+func (f *Fragment) normalize() apierror.List {
+	var errs apierror.List
+	for i := range f.Ranks {
+		errs = append(errs, f.Ranks[i].validate()...)
+	}
+	for i := range f.Services {
+		f.Services[i] = f.Services[i].withDefaults()
+		errs = append(errs, f.Services[i].validate()...)
+	}
+	for i := range f.Routes {
+		slices.Sort(f.Routes[i].Methods)
+		errs = append(errs, f.Routes[i].validate()...)
+	}
+	return errs
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
@@ -230,3 +296,14 @@
 	sort.Strings(keys)
 	return keys
 }
+
+// prefixed puts the entity that errors were found in before their fields.
+func prefixed(key string, errs apierror.List) apierror.List {
+	for _, e := range errs {
+		if strings.HasPrefix(e.Field, key) {
+			continue
+		}
+		e.Field = strings.TrimSuffix(key+": "+e.Field, ": ")
+	}
+	return errs
+}
