--- /dev/null
+++ b/pkg/membership/gossip.go
@@ -0,0 +1,91 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// broadcast is a change that is still to be spread.
+type broadcast struct {
+	id   string
+	sent int
+}
+
+func (s *system) enqueue(id string) {
+	s.queue[id] = &broadcast{id: id}
+}
+
+// takeDeltas appends the changes sent least often, up to the size limit of a message, and counts them as sent.
+func (s *system) takeDeltas(now time.Time, deltas []update) []update {
+	if len(s.queue) == 0 {
+		return deltas
+	}
+	limit := s.timing.retransmissions(s.size())
+	room := s.timing.MaxDeltaBytes
+	for _, b := range s.queueBySent() {
+		e := s.table.entries[b.id]
+		if e == nil {
+			delete(s.queue, b.id)
+			continue
+		}
+		u := e.delta(now)
+		room -= u.size()
+		if room < 0 {
+			break
+		}
+		deltas = append(deltas, u)
+		b.sent++
+		if b.sent >= limit {
+			delete(s.queue, b.id)
+		}
+	}
+	return deltas
+}
+
+func (s *system) queueBySent() []*broadcast {
+	ordered := make([]*broadcast, 0, len(s.queue))
+	for _, b := range s.queue {
+		ordered = append(ordered, b)
+	}
+	slices.SortFunc(ordered, func(a, b *broadcast) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.id, b.id))
+	})
+	return ordered
+}
+
+// gossip sends the queued changes to a few probe partners. Nothing is sent while there are no changes.
+func (s *system) gossip(now time.Time, out []message) []message {
+	if len(s.queue) == 0 || now.Before(s.nextGossip) {
+		return out
+	}
+	s.nextGossip = now.Add(s.timing.GossipInterval)
+	return s.sendDeltas(now, s.randomPartners(s.timing.GossipFanout), out)
+}
+
+func (s *system) sendDeltas(now time.Time, targets []*entry, out []message) []message {
+	for _, target := range targets {
+		if len(s.queue) == 0 {
+			break
+		}
+		out = append(out, s.probeMessage(now, target))
+	}
+	return out
+}
+
+// randomPartners returns up to n different members at the ring distances used for probes, whose connections are open.
+func (s *system) randomPartners(n int) []*entry {
+	if s.position < 0 {
+		return nil
+	}
+	var chosen []*entry
+	for _, i := range s.random.Perm(s.offsets()) {
+		if len(chosen) == n {
+			break
+		}
+		if e := s.partner(i); e.Status == Alive && !slices.Contains(chosen, e) {
+			chosen = append(chosen, e)
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/pkg/membership/service_test.go
@@ -0,0 +1,121 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// eventually bounds waiting only to end a run that hangs; no verdict depends on how long a step takes.
+const eventually = 2 * time.Minute
+
+type testNode struct {
+	*Service
+	stop func()
+}
+
+func startNode(t *testing.T, id, seed string, incarnation uint64, superseded func(uint64)) *testNode {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	if seed == "" {
+		seed = address
+	}
+	traffic := &rpc.Bytes{}
+	client, server := rpc.NewClient(traffic, nil), rpc.NewServer(traffic)
+	service := New(Options{
+		Self:  Member{ID: id, DataCentre: "seeb", ControlAddress: address, Incarnation: incarnation},
+		Seeds: []string{seed}, Client: client, Server: server, OnSuperseded: superseded,
+		Beat: func() Beat { return Beat{Version: 7, Digest: "d"} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(listener, nil) })
+	running.Go(func() { service.Run(ctx) })
+	stop := sync.OnceFunc(func() {
+		cancel()
+		server.Close()
+		client.Close()
+		running.Wait()
+	})
+	t.Cleanup(stop)
+	return &testNode{Service: service, stop: stop}
+}
+
+func (n *testNode) statusOf(id string) Status {
+	for _, m := range n.Members() {
+		if m.ID == id {
+			return m.Status
+		}
+	}
+	return ""
+}
+
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, eventually, 20*time.Millisecond, what)
+}
+
+// Guards against nodes that work over the in-memory exchange only: a dozen nodes on sockets join through one seed, spread
+// endpoints, notice a death, a leave and a restart under the same name.
+func TestNodesOnSockets(t *testing.T) {
+	const count = 12
+	nodes := []*testNode{startNode(t, "vm-0", "", 1, nil)}
+	seed := nodes[0].Self().ControlAddress
+	for i := 1; i < count; i++ {
+		nodes = append(nodes, startNode(t, fmt.Sprintf("vm-%d", i), seed, 1, nil))
+	}
+	all := func(condition func(n *testNode) bool) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				if !condition(n) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	waitFor(t, "all know all", all(func(n *testNode) bool { return len(n.Members()) == count }))
+
+	for _, n := range nodes {
+		n.SetEndpoint(Endpoint{Service: "tracker", Slots: 10, State: EndpointReady})
+	}
+	waitFor(t, "all endpoints", all(func(n *testNode) bool { return len(n.Endpoints("tracker")) == count }))
+
+	killed, left := nodes[3], nodes[4]
+	nodes = append(nodes[:3:3], nodes[5:]...)
+	killed.stop()
+	left.Leave(context.Background())
+	left.stop()
+	waitFor(t, "death and leave known", all(func(n *testNode) bool {
+		return n.statusOf("vm-3") == Dead && n.statusOf("vm-4") == Left && len(n.Endpoints("tracker")) == count-2
+	}))
+
+	replaced := make(chan uint64, 1)
+	old := startNode(t, "vm-3", seed, 2, func(incarnation uint64) { replaced <- incarnation })
+	waitFor(t, "restart known", all(func(n *testNode) bool { return n.statusOf("vm-3") == Alive }))
+	nodes = append(nodes, startNode(t, "vm-3", seed, 3, nil))
+	require.Equal(t, uint64(3), <-replaced, "the earlier process must report its successor")
+	old.stop()
+	waitFor(t, "successor known", all(func(n *testNode) bool {
+		for _, m := range n.Members() {
+			if m.ID == "vm-3" {
+				return m.Incarnation == 3 && m.Status == Alive
+			}
+		}
+		return false
+	}))
+}
--- /dev/null
+++ b/pkg/membership/system.go
@@ -0,0 +1,211 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+)
+
+// system decides which messages to send. It does no I/O and reads no clock: everything depends on its state, the given
+// time and the random source. It is not safe for concurrent use.
+type system struct {
+	timing Timing
+	table  *Table
+	random *rand.Rand
+	self   string
+	beat   func() Beat
+	notice notices
+
+	ring        []*entry // members to probe, self included, in hash order
+	ringChanges uint64   // table.changes when the ring was built
+	position    int      // of self in the ring
+
+	lastTick   time.Time
+	slot       probeSlot
+	probes     map[uint64]*probe
+	nextProbe  uint64
+	suspicions map[string]*suspicion
+	queue      map[string]*broadcast
+	nextGossip time.Time
+	nextRetry  time.Time // next probe of a dead member
+
+	mismatchSince time.Time // since when no peer has had the same digest
+	nextSync      time.Time
+	joins         joinBudget
+
+	leaving    bool
+	superseded bool
+}
+
+// notices are the outputs of the system other than messages. All of them must return without blocking.
+type notices struct {
+	explain    func(explain.Event)
+	count      func(name string, labels ...string)
+	superseded func(incarnation uint64)
+}
+
+func newSystem(timing Timing, self Member, beat func() Beat, random *rand.Rand, n notices) *system {
+	s := &system{
+		timing: timing, table: NewTable(timing.Retention), random: random, self: self.ID, beat: beat, notice: n,
+		probes: make(map[uint64]*probe), suspicions: make(map[string]*suspicion), queue: make(map[string]*broadcast),
+	}
+	self.Status = Alive
+	s.table.merge(time.Time{}, self, 0)
+	s.enqueue(self.ID)
+	return s
+}
+
+func (s *system) me() *entry {
+	return s.table.entries[s.self]
+}
+
+// tick advances the system to now and returns the messages to send.
+func (s *system) tick(now time.Time) []message {
+	if s.superseded || s.leaving {
+		return nil
+	}
+	s.forgivePause(now)
+	for _, id := range s.table.forgetEnded(now) {
+		delete(s.queue, id)
+	}
+	s.rebuildRing()
+	var out []message
+	out = s.expireProbes(now, out)
+	s.expireSuspicions(now)
+	s.rebuildRing()
+	out = s.sendProbe(now, out)
+	out = s.retryDead(now, out)
+	out = s.gossip(now, out)
+	return out
+}
+
+// forgivePause drops the pending probes and prolongs suspicions when this process itself was stopped: the silence says
+// nothing about the others.
+func (s *system) forgivePause(now time.Time) {
+	gap := now.Sub(s.lastTick)
+	paused := !s.lastTick.IsZero() && gap > max(s.timing.ProbeInterval, 4*s.timing.Tick)
+	s.lastTick = now
+	if !paused {
+		return
+	}
+	s.notice.count("membership_paused")
+	clear(s.probes)
+	for _, suspicion := range s.suspicions {
+		suspicion.deadline = suspicion.deadline.Add(gap)
+	}
+}
+
+// setEndpoint announces a change of the local endpoint.
+func (s *system) setEndpoint(now time.Time, e Endpoint) bool {
+	current := s.me().Endpoint
+	if current != nil && current.sameAnnouncement(e) {
+		return false
+	}
+	e.Sequence = 1
+	if current != nil {
+		e.Sequence = current.Sequence + 1
+	}
+	m := s.me().Member
+	m.Endpoint = &e
+	s.table.merge(now, m, 0)
+	s.enqueue(s.self)
+	s.nextGossip = now
+	return true
+}
+
+// leave marks this member as left and returns the messages that announce it.
+func (s *system) leave(now time.Time) []message {
+	if s.leaving || s.superseded {
+		return nil
+	}
+	m := s.me().Member
+	m.Counter++
+	m.Status = Left
+	s.table.merge(now, m, 0)
+	s.leaving = true
+	s.enqueue(s.self)
+	s.rebuildRing()
+	const leaveFanout = 8 // more than a gossip round: the leaving member sends only once
+	return s.sendDeltas(now, s.randomMembers(leaveFanout, ""), nil)
+}
+
+// apply merges the updates of another member.
+func (s *system) apply(now time.Time, updates []update) {
+	for _, u := range updates {
+		if !u.valid() {
+			s.notice.count("membership_invalid_update")
+			continue
+		}
+		s.applyOne(now, u)
+	}
+}
+
+func (s *system) applyOne(now time.Time, u update) {
+	m := u.member()
+	if m.ID == s.self {
+		s.applyAboutSelf(now, m)
+		return
+	}
+	c := s.table.merge(now, m, time.Duration(u.AgeMS)*time.Millisecond)
+	if !c.any() {
+		return
+	}
+	s.enqueue(m.ID)
+	if c.status {
+		s.statusChanged(now, s.table.entries[m.ID], c)
+	}
+}
+
+// applyAboutSelf refutes what others say about this member, or ends its part when the slot has a successor.
+func (s *system) applyAboutSelf(now time.Time, m Member) {
+	me := s.me()
+	if m.Incarnation > me.Incarnation {
+		s.supersede(m.Incarnation)
+		return
+	}
+	refutable := m.Incarnation == me.Incarnation && m.Status != Alive && m.Counter >= me.Counter
+	if !refutable || s.leaving {
+		return
+	}
+	raised := me.Member
+	raised.Counter = m.Counter + 1
+	s.table.merge(now, raised, 0)
+	s.enqueue(s.self)
+	s.notice.count("membership_refuted")
+	s.explainEvent(now, explain.Refuted, s.self, "this member was "+string(m.Status)+" to others and raised its counter")
+}
+
+func (s *system) supersede(incarnation uint64) {
+	if s.superseded {
+		return
+	}
+	s.superseded = true
+	s.notice.count("membership_superseded")
+	s.notice.superseded(incarnation)
+}
+
+// statusChanged follows a merge that changed the status of another member.
+func (s *system) statusChanged(now time.Time, e *entry, c change) {
+	if e.Status == Suspect {
+		s.beginSuspicion(now, e)
+		return
+	}
+	delete(s.suspicions, e.ID)
+	switch {
+	case e.Status == Dead && c.previous != Dead:
+		s.notice.count("membership_dead")
+		s.explainEvent(now, explain.Died, e.ID, "another member declared it dead")
+	case e.Status == Alive && c.previous == Suspect:
+		s.explainEvent(now, explain.Refuted, e.ID, "the member answered or raised its counter")
+	}
+}
+
+func (s *system) explainEvent(now time.Time, kind explain.Kind, subject, cause string) {
+	s.notice.explain(explain.Event{Time: now, Kind: kind, Subject: subject, Cause: cause})
+}
+
+// size is the number of members that take part, self included.
+func (s *system) size() int {
+	return max(len(s.ring), 1)
+}
--- /dev/null
+++ b/pkg/membership/table.go
@@ -0,0 +1,212 @@
+package membership
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// digestBuckets is the number of parts of the table that are compared separately in an anti-entropy exchange.
+const digestBuckets = 64
+
+// Table holds the known members. Merging is commutative, associative and idempotent, so that the same updates in any
+// order give the same table everywhere. It is not safe for concurrent use.
+type Table struct {
+	retention time.Duration // how long dead and left members are kept
+	entries   map[string]*entry
+	digests   [digestBuckets]uint32
+	changes   uint64 // raised at each change
+}
+
+type entry struct {
+	Member
+	hash    uint64
+	version uint32    // part of this entry in its bucket's digest
+	ended   time.Time // since when the member has been dead or left
+}
+
+// change tells what a merge altered.
+type change struct {
+	status      bool // incarnation, counter or status
+	endpoint    bool
+	replaced    bool // a higher incarnation or a new member
+	reappeared  bool // was dead or left, takes part again
+	previous    Status
+	previousInc uint64
+}
+
+func (c change) any() bool {
+	return c.status || c.endpoint
+}
+
+// NewTable returns an empty table that keeps dead and left members for the given time.
+func NewTable(retention time.Duration) *Table {
+	return &Table{retention: retention, entries: make(map[string]*entry)}
+}
+
+// Merge takes in what is known about one member and reports whether the table changed. Age is how long a dead or left
+// member has been so.
+func (t *Table) Merge(now time.Time, m Member, age time.Duration) bool {
+	return t.merge(now, m, age).any()
+}
+
+func (t *Table) merge(now time.Time, m Member, age time.Duration) change {
+	if m.Status.ended() && age >= t.retention {
+		return change{}
+	}
+	known, ok := t.entries[m.ID]
+	if !ok {
+		return t.insert(now, m, age)
+	}
+	if m.Incarnation < known.Incarnation {
+		return change{}
+	}
+	if m.Incarnation > known.Incarnation {
+		c := change{status: true, replaced: true, reappeared: known.Status.ended() && !m.Status.ended(),
+			previous: known.Status, previousInc: known.Incarnation}
+		t.replace(now, known, m, age)
+		return c
+	}
+	return t.mergeSameIncarnation(now, known, m, age)
+}
+
+func (t *Table) insert(now time.Time, m Member, age time.Duration) change {
+	e := &entry{hash: hashID(m.ID)}
+	t.entries[m.ID] = e
+	t.replace(now, e, m, age)
+	return change{status: true, replaced: true}
+}
+
+func (t *Table) replace(now time.Time, e *entry, m Member, age time.Duration) {
+	e.Member = m
+	e.ended = time.Time{}
+	if m.Endpoint != nil {
+		endpoint := *m.Endpoint
+		e.Endpoint = &endpoint
+	}
+	if m.Status.ended() {
+		e.ended = now.Add(-age)
+	}
+	t.touch(e)
+}
+
+func (t *Table) mergeSameIncarnation(now time.Time, known *entry, m Member, age time.Duration) change {
+	c := change{previous: known.Status, previousInc: known.Incarnation}
+	if known.ControlAddress == "" && m.ControlAddress != "" {
+		known.Region, known.DataCentre = m.Region, m.DataCentre
+		known.ControlAddress, known.CallAddress, known.APIAddress = m.ControlAddress, m.CallAddress, m.APIAddress
+		c.status = true
+	}
+	if newer(m, known.Member) {
+		c.status = true
+		c.reappeared = known.Status.ended() && !m.Status.ended()
+		if m.Status.ended() && !known.Status.ended() {
+			known.ended = now.Add(-age)
+		}
+		known.Counter, known.Status = m.Counter, m.Status
+	}
+	if m.Endpoint != nil && (known.Endpoint == nil || m.Endpoint.Sequence > known.Endpoint.Sequence) {
+		endpoint := *m.Endpoint
+		known.Endpoint = &endpoint
+		c.endpoint = true
+	}
+	if c.any() {
+		t.touch(known)
+	}
+	return c
+}
+
+// newer reports whether a overrides b within one incarnation.
+func newer(a, b Member) bool {
+	if a.Counter != b.Counter {
+		return a.Counter > b.Counter
+	}
+	return a.Status.precedence() > b.Status.precedence()
+}
+
+// touch renews the digest after a change of e.
+func (t *Table) touch(e *entry) {
+	t.changes++
+	bucket := &t.digests[e.hash%digestBuckets]
+	*bucket ^= e.version
+	e.version = versionOf(e)
+	*bucket ^= e.version
+}
+
+// versionOf hashes what a merge compares. Whether addresses are known is part of it, so that a member known only from
+// a status update is completed by anti-entropy.
+func versionOf(e *entry) uint32 {
+	var b [8*4 + 2]byte
+	binary.LittleEndian.PutUint64(b[0:], e.hash)
+	binary.LittleEndian.PutUint64(b[8:], e.Incarnation)
+	binary.LittleEndian.PutUint64(b[16:], e.Counter)
+	b[32] = byte(e.Status.precedence())
+	if !e.Status.ended() {
+		if e.Endpoint != nil {
+			binary.LittleEndian.PutUint64(b[24:], e.Endpoint.Sequence)
+		}
+		if e.ControlAddress != "" {
+			b[33] = 1
+		}
+	}
+	return uint32(xxhash.Sum64(b[:]))
+}
+
+// digest summarises the whole table.
+func (t *Table) digest() uint32 {
+	var b [digestBuckets * 4]byte
+	for i, d := range t.digests {
+		binary.LittleEndian.PutUint32(b[i*4:], d)
+	}
+	return uint32(xxhash.Sum64(b[:]))
+}
+
+// forgetEnded drops the members that have been dead or left for the retention.
+func (t *Table) forgetEnded(now time.Time) []string {
+	var forgotten []string
+	for id, e := range t.entries {
+		if e.Status.ended() && now.Sub(e.ended) >= t.retention {
+			t.digests[e.hash%digestBuckets] ^= e.version
+			t.changes++
+			delete(t.entries, id)
+			forgotten = append(forgotten, id)
+		}
+	}
+	return forgotten
+}
+
+// age is how long the member has been dead or left.
+func (e *entry) age(now time.Time) time.Duration {
+	if !e.Status.ended() || now.Before(e.ended) {
+		return 0
+	}
+	return now.Sub(e.ended)
+}
+
+// fullUpdate carries everything about the entry.
+func (e *entry) fullUpdate(now time.Time) update {
+	u := fullUpdate(e.Member)
+	u.AgeMS = e.age(now).Milliseconds()
+	return u
+}
+
+// delta is the shortest update that tells what is new: addresses and endpoint matter only while the member is alive.
+func (e *entry) delta(now time.Time) update {
+	if e.Status == Alive {
+		return e.fullUpdate(now)
+	}
+	u := statusUpdate(e.Member)
+	u.AgeMS = e.age(now).Milliseconds()
+	return u
+}
+
+// copyMember returns a copy that shares nothing with the table.
+func (e *entry) copyMember() Member {
+	m := e.Member
+	if e.Endpoint != nil {
+		endpoint := *e.Endpoint
+		m.Endpoint = &endpoint
+	}
+	return m
+}
--- /dev/null
+++ b/pkg/membership/timing.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"math"
+	"time"
+)
+
+// Timing holds the times and bounds of the protocol. A zero field means its default.
+type Timing struct {
+	Tick               time.Duration // period of the system; default 50 ms
+	ProbeInterval      time.Duration // one probe is sent per interval; default 1 s
+	ProbeTimeout       time.Duration // for a direct probe, and again for the indirect ones; default 300 ms
+	IndirectProbes     int           // members asked for an indirect probe; default 3
+	SuspicionFactor    time.Duration // suspicion lasts this times log10 of the fleet size; default 800 ms
+	SuspicionMinimum   time.Duration // least suspicion time; default 1 s
+	PartitionHold      time.Duration // how long members behind a partition stay suspect; default 10 min
+	Retention          time.Duration // how long dead and left members are remembered; default 10 min
+	GossipInterval     time.Duration // while there are changes to spread; default 100 ms
+	GossipFanout       int           // members that get each gossip round; default 3
+	RetransmitFactor   int           // a change is sent this times log10 of the fleet size, rounded up; default 4
+	MaxDeltaBytes      int           // deltas in one message; default 1,400
+	SyncInterval       time.Duration // least time between two anti-entropy exchanges; default 5 s
+	ReconnectInterval  time.Duration // between probes of a dead member or unknown seed; default 10 s
+	JoinsPerSecond     int           // joins served; others are told when to retry; default 16
+	JoinBackoff        time.Duration // first pause after a failed join; default 500 ms
+	JoinBackoffMaximum time.Duration // default 10 s
+}
+
+func (t Timing) withDefaults() Timing {
+	setDuration(&t.Tick, 50*time.Millisecond)
+	setDuration(&t.ProbeInterval, time.Second)
+	setDuration(&t.ProbeTimeout, 300*time.Millisecond)
+	setInt(&t.IndirectProbes, 3)
+	setDuration(&t.SuspicionFactor, 800*time.Millisecond)
+	setDuration(&t.SuspicionMinimum, time.Second)
+	setDuration(&t.PartitionHold, 10*time.Minute)
+	setDuration(&t.Retention, 10*time.Minute)
+	setDuration(&t.GossipInterval, 100*time.Millisecond)
+	setInt(&t.GossipFanout, 3)
+	setInt(&t.RetransmitFactor, 4)
+	setInt(&t.MaxDeltaBytes, 1400)
+	setDuration(&t.SyncInterval, 5*time.Second)
+	setDuration(&t.ReconnectInterval, 10*time.Second)
+	setInt(&t.JoinsPerSecond, 16)
+	setDuration(&t.JoinBackoff, 500*time.Millisecond)
+	setDuration(&t.JoinBackoffMaximum, 10*time.Second)
+	return t
+}
+
+func setDuration(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+func setInt(field *int, value int) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// suspicion is how long a member stays suspect in a fleet of n before it is declared dead. It grows with log n because
+// the spreading of the suspicion and of its refutation does.
+func (t Timing) suspicion(n int) time.Duration {
+	scaled := time.Duration(float64(t.SuspicionFactor) * math.Log10(float64(n+1)))
+	return max(scaled, t.SuspicionMinimum)
+}
+
+// retransmissions is how often a change is sent in a fleet of n.
+func (t Timing) retransmissions(n int) int {
+	return t.RetransmitFactor * int(math.Ceil(math.Log10(float64(n+1))))
+}
