--- /dev/null
+++ b/pkg/presence/read.go
@@ -0,0 +1,118 @@
+package presence
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+)
+
+// readKey is the one key of the shared read.
+const readKey = "tail"
+
+// errNoProgress keeps a log service that announces records but does not return them from causing endless reads.
+var errNoProgress = errors.New("the log service returned no records before the tail")
+
+// Roster returns the incarnations that have served the service, ended ones included, as of a read to the tail of the
+// stream that took place at readAfter (log clock) or later. It reads only if there was none, and concurrent calls share
+// one read. An error of kind Unavailable means that the log could not be read; the roster is then unknown.
+func (p *Presence) Roster(ctx context.Context, service string, readAfter time.Time) ([]Incarnation, error) {
+	for {
+		p.mu.Lock()
+		missing := readAfter.Sub(p.roster.tail)
+		never := p.roster.tail.IsZero()
+		var selected []Incarnation
+		if missing <= 0 && !never {
+			selected = p.roster.of(service)
+		}
+		p.mu.Unlock()
+		if missing <= 0 && !never {
+			return selected, nil
+		}
+		if err := p.readToTail(ctx); err != nil {
+			return nil, err
+		}
+		if err := p.waitForLogClock(ctx, readAfter); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// waitForLogClock waits while the log's clock, as of the latest read, is before readAfter.
+func (p *Presence) waitForLogClock(ctx context.Context, readAfter time.Time) error {
+	p.mu.Lock()
+	missing := readAfter.Sub(p.roster.tail)
+	p.mu.Unlock()
+	if missing <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(missing)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return unavailable(ctx.Err())
+	}
+}
+
+// Contacts returns the control addresses of the incarnations that last, as of a new read to the tail.
+func (p *Presence) Contacts(ctx context.Context) ([]string, error) {
+	if err := p.readToTail(ctx); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var addresses []string
+	for _, i := range p.roster.of("") {
+		if i.Ended.IsZero() && !slices.Contains(addresses, i.ControlAddress) {
+			addresses = append(addresses, i.ControlAddress)
+		}
+	}
+	return addresses, nil
+}
+
+// readToTail joins the read under way or starts one. The read itself does not depend on one caller's context.
+func (p *Presence) readToTail(ctx context.Context) error {
+	result := p.reads.DoChan(readKey, func() (any, error) {
+		shared, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
+		defer cancel()
+		return nil, p.readBatches(shared)
+	})
+	select {
+	case r := <-result:
+		return r.Err
+	case <-ctx.Done():
+		return unavailable(ctx.Err())
+	}
+}
+
+func (p *Presence) readBatches(ctx context.Context) error {
+	for {
+		p.mu.Lock()
+		next := p.roster.next
+		p.mu.Unlock()
+		batch, err := p.options.Log.Read(ctx, platform.StreamPresence, next, batchLimit, 0)
+		if err != nil {
+			p.options.Metrics.Inc("presence_read_failed")
+			return unavailable(err)
+		}
+		p.mu.Lock()
+		reached := p.roster.apply(batch)
+		progress := p.roster.next != next
+		p.mu.Unlock()
+		if reached {
+			return nil
+		}
+		if !progress {
+			return unavailable(errNoProgress)
+		}
+	}
+}
+
+func unavailable(err error) error {
+	return apierror.New(apierror.Unavailable, "presence stream: "+err.Error(), "check the log service and the setting platform.urls")
+}
