--- /dev/null
+++ b/pkg/inbound/admission.go
@@ -0,0 +1,118 @@
+package inbound
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+)
+
+// admission serialises access to the scheduler of one backend server and lets calls wait for their decision.
+type admission struct {
+	now func() time.Time
+
+	mu        sync.Mutex
+	scheduler *scheduler
+	closed    callctx.Reason // reason for refusing every call; empty while open
+}
+
+func newAdmission(scheduler *scheduler, now func() time.Time) *admission {
+	return &admission{now: now, scheduler: scheduler}
+}
+
+// acquire waits until the call gets a slot or is refused. If ctx ends first, the call is withdrawn with reason
+// CancelledBefore. The caller of a granted call must call release.
+func (a *admission) acquire(ctx context.Context, rank string, deadline time.Time) (*call, *refusal) {
+	c := a.offer(rank, deadline)
+	timer := time.NewTimer(deadline.Sub(a.now()))
+	defer timer.Stop()
+	for {
+		select {
+		case d := <-c.decided:
+			return c, d.refusal
+		case <-ctx.Done():
+			if a.cancel(c) {
+				return nil, &refusal{outcome: callctx.NotRun, reason: callctx.CancelledBefore}
+			}
+			d := <-c.decided
+			return c, d.refusal
+		case <-timer.C:
+			a.expire(c)
+		}
+	}
+}
+
+func (a *admission) offer(rank string, deadline time.Time) *call {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := &call{rank: a.scheduler.rank(rank), arrived: a.now(), deadline: deadline, decided: make(chan decision, 1)}
+	if a.closed != "" {
+		c.decided <- decision{refusal: a.scheduler.refuse(c.rank, a.closed)}
+		return c
+	}
+	a.scheduler.offer(c.arrived, c)
+	return c
+}
+
+func (a *admission) cancel(c *call) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.scheduler.cancel(c)
+}
+
+// expire refuses a call that still waits at its deadline.
+func (a *admission) expire(c *call) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.scheduler.cancel(c) {
+		c.decided <- decision{refusal: a.scheduler.refuse(c.rank, callctx.DeadlineExpired)}
+	}
+}
+
+func (a *admission) release(c *call, r result) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.finish(a.now(), c, r)
+}
+
+// close refuses all waiting and all later calls.
+func (a *admission) close(reason callctx.Reason) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = reason
+	a.scheduler.refuseAll(reason)
+}
+
+func (a *admission) tick(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.tick(now)
+}
+
+// configure takes over the ranks and the limits of a snapshot.
+func (a *admission) configure(policies []rankPolicy, queueLimit, initialLimit int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.setRanks(policies)
+	a.scheduler.queueLimit = queueLimit
+	a.scheduler.limiter.initial = initialLimit
+}
+
+func (a *admission) announce(slots int, warming bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.limiter.setSlots(slots, warming)
+	a.scheduler.dispatch(a.now())
+}
+
+// load reports the load; a closed admission has limit 0.
+func (a *admission) load() callctx.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	load := a.scheduler.load()
+	if a.closed != "" {
+		load.Limit = 0
+	}
+	return load
+}
--- /dev/null
+++ b/pkg/inbound/forward.go
@@ -0,0 +1,193 @@
+package inbound
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+)
+
+const (
+	maxStaleRetries        = 2 // reused connections found closed before one byte was written
+	backendIdleTimeout     = 30 * time.Second
+	maxResponseHeaderBytes = 64 << 10
+)
+
+// failure is the end of a forwarded call without a complete response.
+type failure struct {
+	outcome  callctx.Outcome
+	reason   callctx.Reason
+	shed     bool // the backend server refused the connection
+	timedOut bool // the deadline passed while the backend server worked
+}
+
+// backendClient forwards requests to one backend server over kept connections.
+type backendClient struct {
+	address   string
+	transport *http.Transport
+}
+
+// newBackendClient returns a client that opens at most that many connections.
+func newBackendClient(address string, connections int) *backendClient {
+	return &backendClient{
+		address: address,
+		transport: &http.Transport{
+			DialContext:            dialBackend,
+			MaxConnsPerHost:        connections,
+			MaxIdleConns:           connections,
+			MaxIdleConnsPerHost:    connections,
+			IdleConnTimeout:        backendIdleTimeout,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
+			DisableCompression:     true,
+		},
+	}
+}
+
+func (c *backendClient) close() {
+	c.transport.CloseIdleConnections()
+}
+
+// outgoing is a request to the backend server. Body is nil when stream is used.
+type outgoing struct {
+	template *http.Request
+	body     []byte
+	stream   io.Reader
+	length   int64 // of stream; -1 if unknown
+}
+
+// build returns a fresh request that net/http never repeats on its own once a byte of it was written.
+func (o *outgoing) build(ctx context.Context, address string) *http.Request {
+	r := o.template.Clone(ctx)
+	r.URL.Scheme = "http"
+	r.URL.Host = address
+	r.RequestURI = ""
+	r.GetBody = nil
+	switch {
+	case o.stream != nil:
+		r.Body = io.NopCloser(o.stream)
+		r.ContentLength = o.length
+	case len(o.body) == 0 && !repeatable(r):
+		r.Body = http.NoBody
+		r.ContentLength = 0
+	default:
+		// The wrapped reader hides that the body could be read again: net/http repeats a request without a body, or
+		// with GetBody, if its method or headers suggest that it is idempotent.
+		r.Body = io.NopCloser(bytes.NewReader(o.body))
+		r.ContentLength = int64(len(o.body))
+	}
+	return r
+}
+
+// repeatable reports whether net/http would repeat the request after a failure if it had no body.
+func repeatable(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != ""
+}
+
+// send forwards the request and returns the response with its body unread.
+func (c *backendClient) send(ctx context.Context, o *outgoing) (*http.Response, *failure) {
+	for retries := 0; ; retries++ {
+		response, stale, failed := c.sendOnce(ctx, o)
+		if failed == nil {
+			return response, nil
+		}
+		if !stale || retries == maxStaleRetries || o.stream != nil {
+			return nil, failed
+		}
+	}
+}
+
+// sendOnce also reports whether it met a reused connection that was closed before a byte of the request was written.
+func (c *backendClient) sendOnce(ctx context.Context, o *outgoing) (*http.Response, bool, *failure) {
+	var used atomic.Pointer[trackedConn]
+	var reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn, ok := info.Conn.(*trackedConn)
+		if !ok {
+			return
+		}
+		conn.begin()
+		reused.Store(info.Reused)
+		used.Store(conn)
+	}}
+	response, err := c.transport.RoundTrip(o.build(httptrace.WithClientTrace(ctx, trace), c.address))
+	if err == nil {
+		return response, false, nil
+	}
+	conn := used.Load()
+	if conn == nil {
+		return nil, false, notSent(ctx, err)
+	}
+	written := conn.seal()
+	conn.Close()
+	if written {
+		return nil, false, interrupted(ctx, callctx.ConnectionLost)
+	}
+	return nil, reused.Load() && ctx.Err() == nil, notSent(ctx, err)
+}
+
+// notSent classifies an error before any byte of the request was written.
+func notSent(ctx context.Context, err error) *failure {
+	f := &failure{outcome: callctx.NotRun, reason: callctx.BackendUnreachable}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		f.reason = callctx.DeadlineExpired
+	case ctx.Err() != nil:
+		f.reason = callctx.CancelledBefore
+	default:
+		f.shed = errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return f
+}
+
+// interrupted classifies an error after the request may have been written.
+func interrupted(ctx context.Context, reason callctx.Reason) *failure {
+	f := &failure{outcome: callctx.Unknown, reason: reason}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		f.reason = callctx.DeadlineRunning
+		f.timedOut = true
+	case ctx.Err() != nil:
+		f.reason = callctx.CancelledRunning
+	}
+	return f
+}
+
+// checkResponse refuses a response whose completeness cannot be checked, or that belongs to another request.
+func checkResponse(response *http.Response, requestID string) *failure {
+	if echoed := response.Header.Get(callctx.HeaderRequestID); echoed != "" && echoed != requestID {
+		return &failure{outcome: callctx.Unknown, reason: callctx.ResponseMismatch}
+	}
+	if response.ContentLength < 0 && !isChunked(response) && response.Body != http.NoBody {
+		return &failure{outcome: callctx.Unknown, reason: callctx.ResponseUnchecked}
+	}
+	return nil
+}
+
+func isChunked(response *http.Response) bool {
+	return len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
+}
+
+// readHead reads up to MaxBufferedResponse bytes of the body. Complete is false if the body is longer; its start is then
+// in data and the rest still unread.
+func readHead(ctx context.Context, response *http.Response) (data []byte, complete bool, failed *failure) {
+	var buffer bytes.Buffer
+	if response.ContentLength > 0 && response.ContentLength <= callctx.MaxBufferedResponse {
+		buffer.Grow(int(response.ContentLength) + bytes.MinRead)
+	}
+	n, err := io.Copy(&buffer, io.LimitReader(response.Body, callctx.MaxBufferedResponse+1))
+	if err != nil {
+		return nil, false, interrupted(ctx, callctx.ResponseTruncated)
+	}
+	return buffer.Bytes(), n <= callctx.MaxBufferedResponse, nil
+}
--- /dev/null
+++ b/pkg/inbound/incoming.go
@@ -0,0 +1,122 @@
+package inbound
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/execution"
+)
+
+const (
+	maxTimeout          = 10 * time.Minute // as the longest timeout of a route
+	maxBufferedRequest  = 1 << 20          // a longer request body is streamed while the call holds its slot
+	maxRequestBodyBytes = 64 << 20
+)
+
+// incoming is a parsed call.
+type incoming struct {
+	id          string
+	service     string
+	rank        string
+	deadline    time.Time
+	depth       int
+	parent      string
+	idempotent  bool
+	resend      bool // attempt after the first, or of unknown number
+	ballot      execution.Ballot
+	incarnation uint64
+}
+
+// parse reads the headers of a call from a node. A context that does not verify is ignored and counted; rank and time
+// limit then come from the route that this node's snapshot has for the request.
+func (h *Handler) parse(r *http.Request, snapshot *config.Snapshot) (*incoming, callctx.Reason) {
+	in := &incoming{
+		id:         r.Header.Get(callctx.HeaderRequestID),
+		service:    r.Header.Get(callctx.HeaderService),
+		idempotent: r.Header.Get(callctx.HeaderIdempotent) == "true",
+		resend:     r.Header.Get(callctx.HeaderAttempt) != "1",
+	}
+	if in.id == "" && in.idempotent {
+		in.id = callctx.NewRequestID()
+	}
+	if _, err := callctx.IDTime(in.id); err != nil {
+		return in, callctx.BadRequest
+	}
+	ballot, err := execution.ParseBallot(r.Header.Get(callctx.HeaderBallot))
+	if err != nil {
+		return in, callctx.BadRequest
+	}
+	in.ballot = ballot
+	if text := r.Header.Get(callctx.HeaderIncarnation); text != "" {
+		if in.incarnation, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return in, callctx.BadRequest
+		}
+	}
+	if r.ContentLength > maxRequestBodyBytes {
+		return in, callctx.BodyTooLarge
+	}
+	return in, h.parseContext(r, snapshot, in)
+}
+
+func (h *Handler) parseContext(r *http.Request, snapshot *config.Snapshot, in *incoming) callctx.Reason {
+	now := h.now()
+	in.depth = 1
+	timeout := time.Duration(0)
+	passed, err := h.options.Signer.Decode(r.Header.Get(callctx.HeaderContext))
+	if err == nil {
+		in.rank, in.depth, in.parent = passed.Rank, passed.Depth, passed.Parent
+		timeout = passed.Deadline.Sub(now)
+	} else {
+		h.options.Metrics.Inc("inbound_context_ignored")
+		route, ok := snapshot.Match(r.Method, r.URL.Path)
+		if !ok {
+			return callctx.UnknownRoute
+		}
+		in.rank = route.Rank
+		timeout = route.Timeout()
+	}
+	if in.depth > callctx.MaxDepth {
+		return callctx.TooDeep
+	}
+	// The remaining time takes precedence over the deadline in the context, which is a time on another node's clock.
+	if text := r.Header.Get(callctx.HeaderTimeoutMS); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil {
+			return callctx.BadRequest
+		}
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	in.deadline = now.Add(min(timeout, maxTimeout))
+	return ""
+}
+
+// hopHeaders are meant for one connection or for the inbound node only.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect",
+	callctx.HeaderService, callctx.HeaderIncarnation, callctx.HeaderIdempotent, callctx.HeaderBallot,
+}
+
+// toBackend returns the request as the backend server gets it, without a body.
+func (h *Handler) toBackend(r *http.Request, in *incoming) *http.Request {
+	out := r.Clone(r.Context())
+	out.Body = nil
+	out.TransferEncoding = nil
+	out.Close = false
+	for _, name := range hopHeaders {
+		out.Header.Del(name)
+	}
+	out.Header.Set(callctx.HeaderRequestID, in.id)
+	out.Header.Set(callctx.HeaderTimeoutMS, strconv.FormatInt(max(1, in.deadline.Sub(h.now()).Milliseconds()), 10))
+	out.Header.Set(callctx.HeaderContext, h.options.Signer.Encode(callctx.Context{
+		RequestID: in.id,
+		Rank:      in.rank,
+		Deadline:  in.deadline,
+		Depth:     in.depth,
+		Parent:    in.parent,
+	}))
+	return out
+}
--- /dev/null
+++ b/standin/backend/node.go
@@ -0,0 +1,77 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+)
+
+const (
+	maxNestedBytes = 1 << 20
+	nestedTimeout  = 10 * time.Second // when the call has no deadline of its own
+)
+
+// announce posts the state to the node. A failure is logged: the next announcement follows in a second.
+func (s *Server) announce(ctx context.Context, state string) {
+	if s.options.NodeAPI == "" {
+		return
+	}
+	body, err := json.Marshal(Announcement{
+		Service:     s.options.Service,
+		Address:     s.Address(),
+		Slots:       s.options.Slots,
+		Connections: s.options.Connections,
+		State:       state,
+	})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.options.NodeAPI+"/v1/backend", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	r.Header.Set("Content-Type", "application/json")
+	response, err := s.client.Do(r)
+	if err != nil {
+		s.options.Logger.Info("announcement_failed", zap.String("state", state), zap.Error(err))
+		return
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		s.options.Logger.Info("announcement_refused", zap.String("state", state), zap.Int("status", response.StatusCode))
+	}
+}
+
+// callNested calls another service through the node on behalf of r and returns the status, or 0 without a response. The
+// context header makes rank, deadline and depth carry over.
+func (s *Server) callNested(r *http.Request, answer http.Header) int {
+	ctx, cancel := context.WithTimeout(r.Context(), nestedTimeout)
+	defer cancel()
+	nested, err := http.NewRequestWithContext(ctx, http.MethodGet, s.options.NodeCalls+s.options.Nested, nil)
+	if err != nil {
+		return 0
+	}
+	nested.Header.Set(callctx.HeaderContext, r.Header.Get(callctx.HeaderContext))
+	nested.Header.Set(callctx.HeaderRequestID, callctx.NewRequestID())
+	nested.Header.Set(callctx.HeaderAttempt, "1")
+	response, err := s.client.Do(nested)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	// The body is not used; reading it lets the connection be reused.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxNestedBytes))
+	if mark := response.Header.Get(callctx.HeaderNoRetry); mark != "" {
+		answer.Set(callctx.HeaderNoRetry, mark)
+	}
+	return response.StatusCode
+}
