--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -40,6 +41,10 @@
 	Seed        uint64        // of the random service times and faults
 	Faults      Faults
 	Logger      *zap.Logger
+
+	// ExecutionLog gets one line with the request id at the begin of each execution, so that the count survives the
+	// death of the process. Nil: none.
+	ExecutionLog io.Writer
 }
 
 const (
--- a/standin/backend/serve.go
+++ b/standin/backend/serve.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -155,6 +156,9 @@
 func (s *Server) record(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.options.ExecutionLog != nil {
+		fmt.Fprintln(s.options.ExecutionLog, id)
+	}
 	s.executions[id]++
 	return s.executions[id]
 }
