--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,323 @@
+// Package client calls services through the nodes of laburnumcleat.
+//
+// What Client.Do guarantees:
+//
+//   - Each call has a request id (UUIDv7) and an attempt number. A call on a non-idempotent route runs at most once for
+//     each id, however often it is sent.
+//   - A returned Response is complete and belongs to this call: its length and its request id were checked.
+//   - An *Error with Outcome callctx.NotRun means that no id that was used for this call has run or will run. It is safe
+//     to call Do again.
+//   - An *Error with Outcome callctx.Unknown means that the call may have run. Do not call Do again for a
+//     non-idempotent call, since a new call has a new id; Remedy says what to do.
+//   - After a lost connection the client sends the same id through another node with the next attempt number. A new id
+//     is used only after a final "not-run", after the node's Retry-After with jitter, within the deadline, within the
+//     retry budget, and not if the node marked its response with Laburnum-No-Retry.
+//   - Do returns by the deadline of its context, or after Options.Timeout if the context has none.
+//
+// Callers that use plain HTTP get less. Without Laburnum-Request-Id the first node creates the id; after a lost
+// connection such a caller cannot tell whether its call has run, and must not send a non-idempotent call again. With an
+// id and correct attempt numbers a plain HTTP caller gets the same guarantees as this package. An id that is sent twice
+// as attempt 1 voids the guarantee for that id; an id without an attempt number is handled as a resend, which is safe
+// but slower.
+package client
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/transport"
+)
+
+// Options configures a Client.
+type Options struct {
+	Nodes            []string      // "host:port" of the nodes' interface for callers; at least one
+	TLS              *tls.Config   // nil: plain HTTP
+	Timeout          time.Duration // of a call whose context has no deadline; default 10 s
+	MaxSends         int           // requests sent for one call, all ids together; default 4
+	MaxResponseBytes int64         // default 64 MiB
+}
+
+const (
+	defaultTimeout          = 10 * time.Second
+	defaultMaxSends         = 4
+	defaultMaxResponseBytes = 64 << 20
+	minRetryDelay           = 20 * time.Millisecond // before a resend that no Retry-After delays
+	nodeDownFor             = time.Second           // a node that could not be reached is used last for this time
+)
+
+// Client sends calls. It is safe for concurrent use.
+type Client struct {
+	options   Options
+	transport *transport.Transport
+	scheme    string
+	next      atomic.Uint64
+	downUntil []atomic.Int64 // Unix ns, for each node
+	budget    budget
+
+	random func() float64                                      // 0 to 1
+	sleep  func(ctx context.Context, wait time.Duration) error // returns early with an error when ctx ends
+}
+
+// New returns a client. An error is of kind apierror.Invalid.
+func New(o Options) (*Client, error) {
+	if len(o.Nodes) == 0 {
+		return nil, apierror.InvalidField("nodes", "empty", "name at least one node as host:port")
+	}
+	for _, node := range o.Nodes {
+		if !strings.Contains(node, ":") || strings.Contains(node, "/") {
+			return nil, apierror.InvalidField("nodes", "not an address: "+node, "use host:port")
+		}
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = defaultTimeout
+	}
+	if o.MaxSends <= 0 {
+		o.MaxSends = defaultMaxSends
+	}
+	if o.MaxResponseBytes <= 0 {
+		o.MaxResponseBytes = defaultMaxResponseBytes
+	}
+	c := &Client{options: o, scheme: "http", transport: transport.New(transport.Options{TLS: o.TLS})}
+	if o.TLS != nil {
+		c.scheme = "https"
+	}
+	c.downUntil = make([]atomic.Int64, len(o.Nodes))
+	c.budget.tokens = budgetFloor
+	c.random = rand.Float64
+	c.sleep = sleep
+	c.next.Store(rand.Uint64())
+	return c, nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.Close() }
+
+// Request is one call.
+type Request struct {
+	Method string // default GET
+	Path   string // with query, e.g. "/bookings?day=3"
+	Header http.Header
+	Body   []byte
+	// Context is the Laburnum-Context header of the call on whose behalf this one is made. It passes on rank, deadline
+	// and depth. Empty for a call of its own.
+	Context string
+}
+
+// Response is the complete response of the backend server.
+type Response struct {
+	Status    int
+	Header    http.Header
+	Body      []byte
+	RequestID string // the id that was answered
+	Sends     []Send
+}
+
+// Send describes one request of a call, for logs and checks.
+type Send struct {
+	RequestID string          `json:"request_id"`
+	Attempt   int             `json:"attempt"`
+	Node      string          `json:"node"`
+	Outcome   callctx.Outcome `json:"outcome"`
+	Reason    callctx.Reason  `json:"reason,omitempty"`
+	NotSent   bool            `json:"not_sent,omitempty"` // no byte of the request reached the node
+}
+
+// Error says why a call has no response.
+type Error struct {
+	Outcome    callctx.Outcome // NotRun or Unknown; see the package comment
+	Reason     callctx.Reason
+	RetryAfter time.Duration // 0: none given
+	Remedy     string
+	RequestID  string // the id of the last request
+	Sends      []Send
+	Cause      error // of a lost connection; may be nil
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := "call " + e.RequestID + ": " + string(e.Outcome) + " (" + string(e.Reason) + "); " + e.Remedy
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Do sends a call and waits for its response. Errors are of type *Error.
+func (c *Client) Do(ctx context.Context, request Request) (*Response, error) {
+	ctx, cancel := c.withDeadline(ctx)
+	defer cancel()
+	run := &exchange{client: c, request: request, id: callctx.NewRequestID(), attempt: 1, node: c.chooseNode(-1)}
+	for {
+		result := run.send(ctx)
+		if result.outcome == callctx.Answered {
+			c.budget.earn()
+			return run.response(result), nil
+		}
+		if !run.prepareNext(ctx, result) {
+			return nil, run.failure(ctx, result)
+		}
+	}
+}
+
+func (c *Client) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, c.options.Timeout)
+}
+
+// chooseNode returns the index of the next node in turn that is not known to be down, other than except.
+func (c *Client) chooseNode(except int) int {
+	now := time.Now().UnixNano()
+	n := len(c.options.Nodes)
+	first := int(c.next.Add(1) % uint64(n))
+	fallback := first
+	for i := range n {
+		node := (first + i) % n
+		if node == except {
+			continue
+		}
+		if c.downUntil[node].Load() <= now {
+			return node
+		}
+		fallback = node
+	}
+	return fallback
+}
+
+// result is what one request led to.
+type result struct {
+	outcome    callctx.Outcome
+	reason     callctx.Reason
+	notSent    bool
+	lost       bool // the connection broke off
+	noRetry    bool
+	retryAfter time.Duration
+	remedy     string
+	cause      error
+	status     int
+	header     http.Header
+	body       []byte
+}
+
+// send sends one request and reads its response.
+func (c *Client) send(ctx context.Context, node, id string, attempt int, in *Request) result {
+	request, err := c.newRequest(ctx, node, id, attempt, in)
+	if err != nil {
+		return result{outcome: callctx.NotRun, reason: callctx.BadRequest, remedy: "correct method and path", cause: err}
+	}
+	response, err := c.transport.Do(request)
+	if err != nil {
+		return lostResult(ctx, err)
+	}
+	defer response.Body.Close()
+	return c.read(ctx, id, request.Method, response)
+}
+
+func (c *Client) newRequest(ctx context.Context, node, id string, attempt int, in *Request) (*http.Request, error) {
+	target, err := url.ParseRequestURI(in.Path)
+	if err != nil {
+		return nil, err
+	}
+	target.Scheme, target.Host = c.scheme, node
+	request, err := http.NewRequestWithContext(ctx, in.Method, target.String(), newReader(in.Body))
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(in.Body))
+	for name, values := range in.Header {
+		request.Header[http.CanonicalHeaderKey(name)] = slices.Clone(values)
+	}
+	request.Header.Set(callctx.HeaderRequestID, id)
+	request.Header.Set(callctx.HeaderAttempt, strconv.Itoa(attempt))
+	if in.Context != "" {
+		request.Header.Set(callctx.HeaderContext, in.Context)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		ms := max(time.Until(deadline).Milliseconds(), 0)
+		request.Header.Set(callctx.HeaderTimeoutMS, strconv.FormatInt(ms, 10))
+	}
+	return request, nil
+}
+
+func lostResult(ctx context.Context, err error) result {
+	var failed *transport.Error
+	notSent := errors.As(err, &failed) && !failed.Written
+	switch {
+	case notSent && ctx.Err() != nil:
+		return result{outcome: callctx.NotRun, reason: callctx.DeadlineExpired, notSent: true, cause: err}
+	case notSent:
+		return result{outcome: callctx.NotRun, reason: callctx.NoEndpoint, notSent: true, cause: err}
+	case ctx.Err() != nil:
+		return result{outcome: callctx.Unknown, reason: callctx.DeadlineRunning, cause: err}
+	default:
+		return result{outcome: callctx.Unknown, reason: callctx.ConnectionLost, lost: true, cause: err}
+	}
+}
+
+// read checks a response by request id and length.
+func (c *Client) read(ctx context.Context, id, method string, response *http.Response) result {
+	r := result{status: response.StatusCode, header: response.Header}
+	r.outcome = callctx.Outcome(response.Header.Get(callctx.HeaderOutcome))
+	r.reason = callctx.Reason(response.Header.Get(callctx.HeaderReason))
+	r.noRetry = response.Header.Get(callctx.HeaderNoRetry) == "true"
+	if seconds, err := strconv.Atoi(response.Header.Get(callctx.HeaderRetryAfter)); err == nil && seconds > 0 {
+		r.retryAfter = min(time.Duration(seconds)*time.Second, time.Hour)
+	}
+	if response.Header.Get(callctx.HeaderRequestID) != id {
+		return result{outcome: callctx.Unknown, reason: callctx.ResponseMismatch, lost: true}
+	}
+	noBody := method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
+	if !noBody && response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked") {
+		return result{outcome: callctx.Unknown, reason: callctx.ResponseUnchecked, lost: true}
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxResponseBytes+1))
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return result{outcome: callctx.Unknown, reason: callctx.DeadlineRunning, cause: err}
+	case err != nil:
+		return result{outcome: callctx.Unknown, reason: callctx.ResponseTruncated, lost: true, cause: err}
+	case int64(len(body)) > c.options.MaxResponseBytes:
+		return result{outcome: callctx.Unknown, reason: callctx.AlreadyDone, remedy: "the response exceeds MaxResponseBytes; raise it"}
+	}
+	r.body = body
+	return c.checkOutcome(r)
+}
+
+func (c *Client) checkOutcome(r result) result {
+	switch r.outcome {
+	case callctx.Answered:
+		return r
+	case callctx.NotRun, callctx.Unknown:
+		r.remedy = remedyIn(r.body)
+		return r
+	default:
+		return result{outcome: callctx.Unknown, reason: callctx.ResponseUnchecked, lost: true, remedy: "check that the address is that of a node"}
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/outbound/call.go
@@ -0,0 +1,273 @@
+package outbound
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"path"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+)
+
+const (
+	// deadlineGrace lets the inbound node's own verdict on a missed deadline arrive before this node gives up. That
+	// verdict says whether the call has run; a time-out here does not.
+	deadlineGrace = 25 * time.Millisecond
+
+	maxBufferedRequest = 1 << 20  // bytes of a request body that are kept for a retry
+	maxRequestBytes    = 64 << 20 // bytes of a request body
+	maxTimeout         = 10 * time.Minute
+)
+
+// call is one call from a caller.
+type call struct {
+	request  *http.Request
+	control  *http.ResponseController
+	started  time.Time
+	snapshot *config.Snapshot
+	route    *config.Route
+	cancel   context.CancelFunc
+
+	id       string
+	idTime   time.Time
+	resend   bool // an earlier attempt of this id may have run
+	rank     string
+	deadline time.Time
+	depth    int
+	parent   string
+
+	body     []byte
+	rest     *onceReader // remainder of a body above maxBufferedRequest; nil if the body is complete
+	attempts int
+}
+
+// release frees what the call holds.
+func (c *call) release() {
+	if c.cancel != nil {
+		c.cancel()
+	}
+	if c.rest != nil {
+		c.limitReads(time.Time{})
+	}
+}
+
+// limitReads sets the time limit for reading the request body. Not every ResponseWriter supports it; without it the
+// server's own limits apply.
+func (c *call) limitReads(until time.Time) {
+	_ = c.control.SetReadDeadline(until)
+}
+
+// admit matches the route of a request, reads its limits and applies the checks that need no endpoint. If the call is
+// refused it returns the reason.
+func (h *Handler) admit(c *call) (callctx.Reason, bool) {
+	c.snapshot = h.options.Snapshot()
+	if c.snapshot == nil {
+		return callctx.NotReady, false
+	}
+	if !cleanPath(c.request.URL.Path) || c.request.Method == http.MethodConnect {
+		return callctx.BadRequest, false
+	}
+	route, ok := c.snapshot.Match(c.request.Method, c.request.URL.Path)
+	if !ok {
+		return callctx.UnknownRoute, false
+	}
+	c.route = route
+	if !h.readLimits(c) {
+		return callctx.BadRequest, false
+	}
+	if c.depth > callctx.MaxDepth {
+		return callctx.TooDeep, false
+	}
+	return h.checkTimes(c)
+}
+
+// readID takes the request id and attempt number from the request, or creates an id. It returns false if either is
+// malformed.
+func (h *Handler) readID(c *call) bool {
+	id := c.request.Header.Get(callctx.HeaderRequestID)
+	attempt := c.request.Header.Get(callctx.HeaderAttempt)
+	c.resend = attempt != "1" && (id != "" || attempt != "")
+	if id == "" {
+		c.id = callctx.NewRequestID()
+		c.idTime = c.started
+		return !c.resend
+	}
+	made, err := callctx.IDTime(id)
+	if err != nil {
+		c.resend = false // no node ever accepts such an id, so that "not-run" is true for every attempt
+		return false
+	}
+	c.id, c.idTime = id, made
+	number, err := strconv.Atoi(attempt)
+	return attempt == "" || err == nil && number >= 1
+}
+
+// cleanPath reports whether a path has one reading only. A backend server that resolves "..", "." or "//" would see
+// another path than the route match.
+func cleanPath(p string) bool {
+	if !strings.HasPrefix(p, "/") {
+		return false
+	}
+	cleaned := path.Clean(p)
+	return p == cleaned || p == cleaned+"/"
+}
+
+// readLimits sets rank, deadline and depth from the route and, for a call on behalf of another, from the signed context.
+// The caller's own time limit can only shorten the deadline.
+func (h *Handler) readLimits(c *call) bool {
+	c.rank = c.route.Rank
+	c.depth = 1
+	c.deadline = c.started.Add(c.route.Timeout())
+	h.inherit(c)
+	text := c.request.Header.Get(callctx.HeaderTimeoutMS)
+	if text == "" {
+		return true
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 0 {
+		return false
+	}
+	limit := min(time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond, maxTimeout)
+	c.deadline = earlier(c.deadline, c.started.Add(limit))
+	return true
+}
+
+func (h *Handler) inherit(c *call) {
+	header := c.request.Header.Get(callctx.HeaderContext)
+	if header == "" {
+		return
+	}
+	inherited, err := h.options.Signer.Decode(header)
+	if err != nil {
+		h.options.Metrics.Inc("outbound_context_rejected")
+		return
+	}
+	if _, known := c.snapshot.RankIndex(inherited.Rank); known {
+		c.rank = inherited.Rank
+	}
+	c.depth = inherited.Depth + 1
+	c.parent = inherited.RequestID
+	c.deadline = earlier(c.deadline, inherited.Deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// checkTimes refuses calls whose deadline has passed and ids that no inbound node may accept.
+func (h *Handler) checkTimes(c *call) (callctx.Reason, bool) {
+	if !c.started.Before(c.deadline) {
+		return callctx.DeadlineExpired, false
+	}
+	if c.route.Idempotent {
+		return "", true
+	}
+	if c.idTime.Sub(c.started) > callctx.ClockError {
+		return callctx.IDInFuture, false
+	}
+	if !c.resend && c.started.Sub(c.idTime) >= callctx.MaxFirstAttemptAge {
+		return callctx.IDTooOld, false
+	}
+	return "", true
+}
+
+// readBody buffers the request body up to maxBufferedRequest, so that the call can be sent again.
+func (c *call) readBody() (callctx.Reason, bool) {
+	r := c.request
+	if r.Body == nil || r.Body == http.NoBody {
+		return "", true
+	}
+	if r.ContentLength > maxRequestBytes {
+		return callctx.BodyTooLarge, false
+	}
+	c.limitReads(c.deadline)
+	buffer := bytes.NewBuffer(make([]byte, 0, min(max(r.ContentLength, 0), maxBufferedRequest)+bytes.MinRead))
+	n, err := buffer.ReadFrom(io.LimitReader(r.Body, maxBufferedRequest))
+	if err != nil {
+		return callctx.BadRequest, false
+	}
+	c.body = buffer.Bytes()
+	if n == maxBufferedRequest && r.ContentLength != n {
+		c.rest = &onceReader{source: r.Body, left: maxRequestBytes - n}
+		return "", true
+	}
+	c.limitReads(time.Time{})
+	return "", true
+}
+
+// newBody returns the body for one attempt and its length, -1 if unknown.
+func (c *call) newBody() (io.Reader, int64) {
+	if c.rest == nil {
+		return bytes.NewReader(c.body), int64(len(c.body))
+	}
+	return io.MultiReader(bytes.NewReader(c.body), c.rest.claim()), c.request.ContentLength
+}
+
+// repeatable reports whether the body can be sent again. After that the earlier attempts can no longer read it.
+func (c *call) repeatable() bool {
+	return c.rest == nil || c.rest.reclaim()
+}
+
+var (
+	errBodyTooLarge = errors.New("request body exceeds 64 MiB")
+	errBodyRevoked  = errors.New("request body is used by a later attempt")
+)
+
+// onceReader is the part of a request body that is not kept. Once a byte was read the request cannot be repeated. Each
+// attempt claims it anew, so that an attempt that is still being written cannot take bytes from a later one.
+type onceReader struct {
+	mu     sync.Mutex
+	source io.Reader
+	left   int64
+	begun  bool
+	owner  *claimedReader
+}
+
+type claimedReader struct {
+	shared *onceReader
+}
+
+func (o *onceReader) claim() *claimedReader {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.owner = &claimedReader{shared: o}
+	return o.owner
+}
+
+// reclaim takes the reader from its owner, unless the owner has read from it.
+func (o *onceReader) reclaim() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.begun {
+		return false
+	}
+	o.owner = nil
+	return true
+}
+
+// Read implements io.Reader.
+func (r *claimedReader) Read(p []byte) (int, error) {
+	o := r.shared
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.owner != r {
+		return 0, errBodyRevoked
+	}
+	o.begun = true
+	if o.left <= 0 {
+		return 0, errBodyTooLarge
+	}
+	n, err := o.source.Read(p[:min(int64(len(p)), o.left)])
+	o.left -= int64(n)
+	return n, err
+}
--- /dev/null
+++ b/pkg/outbound/endpoint.go
@@ -0,0 +1,209 @@
+package outbound
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+)
+
+// Parameters of endpoint choice.
+const (
+	reportLifetime  = time.Second      // a load report older than this says little about the present
+	slowStart       = 10 * time.Second // a new endpoint reaches its full weight after this time
+	minWeight       = 0.1              // weight of an endpoint at the start of its slow start, and while it is warming
+	endpointIdleFor = 5 * time.Minute  // an endpoint that was not a candidate for this time is forgotten
+
+	// Ejection: failures in a row, and the time without calls, which doubles with each ejection in a row.
+	failureThreshold = 3
+	errorThreshold   = 10 // failures by the backend server's own status 500 or 502: these can also be caused by callers
+	ejectionBase     = time.Second
+	ejectionMax      = time.Minute
+	maxEjections     = 6 // doublings
+	forgiveAfter     = 2 * time.Minute
+	avoidFor         = time.Second // preference of other endpoints after a refusal that does not depend on load
+)
+
+// endpointKey identifies one incarnation of a node: what was observed on a predecessor does not apply to it.
+type endpointKey struct {
+	id          string
+	incarnation uint64
+}
+
+func keyOf(m *membership.Member) endpointKey {
+	return endpointKey{id: m.ID, incarnation: m.Incarnation}
+}
+
+// endpoint is what this node observed on one endpoint.
+type endpoint struct {
+	inFlight atomic.Int64 // calls of this node
+
+	mu           sync.Mutex
+	rampFrom     time.Time // start of the slow start
+	lastUsed     time.Time // last time it was a candidate
+	report       callctx.Load
+	reportedAt   time.Time
+	ownAtReport  int64 // inFlight when the report arrived
+	failures     int   // transport failures in a row
+	errors       int   // status 500 or 502 in a row
+	ejections    int   // in a row
+	ejectedAt    time.Time
+	ejectedUntil time.Time // zero if not ejected
+	avoidUntil   time.Time // it refused calls lately
+	avoidFirst   time.Time // it refused non-idempotent first attempts lately
+}
+
+// load returns the estimated calls at the endpoint and how many it can run at once.
+func (e *endpoint) load(now time.Time, slots int) (calls, limit float64) {
+	own := e.inFlight.Load()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	limit = float64(max(slots, 1))
+	if e.reportedAt.IsZero() || now.Sub(e.reportedAt) > reportLifetime {
+		return float64(own), limit
+	}
+	since := max(own-e.ownAtReport, 0)
+	calls = float64(int64(e.report.InFlight+e.report.Queued) + since)
+	return calls, float64(e.report.Limit)
+}
+
+// weight is the part of its normal share that a new endpoint receives, between minWeight and 1.
+func (e *endpoint) weight(now time.Time) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	age := now.Sub(e.rampFrom)
+	if age >= slowStart {
+		return 1
+	}
+	return max(minWeight, age.Seconds()/slowStart.Seconds())
+}
+
+// observeLoad stores a load report of the endpoint.
+func (e *endpoint) observeLoad(report callctx.Load, now time.Time) {
+	own := e.inFlight.Load()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.report, e.reportedAt, e.ownAtReport = report, now, own
+}
+
+// ejected reports whether the endpoint is ejected at this time.
+func (e *endpoint) ejected(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Before(e.ejectedUntil)
+}
+
+// verdict is what one call says about its endpoint.
+type verdict int
+
+const (
+	neutral      verdict = iota // a refusal, or a call that the caller gave up
+	success                     // a complete response
+	backendError                // a complete response with status 500 or 502
+	failure                     // no complete response, or the node cannot reach its backend server
+)
+
+// observe counts a verdict and reports whether the endpoint is due for ejection.
+func (e *endpoint) observe(v verdict, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch v {
+	case success:
+		e.failures, e.errors = 0, 0
+		if now.Sub(e.ejectedAt) > forgiveAfter {
+			e.ejections = 0
+		}
+	case backendError:
+		e.failures = 0
+		e.errors++
+	case failure:
+		e.failures++
+	}
+	return e.failures >= failureThreshold || e.errors >= errorThreshold
+}
+
+// eject takes the endpoint out of use. After its return one failure is enough for the next ejection, and the slow
+// start limits the calls that this failure can hit.
+func (e *endpoint) eject(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	duration := min(ejectionBase<<min(e.ejections, maxEjections), ejectionMax)
+	e.ejections++
+	e.ejectedAt = now
+	e.ejectedUntil = now.Add(duration)
+	e.rampFrom = e.ejectedUntil
+	e.failures = failureThreshold - 1
+	e.errors = errorThreshold - 1
+	return duration
+}
+
+// avoid notes a refusal that the next calls would meet as well.
+func (e *endpoint) avoid(r *reply, now time.Time) {
+	if r.outcome != callctx.NotRun {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch r.reason {
+	case callctx.Draining, callctx.NotReady, callctx.UnknownService, callctx.WrongIncarnation, callctx.BackendUnreachable:
+		e.avoidUntil = now.Add(avoidFor)
+	case callctx.PresenceUnconfirmed, callctx.IDBeforePresence, callctx.PresenceExpiring, callctx.TableFull:
+		e.avoidFirst = now.Add(avoidFor)
+	}
+}
+
+// avoided reports whether other endpoints are preferred for a call. First tells whether it is a non-idempotent first
+// attempt.
+func (e *endpoint) avoided(first bool, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Before(e.avoidUntil) || first && now.Before(e.avoidFirst)
+}
+
+func (e *endpoint) touch(now time.Time) {
+	e.mu.Lock()
+	e.lastUsed = now
+	e.mu.Unlock()
+}
+
+// endpoints holds what this node observed on each endpoint.
+type endpoints struct {
+	mu    sync.RWMutex
+	byKey map[endpointKey]*endpoint
+}
+
+func newEndpoints() *endpoints {
+	return &endpoints{byKey: make(map[endpointKey]*endpoint)}
+}
+
+func (t *endpoints) get(key endpointKey, now time.Time) *endpoint {
+	t.mu.RLock()
+	found := t.byKey[key]
+	t.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if found = t.byKey[key]; found == nil {
+		found = &endpoint{rampFrom: now, lastUsed: now}
+		t.byKey[key] = found
+	}
+	return found
+}
+
+// expire forgets endpoints that have left.
+func (t *endpoints) expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, e := range t.byKey {
+		e.mu.Lock()
+		unused := now.Sub(e.lastUsed) > endpointIdleFor
+		e.mu.Unlock()
+		if unused && e.inFlight.Load() == 0 {
+			delete(t.byKey, key)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/outbound/handler.go
@@ -0,0 +1,219 @@
+// Package outbound is the side of a node that takes calls from clients and from the local backend server and routes
+// them to inbound nodes.
+//
+// Each call uses one configuration snapshot from beginning to end, ends in exactly one outcome, and is counted once in
+// outbound_outcome. A call is sent a second time only when the first request provably did not run, or when its route is
+// idempotent. A resend of a non-idempotent call is resolved with all nodes that could have run it before it may run.
+package outbound
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/execution"
+	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/inbound"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
+	"github.com/laburnumcleat/laburnumcleat/pkg/presence"
+	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
+	"github.com/laburnumcleat/laburnumcleat/pkg/transport"
+)
+
+// Options are the collaborators of a Handler.
+type Options struct {
+	Self      membership.Member
+	Snapshot  func() *config.Snapshot // nil while the node is not ready
+	Endpoints func(service string) []membership.Member
+	Roster    func(ctx context.Context, service string, readAfter time.Time) ([]presence.Incarnation, error)
+	Local     http.Handler // inbound handler of this node; nil: calls to this node go over the network
+	Client    *rpc.Client
+	TLS       *tls.Config // for calls to other nodes; nil: plain HTTP
+	Signer    *callctx.Signer
+	Metrics   *metrics.Registry
+	Logger    *zap.Logger         // nil: no log
+	Explain   func(explain.Event) // nil: not recorded
+}
+
+// Handler serves callers. It is safe for concurrent use. Create it with New.
+type Handler struct {
+	options   Options
+	transport *transport.Transport
+	scheme    string
+	endpoints *endpoints
+	retries   *budgets
+	hedges    *budgets
+	latencies *latencies
+	ejecting  sync.Mutex    // serialises ejections, so that the cap holds
+	resolving chan struct{} // one element for each resolution in progress
+	gate      gate
+
+	now    func() time.Time
+	random func(n int) int
+	lookup func(ctx context.Context, address string, params inbound.LookupParams) (execution.LookupResult, error)
+}
+
+// New returns a handler. Call Tick about once a second, and Drain before the process ends.
+func New(o Options) *Handler {
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Explain == nil {
+		o.Explain = func(explain.Event) {}
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.New()
+	}
+	h := &Handler{
+		options:   o,
+		transport: transport.New(transport.Options{TLS: o.TLS}),
+		scheme:    "http",
+		endpoints: newEndpoints(),
+		retries:   newBudgets(newRetryBudget),
+		hedges:    newBudgets(newHedgeBudget),
+		latencies: newLatencies(),
+		resolving: make(chan struct{}, maxResolutions),
+		now:       time.Now,
+		random:    rand.IntN,
+	}
+	if o.TLS != nil {
+		h.scheme = "https"
+	}
+	h.lookup = h.lookupRPC
+	return h
+}
+
+// ServeHTTP routes one call. It panics with http.ErrAbortHandler to close the connection when a long response breaks
+// off after its first bytes were sent on; the server recovers from that panic.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.options.Metrics.Inc("outbound_calls")
+	result, abort := final{outcome: callctx.Unknown, reason: callctx.ConnectionLost}, false
+	defer func() { h.count(result) }()
+	open := h.gate.enter()
+	if open {
+		defer h.gate.leave()
+	}
+	c := &call{started: h.now(), request: r, control: http.NewResponseController(w)}
+	defer c.release()
+	result, abort = h.deliver(w, c, h.serve(c, open))
+	if abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve runs a call to its reply. It refuses the call if the node is draining, which open denies.
+func (h *Handler) serve(c *call, open bool) *reply {
+	if !h.readID(c) {
+		return h.refusal(c, callctx.BadRequest)
+	}
+	if !open {
+		return h.refusal(c, callctx.Draining)
+	}
+	if reason, ok := h.admit(c); !ok {
+		return h.refusal(c, reason)
+	}
+	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline.Add(deadlineGrace))
+	c.cancel = cancel
+	if reason, ok := c.readBody(); !ok {
+		return h.refusal(c, reason)
+	}
+	if c.resend && !c.route.Idempotent {
+		return h.resend(ctx, c)
+	}
+	return h.run(ctx, c)
+}
+
+// final is the outcome of a call as counted.
+type final struct {
+	outcome callctx.Outcome
+	reason  callctx.Reason
+}
+
+func (h *Handler) count(result final) {
+	h.options.Metrics.Inc("outbound_outcome", "outcome", string(result.outcome), "reason", reasonLabel(result.reason))
+}
+
+// Drain refuses new calls with "not-run" and reason draining, and returns when no call is in flight or ctx ends.
+func (h *Handler) Drain(ctx context.Context) error {
+	select {
+	case <-h.gate.close():
+		h.transport.Close()
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Tick refills budgets and forgets endpoints that have left.
+func (h *Handler) Tick(now time.Time) {
+	snapshot := h.options.Snapshot()
+	keep := func(rank string) bool {
+		if snapshot == nil {
+			return true
+		}
+		_, ok := snapshot.RankIndex(rank)
+		return ok
+	}
+	h.retries.refill(now, keep)
+	h.hedges.refill(now, keep)
+	h.latencies.expire(func(route string) bool { return snapshot == nil || hasRoute(snapshot, route) })
+	h.endpoints.expire(now)
+}
+
+func hasRoute(snapshot *config.Snapshot, name string) bool {
+	for i := range snapshot.Routes {
+		if snapshot.Routes[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// gate counts the calls in flight and closes when the node drains.
+type gate struct {
+	mu     sync.Mutex
+	calls  int
+	closed bool
+	empty  chan struct{}
+}
+
+func (g *gate) enter() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return false
+	}
+	g.calls++
+	return true
+}
+
+func (g *gate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.calls--
+	if g.closed && g.calls == 0 {
+		close(g.empty)
+	}
+}
+
+// close refuses further calls. The result is closed when no call is in flight.
+func (g *gate) close() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.closed {
+		g.closed = true
+		g.empty = make(chan struct{})
+		if g.calls == 0 {
+			close(g.empty)
+		}
+	}
+	return g.empty
+}
--- /dev/null
+++ b/pkg/outbound/latency.go
@@ -0,0 +1,78 @@
+package outbound
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	hedgeQuantile   = 0.95 // a call slower than this part of the recent ones may be hedged
+	quantileStep    = 0.05 // relative change of the estimate for each sample
+	minHedgeSamples = 20
+	minHedgeDelay   = time.Millisecond
+)
+
+// quantile estimates a quantile of a stream of durations in constant space: each sample above the estimate raises it
+// and each one below lowers it, in the proportion that balances at the quantile.
+type quantile struct {
+	estimate float64 // seconds
+	samples  int
+}
+
+func (q *quantile) add(d time.Duration) {
+	x := d.Seconds()
+	q.samples++
+	if q.samples == 1 {
+		q.estimate = x
+		return
+	}
+	step := max(q.estimate*quantileStep, 1e-6)
+	if x > q.estimate {
+		q.estimate += step * hedgeQuantile
+	} else {
+		q.estimate -= step * (1 - hedgeQuantile)
+	}
+}
+
+// latencies holds the estimate for each route.
+type latencies struct {
+	mu      sync.Mutex
+	byRoute map[string]*quantile
+}
+
+func newLatencies() *latencies {
+	return &latencies{byRoute: make(map[string]*quantile)}
+}
+
+func (l *latencies) add(route string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.byRoute[route]
+	if q == nil {
+		q = &quantile{}
+		l.byRoute[route] = q
+	}
+	q.add(d)
+}
+
+// hedgeDelay is the time after which a call on the route counts as slow, or false while too few calls were seen.
+func (l *latencies) hedgeDelay(route string) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.byRoute[route]
+	if q == nil || q.samples < minHedgeSamples {
+		return 0, false
+	}
+	return max(time.Duration(q.estimate*float64(time.Second)), minHedgeDelay), true
+}
+
+// expire forgets routes that keep reports as no longer configured.
+func (l *latencies) expire(keep func(route string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for route := range l.byRoute {
+		if !keep(route) {
+			delete(l.byRoute, route)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/outbound/reply.go
@@ -0,0 +1,241 @@
+package outbound
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+)
+
+const (
+	defaultRetryAfter = time.Second
+	// writeTimeout limits each write to a caller that reads slowly.
+	writeTimeout = 30 * time.Second
+)
+
+// reply is the result of an attempt, and in the end of the call.
+type reply struct {
+	outcome    callctx.Outcome
+	reason     callctx.Reason
+	remedy     string
+	retryAfter time.Duration // 0: none
+	noRetry    bool          // callers earlier in the chain must not retry
+	node       string        // member id of the inbound node
+
+	// Of an answered call.
+	status int
+	header http.Header
+	body   []byte
+	rest   io.ReadCloser // remainder of a long response; nil if body is complete
+	length int64         // of the whole body; -1 if unknown
+
+	notSent     bool // the request provably never reached the other node
+	notAnswered bool // the other node sent no response
+}
+
+// refusal is the reply to a call that this node does not forward. It is "not-run", except for a resend: an earlier
+// attempt of the id may have run, so that a "not-run" would be false.
+func (h *Handler) refusal(c *call, reason callctx.Reason) *reply {
+	r := &reply{outcome: callctx.NotRun, reason: reason}
+	if c.resend {
+		r.outcome = callctx.Unknown
+	}
+	if retryUseful(reason) {
+		r.retryAfter = defaultRetryAfter
+	}
+	return r
+}
+
+// retryUseful reports whether the same call can succeed later.
+func retryUseful(reason callctx.Reason) bool {
+	switch reason {
+	case callctx.UnknownRoute, callctx.BadRequest, callctx.BodyTooLarge, callctx.TooDeep, callctx.IDTooOld,
+		callctx.IDInFuture, callctx.DeadlineExpired, callctx.CancelledBefore, callctx.AlreadyDone:
+		return false
+	}
+	return true
+}
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+func removeHopHeaders(header http.Header) {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(header, name)
+	}
+}
+
+// deliver sends a reply to the caller and returns the outcome to count. With abort the connection must be closed: the
+// caller holds a part of the response.
+func (h *Handler) deliver(w http.ResponseWriter, c *call, r *reply) (result final, abort bool) {
+	control := http.NewResponseController(w)
+	// Not every ResponseWriter supports deadlines; without them the server's own limits apply.
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	if r.outcome != callctx.Answered {
+		h.deliverRefusal(w, c, r)
+		return final{r.outcome, r.reason}, false
+	}
+	copyHeader(w.Header(), r.header)
+	h.setHeaders(w.Header(), c, r)
+	if r.length >= 0 && c.request.Method != http.MethodHead {
+		w.Header().Set("Content-Length", strconv.FormatInt(r.length, 10))
+	}
+	w.WriteHeader(r.status)
+	if _, err := w.Write(r.body); err != nil && len(r.body) > 0 && c.request.Method != http.MethodHead {
+		closeRest(r)
+		return final{callctx.Unknown, callctx.CancelledRunning}, true
+	}
+	if r.rest == nil {
+		return final{callctx.Answered, ""}, false
+	}
+	return h.stream(w, control, r)
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+}
+
+func closeRest(r *reply) {
+	if r.rest != nil {
+		r.rest.Close()
+	}
+}
+
+// stream passes on the remainder of a long response. When it breaks off the connection to the caller is closed, so that
+// the caller sees an error and never a short success.
+func (h *Handler) stream(w http.ResponseWriter, control *http.ResponseController, r *reply) (result final, abort bool) {
+	defer r.rest.Close()
+	buffer := make([]byte, 64<<10)
+	for {
+		n, readErr := r.rest.Read(buffer)
+		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if n > 0 {
+			if _, err := w.Write(buffer[:n]); err != nil {
+				return final{callctx.Unknown, callctx.CancelledRunning}, true
+			}
+		}
+		if readErr == io.EOF {
+			return final{callctx.Answered, ""}, false
+		}
+		if readErr != nil {
+			return final{callctx.Unknown, callctx.ResponseTruncated}, true
+		}
+	}
+}
+
+// refusalBody is the JSON body of a reply that is not answered.
+type refusalBody struct {
+	Outcome   callctx.Outcome `json:"outcome"`
+	Reason    callctx.Reason  `json:"reason"`
+	Remedy    string          `json:"remedy"`
+	RequestID string          `json:"request_id"`
+}
+
+func (h *Handler) deliverRefusal(w http.ResponseWriter, c *call, r *reply) {
+	if r.remedy == "" {
+		r.remedy = remedyFor(r.outcome, r.reason)
+	}
+	body, err := json.Marshal(refusalBody{r.outcome, r.reason, r.remedy, c.id})
+	if err != nil {
+		body = []byte("{}")
+	}
+	h.setHeaders(w.Header(), c, r)
+	w.Header().Set(callctx.HeaderReason, string(r.reason))
+	if r.retryAfter > 0 {
+		seconds := max(1, int(math.Ceil(r.retryAfter.Seconds())))
+		w.Header().Set(callctx.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(callctx.Status(r.outcome, r.reason))
+	// A caller that has gone does not need the refusal.
+	_, _ = w.Write(body)
+	h.options.Explain(explain.Event{Time: h.now(), Kind: explain.Refused, Subject: c.id, Cause: string(r.outcome) + ": " + string(r.reason)})
+	h.options.Logger.Debug("call refused", zap.String("request_id", c.id), zap.String("outcome", string(r.outcome)), zap.String("reason", string(r.reason)))
+}
+
+func (h *Handler) setHeaders(header http.Header, c *call, r *reply) {
+	header.Del(callctx.HeaderRequestID)
+	if c.id != "" {
+		header.Set(callctx.HeaderRequestID, c.id)
+	}
+	header.Set(callctx.HeaderOutcome, string(r.outcome))
+	if r.node != "" {
+		header.Set(callctx.HeaderNode, r.node)
+	}
+	if r.noRetry {
+		header.Set(callctx.HeaderNoRetry, "true")
+	}
+}
+
+// remedyFor tells the caller what to do next.
+func remedyFor(outcome callctx.Outcome, reason callctx.Reason) string {
+	if outcome == callctx.Unknown {
+		switch reason {
+		case callctx.AlreadyDone:
+			return "the call has run and its response is no longer kept; look up the result in the application"
+		case callctx.BadRequest, callctx.UnknownRoute, callctx.BodyTooLarge, callctx.TooDeep, callctx.IDInFuture:
+			return "an earlier attempt may have run; correct the request and send it again with the same id and the next attempt number"
+		}
+		return "the call may have run; send it again with the same id and the next attempt number"
+	}
+	switch reason {
+	case callctx.UnknownRoute:
+		return "correct the path or publish a route for it"
+	case callctx.BadRequest:
+		return "correct the request headers, path or body"
+	case callctx.BodyTooLarge:
+		return "send at most 64 MiB"
+	case callctx.TooDeep:
+		return "shorten the call chain to 10 calls"
+	case callctx.IDTooOld, callctx.IDInFuture:
+		return "create a new request id; check the clock"
+	case callctx.DeadlineExpired, callctx.DeadlineUnreachable:
+		return "send the call again under a new request id with more time"
+	default:
+		return "send the call again under a new request id after Retry-After"
+	}
+}
+
+// reasonLabel maps a reason to a metric label from a fixed set: reasons of other nodes may be of a later version.
+func reasonLabel(reason callctx.Reason) string {
+	if reason == "" {
+		return "none"
+	}
+	if knownReasons[reason] {
+		return string(reason)
+	}
+	return "other"
+}
+
+var knownReasons = map[callctx.Reason]bool{
+	callctx.UnknownRoute: true, callctx.UnknownService: true, callctx.NotReady: true, callctx.RankOverShare: true,
+	callctx.Overloaded: true, callctx.Draining: true, callctx.NoEndpoint: true, callctx.BackendUnreachable: true,
+	callctx.DeadlineUnreachable: true, callctx.DeadlineExpired: true, callctx.CancelledBefore: true,
+	callctx.BadRequest: true, callctx.BodyTooLarge: true, callctx.TooDeep: true, callctx.RetryBudget: true,
+	callctx.WrongIncarnation: true, callctx.PresenceUnconfirmed: true, callctx.IDBeforePresence: true,
+	callctx.IDTooOld: true, callctx.IDInFuture: true, callctx.PresenceExpiring: true, callctx.TableFull: true,
+	callctx.AlreadyRunning: true, callctx.AlreadyDone: true, callctx.Fenced: true, callctx.Superseded: true,
+	callctx.Unresolved: true, callctx.ConnectionLost: true, callctx.ResponseTruncated: true,
+	callctx.ResponseUnchecked: true, callctx.ResponseMismatch: true, callctx.DeadlineRunning: true,
+	callctx.CancelledRunning: true,
+}
--- /dev/null
+++ b/pkg/outbound/run.go
@@ -0,0 +1,208 @@
+package outbound
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+)
+
+// maxAttempts bounds the endpoints that one call is sent to, hedges not included.
+const maxAttempts = 3
+
+// run sends a call to endpoints until one answers or no retry is allowed.
+func (h *Handler) run(ctx context.Context, c *call) *reply {
+	members := h.options.Endpoints(c.route.Service)
+	tried := make(map[endpointKey]bool, maxAttempts)
+	mayHaveRun := c.resend
+	var last *reply
+	for {
+		to := h.pick(c, members, tried)
+		if to == nil {
+			break
+		}
+		tried[keyOf(to.member)] = true
+		c.attempts++
+		r := h.attemptOrHedge(ctx, c, to, members, tried)
+		if r.outcome == callctx.Answered {
+			h.answered(c, r)
+			return r
+		}
+		mayHaveRun = mayHaveRun || r.outcome == callctx.Unknown
+		last = r
+		if !h.mayRetry(ctx, c, r) {
+			break
+		}
+		h.options.Metrics.Inc("outbound_retry", "reason", reasonLabel(r.reason))
+	}
+	return h.conclude(c, last, mayHaveRun)
+}
+
+func (h *Handler) answered(c *call, r *reply) {
+	if r.status < http.StatusInternalServerError {
+		h.retries.of(c.rank).earn()
+	}
+	if c.route.Hedge {
+		h.latencies.add(c.route.Name, h.now().Sub(c.started))
+		h.hedges.of(c.rank).earn()
+	}
+}
+
+// conclude turns the last reply into the final one. "not-run" must cover every attempt of the id.
+func (h *Handler) conclude(c *call, last *reply, mayHaveRun bool) *reply {
+	if last == nil {
+		last = &reply{outcome: callctx.NotRun, reason: callctx.NoEndpoint}
+	}
+	if mayHaveRun {
+		last.outcome = callctx.Unknown
+	}
+	if last.retryAfter == 0 && retryUseful(last.reason) {
+		last.retryAfter = defaultRetryAfter
+	}
+	if c.attempts > 1 {
+		last.noRetry = true
+	}
+	return last
+}
+
+// mayRetry decides on a further attempt and takes it from the budget of the rank.
+func (h *Handler) mayRetry(ctx context.Context, c *call, r *reply) bool {
+	denied := h.retryDenied(ctx, c, r)
+	if denied == "" {
+		return true
+	}
+	h.options.Metrics.Inc("outbound_retry_denied", "reason", denied)
+	return false
+}
+
+// retryDenied returns why there is no further attempt, as a metric label, or "" if there is one.
+func (h *Handler) retryDenied(ctx context.Context, c *call, r *reply) string {
+	switch {
+	case ctx.Err() != nil || !h.now().Before(c.deadline):
+		return "deadline"
+	case r.noRetry:
+		return "no_retry"
+	case !retryElsewhere(c, r):
+		return "final"
+	case !c.repeatable():
+		return "body_sent"
+	case c.attempts >= maxAttempts:
+		return "attempts"
+	case r.notSent:
+		// The other node received nothing, so that this retry adds no work anywhere.
+		return ""
+	case !h.retries.of(c.rank).take():
+		r.noRetry = true
+		return "budget"
+	}
+	return ""
+}
+
+// retryElsewhere reports whether another endpoint may be asked after this reply.
+func retryElsewhere(c *call, r *reply) bool {
+	if r.outcome == callctx.NotRun {
+		return retryUseful(r.reason)
+	}
+	if !c.route.Idempotent {
+		return false
+	}
+	switch r.reason {
+	case callctx.DeadlineRunning, callctx.CancelledRunning:
+		return false
+	}
+	return true
+}
+
+// attemptOrHedge sends the call to one endpoint. On a route with hedging it asks a second endpoint when the first is
+// slow, and returns the first complete response.
+func (h *Handler) attemptOrHedge(ctx context.Context, c *call, first *candidate, members []membership.Member, tried map[endpointKey]bool) *reply {
+	delay, known := time.Duration(0), false
+	if c.route.Hedge && c.route.Idempotent && c.rest == nil {
+		delay, known = h.latencies.hedgeDelay(c.route.Name)
+	}
+	if !known {
+		return h.attempt(ctx, c, first, "")
+	}
+	race := &hedgeRace{h: h, c: c, results: make(chan hedgeResult, 2)}
+	race.start(ctx, 0, first)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case result := <-race.results:
+		return result.reply
+	case <-timer.C:
+	}
+	if second := h.hedgeTarget(c, members, tried); second != nil {
+		tried[keyOf(second.member)] = true
+		h.options.Metrics.Inc("outbound_hedge")
+		race.start(ctx, 1, second)
+	}
+	return race.winner()
+}
+
+// hedgeTarget picks an endpoint with spare capacity, within the budget for hedges.
+func (h *Handler) hedgeTarget(c *call, members []membership.Member, tried map[endpointKey]bool) *candidate {
+	second := h.pick(c, members, tried)
+	if second == nil || !second.spare {
+		h.options.Metrics.Inc("outbound_hedge_denied", "reason", "capacity")
+		return nil
+	}
+	if !h.hedges.of(c.rank).take() {
+		h.options.Metrics.Inc("outbound_hedge_denied", "reason", "budget")
+		return nil
+	}
+	return second
+}
+
+type hedgeResult struct {
+	index int
+	reply *reply
+}
+
+// hedgeRace runs up to two attempts of one call.
+type hedgeRace struct {
+	h       *Handler
+	c       *call
+	results chan hedgeResult
+	cancels []context.CancelFunc
+}
+
+func (r *hedgeRace) start(ctx context.Context, index int, to *candidate) {
+	attempt, cancel := context.WithCancel(ctx)
+	r.cancels = append(r.cancels, cancel)
+	go func() {
+		r.results <- hedgeResult{index, r.h.attempt(attempt, r.c, to, "")}
+	}()
+}
+
+// winner returns the first answered reply and cancels the other attempt. If none is answered it returns the one that
+// leaves more open.
+func (r *hedgeRace) winner() *reply {
+	var worst *reply
+	for pending := len(r.cancels); pending > 0; pending-- {
+		result := <-r.results
+		if result.reply.outcome == callctx.Answered {
+			r.cancelOther(result.index, pending-1)
+			return result.reply
+		}
+		if worst == nil || result.reply.outcome == callctx.Unknown {
+			worst = result.reply
+		}
+	}
+	return worst
+}
+
+// cancelOther ends the attempt that lost. The context of the winner stays open until the call ends, since its body may
+// still be streamed.
+func (r *hedgeRace) cancelOther(winner, pending int) {
+	for i, cancel := range r.cancels {
+		if i != winner {
+			cancel()
+		}
+	}
+	if pending > 0 {
+		go func() { closeRest((<-r.results).reply) }()
+	}
+}
