--- a/pkg/outbound/handler.go
+++ b/pkg/outbound/handler.go
@@ -20,6 +20,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/pkg/execution"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/inbound"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 	"github.com/laburnumcleat/laburnumcleat/pkg/presence"
@@ -57,7 +58,7 @@
 
 	now    func() time.Time
 	random func(n int) int
-	lookup func(ctx context.Context, address string, params lookupParams) (execution.LookupResult, error)
+	lookup func(ctx context.Context, address string, params inbound.LookupParams) (execution.LookupResult, error)
 }
 
 // New returns a handler. Call Tick about once a second, and Drain before the process ends.
--- a/pkg/outbound/resolve.go
+++ b/pkg/outbound/resolve.go
@@ -9,6 +9,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
 	"github.com/laburnumcleat/laburnumcleat/pkg/execution"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/inbound"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 	"github.com/laburnumcleat/laburnumcleat/pkg/presence"
 )
@@ -23,17 +24,9 @@
 	runReserve = 200 * time.Millisecond
 )
 
-const lookupMethod = "call.lookup"
-
-// lookupParams are the parameters of call.lookup.
-type lookupParams struct {
-	ID     string           `json:"id"`
-	Ballot execution.Ballot `json:"ballot"`
-}
-
-func (h *Handler) lookupRPC(ctx context.Context, address string, params lookupParams) (execution.LookupResult, error) {
+func (h *Handler) lookupRPC(ctx context.Context, address string, params inbound.LookupParams) (execution.LookupResult, error) {
 	var result execution.LookupResult
-	err := h.options.Client.Call(ctx, address, lookupMethod, params, &result)
+	err := h.options.Client.Call(ctx, address, inbound.LookupMethod, params, &result)
 	return result, err
 }
 
@@ -166,7 +159,7 @@
 		targets[i].member = members[i]
 		s.asked[keyOf(&members[i])] = true
 		group.Go(func() error {
-			result, err := s.h.lookup(limited, members[i].ControlAddress, lookupParams{ID: s.c.id, Ballot: s.ballot})
+			result, err := s.h.lookup(limited, members[i].ControlAddress, inbound.LookupParams{RequestID: s.c.id, Ballot: s.ballot})
 			if err != nil {
 				return nil // not reachable; the outcome stays empty
 			}
