--- a/pkg/callctx/callctx.go
+++ b/pkg/callctx/callctx.go
@@ -45,6 +45,12 @@
 	EntryLifetime = 10 * time.Minute
 	// MaxBufferedResponse is the largest response, in bytes, that is checked before its first byte is sent on.
 	MaxBufferedResponse = 1 << 20
+
+	// ConnectionIdleTimeout is how long callers keep an idle connection to a node. It is shorter than DrainLinger, so
+	// that no request is sent on a connection which a stopping node is about to close.
+	ConnectionIdleTimeout = 4 * time.Second
+	// DrainLinger is how long a stopping node goes on answering "not run".
+	DrainLinger = 5 * time.Second
 )
 
 // Outcome states what became of a call. The values are part of the HTTP interface.
--- /dev/null
+++ b/standin/demo/demo.go
@@ -0,0 +1,179 @@
+// Package demo runs a whole deployment on loopback: it publishes and amends configuration, sends load in ranks, kills
+// one VM and drains another, and reports what clients and backend servers saw.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumcleat/laburnumcleat/standin/fleet"
+	"github.com/laburnumcleat/laburnumcleat/standin/load"
+)
+
+const (
+	readyLimit     = 15 * time.Second // from the start until every node answers calls
+	loadDuration   = 14 * time.Second
+	amendments     = 5
+	amendEvery     = 700 * time.Millisecond
+	killAfter      = 5 * time.Second // after the begin of the load
+	drainAfter     = 7 * time.Second
+	restartAfter   = 10 * time.Second
+	settleTime     = time.Second // for calls with outcome "unknown" to end in the backend servers
+	demoSeed       = 1
+	offeredPerSlot = 25.0 // calls a second for each slot; the capacity of a slot at 20 ms service time is 50
+)
+
+// Options select the deployment and the folders.
+type Options struct {
+	Deployment fleet.Deployment
+	BinDir     string
+	WorkDir    string
+	Out        io.Writer
+}
+
+// run is the state of one demo.
+type run struct {
+	options Options
+	fleet   *fleet.Fleet
+	prober  *prober
+}
+
+// Run runs the demo. It returns an error if a guarantee was violated.
+func Run(ctx context.Context, o Options) error {
+	started, err := fleet.Start(ctx, fleet.Options{Deployment: o.Deployment, BinDir: o.BinDir, WorkDir: o.WorkDir})
+	if err != nil {
+		return err
+	}
+	defer started.Kill()
+	r := &run{options: o, fleet: started}
+	return r.run(ctx)
+}
+
+func (r *run) run(ctx context.Context) error {
+	d := r.options.Deployment
+	fmt.Fprintf(r.options.Out, "event=started deployment=%s nodes=%d data_centres=%d\n", d.Name, d.Size(), len(d.DataCentres))
+	if err := r.fleet.WaitReady(ctx, readyLimit); err != nil {
+		return err
+	}
+	if err := r.publishExamples(ctx); err != nil {
+		return err
+	}
+	r.prober = newProber(r.fleet)
+	probeCtx, stopProber := context.WithCancel(ctx)
+	defer stopProber()
+	probed := make(chan struct{})
+	go func() { r.prober.run(probeCtx); close(probed) }()
+	if err := r.fleet.WaitEndpoints(ctx, readyLimit); err != nil {
+		return err
+	}
+
+	loadDone := make(chan loadResult, 1)
+	go func() { loadDone <- r.load(ctx) }()
+	if err := r.events(ctx); err != nil {
+		return err
+	}
+	result := <-loadDone
+	if result.err != nil {
+		return result.err
+	}
+	stopProber()
+	<-probed
+	time.Sleep(settleTime)
+	return r.report(result.records)
+}
+
+type loadResult struct {
+	records []load.Record
+	err     error
+}
+
+// load offers half of the capacity, spread over the routes of the deployment.
+func (r *run) load(ctx context.Context) loadResult {
+	snapshot, err := r.fleet.Nodes[0].Client().Snapshot(ctx)
+	if err != nil {
+		return loadResult{err: err}
+	}
+	d := r.options.Deployment
+	slots := float64(d.Size() * d.Slots)
+	records, err := load.Run(ctx, load.Options{
+		Nodes:   r.fleet.CallAddresses(),
+		Streams: Streams(snapshot, slots*offeredPerSlot, 0, loadDuration),
+		Seed:    demoSeed,
+	})
+	return loadResult{records: records, err: err}
+}
+
+// events amends the configuration, kills one VM, drains another and restarts the killed one while the load runs.
+func (r *run) events(ctx context.Context) error {
+	begin := time.Now()
+	for generation := 1; generation <= amendments; generation++ {
+		if err := r.amendCanary(ctx, generation); err != nil {
+			return err
+		}
+		sleepUntil(ctx, begin.Add(time.Duration(generation)*amendEvery))
+	}
+	killed := r.fleet.Nodes[0]
+	sleepUntil(ctx, begin.Add(killAfter))
+	killed.KillVM()
+	fmt.Fprintf(r.options.Out, "event=vm_killed node=%s\n", killed.ID)
+
+	sleepUntil(ctx, begin.Add(drainAfter))
+	drained := r.fleet.Nodes[len(r.fleet.Nodes)-1]
+	if err := drained.StopBackend(); err != nil {
+		return err
+	}
+	fmt.Fprintf(r.options.Out, "event=backend_server_drained node=%s\n", drained.ID)
+
+	sleepUntil(ctx, begin.Add(restartAfter))
+	if err := killed.RestartVM(); err != nil {
+		return err
+	}
+	fmt.Fprintf(r.options.Out, "event=vm_restarted node=%s\n", killed.ID)
+	return r.amendCanary(ctx, amendments+1)
+}
+
+func sleepUntil(ctx context.Context, t time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(t)):
+	}
+}
+
+// ctl runs laburnumctl against the first three nodes that run.
+func (r *run) ctl(ctx context.Context, args ...string) error {
+	addresses := make([]string, 0, len(r.fleet.Nodes))
+	for _, n := range r.fleet.Nodes[1:4] {
+		addresses = append(addresses, n.APIURL)
+	}
+	args = append(args, "--api", strings.Join(addresses, ","))
+	command := exec.CommandContext(ctx, filepath.Join(r.options.BinDir, "laburnumctl"), args...)
+	output, err := command.CombinedOutput()
+	return eris.Wrapf(err, "laburnumctl %s: %s", strings.Join(args, " "), output)
+}
+
+func (r *run) publishExamples(ctx context.Context) error {
+	for _, file := range fleet.ExampleFiles(r.options.Deployment.Name) {
+		path, err := r.writeWorkFile(file.Path, file.Content)
+		if err != nil {
+			return err
+		}
+		if err := r.ctl(ctx, append([]string{"publish", path}, file.EntityFlags()...)...); err != nil {
+			return err
+		}
+		fmt.Fprintf(r.options.Out, "event=published file=%s\n", file.Path)
+	}
+	return r.publishCanary(ctx)
+}
+
+func (r *run) writeWorkFile(name string, content []byte) (string, error) {
+	path := filepath.Join(r.options.WorkDir, strings.ReplaceAll(name, "/", "_"))
+	return path, eris.Wrap(os.WriteFile(path, content, 0o644), "writing work file")
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -243,7 +243,7 @@
 		"--service", s.service.Name, "--listen", at(portBackend), "--api", n.APIURL,
 		"--slots", strconv.Itoa(d.Slots), "--connections", strconv.Itoa(d.Connections),
 		"--service-time-ms", strconv.Itoa(s.service.ServiceTimeMS),
-		"--cold-start-ms", strconv.FormatInt(f.Options.ColdStart.Milliseconds(), 10))
+		"--executions", f.path(s.id+".executions"), "--cold-start-ms", strconv.FormatInt(f.Options.ColdStart.Milliseconds(), 10))
 	f.Nodes = append(f.Nodes, n)
 	return nil
 }
--- /dev/null
+++ b/standin/fleet/observe.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/operator"
+)
+
+const (
+	pollInterval   = 50 * time.Millisecond
+	requestTimeout = 2 * time.Second
+)
+
+// Client returns a client of the node's interface for operators.
+func (n *Node) Client() *operator.Client {
+	return operator.NewClient([]string{n.APIURL}, "", http.DefaultTransport)
+}
+
+// CallAddresses returns the "ip:port" of every node's interface for callers.
+func (f *Fleet) CallAddresses() []string {
+	addresses := make([]string, len(f.Nodes))
+	for i, n := range f.Nodes {
+		addresses[i] = strings.TrimPrefix(n.CallURL, "http://")
+	}
+	return addresses
+}
+
+// WaitReady waits until every node reports that it is ready.
+func (f *Fleet) WaitReady(ctx context.Context, limit time.Duration) error {
+	return f.waitAll(ctx, limit, "is not ready", func(ctx context.Context, n *Node) bool {
+		status, err := n.Client().Status(ctx, 0)
+		return err == nil && status.Ready
+	})
+}
+
+// WaitEndpoints waits until every node knows the backend servers of all nodes as ready.
+func (f *Fleet) WaitEndpoints(ctx context.Context, limit time.Duration) error {
+	return f.waitAll(ctx, limit, "does not know all backend servers", func(ctx context.Context, n *Node) bool {
+		list, err := n.Client().Members(ctx)
+		if err != nil {
+			return false
+		}
+		ready := 0
+		for _, m := range list.Members {
+			if m.Status == "alive" && m.Endpoint != nil && m.Endpoint.State == "ready" {
+				ready++
+			}
+		}
+		return ready == len(f.Nodes)
+	})
+}
+
+// WaitVersion waits until every given node has applied the version.
+func (f *Fleet) WaitVersion(ctx context.Context, limit time.Duration, version int64, nodes []*Node) error {
+	return waitFor(ctx, limit, "has not applied the version", nodes, func(ctx context.Context, n *Node) bool {
+		status, err := n.Client().Status(ctx, 0)
+		return err == nil && status.Ready && status.Version >= version
+	})
+}
+
+func (f *Fleet) waitAll(ctx context.Context, limit time.Duration, what string, done func(context.Context, *Node) bool) error {
+	return waitFor(ctx, limit, what, f.Nodes, done)
+}
+
+func waitFor(ctx context.Context, limit time.Duration, what string, nodes []*Node, done func(context.Context, *Node) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for _, n := range nodes {
+		for !done(ctx, n) {
+			select {
+			case <-ctx.Done():
+				return eris.Errorf("node %s %s after %s; see its log %s", n.ID, what, limit, n.node.out)
+			case <-time.After(pollInterval):
+			}
+		}
+	}
+	return nil
+}
+
+// Metrics reads the counters and gauges of the node.
+func (n *Node) Metrics() (map[string]float64, error) {
+	client := &http.Client{Timeout: requestTimeout}
+	response, err := client.Get(n.APIURL + "/metrics")
+	if err != nil {
+		return nil, eris.Wrapf(err, "metrics of %s", n.ID)
+	}
+	defer response.Body.Close()
+	values := make(map[string]float64)
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		name, text, _ := strings.Cut(lines.Text(), " ")
+		if value, err := strconv.ParseFloat(text, 64); err == nil {
+			values[name] = value
+		}
+	}
+	return values, eris.Wrap(lines.Err(), "reading metrics")
+}
+
+// Uptime returns the time since the node's process was started.
+func (n *Node) Uptime() time.Duration {
+	n.node.mu.Lock()
+	defer n.node.mu.Unlock()
+	return time.Since(n.node.started)
+}
+
+// Executions returns how often each request id was executed, over all backend servers including those that were killed.
+func (f *Fleet) Executions() (map[string]int, error) {
+	executions := make(map[string]int)
+	for _, n := range f.Nodes {
+		if err := countLines(f.path(n.ID+".executions"), executions); err != nil {
+			return nil, err
+		}
+	}
+	return executions, nil
+}
+
+func countLines(path string, counts map[string]int) error {
+	file, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrap(err, "opening executions")
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		counts[lines.Text()]++
+	}
+	return eris.Wrap(lines.Err(), "reading executions")
+}
+
+// RestartVM starts node and backend server again.
+func (n *Node) RestartVM() error {
+	return n.start(false)
+}
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -16,10 +16,11 @@
 	args []string
 	out  string
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}
-	err  error
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	started time.Time
+	done    chan struct{}
+	err     error
 }
 
 func newProcess(out, path string, args ...string) *process {
@@ -42,7 +43,7 @@
 		return eris.Wrapf(err, "starting %s; run make build", p.path)
 	}
 	done := make(chan struct{})
-	p.cmd, p.done = cmd, done
+	p.cmd, p.done, p.started = cmd, done, time.Now()
 	go func() {
 		p.err = cmd.Wait()
 		close(done)
