--- /dev/null
+++ b/pkg/callctx/callctx_test.go
@@ -0,0 +1,143 @@
+package callctx
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+)
+
+var sample = Context{
+	RequestID: "0190a6f0-0000-7000-8000-000000000001",
+	Rank:      "urgent",
+	Deadline:  time.UnixMilli(1_800_000_000_123),
+	Depth:     3,
+	Parent:    "0190a6f0-0000-7000-8000-000000000002",
+}
+
+// Guards against calls that lose their rank or deadline while the fleet key is rotated.
+func TestContextSurvivesKeyRotation(t *testing.T) {
+	oldKey, newKey := []byte("old"), []byte("new")
+	steps := []struct {
+		name             string
+		signer, verifier *Signer
+		kind             apierror.Kind
+	}{
+		{"same key", NewSigner([][]byte{oldKey}), NewSigner([][]byte{oldKey}), ""},
+		{"new key is known but does not sign yet", NewSigner([][]byte{oldKey, newKey}), NewSigner([][]byte{oldKey}), ""},
+		{"new key signs, old one verifies", NewSigner([][]byte{newKey, oldKey}), NewSigner([][]byte{oldKey, newKey}), ""},
+		{"old key was removed", NewSigner([][]byte{oldKey}), NewSigner([][]byte{newKey}), apierror.Unauthenticated},
+		{"verifier has no key", NewSigner([][]byte{oldKey}), NewSigner(nil), apierror.Unauthenticated},
+	}
+	for _, step := range steps {
+		t.Run(step.name, func(t *testing.T) {
+			decoded, err := step.verifier.Decode(step.signer.Encode(sample))
+			if step.kind != "" {
+				require.Equal(t, step.kind, apierror.KindOf(err))
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, sample, decoded)
+		})
+	}
+}
+
+// Guards against a caller that raises its own rank: no single changed character may pass.
+func TestContextDetectsEveryChangedCharacter(t *testing.T) {
+	signer := NewSigner([][]byte{[]byte("key")})
+	header := signer.Encode(sample)
+	for i := range header {
+		changed := []byte(header)
+		changed[i] ^= 1
+		_, err := signer.Decode(string(changed))
+		require.Error(t, err, "position %d", i)
+	}
+}
+
+// Guards against unbounded work on headers from callers.
+func TestContextSizeLimit(t *testing.T) {
+	signer := NewSigner([][]byte{[]byte("key")})
+	long := sample
+	long.Rank = strings.Repeat("r", MaxContextBytes)
+	require.Empty(t, signer.Encode(long))
+	_, err := signer.Decode(strings.Repeat("a", MaxContextBytes+1))
+	require.Equal(t, apierror.TooLarge, apierror.KindOf(err))
+	require.Empty(t, NewSigner([][]byte{{}}).Encode(sample), "an empty key must not sign")
+}
+
+func FuzzDecode(f *testing.F) {
+	signer := NewSigner([][]byte{[]byte("key")})
+	f.Add(signer.Encode(sample))
+	f.Add("e30.AAAA")
+	f.Add(".")
+	f.Fuzz(func(t *testing.T, header string) {
+		decoded, err := signer.Decode(header)
+		if err != nil {
+			return
+		}
+		again, err := signer.Decode(signer.Encode(decoded))
+		require.NoError(t, err)
+		require.Equal(t, decoded, again)
+	})
+}
+
+// Guards against ids whose time is misread or that have several text forms: both would break the at-most-once table.
+func TestIDTime(t *testing.T) {
+	before := time.Now().Truncate(time.Millisecond)
+	made, err := IDTime(NewRequestID())
+	require.NoError(t, err)
+	require.False(t, made.Before(before))
+	require.False(t, made.After(time.Now()))
+	made, err = IDTime("0190a6f0-0000-7000-8000-000000000001")
+	require.NoError(t, err)
+	require.Equal(t, int64(0x0190a6f00000), made.UnixMilli())
+	for _, bad := range []string{
+		"",
+		"0190a6f0-0000-4000-8000-000000000001",          // version 4
+		"0190a6f0-0000-7000-c000-000000000001",          // other variant
+		"0190A6F0-0000-7000-8000-000000000001",          // upper case
+		"0190a6f0000070008000000000000001",              // without dashes
+		"{0190a6f0-0000-7000-8000-000000000001}",        // braces
+		"urn:uuid:0190a6f0-0000-7000-8000-000000000001", // URN
+	} {
+		_, err := IDTime(bad)
+		require.Equal(t, apierror.Invalid, apierror.KindOf(err), bad)
+	}
+}
+
+// Guards against a load report that is read differently than it was written.
+func TestLoadText(t *testing.T) {
+	load := Load{InFlight: 3, Limit: 10, Queued: 250}
+	parsed, err := ParseLoad(load.String())
+	require.NoError(t, err)
+	require.Equal(t, load, parsed)
+	for _, bad := range []string{"", "1/2", "1/2/3/4", "1/2/-3", "a/b/c", "1/2/3 4"} {
+		_, err := ParseLoad(bad)
+		require.Error(t, err, bad)
+	}
+}
+
+// Guards against an outcome whose status contradicts the table of the interface.
+func TestStatus(t *testing.T) {
+	for _, c := range []struct {
+		outcome Outcome
+		reason  Reason
+		status  int
+	}{
+		{NotRun, UnknownRoute, http.StatusNotFound},
+		{NotRun, RankOverShare, http.StatusTooManyRequests},
+		{NotRun, Draining, http.StatusServiceUnavailable},
+		{NotRun, DeadlineUnreachable, http.StatusGatewayTimeout},
+		{NotRun, BadRequest, http.StatusBadRequest},
+		{NotRun, BodyTooLarge, http.StatusRequestEntityTooLarge},
+		{Unknown, AlreadyRunning, http.StatusTooEarly},
+		{Unknown, ConnectionLost, http.StatusBadGateway},
+		{Unknown, DeadlineRunning, http.StatusGatewayTimeout},
+	} {
+		require.Equal(t, c.status, Status(c.outcome, c.reason), c.reason)
+	}
+}
