--- /dev/null
+++ b/pkg/config/apply_test.go
@@ -0,0 +1,154 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a wrong outcome of racing, repeated and late records.
+func TestApplyOutcomes(t *testing.T) {
+	l := newLog(t)
+	entity := TemplateEntity("ranks")
+	first := l.accept(Publish, entity, ranksTemplate)
+	result := l.apply(Record{ID: "record-1", Verb: Publish, Entity: entity, Payload: json.RawMessage(ranksTemplate)})
+	require.Equal(t, Duplicate, result.Outcome)
+	result = l.apply(Record{Verb: Publish, Entity: entity, Payload: json.RawMessage(ranksTemplate)})
+	require.Equal(t, Conflicts, result.Outcome)
+	require.Contains(t, result.Errors[0].Message, "revision 1 by nura (publish, record record-1), not 0")
+	require.Equal(t, Duplicate, l.apply(Record{ID: result.RecordID, Verb: Retire, Entity: entity, Base: first}).Outcome)
+	require.Equal(t, Rejected, l.change(Publish, entity, ranksTemplate).Outcome)
+	require.Equal(t, Conflicts, l.change(Amend, TemplateEntity("other"), ranksTemplate).Outcome)
+
+	second := l.accept(Amend, entity, strings.Replace(ranksTemplate, "200", "300", 1))
+	retired := l.accept(Retire, entity, "")
+	require.Equal(t, Rejected, l.change(Amend, entity, ranksTemplate).Outcome)
+	require.Equal(t, Rejected, l.change(Retire, entity, "").Outcome)
+	require.Equal(t, Conflicts, l.apply(Record{Verb: Publish, Entity: entity, Payload: json.RawMessage(ranksTemplate)}).Outcome, "a late publish must not restore a retired entity")
+	require.Equal(t, Rejected, l.apply(Record{Verb: Rollback, Entity: entity, Base: retired, Restore: retired}).Outcome)
+	restored := l.apply(Record{Verb: Rollback, Entity: entity, Base: retired, Restore: second})
+	require.Equal(t, Accepted, restored.Outcome, "%v", restored.Errors)
+	require.Contains(t, string(l.state.payload(entity.String())), "300")
+	require.Equal(t, restored.Offset, l.state.Version)
+	require.Equal(t, Rejected, l.applyRaw(json.RawMessage(`nonsense`)).Outcome)
+	require.Equal(t, Rejected, l.applyRaw(nil).Outcome)
+}
+
+// Guards against one record id with two outcomes: a malformed record takes its id with it.
+func TestMalformedRecordUsesUpItsID(t *testing.T) {
+	l := newLog(t)
+	result := l.applyRaw(json.RawMessage(`{"id":"a","verb":"erase","entity":{"kind":"template","name":"t"}}`))
+	require.Equal(t, Rejected, result.Outcome)
+	require.Equal(t, "a", result.RecordID)
+	require.Equal(t, Duplicate, l.apply(Record{ID: "a", Verb: Publish, Entity: TemplateEntity("ranks"), Payload: json.RawMessage(ranksTemplate)}).Outcome)
+}
+
+// Guards against deleting something that others refer to, and against an error that does not name them.
+func TestRemovalNamesReferrers(t *testing.T) {
+	l := newLog(t)
+	l.publishBase()
+	l.accept(Publish, ParametersEntity("field", "route"), `{"values":{"service":"tracker","rank":"normal"}}`)
+	cases := map[string]struct {
+		verb    Verb
+		entity  Entity
+		payload string
+		wanted  []string
+	}{
+		"template":          {Retire, TemplateEntity("route"), "", []string{"template route is referred to by parameters field/route, parameters web/route"}},
+		"service":           {Retire, ParametersEntity("core", "service"), "", []string{"service tracker: is removed but route field-tracker of parameters field/route, route web-tracker of parameters web/route refer to it"}},
+		"service by amend":  {Amend, ParametersEntity("core", "service"), `{"values":{"service":"dispatch"}}`, []string{"service tracker: is removed"}},
+		"ranks":             {Retire, ParametersEntity("core", "ranks"), "", []string{"rank urgent: is removed but route web-tracker", "rank normal: is removed but route field-tracker"}},
+		"unknown service":   {Amend, ParametersEntity("web", "route"), `{"values":{"service":"nothing"}}`, []string{`parameters web/route: route web-nothing.service: service "nothing" does not exist`}},
+		"unknown template":  {Publish, ParametersEntity("web", "nothing"), `{"values":{}}`, []string{"template nothing does not exist"}},
+		"second definition": {Publish, ParametersEntity("more", "service"), `{"values":{"service":"tracker"}}`, []string{"parameters more/service: service tracker is already defined by parameters core/service"}},
+		"template breaks both teams": {Amend, TemplateEntity("route"), strings.Replace(routeTemplate, `"default":"urgent"`, `"required":true`, 1),
+			[]string{"parameters web/route: values.rank: missing"}},
+		"shares": {Amend, TemplateEntity("ranks"), strings.Replace(ranksTemplate, "0.2", "0.6", 1), []string{"add up to 1.100"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			before := l.state
+			result := l.change(c.verb, c.entity, c.payload)
+			require.Equal(t, Rejected, result.Outcome)
+			requireErrors(t, result.Errors, c.wanted...)
+			require.Same(t, before.Snapshot(), l.state.Snapshot())
+			require.Empty(t, DiffStates(before, l.state))
+		})
+	}
+}
+
+// Guards against history without bound, for one entity and for the whole state.
+func TestHistoryIsBounded(t *testing.T) {
+	l := newLog(t)
+	for range keptRevisions {
+		for _, name := range []string{"a", "b"} {
+			verb := Amend
+			if l.state.Revision(TemplateEntity(name)) == 0 {
+				verb = Publish
+			}
+			l.accept(verb, TemplateEntity(name), `{"body":{}}`)
+		}
+	}
+	l.accept(Amend, TemplateEntity("a"), `{"body":{}}`)
+	require.Len(t, l.state.Entities["template a"].Revisions, keptRevisions)
+
+	crowded := *l.state
+	crowded.Entities = maps.Clone(l.state.Entities)
+	crowded.size = maxStateBytes + 1
+	crowded.dropHistory()
+	require.Equal(t, int64(4), crowded.Entities["template b"].Revisions[0].Revision, "the oldest revision of all is dropped first")
+	require.Len(t, crowded.Entities["template a"].Revisions, keptRevisions)
+	crowded.size = 2 * maxStateBytes
+	crowded.dropHistory()
+	for _, entity := range crowded.Entities {
+		require.Len(t, entity.Revisions, 1, "the current revision is never dropped")
+	}
+	require.Len(t, l.state.Entities["template b"].Revisions, keptRevisions, "an earlier state does not change")
+
+	crowded.live = maxLiveBytes + 1
+	requireErrors(t, crowded.checkSize(), "exceeds 8 MiB")
+}
+
+// Guards against a repeated record that is applied again because its id was forgotten early.
+func TestRecordIDsAreKept(t *testing.T) {
+	l := newLog(t)
+	for i := range keptRecordIDs + 3*chunkIDs {
+		l.applyRaw(json.RawMessage(fmt.Sprintf(`{"id":"n%d","verb":"erase","entity":{"kind":"template","name":"t"}}`, i)))
+	}
+	newest := keptRecordIDs + 3*chunkIDs - 1
+	require.True(t, l.state.KnowsRecord(fmt.Sprint("n", newest)))
+	require.True(t, l.state.KnowsRecord(fmt.Sprint("n", newest-keptRecordIDs+1)))
+	require.False(t, l.state.KnowsRecord("n0"))
+	data, err := l.state.Encode()
+	require.NoError(t, err)
+	restored, err := DecodeState(data, l.state.Digest())
+	require.NoError(t, err)
+	require.Equal(t, l.state.window.ids(), restored.window.ids())
+}
+
+// Guards against a checkpoint that is damaged or belongs to another state being taken over.
+func TestDecodeStateRefusesDamage(t *testing.T) {
+	l := newLog(t)
+	l.publishBase()
+	data, err := l.state.Encode()
+	require.NoError(t, err)
+	damaged := map[string]string{
+		"offset":         strings.Replace(string(data), `"offset":6`, `"offset":7`, 1),
+		"content":        strings.Replace(string(data), "tracker", "dispatch", 1),
+		"null entity":    strings.Replace(string(data), `"template ranks":{`, `"template none":null,"template ranks":{`, 1),
+		"no revisions":   `{"offset":1,"version":1,"entities":{"template t":{"entity":{"kind":"template","name":"t"},"revisions":[]}}}`,
+		"wrong key":      `{"offset":1,"version":1,"entities":{"template u":{"entity":{"kind":"template","name":"t"},"revisions":[{"revision":1,"verb":"retire"}]}}}`,
+		"later revision": `{"offset":1,"version":1,"entities":{"template t":{"entity":{"kind":"template","name":"t"},"revisions":[{"revision":2,"verb":"retire"}]}}}`,
+		"trailing brace": string(data) + "}",
+	}
+	for name, c := range damaged {
+		t.Run(name, func(t *testing.T) {
+			_, err := DecodeState([]byte(c), l.state.Digest())
+			require.Error(t, err)
+		})
+	}
+}
