--- a/pkg/inbound/admission.go
+++ b/pkg/inbound/admission.go
@@ -8,6 +8,9 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
 )
 
+// minExpireWait keeps a timer from firing again before a decision that was just made is received.
+const minExpireWait = time.Millisecond
+
 // admission serialises access to the scheduler of one backend server and lets calls wait for their decision.
 type admission struct {
 	now func() time.Time
@@ -25,7 +28,13 @@
 // CancelledBefore. The caller of a granted call must call release.
 func (a *admission) acquire(ctx context.Context, rank string, deadline time.Time) (*call, *refusal) {
 	c := a.offer(rank, deadline)
-	timer := time.NewTimer(deadline.Sub(a.now()))
+	select {
+	case d := <-c.decided:
+		return c, d.refusal
+	default:
+	}
+	// The timer refuses the call when it becomes hopeless, even if no other event makes the scheduler look at it.
+	timer := time.NewTimer(a.expire(c))
 	defer timer.Stop()
 	for {
 		select {
@@ -33,12 +42,12 @@
 			return c, d.refusal
 		case <-ctx.Done():
 			if a.cancel(c) {
-				return nil, &refusal{outcome: callctx.NotRun, reason: callctx.CancelledBefore}
+				return c, &refusal{outcome: callctx.NotRun, reason: callctx.CancelledBefore}
 			}
 			d := <-c.decided
 			return c, d.refusal
 		case <-timer.C:
-			a.expire(c)
+			timer.Reset(a.expire(c))
 		}
 	}
 }
@@ -61,13 +70,11 @@
 	return a.scheduler.cancel(c)
 }
 
-// expire refuses a call that still waits at its deadline.
-func (a *admission) expire(c *call) {
+// expire refuses a call that became hopeless, and returns when to look again.
+func (a *admission) expire(c *call) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.scheduler.cancel(c) {
-		c.decided <- decision{refusal: a.scheduler.refuse(c.rank, callctx.DeadlineExpired)}
-	}
+	return max(a.scheduler.expire(a.now(), c), minExpireWait)
 }
 
 func (a *admission) release(c *call, r result) {
--- a/pkg/inbound/forward.go
+++ b/pkg/inbound/forward.go
@@ -94,12 +94,32 @@
 	return r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != ""
 }
 
+// exchange is a response whose body is still to be read.
+type exchange struct {
+	response *http.Response
+	conn     *trackedConn
+}
+
+// close ends the exchange; a connection whose body was read to its end is kept for other calls.
+func (e *exchange) close() {
+	e.response.Body.Close()
+}
+
+// abort closes the connection, which tells the backend server that the call is cancelled.
+func (e *exchange) abort() {
+	if e.conn != nil {
+		e.conn.seal()
+		e.conn.Close()
+	}
+	e.response.Body.Close()
+}
+
 // send forwards the request and returns the response with its body unread.
-func (c *backendClient) send(ctx context.Context, o *outgoing) (*http.Response, *failure) {
+func (c *backendClient) send(ctx context.Context, o *outgoing) (*exchange, *failure) {
 	for retries := 0; ; retries++ {
-		response, stale, failed := c.sendOnce(ctx, o)
+		sent, stale, failed := c.sendOnce(ctx, o)
 		if failed == nil {
-			return response, nil
+			return sent, nil
 		}
 		if !stale || retries == maxStaleRetries || o.stream != nil {
 			return nil, failed
@@ -108,7 +128,7 @@
 }
 
 // sendOnce also reports whether it met a reused connection that was closed before a byte of the request was written.
-func (c *backendClient) sendOnce(ctx context.Context, o *outgoing) (*http.Response, bool, *failure) {
+func (c *backendClient) sendOnce(ctx context.Context, o *outgoing) (*exchange, bool, *failure) {
 	var used atomic.Pointer[trackedConn]
 	var reused atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -121,10 +141,10 @@
 		used.Store(conn)
 	}}
 	response, err := c.transport.RoundTrip(o.build(httptrace.WithClientTrace(ctx, trace), c.address))
+	conn := used.Load()
 	if err == nil {
-		return response, false, nil
+		return &exchange{response: response, conn: conn}, false, nil
 	}
-	conn := used.Load()
 	if conn == nil {
 		return nil, false, notSent(ctx, err)
 	}
--- a/pkg/inbound/handler.go
+++ b/pkg/inbound/handler.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -77,18 +76,14 @@
 	return h.options.Now()
 }
 
-// ServeHTTP admits one call, forwards it to the backend server and returns the outcome.
+// ServeHTTP admits one call, forwards it to the backend server and returns the outcome. The id of a non-idempotent call
+// is recorded before anything else is decided, so that each later refusal is true for resends as well.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	admitted := h.enter()
 	defer h.leave(admitted)
-	snapshot := h.options.Snapshot()
-	if snapshot == nil {
-		h.refuse(w, nil, &refusal{outcome: callctx.NotRun, reason: callctx.NotReady, retryAfter: minRetryAfter})
-		return
-	}
-	in, reason := h.parse(r, snapshot)
-	if reason != "" {
-		h.refuse(w, nil, firstOrUnknown(in, reason))
+	in, refused := parseIdentity(r)
+	if refused != nil {
+		h.refuse(w, nil, refused)
 		return
 	}
 	entry, refused := h.begin(in)
@@ -96,19 +91,20 @@
 		h.refuse(w, nil, refused)
 		return
 	}
-	if !admitted {
-		h.refuse(w, entry, &refusal{outcome: callctx.NotRun, reason: callctx.Draining, retryAfter: minRetryAfter})
-		return
+	snapshot := h.options.Snapshot()
+	switch {
+	case !admitted:
+		h.refuse(w, entry, notRun(callctx.Draining))
+	case snapshot == nil:
+		h.refuse(w, entry, notRun(callctx.NotReady))
+	default:
+		h.serve(w, r, in, entry, snapshot)
 	}
-	h.serve(w, r, in, entry, snapshot)
 }
 
-// firstOrUnknown refuses a call before its id was looked up. Only attempt 1 can then be refused with outcome NotRun.
-func firstOrUnknown(in *incoming, reason callctx.Reason) *refusal {
-	if in.idempotent || !in.resend {
-		return &refusal{outcome: callctx.NotRun, reason: reason}
-	}
-	return &refusal{outcome: callctx.Unknown, reason: reason}
+// notRun refuses a call for a reason that may soon be over here or does not apply elsewhere.
+func notRun(reason callctx.Reason) *refusal {
+	return &refusal{outcome: callctx.NotRun, reason: reason, retryAfter: minRetryAfter}
 }
 
 // begin records a non-idempotent call. The entry is nil for an idempotent one.
@@ -129,12 +125,20 @@
 // serve waits for a slot and forwards the call.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, in *incoming, entry *execution.Entry, snapshot *config.Snapshot) {
 	b, service := h.currentBackend()
-	if b == nil || service != in.service {
-		h.refuse(w, entry, &refusal{outcome: callctx.NotRun, reason: missingBackend(b), retryAfter: minRetryAfter})
+	switch {
+	case b == nil:
+		h.refuse(w, entry, notRun(callctx.NoEndpoint))
+		return
+	case service != in.service:
+		h.refuse(w, entry, notRun(callctx.UnknownService))
 		return
 	}
 	b.configure(snapshot, service)
-	out, reason := h.readRequest(r, in)
+	if reason := h.parseContext(r, snapshot, in); reason != "" {
+		h.refuse(w, entry, &refusal{outcome: callctx.NotRun, reason: reason})
+		return
+	}
+	out, reason := h.readRequest(w, r, in)
 	if reason != "" {
 		h.refuse(w, entry, &refusal{outcome: callctx.NotRun, reason: reason})
 		return
@@ -144,35 +148,9 @@
 		h.refuse(w, entry, refused)
 		return
 	}
-	h.forward(w, r, &forwarding{handler: h, backend: b, call: c, in: in, entry: entry, out: out})
-}
-
-func missingBackend(b *backend) callctx.Reason {
-	if b == nil {
-		return callctx.NoEndpoint
-	}
-	return callctx.UnknownService
-}
-
-// readRequest buffers a short body before the call waits for a slot, so that a slow caller does not hold one.
-func (h *Handler) readRequest(r *http.Request, in *incoming) (*outgoing, callctx.Reason) {
-	out := &outgoing{template: h.toBackend(r, in)}
-	if r.Body == nil || r.Body == http.NoBody {
-		return out, ""
-	}
-	if r.ContentLength > maxBufferedRequest {
-		out.stream, out.length = r.Body, r.ContentLength
-		return out, ""
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedRequest+1))
-	if err != nil {
-		return nil, callctx.BadRequest
-	}
-	if len(body) > maxBufferedRequest {
-		return nil, callctx.BodyTooLarge
-	}
-	out.body = body
-	return out, ""
+	f := &forwarding{handler: h, backend: b, call: c, in: in, entry: entry, out: out}
+	defer f.abandon()
+	f.run(w, r)
 }
 
 // refuse ends the entry, if there is one, and sends the refusal. The entry ends first: once the caller has read
--- a/pkg/inbound/incoming.go
+++ b/pkg/inbound/incoming.go
@@ -1,6 +1,8 @@
 package inbound
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,7 +15,7 @@
 const (
 	maxTimeout          = 10 * time.Minute // as the longest timeout of a route
 	maxBufferedRequest  = 1 << 20          // a longer request body is streamed while the call holds its slot
-	maxRequestBodyBytes = 64 << 20
+	maxRequestBodyBytes = 64 << 20         // a longer request body is refused, or cut off if its length is not declared
 )
 
 // incoming is a parsed call.
@@ -30,9 +32,9 @@
 	incarnation uint64
 }
 
-// parse reads the headers of a call from a node. A context that does not verify is ignored and counted; rank and time
-// limit then come from the route that this node's snapshot has for the request.
-func (h *Handler) parse(r *http.Request, snapshot *config.Snapshot) (*incoming, callctx.Reason) {
+// parseIdentity reads what the at-most-once table needs. A refusal of a malformed id is "not-run", because such an id
+// never runs; any other fault leaves open what became of the id.
+func parseIdentity(r *http.Request) (*incoming, *refusal) {
 	in := &incoming{
 		id:         r.Header.Get(callctx.HeaderRequestID),
 		service:    r.Header.Get(callctx.HeaderService),
@@ -43,25 +45,26 @@
 		in.id = callctx.NewRequestID()
 	}
 	if _, err := callctx.IDTime(in.id); err != nil {
-		return in, callctx.BadRequest
+		return nil, &refusal{outcome: callctx.NotRun, reason: callctx.BadRequest}
 	}
-	ballot, err := execution.ParseBallot(r.Header.Get(callctx.HeaderBallot))
-	if err != nil {
-		return in, callctx.BadRequest
+	var err error
+	if in.ballot, err = execution.ParseBallot(r.Header.Get(callctx.HeaderBallot)); err != nil {
+		return nil, &refusal{outcome: callctx.Unknown, reason: callctx.BadRequest}
 	}
-	in.ballot = ballot
 	if text := r.Header.Get(callctx.HeaderIncarnation); text != "" {
 		if in.incarnation, err = strconv.ParseUint(text, 10, 64); err != nil {
-			return in, callctx.BadRequest
+			return nil, &refusal{outcome: callctx.Unknown, reason: callctx.BadRequest}
 		}
 	}
-	if r.ContentLength > maxRequestBodyBytes {
-		return in, callctx.BodyTooLarge
-	}
-	return in, h.parseContext(r, snapshot, in)
+	return in, nil
 }
 
+// parseContext reads rank, depth and time limit. A context that does not verify is ignored and counted; rank and time
+// limit then come from the route that this node's snapshot has for the request.
 func (h *Handler) parseContext(r *http.Request, snapshot *config.Snapshot, in *incoming) callctx.Reason {
+	if r.ContentLength > maxRequestBodyBytes {
+		return callctx.BodyTooLarge
+	}
 	now := h.now()
 	in.depth = 1
 	timeout := time.Duration(0)
@@ -120,3 +123,26 @@
 	}))
 	return out
 }
+
+// readRequest buffers a short body before the call waits for a slot, so that a slow caller does not hold one.
+func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request, in *incoming) (*outgoing, callctx.Reason) {
+	out := &outgoing{template: h.toBackend(r, in)}
+	if r.Body == nil || r.Body == http.NoBody {
+		return out, ""
+	}
+	if r.ContentLength > maxBufferedRequest {
+		out.stream, out.length = r.Body, r.ContentLength
+		return out, ""
+	}
+	limited := http.MaxBytesReader(w, r.Body, maxRequestBodyBytes)
+	body, err := io.ReadAll(io.LimitReader(limited, maxBufferedRequest+1))
+	if err != nil {
+		return nil, callctx.BadRequest
+	}
+	if len(body) > maxBufferedRequest {
+		out.stream, out.length = io.MultiReader(bytes.NewReader(body), limited), -1
+		return out, ""
+	}
+	out.body = body
+	return out, ""
+}
--- a/pkg/inbound/limiter.go
+++ b/pkg/inbound/limiter.go
@@ -8,6 +8,7 @@
 	slowInflation    = 2.0 // latency relative to the baseline above which the limit shrinks
 	steadyInflation  = 1.5 // latency relative to the baseline above which the limit does not grow
 	minLimitInterval = 100 * time.Millisecond
+	slowFloor        = 3.0 // latency alone lowers the limit to no less than the slots divided by this
 	firstShedHold    = 5 * time.Second
 	maxShedHold      = time.Minute
 )
@@ -58,10 +59,14 @@
 	return max(1, min(limit, float64(l.slots)))
 }
 
-// succeeded raises the limit by one for each round of calls that used it fully.
-func (l *limiter) succeeded(now time.Time, saturated bool, inflation float64) {
+// succeeded raises the limit by one for each round of calls that used it fully, or lowers it when latency is inflated.
+// Latency alone does not prove that these calls overload the backend server: it may wait for something else. Therefore it
+// lowers the limit only to a part of the slots.
+func (l *limiter) succeeded(now time.Time, saturated bool, latency time.Duration, inflation float64) {
 	if inflation > slowInflation {
-		l.decrease(now, slowFactor)
+		if l.limit > max(1, float64(l.slots)/slowFloor) {
+			l.decrease(now, slowFactor, latency)
+		}
 		return
 	}
 	if !saturated || inflation > steadyInflation || l.warming {
@@ -79,7 +84,7 @@
 
 // shed lowers the limit after the backend server shed a call or refused a connection with inFlight calls in flight.
 func (l *limiter) shed(now time.Time, inFlight int) {
-	if !l.decrease(now, shedFactor) {
+	if !l.decrease(now, shedFactor, 0) {
 		return
 	}
 	if l.hold > 0 && now.Before(l.holdUntil.Add(l.hold)) {
@@ -91,9 +96,10 @@
 	l.holdUntil = now.Add(l.hold)
 }
 
-// decrease applies at most one decrease for each interval, because the calls of one round report the same event.
-func (l *limiter) decrease(now time.Time, factor float64) bool {
-	if now.Sub(l.decreased) < minLimitInterval {
+// decrease applies at most one decrease for each interval and service time, because the calls of one round report the
+// same event and the effect of a decrease shows only after a round.
+func (l *limiter) decrease(now time.Time, factor float64, latency time.Duration) bool {
+	if now.Sub(l.decreased) < max(minLimitInterval, latency) {
 		return false
 	}
 	l.decreased = now
--- a/pkg/inbound/scheduler.go
+++ b/pkg/inbound/scheduler.go
@@ -72,11 +72,14 @@
 	queued     int
 	advanced   time.Time
 	swept      time.Time
+	progressed time.Time // of the latest grant or end of a call
 }
 
 const (
 	creditSeconds = 0.25                  // credit that a waiting rank can gather, in seconds of its share
 	sweepInterval = 10 * time.Millisecond // least time between two searches for hopeless calls
+	stallFactor   = 2                     // cautious service times without progress after which a stall is assumed
+	maxWait       = time.Hour             // keeps estimates within the range of a duration
 	minRetryAfter = time.Second           // resolution of Retry-After
 	maxRetryAfter = 30 * time.Second
 )
@@ -180,9 +183,13 @@
 		}
 		urgent += float64(other.queue.Len()) * other.service.expected().Seconds()
 	}
-	own := (float64(ahead) + 0.5) * rank.service.expected().Seconds()
-	seconds := own/s.available(rank) + urgent/float64(s.limiter.current())
-	return time.Duration(seconds * float64(time.Second))
+	interval := rank.service.expected().Seconds() / s.available(rank)
+	// When nothing has ended for long, the queue drains no faster than one call in that time.
+	if stalled := s.advanced.Sub(s.progressed); s.inFlight > 0 && stalled > stallFactor*rank.service.cautious() {
+		interval = max(interval, stalled.Seconds())
+	}
+	seconds := (float64(ahead)+0.5)*interval + urgent/float64(s.limiter.current())
+	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second))
 }
 
 // available estimates the slots that a rank can use now: what the more urgent ranks and the minimum shares of the less
@@ -225,6 +232,7 @@
 
 func (s *scheduler) grant(now time.Time, c *call) {
 	c.granted = now
+	s.progressed = now
 	c.rank.inFlight++
 	s.inFlight++
 	c.saturated = s.inFlight >= s.limiter.current()
@@ -279,10 +287,11 @@
 		c.rank.service.add(now, max(now.Sub(c.granted), c.rank.service.mean))
 	case r.answered:
 		c.rank.service.add(now, now.Sub(c.granted))
-		s.limiter.succeeded(now, c.saturated, c.rank.service.inflation())
+		s.limiter.succeeded(now, c.saturated, c.rank.service.mean, c.rank.service.inflation())
 	}
 	c.rank.inFlight--
 	s.inFlight--
+	s.progressed = now
 	s.dispatch(now)
 	s.sweep(now)
 }
@@ -330,6 +339,22 @@
 	}
 }
 
+// expire refuses a waiting call that can no longer finish within its deadline. It returns how long the call has left, or
+// 0 if it does not wait any more.
+func (s *scheduler) expire(now time.Time, c *call) time.Duration {
+	if c.element == nil {
+		return 0
+	}
+	s.advance(now)
+	left := c.deadline.Sub(now) - c.rank.service.expected()
+	if left > 0 {
+		return left
+	}
+	s.unqueue(c)
+	c.decided <- decision{refusal: s.refuse(c.rank, callctx.DeadlineUnreachable)}
+	return 0
+}
+
 // tick ages estimates and refuses hopeless calls.
 func (s *scheduler) tick(now time.Time) {
 	s.advance(now)
