--- a/pkg/outbound/attempt.go
+++ b/pkg/outbound/attempt.go
@@ -156,11 +156,11 @@
 	if load, err := callctx.ParseLoad(response.Header.Get(callctx.HeaderLoad)); err == nil {
 		to.state.observeLoad(load, h.now())
 	}
-	if response.Header.Get(callctx.HeaderRequestID) != c.id {
+	outcome := callctx.Outcome(response.Header.Get(callctx.HeaderOutcome))
+	if !belongs(c, to, outcome, response.Header) {
 		response.Body.Close()
 		return &reply{outcome: callctx.Unknown, reason: callctx.ResponseMismatch}
 	}
-	outcome := callctx.Outcome(response.Header.Get(callctx.HeaderOutcome))
 	switch outcome {
 	case callctx.Answered:
 		return readAnswer(ctx, c, response)
@@ -172,6 +172,16 @@
 	}
 }
 
+// belongs reports whether a response is that of the addressed node to this call. An answer must carry the request id; a
+// refusal need not, but no other id.
+func belongs(c *call, to *candidate, outcome callctx.Outcome, header http.Header) bool {
+	id := header.Get(callctx.HeaderRequestID)
+	if outcome == callctx.Answered {
+		return id == c.id
+	}
+	return (id == "" || id == c.id) && header.Get(callctx.HeaderNode) == to.member.ID
+}
+
 func readRefusal(outcome callctx.Outcome, response *http.Response) *reply {
 	// The body only repeats the headers for people; it is read so that the connection can be used again.
 	_, _ = io.CopyN(io.Discard, response.Body, maxRefusalBytes)
--- /dev/null
+++ b/pkg/outbound/fixture_test.go
@@ -0,0 +1,210 @@
+package outbound
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/execution"
+	"github.com/laburnumcleat/laburnumcleat/pkg/inbound"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
+	"github.com/laburnumcleat/laburnumcleat/pkg/presence"
+)
+
+var testSigner = callctx.NewSigner([][]byte{[]byte("fleet key")})
+
+const testTemplate = `{"body": {
+	"ranks": [{"name": "urgent", "target_ms": 5000, "min_share": 0.5}, {"name": "bulk", "priority": 1, "target_ms": 5000}],
+	"services": [{"name": "tracker", "queue_limit": 50, "initial_limit": 10}],
+	"routes": [
+		{"name": "hedged", "path_prefix": "/hedged", "service": "tracker", "rank": "urgent", "timeout_ms": 20000, "idempotent": true, "hedge": true},
+		{"name": "orders", "path_prefix": "/orders", "service": "tracker", "rank": "urgent", "timeout_ms": 20000},
+		{"name": "views", "path_prefix": "/views", "service": "tracker", "rank": "bulk", "timeout_ms": 20000, "idempotent": true}
+	]}}`
+
+// testSnapshot renders testTemplate for one team.
+var testSnapshot = sync.OnceValue(func() *config.Snapshot {
+	state := config.NewState()
+	for i, r := range []config.Record{
+		{ID: callctx.NewRequestID(), Verb: config.Publish, Entity: config.Entity{Kind: config.KindTemplate, Name: "t"}, Payload: json.RawMessage(testTemplate), Author: "test"},
+		{ID: callctx.NewRequestID(), Verb: config.Publish, Entity: config.ParametersEntity("team", "t"), Payload: json.RawMessage(`{"values": {}}`), Author: "test"},
+	} {
+		data, err := json.Marshal(r)
+		if err != nil {
+			panic(err)
+		}
+		var result config.Result
+		if state, result = config.Apply(state, int64(i+1), data); result.Outcome != config.Accepted {
+			panic(fmt.Sprintf("record %d: %+v", i, result))
+		}
+	}
+	return state.Snapshot()
+})
+
+// node is a scripted inbound node.
+type node struct {
+	member membership.Member
+	server *httptest.Server
+
+	mu       sync.Mutex
+	requests []http.Header
+}
+
+func (n *node) calls() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.requests)
+}
+
+func (n *node) header(i int) http.Header {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.requests[i]
+}
+
+// fixture is an outbound handler with scripted inbound nodes.
+type fixture struct {
+	t        *testing.T
+	handler  *Handler
+	metrics  *metrics.Registry
+	members  []membership.Member
+	roster   []presence.Incarnation
+	rosterOK bool
+	lookups  map[string]execution.LookupResult // by control address; absent: not reachable
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, metrics: metrics.New(), rosterOK: true, lookups: make(map[string]execution.LookupResult)}
+	f.handler = New(Options{
+		Self:      membership.Member{ID: "self", Region: "muscat", DataCentre: "seeb"},
+		Snapshot:  testSnapshot,
+		Endpoints: func(string) []membership.Member { return append([]membership.Member(nil), f.members...) },
+		Roster: func(context.Context, string, time.Time) ([]presence.Incarnation, error) {
+			if !f.rosterOK {
+				return nil, errors.New("log service is down")
+			}
+			return f.roster, nil
+		},
+		Signer:  testSigner,
+		Metrics: f.metrics,
+	})
+	f.handler.lookup = func(_ context.Context, address string, _ inbound.LookupParams) (execution.LookupResult, error) {
+		if result, ok := f.lookups[address]; ok {
+			return result, nil
+		}
+		return execution.LookupResult{}, errors.New("not reachable")
+	}
+	return f
+}
+
+// add starts an inbound node in the own data centre.
+func (f *fixture) add(handler func(w http.ResponseWriter, r *http.Request, n *node)) *node {
+	n := &node{}
+	n.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.mu.Lock()
+		n.requests = append(n.requests, r.Header.Clone())
+		n.mu.Unlock()
+		handler(w, r, n)
+	}))
+	f.t.Cleanup(n.server.Close)
+	n.member = f.member(len(f.members), n.server.Listener.Addr().String())
+	f.members = append(f.members, n.member)
+	return n
+}
+
+func (f *fixture) member(i int, address string) membership.Member {
+	return membership.Member{
+		ID: fmt.Sprintf("node-%d", i), Region: "muscat", DataCentre: "seeb", CallAddress: address,
+		ControlAddress: fmt.Sprintf("control-%d", i), Status: membership.Alive, Incarnation: uint64(1000 + i),
+		Endpoint: &membership.Endpoint{Service: "tracker", Slots: 10, State: membership.EndpointReady},
+	}
+}
+
+// closedAddress returns an address that refuses connections.
+func closedAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+func answer(w http.ResponseWriter, r *http.Request, n *node) {
+	w.Header().Set(callctx.HeaderOutcome, string(callctx.Answered))
+	w.Header().Set(callctx.HeaderRequestID, r.Header.Get(callctx.HeaderRequestID))
+	w.Header().Set(callctx.HeaderNode, n.member.ID)
+	fmt.Fprint(w, "answer of "+n.member.ID)
+}
+
+func refuse(outcome callctx.Outcome, reason callctx.Reason) func(http.ResponseWriter, *http.Request, *node) {
+	return func(w http.ResponseWriter, _ *http.Request, n *node) {
+		w.Header().Set(callctx.HeaderOutcome, string(outcome))
+		w.Header().Set(callctx.HeaderReason, string(reason))
+		w.Header().Set(callctx.HeaderNode, n.member.ID)
+		w.WriteHeader(callctx.Status(outcome, reason))
+	}
+}
+
+// abort closes the connection after the request was read.
+func abort(http.ResponseWriter, *http.Request, *node) { panic(http.ErrAbortHandler) }
+
+// call sends a request to the handler. Headers are pairs of name and value.
+func (f *fixture) call(method, path, body string, headers ...string) *http.Response {
+	f.t.Helper()
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	f.handler.ServeHTTP(w, r)
+	f.checkCounters()
+	return w.Result()
+}
+
+// checkCounters guards against a call that is counted twice or not at all.
+func (f *fixture) checkCounters() {
+	f.t.Helper()
+	values := f.metrics.Values()
+	sum := int64(0)
+	for name, value := range values {
+		if strings.HasPrefix(name, "outbound_outcome{") {
+			sum += value
+		}
+	}
+	require.Equal(f.t, values["outbound_calls"], sum, "every call ends in exactly one outcome counter")
+}
+
+func requireOutcome(t *testing.T, response *http.Response, outcome callctx.Outcome, reason callctx.Reason) {
+	t.Helper()
+	require.Equal(t, string(outcome), response.Header.Get(callctx.HeaderOutcome))
+	require.Equal(t, string(reason), response.Header.Get(callctx.HeaderReason))
+}
+
+func bodyOf(t *testing.T, response *http.Response) string {
+	t.Helper()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
+// oldID returns an id that is old enough for the roster and young enough for attempt 1.
+func oldID(f *fixture) string {
+	id := callctx.NewRequestID()
+	made, err := callctx.IDTime(id)
+	require.NoError(f.t, err)
+	f.handler.now = func() time.Time { return made.Add(10 * time.Second) }
+	return id
+}
--- /dev/null
+++ b/pkg/outbound/handler_test.go
@@ -0,0 +1,311 @@
+package outbound
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+)
+
+func TestAnsweredCall(t *testing.T) {
+	f := newFixture(t)
+	n := f.add(answer)
+	response := f.call(http.MethodPost, "/orders/7?day=3", "body", "Laburnum-Service", "forged", "Laburnum-Ballot", "forged")
+	requireOutcome(t, response, callctx.Answered, "")
+	require.Equal(t, "answer of node-0", bodyOf(t, response))
+	sent := n.header(0)
+	require.Equal(t, "tracker", sent.Get(callctx.HeaderService), "a caller must not choose the service")
+	require.Empty(t, sent.Get(callctx.HeaderBallot), "a caller must not send a ballot")
+	require.Equal(t, "1", sent.Get(callctx.HeaderAttempt))
+	require.Equal(t, "1000", sent.Get(callctx.HeaderIncarnation))
+}
+
+// Guards against callers that choose their own rank, extend their deadline or nest too deep.
+func TestInheritedContext(t *testing.T) {
+	f := newFixture(t)
+	n := f.add(answer)
+	parent := callctx.Context{RequestID: "parent", Rank: "urgent", Deadline: time.Now().Add(3 * time.Second), Depth: 4}
+	sent := func(header string) callctx.Context {
+		f.call(http.MethodGet, "/views", "", callctx.HeaderContext, header, callctx.HeaderTimeoutMS, "600000")
+		got, err := testSigner.Decode(n.header(n.calls() - 1).Get(callctx.HeaderContext))
+		require.NoError(t, err)
+		return got
+	}
+	inherited := sent(testSigner.Encode(parent))
+	require.Equal(t, "urgent", inherited.Rank)
+	require.Equal(t, 5, inherited.Depth)
+	require.Equal(t, "parent", inherited.Parent)
+	require.Equal(t, parent.Deadline.UnixMilli(), inherited.Deadline.UnixMilli())
+
+	forged := sent(callctx.NewSigner([][]byte{[]byte("other key")}).Encode(parent))
+	require.Equal(t, "bulk", forged.Rank)
+	require.Equal(t, 1, forged.Depth)
+	require.Equal(t, int64(1), f.metrics.Values()["outbound_context_rejected"])
+
+	parent.Depth = callctx.MaxDepth
+	response := f.call(http.MethodGet, "/views", "", callctx.HeaderContext, testSigner.Encode(parent))
+	requireOutcome(t, response, callctx.NotRun, callctx.TooDeep)
+}
+
+func TestRefusedRequests(t *testing.T) {
+	old := callctx.NewRequestID()
+	for _, test := range []struct {
+		name, path string
+		later      time.Duration
+		headers    []string
+		outcome    callctx.Outcome
+		reason     callctx.Reason
+		status     int
+	}{
+		{name: "unknown route", path: "/none", outcome: callctx.NotRun, reason: callctx.UnknownRoute, status: 404},
+		{name: "two readings of the path", path: "/views/../orders", outcome: callctx.NotRun, reason: callctx.BadRequest, status: 400},
+		{name: "malformed id", path: "/orders", headers: []string{callctx.HeaderRequestID, "x", callctx.HeaderAttempt, "2"}, outcome: callctx.NotRun, reason: callctx.BadRequest, status: 400},
+		{name: "malformed attempt", path: "/orders", headers: []string{callctx.HeaderRequestID, old, callctx.HeaderAttempt, "0"}, outcome: callctx.Unknown, reason: callctx.BadRequest, status: 502},
+		{name: "no time left", path: "/orders", headers: []string{callctx.HeaderTimeoutMS, "0"}, outcome: callctx.NotRun, reason: callctx.DeadlineExpired, status: 504},
+		{name: "id too old", path: "/orders", later: 31 * time.Second, headers: []string{callctx.HeaderRequestID, old, callctx.HeaderAttempt, "1"}, outcome: callctx.NotRun, reason: callctx.IDTooOld, status: 400},
+		{name: "id in the future", path: "/orders", later: -5 * time.Second, headers: []string{callctx.HeaderRequestID, old, callctx.HeaderAttempt, "1"}, outcome: callctx.NotRun, reason: callctx.IDInFuture, status: 400},
+		{name: "resend to an unknown route", path: "/none", headers: []string{callctx.HeaderRequestID, old, callctx.HeaderAttempt, "2"}, outcome: callctx.Unknown, reason: callctx.UnknownRoute, status: 502},
+		{name: "no endpoint", path: "/orders", outcome: callctx.NotRun, reason: callctx.NoEndpoint, status: 503},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t)
+			begun := time.Now().Add(test.later)
+			f.handler.now = func() time.Time { return begun }
+			response := f.call(http.MethodPost, test.path, "", test.headers...)
+			requireOutcome(t, response, test.outcome, test.reason)
+			require.Equal(t, test.status, response.StatusCode)
+			require.Equal(t, retryUseful(test.reason), response.Header.Get("Retry-After") != "")
+		})
+	}
+}
+
+func TestDrainRefusesAndWaits(t *testing.T) {
+	f := newFixture(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	f.add(func(w http.ResponseWriter, r *http.Request, n *node) {
+		close(entered)
+		<-release
+		answer(w, r, n)
+	})
+	first := make(chan *http.Response, 1)
+	go func() {
+		w := httptest.NewRecorder()
+		f.handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/orders", nil))
+		first <- w.Result()
+	}()
+	<-entered
+	expired, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.Error(t, f.handler.Drain(expired), "a call is in flight")
+	w := httptest.NewRecorder()
+	f.handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/orders", nil))
+	requireOutcome(t, w.Result(), callctx.NotRun, callctx.Draining)
+	close(release)
+	require.NoError(t, f.handler.Drain(context.Background()))
+	requireOutcome(t, <-first, callctx.Answered, "")
+	f.checkCounters()
+}
+
+// Guards against the two ways in which a retry doubles work or hides that it may have run.
+func TestRetryOnlyAfterNotRun(t *testing.T) {
+	t.Run("not-run goes elsewhere", func(t *testing.T) {
+		f := newFixture(t)
+		first, second := f.add(refuse(callctx.NotRun, callctx.Draining)), f.add(answer)
+		f.handler.random = func(n int) int { return 0 }
+		requireOutcome(t, f.call(http.MethodPost, "/orders", "x"), callctx.Answered, "")
+		require.Equal(t, 1, first.calls())
+		require.Equal(t, 1, second.calls())
+	})
+	t.Run("a lost connection does not", func(t *testing.T) {
+		f := newFixture(t)
+		first, second := f.add(abort), f.add(abort)
+		requireOutcome(t, f.call(http.MethodPost, "/orders", "x"), callctx.Unknown, callctx.ConnectionLost)
+		require.Equal(t, 1, first.calls()+second.calls())
+	})
+	t.Run("an idempotent call does", func(t *testing.T) {
+		f := newFixture(t)
+		f.add(abort)
+		f.add(answer)
+		f.handler.random = func(n int) int { return 0 }
+		requireOutcome(t, f.call(http.MethodGet, "/views", ""), callctx.Answered, "")
+	})
+	t.Run("not-run after unknown stays unknown", func(t *testing.T) {
+		f := newFixture(t)
+		f.add(abort)
+		f.add(refuse(callctx.NotRun, callctx.Overloaded))
+		f.handler.random = func(n int) int { return 0 }
+		requireOutcome(t, f.call(http.MethodGet, "/views", ""), callctx.Unknown, callctx.Overloaded)
+	})
+	t.Run("a node that does not listen", func(t *testing.T) {
+		f := newFixture(t)
+		f.members = append(f.members, f.member(0, closedAddress(t)))
+		f.add(answer)
+		f.handler.random = func(n int) int { return 0 }
+		requireOutcome(t, f.call(http.MethodPost, "/orders", "x"), callctx.Answered, "")
+	})
+	t.Run("No-Retry is honoured and passed on", func(t *testing.T) {
+		f := newFixture(t)
+		marked := func(w http.ResponseWriter, r *http.Request, n *node) {
+			w.Header().Set(callctx.HeaderNoRetry, "true")
+			refuse(callctx.NotRun, callctx.Overloaded)(w, r, n)
+		}
+		first, second := f.add(marked), f.add(marked)
+		response := f.call(http.MethodPost, "/orders", "x")
+		requireOutcome(t, response, callctx.NotRun, callctx.Overloaded)
+		require.Equal(t, "true", response.Header.Get(callctx.HeaderNoRetry))
+		require.Equal(t, 1, first.calls()+second.calls())
+	})
+	t.Run("an exhausted budget ends retries", func(t *testing.T) {
+		f := newFixture(t)
+		first, second := f.add(refuse(callctx.NotRun, callctx.Overloaded)), f.add(refuse(callctx.NotRun, callctx.Overloaded))
+		const calls = 20
+		for range calls {
+			f.call(http.MethodPost, "/orders", "x")
+		}
+		require.Equal(t, calls+int(retryFloor), first.calls()+second.calls())
+		response := f.call(http.MethodPost, "/orders", "x")
+		require.Equal(t, "true", response.Header.Get(callctx.HeaderNoRetry))
+	})
+}
+
+// Guards against a response that is short, of another request or unchecked but passed on as a success.
+func TestIncompleteResponses(t *testing.T) {
+	mark := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(callctx.HeaderOutcome, string(callctx.Answered))
+		w.Header().Set(callctx.HeaderRequestID, r.Header.Get(callctx.HeaderRequestID))
+	}
+	long := bytes.Repeat([]byte("x"), callctx.MaxBufferedResponse+100_000)
+	for _, test := range []struct {
+		name   string
+		node   func(w http.ResponseWriter, r *http.Request, n *node)
+		reason callctx.Reason
+	}{
+		{"short of its length", func(w http.ResponseWriter, r *http.Request, n *node) {
+			mark(w, r)
+			w.Header().Set("Content-Length", "100")
+			fmt.Fprint(w, "short")
+		}, callctx.ResponseTruncated},
+		{"aborted chunks", func(w http.ResponseWriter, r *http.Request, n *node) {
+			mark(w, r)
+			fmt.Fprint(w, "short")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}, callctx.ResponseTruncated},
+		{"another request's id", func(w http.ResponseWriter, r *http.Request, n *node) {
+			mark(w, r)
+			w.Header().Set(callctx.HeaderRequestID, callctx.NewRequestID())
+		}, callctx.ResponseMismatch},
+		{"neither length nor chunks", func(w http.ResponseWriter, r *http.Request, n *node) {
+			conn, buffer, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nLaburnum-Outcome: answered\r\nLaburnum-Request-Id: %s\r\n\r\nall", r.Header.Get(callctx.HeaderRequestID))
+			buffer.Flush()
+			conn.Close()
+		}, callctx.ResponseUnchecked},
+		{"a refusal of another node", func(w http.ResponseWriter, r *http.Request, n *node) {
+			refuse(callctx.NotRun, callctx.Overloaded)(w, r, &node{member: membership.Member{ID: "other"}})
+		}, callctx.ResponseMismatch},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.add(test.node)
+			requireOutcome(t, f.call(http.MethodPost, "/orders", "x"), callctx.Unknown, test.reason)
+		})
+	}
+	for name, declared := range map[string]bool{"long response with length": true, "long response in chunks": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			cut := true
+			f.add(func(w http.ResponseWriter, r *http.Request, n *node) {
+				mark(w, r)
+				if declared {
+					w.Header().Set("Content-Length", strconv.Itoa(len(long)))
+				}
+				if !cut {
+					w.Write(long)
+					return
+				}
+				w.Write(long[:len(long)-1])
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			})
+			caller := httptest.NewServer(f.handler)
+			defer caller.Close()
+			get := func() ([]byte, error) {
+				response, err := http.Post(caller.URL+"/orders", "text/plain", nil)
+				if err != nil {
+					return nil, err
+				}
+				defer response.Body.Close()
+				return io.ReadAll(response.Body)
+			}
+			_, err := get()
+			require.Error(t, err, "a cut response must be an error for the caller")
+			cut = false
+			body, err := get()
+			require.NoError(t, err)
+			require.Equal(t, long, body)
+			require.NoError(t, f.handler.Drain(context.Background()))
+			f.checkCounters()
+		})
+	}
+}
+
+// Guards against a request body above the buffer limit that arrives changed or is sent twice in parts.
+func TestLongRequestBody(t *testing.T) {
+	f := newFixture(t)
+	var got []byte
+	f.add(refuse(callctx.NotRun, callctx.Draining))
+	f.add(func(w http.ResponseWriter, r *http.Request, n *node) {
+		got, _ = io.ReadAll(r.Body)
+		answer(w, r, n)
+	})
+	f.handler.random = func(n int) int { return 1 % n }
+	body := bytes.Repeat([]byte("0123456789"), 300_000)
+	response := f.call(http.MethodPost, "/orders", string(body))
+	requireOutcome(t, response, callctx.Answered, "")
+	require.True(t, bytes.Equal(body, got))
+}
+
+func TestLocalEndpointRunsInProcess(t *testing.T) {
+	f := newFixture(t)
+	f.members = []membership.Member{f.member(0, closedAddress(t))}
+	f.members[0].ID = "self"
+	self := &node{member: f.members[0]}
+	size, panics := 10, false
+	f.handler.options.Local = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(callctx.HeaderOutcome, string(callctx.Answered))
+		w.Header().Set(callctx.HeaderRequestID, r.Header.Get(callctx.HeaderRequestID))
+		w.Header().Set(callctx.HeaderNode, self.member.ID)
+		w.Write(bytes.Repeat([]byte("x"), size))
+		if panics {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	for _, size = range []int{10, callctx.MaxBufferedResponse, callctx.MaxBufferedResponse + 1, 3 << 20} {
+		response := f.call(http.MethodPost, "/orders", "x")
+		requireOutcome(t, response, callctx.Answered, "")
+		require.Len(t, bodyOf(t, response), size)
+	}
+	panics, size = true, 10
+	requireOutcome(t, f.call(http.MethodPost, "/orders", "x"), callctx.Unknown, callctx.ConnectionLost)
+}
+
+func TestSnapshotMissing(t *testing.T) {
+	f := newFixture(t)
+	f.handler.options.Snapshot = func() *config.Snapshot { return nil }
+	requireOutcome(t, f.call(http.MethodPost, "/orders", ""), callctx.NotRun, callctx.NotReady)
+}
--- a/pkg/outbound/resolve.go
+++ b/pkg/outbound/resolve.go
@@ -19,7 +19,8 @@
 	maxResolutions = 64 // at the same time on one node
 	maxLookups     = 64 // at the same time for one resolution
 	lookupTimeout  = time.Second
-	rosterTimeout  = 2 * time.Second
+	// rosterTimeout includes the wait for the log's clock, which may be callctx.ClockError behind this node's.
+	rosterTimeout = callctx.ClockError + time.Second
 	// runReserve is the time that must be left for running the call after a wait.
 	runReserve = 200 * time.Millisecond
 )
@@ -120,7 +121,7 @@
 // readRoster returns the incarnations that were not asked yet. Lost names a node that ended too late for the id: what it
 // knew is gone.
 func (s *resolution) readRoster(ctx context.Context, readAfter time.Time) (rest []membership.Member, lost string, r *reply) {
-	limited, cancel := context.WithTimeout(ctx, rosterTimeout)
+	limited, cancel := context.WithTimeout(ctx, min(rosterTimeout, s.c.deadline.Sub(s.h.now())-runReserve))
 	defer cancel()
 	roster, err := s.h.options.Roster(limited, s.c.route.Service, readAfter)
 	if err != nil {
@@ -258,7 +259,7 @@
 			return r
 		}
 		if !r.notSent {
-			return r
+			return recorded(r)
 		}
 		if ctx.Err() != nil || !c.repeatable() {
 			break
@@ -268,6 +269,15 @@
 	return h.unresolved(c, "no_endpoint", "no node could be reached to run the call; send it again after Retry-After with the same id and the next attempt number")
 }
 
+// recorded turns a "not-run" that the inbound node did not record into "unknown". A node without configuration refuses
+// before it looks at its table.
+func recorded(r *reply) *reply {
+	if r.outcome == callctx.NotRun && r.reason == callctx.NotReady {
+		r.outcome = callctx.Unknown
+	}
+	return r
+}
+
 // runnable returns the fenced nodes that serve the service now.
 func (s *resolution) runnable() []membership.Member {
 	fenced := make(map[endpointKey]bool, len(s.fenced))
--- /dev/null
+++ b/pkg/outbound/resolve_test.go
@@ -0,0 +1,159 @@
+package outbound
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/execution"
+	"github.com/laburnumcleat/laburnumcleat/pkg/inbound"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+	"github.com/laburnumcleat/laburnumcleat/pkg/presence"
+)
+
+func (f *fixture) inRoster(m membership.Member, ended time.Time) {
+	f.roster = append(f.roster, presence.Incarnation{
+		Record: presence.Record{ID: m.ID, Incarnation: m.Incarnation, ControlAddress: m.ControlAddress, CallAddress: m.CallAddress},
+		Ended:  ended,
+	})
+}
+
+// Guards against a resend that runs although one node could have run an earlier attempt, and against a "not-run" that
+// does not cover the earlier attempts.
+func TestResend(t *testing.T) {
+	kept := &execution.Response{Status: 201, Header: http.Header{callctx.HeaderOutcome: {"answered"}}, Body: []byte("kept")}
+	refusal := &execution.Response{Status: 503, Header: http.Header{callctx.HeaderOutcome: {"not-run"}, callctx.HeaderReason: {"draining"}}}
+	fenced := execution.LookupResult{State: execution.Fencing}
+	for _, test := range []struct {
+		name     string
+		answers  []execution.LookupResult // of the nodes in the membership table
+		rostered *execution.LookupResult  // of a node that only the roster names
+		ended    time.Duration            // end of a node on the roster, relative to the id's time; 0: none
+		noRoster bool
+		young    bool // the id is too young for the roster
+		outcome  callctx.Outcome
+		reason   callctx.Reason
+		result   string
+	}{
+		{name: "all fenced", answers: []execution.LookupResult{fenced, fenced}, outcome: callctx.Answered, result: "run"},
+		{name: "kept response", answers: []execution.LookupResult{fenced, {State: execution.Done, Response: kept}}, outcome: callctx.Answered, result: "done"},
+		{name: "kept refusal", answers: []execution.LookupResult{{State: execution.Done, Response: refusal}}, outcome: callctx.NotRun, reason: callctx.Draining, result: "done"},
+		{name: "response not kept", answers: []execution.LookupResult{{State: execution.Done}}, outcome: callctx.Unknown, reason: callctx.AlreadyDone, result: "done_not_kept"},
+		{name: "running", answers: []execution.LookupResult{fenced, {State: execution.Running}}, outcome: callctx.Unknown, reason: callctx.AlreadyRunning, result: "running"},
+		{name: "superseded", answers: []execution.LookupResult{fenced, {State: execution.Superseded}}, outcome: callctx.Unknown, reason: callctx.Superseded, result: "superseded"},
+		{name: "unconfirmed", answers: []execution.LookupResult{fenced, {State: execution.Unconfirmed}}, outcome: callctx.Unknown, reason: callctx.Unresolved, result: "unconfirmed"},
+		{name: "not reachable", answers: []execution.LookupResult{fenced, {}}, outcome: callctx.Unknown, reason: callctx.Unresolved, result: "unreachable"},
+		{name: "not reachable, but done elsewhere", answers: []execution.LookupResult{fenced, {}}, rostered: &execution.LookupResult{State: execution.Done, Response: kept}, outcome: callctx.Answered, result: "done"},
+		{name: "fenced by a node that only the roster names", answers: []execution.LookupResult{fenced}, rostered: &fenced, outcome: callctx.Answered, result: "run"},
+		{name: "running on a node that only the roster names", answers: []execution.LookupResult{fenced}, rostered: &execution.LookupResult{State: execution.Running}, outcome: callctx.Unknown, reason: callctx.AlreadyRunning, result: "running"},
+		{name: "roster not readable", answers: []execution.LookupResult{fenced}, noRoster: true, outcome: callctx.Unknown, reason: callctx.Unresolved, result: "no_roster"},
+		{name: "a node ended before the id", answers: []execution.LookupResult{fenced}, ended: -3 * time.Second, outcome: callctx.Answered, result: "run"},
+		{name: "a node ended too late", answers: []execution.LookupResult{fenced}, ended: -time.Second, outcome: callctx.Unknown, reason: callctx.Unresolved, result: "knowledge_lost"},
+		{name: "too early for the roster", answers: []execution.LookupResult{fenced}, young: true, outcome: callctx.Unknown, reason: callctx.Unresolved, result: "too_early"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t)
+			id := oldID(f)
+			made, _ := callctx.IDTime(id)
+			var nodes []*node
+			for _, result := range test.answers {
+				n := f.add(answer)
+				nodes = append(nodes, n)
+				f.inRoster(n.member, time.Time{})
+				if result.State != "" {
+					f.lookups[n.member.ControlAddress] = result
+				}
+			}
+			if test.rostered != nil {
+				extra := f.member(9, closedAddress(t))
+				f.inRoster(extra, time.Time{})
+				f.lookups[extra.ControlAddress] = *test.rostered
+			}
+			if test.ended != 0 {
+				f.inRoster(f.member(8, ""), made.Add(test.ended))
+			}
+			f.rosterOK = !test.noRoster
+			headers := []string{callctx.HeaderRequestID, id, callctx.HeaderAttempt, "2"}
+			if test.young {
+				f.handler.now = func() time.Time { return made }
+				headers = append(headers, callctx.HeaderTimeoutMS, "1000")
+			}
+			response := f.call(http.MethodPost, "/orders", "x", headers...)
+			requireOutcome(t, response, test.outcome, test.reason)
+			require.Equal(t, int64(1), f.metrics.Values()[`outbound_resolution{result="`+test.result+`"}`])
+			runs := 0
+			for _, n := range nodes {
+				runs += n.calls()
+			}
+			require.Equal(t, test.result == "run", runs == 1, "runs: %d", runs)
+		})
+	}
+}
+
+// Guards against an id without attempt number that runs as attempt 1.
+func TestIDWithoutAttemptIsResolved(t *testing.T) {
+	f := newFixture(t)
+	n := f.add(answer)
+	f.lookups[n.member.ControlAddress] = execution.LookupResult{State: execution.Running}
+	requireOutcome(t, f.call(http.MethodPost, "/orders", "x", callctx.HeaderRequestID, oldID(f)), callctx.Unknown, callctx.AlreadyRunning)
+	require.Zero(t, n.calls())
+}
+
+// Guards against a "not-run" for a resend that no inbound node has recorded: another resend could still run the call.
+func TestResendNotRunOnlyWhenRecorded(t *testing.T) {
+	f := newFixture(t)
+	dead := f.member(0, closedAddress(t))
+	f.members = append(f.members, dead)
+	f.lookups[dead.ControlAddress] = execution.LookupResult{State: execution.Fencing}
+	requireOutcome(t, f.call(http.MethodPost, "/orders", "x", callctx.HeaderRequestID, oldID(f), callctx.HeaderAttempt, "2"), callctx.Unknown, callctx.Unresolved)
+
+	f = newFixture(t)
+	first, second := f.add(refuse(callctx.NotRun, callctx.Overloaded)), f.add(refuse(callctx.NotRun, callctx.Overloaded))
+	for _, n := range []*node{first, second} {
+		f.lookups[n.member.ControlAddress] = execution.LookupResult{State: execution.Fencing}
+	}
+	requireOutcome(t, f.call(http.MethodPost, "/orders", "x", callctx.HeaderRequestID, oldID(f), callctx.HeaderAttempt, "2"), callctx.NotRun, callctx.Overloaded)
+	require.Equal(t, 1, first.calls()+second.calls(), "a recorded refusal is final")
+}
+
+func TestResolutionLimit(t *testing.T) {
+	f := newFixture(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	f.handler.resolving = make(chan struct{}, 1)
+	f.add(answer)
+	f.handler.lookup = func(context.Context, string, inbound.LookupParams) (execution.LookupResult, error) {
+		close(entered)
+		<-release
+		return execution.LookupResult{State: execution.Running}, nil
+	}
+	id := oldID(f)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r, _ := http.NewRequest(http.MethodPost, "/orders", nil)
+		r.Header.Set(callctx.HeaderRequestID, id)
+		f.handler.ServeHTTP(&discard{header: http.Header{}}, r)
+	}()
+	<-entered
+	r, _ := http.NewRequest(http.MethodPost, "/orders", nil)
+	r.Header.Set(callctx.HeaderRequestID, id)
+	w := &discard{header: http.Header{}}
+	f.handler.ServeHTTP(w, r)
+	require.Equal(t, http.StatusTooEarly, w.status)
+	require.NotEmpty(t, w.header.Get("Retry-After"))
+	close(release)
+	<-done
+}
+
+type discard struct {
+	header http.Header
+	status int
+}
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discard) WriteHeader(status int)      { d.status = status }
--- a/pkg/outbound/run.go
+++ b/pkg/outbound/run.go
@@ -18,24 +18,15 @@
 	tried := make(map[endpointKey]bool, maxAttempts)
 	mayHaveRun := c.resend
 	var last *reply
-	for {
-		to := h.pick(c, members, tried)
-		if to == nil {
-			break
-		}
+	for to := h.pick(c, members, tried); to != nil; to = h.retryTarget(ctx, c, last, members, tried) {
 		tried[keyOf(to.member)] = true
 		c.attempts++
-		r := h.attemptOrHedge(ctx, c, to, members, tried)
-		if r.outcome == callctx.Answered {
-			h.answered(c, r)
-			return r
-		}
-		mayHaveRun = mayHaveRun || r.outcome == callctx.Unknown
-		last = r
-		if !h.mayRetry(ctx, c, r) {
-			break
+		last = h.attemptOrHedge(ctx, c, to, members, tried)
+		if last.outcome == callctx.Answered {
+			h.answered(c, last)
+			return last
 		}
-		h.options.Metrics.Inc("outbound_retry", "reason", reasonLabel(r.reason))
+		mayHaveRun = mayHaveRun || last.outcome == callctx.Unknown
 	}
 	return h.conclude(c, last, mayHaveRun)
 }
@@ -67,17 +58,29 @@
 	return last
 }
 
-// mayRetry decides on a further attempt and takes it from the budget of the rank.
-func (h *Handler) mayRetry(ctx context.Context, c *call, r *reply) bool {
+// retryTarget decides on a further attempt after a reply and returns its endpoint, or nil if there is none.
+func (h *Handler) retryTarget(ctx context.Context, c *call, r *reply, members []membership.Member, tried map[endpointKey]bool) *candidate {
 	denied := h.retryDenied(ctx, c, r)
+	var to *candidate
 	if denied == "" {
-		return true
+		if to = h.pick(c, members, tried); to == nil {
+			denied = "no_endpoint"
+		}
+	}
+	// A retry of a request that was not sent adds no work anywhere and needs no budget.
+	if denied == "" && !r.notSent && !h.retries.of(c.rank).take() {
+		denied = "budget"
+		r.noRetry = true
+	}
+	if denied != "" {
+		h.options.Metrics.Inc("outbound_retry_denied", "reason", denied)
+		return nil
 	}
-	h.options.Metrics.Inc("outbound_retry_denied", "reason", denied)
-	return false
+	h.options.Metrics.Inc("outbound_retry", "reason", reasonLabel(r.reason))
+	return to
 }
 
-// retryDenied returns why there is no further attempt, as a metric label, or "" if there is one.
+// retryDenied returns why there must be no further attempt, as a metric label, or "" if there may be one.
 func (h *Handler) retryDenied(ctx context.Context, c *call, r *reply) string {
 	switch {
 	case ctx.Err() != nil || !h.now().Before(c.deadline):
@@ -86,16 +89,10 @@
 		return "no_retry"
 	case !retryElsewhere(c, r):
 		return "final"
-	case !c.repeatable():
-		return "body_sent"
 	case c.attempts >= maxAttempts:
 		return "attempts"
-	case r.notSent:
-		// The other node received nothing, so that this retry adds no work anywhere.
-		return ""
-	case !h.retries.of(c.rank).take():
-		r.noRetry = true
-		return "budget"
+	case !c.repeatable():
+		return "body_sent"
 	}
 	return ""
 }
