--- /dev/null
+++ b/pkg/outbound/balance_test.go
@@ -0,0 +1,273 @@
+package outbound
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+)
+
+// chooser is a handler on a virtual clock with members that are never called.
+type chooser struct {
+	*fixture
+	clock time.Time
+	call  *call
+}
+
+func newChooser(t *testing.T, members int) *chooser {
+	ch := &chooser{fixture: newFixture(t), clock: time.Now(), call: &call{route: &testSnapshot().Routes[2]}}
+	random := rand.New(rand.NewPCG(1, 2))
+	ch.handler.random = random.IntN
+	ch.handler.now = func() time.Time { return ch.clock }
+	for i := range members {
+		ch.members = append(ch.members, ch.member(i, ""))
+	}
+	ch.pick() // makes the endpoints known
+	ch.clock = ch.clock.Add(slowStart)
+	return ch
+}
+
+func (ch *chooser) pick() string {
+	if to := ch.handler.pick(ch.call, ch.members, nil); to != nil {
+		return to.member.ID
+	}
+	return ""
+}
+
+func (ch *chooser) share(id string, picks int) float64 {
+	count := 0
+	for range picks {
+		if ch.pick() == id {
+			count++
+		}
+	}
+	return float64(count) / float64(picks)
+}
+
+func (ch *chooser) state(i int) *endpoint {
+	return ch.handler.endpoints.get(keyOf(&ch.members[i]), ch.clock)
+}
+
+func (ch *chooser) report(i, inFlight, limit, queued int) {
+	ch.state(i).observeLoad(callctx.Load{InFlight: inFlight, Limit: limit, Queued: queued}, ch.clock)
+}
+
+func (ch *chooser) fail(i, times int) {
+	for range times {
+		ch.handler.settle("tracker", &candidate{member: &ch.members[i], state: ch.state(i)}, failure)
+	}
+}
+
+// Guards against calls that pile up on the busier of two endpoints.
+func TestPickPrefersLowerLoad(t *testing.T) {
+	ch := newChooser(t, 2)
+	ch.report(0, 8, 10, 0)
+	ch.report(1, 2, 10, 0)
+	require.Equal(t, "node-1", ch.pick())
+	for range 7 {
+		ch.state(1).inFlight.Add(1) // own calls count before the next report
+	}
+	require.Equal(t, "node-0", ch.pick())
+	ch.report(0, 0, 0, 0)
+	require.Equal(t, "node-1", ch.pick(), "a limit of 0 takes no calls")
+}
+
+// Guards against far or suspect endpoints that are used while the own data centre has room, and against calls that wait
+// in the own data centre while another one has room.
+func TestPickByDistance(t *testing.T) {
+	ch := newChooser(t, 4)
+	ch.members[1].DataCentre = "nizwa"
+	ch.members[2].Region = "drakensberg"
+	ch.members[3].Status = membership.Suspect
+	require.Equal(t, 1.0, ch.share("node-0", 50))
+	ch.report(0, 10, 10, 3)
+	require.Equal(t, 1.0, ch.share("node-1", 50))
+	ch.report(1, 10, 10, 3)
+	require.Equal(t, 1.0, ch.share("node-2", 50))
+	ch.report(2, 10, 10, 3)
+	require.Equal(t, 1.0, ch.share("node-0", 50), "all full: the own data centre queues")
+	ch.members = ch.members[3:]
+	require.Equal(t, "node-3", ch.pick())
+}
+
+// Guards against a new endpoint that receives its full share while it is cold.
+func TestSlowStart(t *testing.T) {
+	ch := newChooser(t, 2)
+	for i := range 2 {
+		ch.report(i, 3, 10, 0)
+	}
+	ch.members[1].Incarnation++ // a replacement is a new endpoint
+	ch.state(1)
+	require.Zero(t, ch.share("node-1", 50))
+	ch.clock = ch.clock.Add(slowStart)
+	require.Positive(t, ch.share("node-1", 50))
+}
+
+// Guards against ejections that leave a service without endpoints, that never end, or that do not grow.
+func TestEjection(t *testing.T) {
+	ch := newChooser(t, 4)
+	ch.fail(0, failureThreshold-1)
+	require.Positive(t, ch.share("node-0", 100))
+	ch.fail(0, 1)
+	require.Zero(t, ch.share("node-0", 100))
+	ch.fail(1, failureThreshold)
+	ch.fail(2, failureThreshold)
+	require.Zero(t, ch.share("node-1", 100))
+	require.Positive(t, ch.share("node-2", 100), "at most half of the service is ejected")
+	require.Positive(t, ch.metrics.Values()["outbound_ejection_capped"])
+
+	ch.clock = ch.clock.Add(ejectionBase + slowStart)
+	require.Positive(t, ch.share("node-0", 100))
+	ch.fail(0, 1)
+	ch.clock = ch.clock.Add(ejectionBase)
+	require.Zero(t, ch.share("node-0", 100), "the second ejection lasts longer")
+	ch.clock = ch.clock.Add(ejectionBase + slowStart)
+	require.Positive(t, ch.share("node-0", 100))
+}
+
+// Guards against refusals of the caller's own making that eject a working endpoint.
+func TestRefusalsDoNotEject(t *testing.T) {
+	f := newFixture(t)
+	f.add(refuse(callctx.NotRun, callctx.Overloaded))
+	f.add(answer)
+	for range 3 * failureThreshold {
+		f.call(http.MethodPost, "/orders", "")
+	}
+	require.Zero(t, f.metrics.Values()["outbound_ejection"])
+}
+
+// Guards against first attempts on a node whose presence record must be younger than the id.
+func TestPickAvoidsNodesYoungerThanTheID(t *testing.T) {
+	ch := newChooser(t, 2)
+	ch.call = &call{route: &testSnapshot().Routes[1], idTime: ch.clock}
+	ch.members[1].Incarnation = uint64(ch.clock.Add(-time.Second).UnixMilli())
+	require.Equal(t, 1.0, ch.share("node-0", 50))
+	ch.members = ch.members[1:]
+	require.Equal(t, "node-1", ch.pick(), "the node decides when there is no other")
+}
+
+// hop is one level of a call chain in which every level uses the Handler of this package.
+type hop struct {
+	server *httptest.Server
+	next   *fixture // nil at the end of the chain
+
+	mu     sync.Mutex
+	random *rand.Rand
+	fails  float64
+	calls  int
+}
+
+func (h *hop) serve(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	h.calls++
+	failed := h.random.Float64() < h.fails
+	h.mu.Unlock()
+	n := &node{member: membership.Member{ID: "node-" + r.Header.Get(callctx.HeaderIncarnation)[3:]}}
+	noRetry := ""
+	if h.next != nil {
+		in := httptest.NewRequest(http.MethodPost, "/orders", nil)
+		in.Header.Set(callctx.HeaderContext, r.Header.Get(callctx.HeaderContext))
+		out := httptest.NewRecorder()
+		h.next.handler.ServeHTTP(out, in)
+		failed = out.Code != http.StatusOK
+		noRetry = out.Header().Get(callctx.HeaderNoRetry)
+	}
+	if !failed {
+		answer(w, r, n)
+		return
+	}
+	// The worst case: each level reports the refusal of the next one as its own, so that the level before may retry.
+	if noRetry != "" {
+		w.Header().Set(callctx.HeaderNoRetry, noRetry)
+	}
+	refuse(callctx.NotRun, callctx.Overloaded)(w, r, n)
+}
+
+// Guards against retries that multiply along a call chain: without budgets, three attempts on each of 10 hops would
+// make 3^10 = 59,049 calls out of one.
+func TestRetryAmplificationOverTenHops(t *testing.T) {
+	const roots = 300
+	for _, fails := range []float64{0.1, 0.5, 1} {
+		t.Run(fmt.Sprint(fails), func(t *testing.T) {
+			last := &hop{random: rand.New(rand.NewPCG(7, 7)), fails: fails}
+			var chain *fixture
+			for level := callctx.MaxDepth; level >= 1; level-- {
+				h := last
+				if level < callctx.MaxDepth {
+					h = &hop{random: rand.New(rand.NewPCG(7, 8)), next: chain}
+				}
+				h.server = httptest.NewServer(http.HandlerFunc(h.serve))
+				t.Cleanup(h.server.Close)
+				chain = newFixture(t)
+				for i := range 3 {
+					chain.members = append(chain.members, chain.member(i, h.server.Listener.Addr().String()))
+				}
+			}
+			for range roots {
+				chain.call(http.MethodPost, "/orders", "")
+			}
+			factor := float64(last.calls) / roots
+			t.Logf("failing share %.1f: %d calls at the end of the chain for %d calls, factor %.2f", fails, last.calls, roots, factor)
+			floor := float64(callctx.MaxDepth) * retryFloor / roots
+			require.LessOrEqual(t, factor, math.Pow(1+retryShare, callctx.MaxDepth)+floor)
+		})
+	}
+}
+
+// Guards against hedges without spare capacity or budget, and against a hedge that returns the slower response.
+func TestHedge(t *testing.T) {
+	setup := func(t *testing.T, load string) (f *fixture, slow, fast *node, release chan struct{}) {
+		f = newFixture(t)
+		release = make(chan struct{})
+		t.Cleanup(func() { close(release) })
+		slow = f.add(func(w http.ResponseWriter, r *http.Request, n *node) {
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+		})
+		fast = f.add(answer)
+		// The first choice is the slow one; with one candidate left no random number is used.
+		f.handler.random = func(int) int { return 0 }
+		for range minHedgeSamples {
+			f.handler.latencies.add("hedged", time.Millisecond)
+		}
+		report, err := callctx.ParseLoad(load)
+		require.NoError(t, err)
+		f.handler.endpoints.get(keyOf(&fast.member), time.Now()).observeLoad(report, time.Now().Add(time.Hour))
+		return f, slow, fast, release
+	}
+	f, slow, fast, _ := setup(t, "4/10/0")
+	requireOutcome(t, f.call(http.MethodGet, "/hedged", ""), callctx.Answered, "")
+	require.Equal(t, 1, slow.calls())
+	require.Equal(t, 1, fast.calls())
+	require.Equal(t, int64(1), f.metrics.Values()["outbound_hedge"])
+
+	for name, load := range map[string]string{"capacity": "9/10/0", "budget": "4/10/0"} {
+		f, _, fast, _ := setup(t, load)
+		if name == "budget" {
+			require.True(t, f.handler.hedges.of("urgent").take())
+		}
+		f.call(http.MethodGet, "/hedged", "", callctx.HeaderTimeoutMS, "200")
+		require.Zero(t, fast.calls(), name)
+		require.Equal(t, int64(1), f.metrics.Values()[`outbound_hedge_denied{reason="`+name+`"}`])
+	}
+}
+
+func TestQuantileFollowsTheStream(t *testing.T) {
+	q := &quantile{}
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 20_000 {
+		q.add(time.Duration(random.Float64() * float64(time.Second)))
+	}
+	require.InDelta(t, 0.95, q.estimate, 0.05)
+}
