--- /dev/null
+++ b/pkg/distribution/checkpoint.go
@@ -0,0 +1,160 @@
+package distribution
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+)
+
+const (
+	checkpointTries = 4                 // latest checkpoints tried when one cannot be used
+	beyondTail      = math.MaxInt64 / 2 // reading from here answers the bounds of a stream without records
+)
+
+// checkpointRecord is a record of stream checkpoints. Its bytes depend only on the log, so that two writers at the
+// same offset write the same record.
+type checkpointRecord struct {
+	Offset int64           `json:"offset"`
+	Digest string          `json:"digest"`
+	State  json.RawMessage `json:"state"`
+}
+
+// checkpoint is a loaded record.
+type checkpoint struct {
+	state *config.State
+	age   time.Duration // by the clock of the log service
+}
+
+// checkpointTable is what a writer knows of the latest checkpoint.
+type checkpointTable struct {
+	job    job
+	known  bool
+	offset int64
+	at     time.Time
+}
+
+// dueFor reports whether a writer should look at the checkpoints. The second writer gives the first half as much time
+// again.
+func (t *checkpointTable) dueFor(rank int, offset int64, now time.Time, timing Timing) bool {
+	if rank < 0 || offset == 0 {
+		return false
+	}
+	if !t.known {
+		return true
+	}
+	records, interval := timing.CheckpointRecords, timing.CheckpointInterval
+	if rank > 0 {
+		records, interval = records*3/2, interval*3/2
+	}
+	return offset-t.offset >= records || now.Sub(t.at) >= interval
+}
+
+func encodeCheckpoint(state *config.State) (json.RawMessage, error) {
+	encoded, err := state.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(checkpointRecord{Offset: state.Offset, Digest: state.Digest(), State: encoded})
+}
+
+func decodeCheckpoint(data json.RawMessage) (*config.State, error) {
+	var record checkpointRecord
+	if err := json.Unmarshal(data, &record); err != nil {
+		return nil, apierror.New(apierror.Invalid, "checkpoint: "+err.Error(), "it is skipped; an earlier one is used")
+	}
+	state, err := config.DecodeState(record.State, record.Digest)
+	if err != nil {
+		return nil, err
+	}
+	if state.Offset != record.Offset {
+		return nil, apierror.New(apierror.Invalid, "checkpoint: offset differs from that of its state", "it is skipped; an earlier one is used")
+	}
+	return state, nil
+}
+
+// checkpoints loads the latest valid checkpoints, latest first. Bad ones are counted and skipped.
+func (d *Distributor) checkpoints(ctx context.Context) ([]checkpoint, error) {
+	bounds, err := d.options.Log.Read(ctx, platform.StreamCheckpoints, beyondTail, 1, 0)
+	if err != nil {
+		return nil, err
+	}
+	var found []checkpoint
+	for offset := bounds.Next - 1; offset >= max(bounds.First, bounds.Next-checkpointTries); offset-- {
+		batch, err := d.options.Log.Read(ctx, platform.StreamCheckpoints, offset, 1, 0)
+		if err != nil {
+			return nil, err
+		}
+		if len(batch.Entries) == 0 || batch.Entries[0].Offset != offset {
+			continue
+		}
+		entry := batch.Entries[0]
+		state, err := decodeCheckpoint(entry.Data)
+		if err != nil {
+			d.count("config_checkpoints", "result", "bad")
+			d.options.Logger.Warn("checkpoint_skipped", zap.Int64("offset", offset), zap.Error(err))
+			continue
+		}
+		found = append(found, checkpoint{state: state, age: time.Duration(batch.TimeMS-entry.TimeMS) * time.Millisecond})
+	}
+	return found, nil
+}
+
+// checkpointStep writes a checkpoint if the latest one is too old.
+func (d *Distributor) checkpointStep(ctx context.Context) error {
+	checkpoints, err := d.checkpoints(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	state := d.State()
+	d.mu.Lock()
+	t := &d.tables.checkpoint
+	t.known, t.offset, t.at = true, 0, now.Add(-d.timing.CheckpointInterval)
+	if len(checkpoints) > 0 {
+		t.offset, t.at = checkpoints[0].state.Offset, now.Add(-checkpoints[0].age)
+	} else if state.Offset < d.timing.CheckpointRecords {
+		t.at = d.tables.start.began // without any checkpoint the first one is due after the interval
+	}
+	due := t.dueFor(d.tables.roles.writerRank, state.Offset, now, d.timing)
+	d.mu.Unlock()
+	if !due {
+		return nil
+	}
+	return d.writeCheckpoint(ctx, state)
+}
+
+// writeCheckpoint appends the state after comparing it with what the log gives, so that a diverged writer does not
+// spread its state.
+func (d *Distributor) writeCheckpoint(ctx context.Context, state *config.State) error {
+	reference, err := d.reference(ctx, state.Offset)
+	var missing *noReferenceError
+	if err != nil && !errors.As(err, &missing) {
+		return err
+	}
+	if err == nil && !samePosition(reference, state) {
+		d.repairWith(reference, state)
+		return apierror.New(apierror.Internal, "the state to be written differs from what the log gives", "it was repaired; the next try writes it")
+	}
+	data, err := encodeCheckpoint(state)
+	if err != nil {
+		return err
+	}
+	if _, err := d.options.Log.Append(ctx, platform.StreamCheckpoints, data); err != nil {
+		d.count("config_checkpoints", "result", "failed")
+		return err
+	}
+	d.count("config_checkpoints", "result", "written")
+	d.options.Logger.Info("checkpoint_written", zap.Int64("offset", state.Offset), zap.Int("bytes", len(data)))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tables.checkpoint.offset, d.tables.checkpoint.at = state.Offset, time.Now()
+	return nil
+}
--- /dev/null
+++ b/pkg/distribution/divergence.go
@@ -0,0 +1,146 @@
+package distribution
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+)
+
+// explainDiverged is the decision to check the state because a peer holds another one at the same position.
+const explainDiverged explain.Kind = "diverged"
+
+// divergenceTable holds the latest suspicion.
+type divergenceTable struct {
+	job     job
+	offset  int64 // at which a peer had another digest; 0: no suspicion
+	peer    string
+	address string // control address of the peer
+}
+
+// suspectDivergence schedules a comparison with the log. The caller holds d.mu.
+func (d *Distributor) suspectDivergence(peer, address string, state *config.State, digest string, now time.Time) {
+	t := &d.tables.divergence
+	if t.offset != 0 || d.store.isVerified(positionOf(state)) {
+		return
+	}
+	t.offset, t.peer, t.address = state.Offset, peer, address
+	t.job.due = now.Add(jitter(d.rng, d.timing.CheckInterval))
+	d.count("config_divergence")
+	d.options.Logger.Warn("state_diverged", zap.Int64("offset", state.Offset), zap.String("peer", peer),
+		zap.String("digest", state.Digest()), zap.String("peer_digest", digest))
+	d.explain(explainDiverged, "offset "+strconv.FormatInt(state.Offset, 10), "digest "+state.Digest()+", but "+peer+" has "+digest)
+}
+
+// checkDivergence compares this node's state with what the log gives and repairs it if they differ. It first asks the
+// peer again: if the fault was the peer's, the peer has repaired itself by now.
+func (d *Distributor) checkDivergence(ctx context.Context) error {
+	d.mu.Lock()
+	address := d.tables.divergence.address
+	d.mu.Unlock()
+	state := d.State()
+	if peer, err := d.askFloor(ctx, address); err == nil && peer.position == positionOf(state) {
+		d.endSuspicion()
+		return nil
+	}
+	reference, err := d.reference(ctx, state.Offset)
+	if err != nil {
+		return err
+	}
+	if samePosition(reference, state) {
+		d.store.setVerified(positionOf(state))
+		d.endSuspicion()
+		return nil
+	}
+	if d.repairWith(reference, state) {
+		d.endSuspicion()
+	}
+	return nil
+}
+
+func (d *Distributor) endSuspicion() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tables.divergence.offset = 0
+}
+
+// repairWith replaces a state that differs from what the log gives. It reports false if the node has moved on to a
+// later offset; the check is then repeated.
+func (d *Distributor) repairWith(reference, diverged *config.State) bool {
+	if !d.store.repair(reference) {
+		return false
+	}
+	d.count("config_repairs")
+	d.options.Logger.Warn("state_repaired", zap.Int64("offset", reference.Offset))
+	d.explain(explain.Repaired, "offset "+strconv.FormatInt(reference.Offset, 10),
+		"digest "+diverged.Digest()+" at offset "+strconv.FormatInt(diverged.Offset, 10)+" differed from the log")
+	d.activateState(true)
+	return true
+}
+
+func samePosition(a, b *config.State) bool {
+	return a.Offset == b.Offset && a.Digest() == b.Digest()
+}
+
+// noReferenceError says that the log starts after every checkpoint.
+type noReferenceError struct{}
+
+func (*noReferenceError) Error() string {
+	return "the log starts after every checkpoint, so that no state can be computed from it"
+}
+
+// reference computes the state at an offset from the log alone: from the latest checkpoint up to that offset, or from
+// the start of the log. If only later checkpoints are left it returns the earliest of them.
+func (d *Distributor) reference(ctx context.Context, upTo int64) (*config.State, error) {
+	base, err := d.referenceBase(ctx, upTo)
+	if err != nil {
+		return nil, err
+	}
+	for base.Offset < upTo {
+		batch, err := d.options.Log.Read(ctx, platform.StreamConfig, base.Offset+1, readLimit, 0)
+		if err != nil {
+			return nil, err
+		}
+		if batch.First > base.Offset+1 || len(batch.Entries) == 0 {
+			return nil, &noReferenceError{}
+		}
+		for _, entry := range batch.Entries {
+			if entry.Offset == base.Offset+1 && entry.Offset <= upTo {
+				base, _ = config.Apply(base, entry.Offset, canonical(entry.Data))
+			}
+		}
+	}
+	return base, nil
+}
+
+func (d *Distributor) referenceBase(ctx context.Context, upTo int64) (*config.State, error) {
+	checkpoints, err := d.checkpoints(ctx)
+	if err != nil {
+		return nil, err
+	}
+	bounds, err := d.options.Log.Read(ctx, platform.StreamConfig, beyondTail, 1, 0)
+	if err != nil {
+		return nil, err
+	}
+	var later *config.State
+	for _, c := range checkpoints {
+		if c.state.Offset <= upTo && c.state.Offset >= bounds.First-1 {
+			return c.state, nil
+		}
+		if c.state.Offset > upTo {
+			later = c.state
+		}
+	}
+	if bounds.First <= 1 {
+		return config.NewState(), nil
+	}
+	if later != nil {
+		return later, nil
+	}
+	return nil, &noReferenceError{}
+}
--- /dev/null
+++ b/pkg/distribution/failure_test.go
@@ -0,0 +1,351 @@
+package distribution
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/standin/logservice"
+)
+
+// Guards against a tree that depends on its root: the first reader loses the log without being suspected.
+func TestSecondReaderContinues(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.startAll(10, "a")
+	f.ready()
+	f.reader("a", 0).log.setCut(true)
+	f.put(template("one"))
+	f.converged(1)
+}
+
+// Guards against members below a dead relay node staying behind: it is dead but still believed alive.
+func TestChildrenOfDeadRelayPull(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.startAll(12, "a")
+	f.ready()
+	relay := f.reader("a", 0).currentRoles().order[2]
+	f.kill(relay.ID)
+	f.setStatus(relay.ID, membership.Alive)
+	f.put(template("one"))
+	f.converged(1)
+}
+
+// Guards against a role that stays with a member that membership has declared dead.
+func TestReaderRoleMoves(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.startAll(6, "a")
+	f.ready()
+	f.kill(f.reader("a", 0).member.ID)
+	f.kill(f.reader("a", 0).member.ID)
+	f.put(template("one"))
+	f.converged(1)
+}
+
+// Guards against a data centre going stale while only the platform is out of its reach. Heartbeats between the data
+// centres are cut too, so that only its readers can bring the records.
+func TestDataCentreCutOffFromPlatform(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.mu.Lock()
+	f.linked = func(a, b membership.Member) bool { return a.DataCentre == b.DataCentre }
+	f.mu.Unlock()
+	f.startAll(4, "a", "b")
+	f.ready()
+	for _, n := range f.every("b") {
+		n.log.setCut(true)
+	}
+	for i := range 3 {
+		f.publish(f.node("a1"), template(fmt.Sprintf("t%d", i)))
+		f.converged(int64(i + 1))
+	}
+	f.monotonic()
+}
+
+// Guards against old entries of a resumed reader changing anything, and against entries beyond a gap being applied.
+func TestPushOnlyExtends(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	n := f.start("a1", "a")
+	f.ready()
+	for i := range 3 {
+		f.publish(n, template(fmt.Sprintf("t%d", i)))
+	}
+	digest := n.State().Digest()
+	old := platform.Entry{Offset: 2, Data: encode(t, template("other"))}
+	beyond := platform.Entry{Offset: 5, Data: encode(t, template("beyond"))}
+	params, err := json.Marshal(pushRequest{Sender: "x", Address: "127.0.0.1:1", Entries: []platform.Entry{old, beyond}})
+	require.NoError(t, err)
+	_, err = n.handlePush(context.Background(), params)
+	require.NoError(t, err)
+	require.Equal(t, digest, n.State().Digest())
+	require.Equal(t, int64(3), n.Snapshot().Version)
+}
+
+// Guards against a node that serves without configuration, and against a silent one: the reason must be stated.
+func TestAloneWithoutConfiguration(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	require.NoError(t, f.log.SetMode(logservice.Control{Mode: logservice.Down}))
+	n := f.start("a1", "a")
+	f.eventually("the reason is stated", func() bool {
+		ready, reason := n.Ready()
+		require.False(t, ready)
+		return len(reason) > 5 && reason[:5] == "alone"
+	})
+	require.Nil(t, n.Snapshot())
+	require.NoError(t, f.log.SetMode(logservice.Control{Mode: logservice.Up}))
+	f.ready()
+}
+
+// Guards against a restarted node serving an older version than before while the platform is down (G1), when one peer
+// holds the latest version and the others do not.
+func TestRestartWithFloor(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.startAll(4, "a")
+	f.ready()
+	f.publish(f.node("a1"), template("one"))
+	f.converged(1)
+	require.NoError(t, f.log.SetMode(logservice.Control{Mode: logservice.Down}))
+	f.kill("a4")
+	restarted := f.start("a4", "a")
+	f.ready()
+	require.Equal(t, []int64{1}, restarted.activatedVersions())
+}
+
+// Guards against a node becoming ready below a floor that a peer heard of but does not hold.
+func TestHeldBackBelowFloor(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.startAll(3, "a")
+	f.ready()
+	f.publish(f.node("a1"), template("one"))
+	f.converged(1)
+	require.NoError(t, f.log.SetMode(logservice.Control{Mode: logservice.Down}))
+	f.node("a2").OnBeat(membership.Member{ID: "gone", ControlAddress: "127.0.0.1:1"}, membership.Beat{Version: 2, Digest: "x"})
+	f.kill("a3")
+	restarted := f.start("a3", "a")
+	f.eventually("held back below 2", func() bool {
+		_, reason := restarted.Ready()
+		return restarted.State().Offset == 1 && len(reason) > 9 && reason[:9] == "held back"
+	})
+	require.Nil(t, restarted.Snapshot())
+	require.NoError(t, f.log.SetMode(logservice.Control{Mode: logservice.Up}))
+	f.put(template("two"))
+	f.converged(2)
+	require.Equal(t, []int64{2}, restarted.activatedVersions())
+}
+
+// Guards against a version being served by one node only: if that node restarted during an outage nobody would know
+// its floor.
+func TestActivationNeedsAnotherHolder(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	n := f.start("a1", "a")
+	f.ready()
+	f.prepareSilent("a2")
+	f.eventually("the member is seen", func() bool { return n.currentRoles().peers == 1 })
+	f.put(template("one"))
+	f.eventually("the record is applied", func() bool { return n.State().Version == 1 })
+	require.Equal(t, int64(0), n.Snapshot().Version)
+	n.OnBeat(membership.Member{ID: "a2"}, membership.Beat{Version: 1, Digest: n.State().Digest()})
+	require.Equal(t, int64(1), n.Snapshot().Version)
+}
+
+// Guards against reconnect storms at the platform and against lost configuration when a whole data centre restarts.
+func TestMassRestart(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.startAll(8, "a", "b")
+	f.ready()
+	for i := range 4 {
+		f.publish(f.node("b1"), template(fmt.Sprintf("t%d", i)))
+	}
+	f.converged(4)
+	for i := range 8 {
+		f.kill(fmt.Sprintf("a%d", i+1))
+	}
+	f.startAll(8, "a")
+	f.converged(4)
+	for _, n := range f.every("a") {
+		require.Equal(t, []int64{4}, n.activatedVersions(), n.member.ID)
+	}
+}
+
+// Guards against a state that differs from the log staying in use: one node applied another record at an offset.
+func TestDivergenceIsRepaired(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.startAll(4, "a")
+	f.ready()
+	f.publish(f.node("a1"), template("one"))
+	f.converged(1)
+	bad := f.node("a2")
+	state, _ := config.Apply(config.NewState(), 1, encode(t, template("wrong")))
+	bad.store.mu.Lock()
+	bad.store.replace(state)
+	bad.store.mu.Unlock()
+	want := f.node("a1").State().Digest()
+	f.eventually("repaired", func() bool { return bad.State().Digest() == want && bad.metrics.Values()["config_repairs"] == 1 })
+	require.Contains(t, bad.State().Snapshot().Digest, want)
+	require.Equal(t, want, bad.Snapshot().Digest)
+	require.NotZero(t, bad.metrics.Values()["config_divergence"])
+	kinds := map[explain.Kind]bool{}
+	for _, e := range bad.events.Events("") {
+		kinds[e.Kind] = true
+	}
+	require.True(t, kinds[explainDiverged] && kinds[explain.Repaired])
+	for _, n := range f.every() {
+		require.Equal(t, want, n.State().Digest())
+	}
+}
+
+// Guards against a node that stays behind for ever because the records after its position have expired.
+func TestRetentionShorterThanOutage(t *testing.T) {
+	for _, withCheckpoint := range []bool{true, false} {
+		t.Run(fmt.Sprintf("checkpoint=%v", withCheckpoint), func(t *testing.T) {
+			f := newFleet(t, logservice.Options{RetainCount: 3})
+			if withCheckpoint {
+				f.timing.CheckpointRecords = 2
+			}
+			f.startAll(3, "a")
+			f.ready()
+			f.publish(f.node("a1"), template("first"))
+			f.converged(1)
+			f.kill("a3")
+			for i := range 8 {
+				f.publish(f.node("a1"), template(fmt.Sprintf("t%d", i)))
+			}
+			f.converged(9, f.node("a1"), f.node("a2"))
+			if withCheckpoint {
+				f.eventually("a checkpoint is written", func() bool { return f.checkpointOffset() >= 8 })
+				f.kill("a1")
+				f.kill("a2")
+			}
+			late := f.start("a3", "a")
+			f.converged(9, late)
+		})
+	}
+}
+
+// Guards against one bad record stopping a node or making nodes differ.
+func TestBadRecordsAreSkipped(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.startAll(3, "a")
+	f.ready()
+	for _, data := range []string{"not JSON \xff", `{"id":1}`, `[]`, `{"id":"x","verb":"publish","entity":{"kind":"template","name":"t"},"base":0,"payload":{"body":{"routes":[{"name":"r"}]}},"author":"a"}`} {
+		_, err := f.log.Append(context.Background(), platform.StreamConfig, json.RawMessage(data))
+		require.NoError(t, err)
+	}
+	last := f.put(template("good"))
+	f.converged(last)
+	for _, n := range f.every() {
+		require.Equal(t, f.node("a1").State().Digest(), n.State().Digest())
+		require.Equal(t, int64(3), n.metrics.Values()[`config_records{outcome="invalid"}`])
+	}
+}
+
+// Guards against a length limit that depends on the path of a record: JSON inside a message is compacted and escaped,
+// which makes this record longer than the limit.
+func TestRecordLimitIsTheSameOnEveryPath(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.startAll(6, "a")
+	f.ready()
+	r := template("big")
+	text := make([]byte, 60_000)
+	for i := range text {
+		text[i] = '<'
+	}
+	data := fmt.Sprintf(`{"id":"%s","verb":"publish","entity":{"kind":"template","name":"big"},"base":0,"payload":{"description":"%s","body":{}},"author":"a"}`, r.ID, text)
+	_, err := f.log.Append(context.Background(), platform.StreamConfig, json.RawMessage(data))
+	require.NoError(t, err)
+	last := f.put(template("next"))
+	f.converged(last)
+	for _, n := range f.every() {
+		require.Equal(t, f.node("a1").State().Digest(), n.State().Digest())
+	}
+}
+
+// Guards against a storm of catch-ups: beyond the bound a peer answers when to retry.
+func TestCatchUpsAreAdmitted(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.timing.CatchUps, f.timing.StatesPerSec = 1, 1
+	n := f.start("a1", "a")
+	f.ready()
+	f.publish(n, template("one"))
+	ask := func(request string) pullResponse {
+		answer, err := n.handlePull(context.Background(), json.RawMessage(request))
+		require.NoError(t, err)
+		return answer.(pullResponse)
+	}
+	require.NotEmpty(t, ask(`{"after":0}`).Entries)
+	require.True(t, n.admission.catchUps.TryAcquire(1))
+	require.Equal(t, n.timing.CatchUpRetryMS, ask(`{"after":0}`).RetryAfterMS)
+	n.admission.catchUps.Release(1)
+	require.NotEmpty(t, ask(`{"after":0,"state":true}`).State)
+	require.True(t, n.admission.states.AllowN(time.Now(), 0))
+	for n.admission.states.Allow() {
+	}
+	require.Equal(t, n.timing.CatchUpRetryMS, ask(`{"after":0,"state":true}`).RetryAfterMS)
+}
+
+// Guards against a checkpoint that depends on its writer, and against a damaged one being loaded.
+func TestCheckpointIsDeterministicAndChecked(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.startAll(2, "a")
+	f.ready()
+	f.publish(f.node("a1"), template("one"))
+	f.converged(1)
+	first, err := encodeCheckpoint(f.node("a1").State())
+	require.NoError(t, err)
+	second, err := encodeCheckpoint(f.node("a2").State())
+	require.NoError(t, err)
+	require.Equal(t, string(first), string(second))
+	_, err = f.log.Append(context.Background(), platform.StreamCheckpoints, first)
+	require.NoError(t, err)
+	damaged := []byte(string(first))
+	damaged[len(damaged)/2] ^= 1
+	for _, bad := range [][]byte{damaged, []byte(`"text"`), []byte(`{"offset":7,"digest":"x","state":{}}`)} {
+		_, err = f.log.Append(context.Background(), platform.StreamCheckpoints, bad)
+		require.NoError(t, err)
+	}
+	loaded, err := f.node("a1").checkpoints(context.Background())
+	require.NoError(t, err)
+	require.Len(t, loaded, 1)
+	require.Equal(t, f.node("a1").State().Digest(), loaded[0].state.Digest())
+}
+
+// Guards against configuration expiring while nobody changes it.
+func TestCheckpointIsRenewedWithoutChanges(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.timing.CheckpointInterval = 100 * time.Millisecond
+	f.startAll(2, "a")
+	f.ready()
+	f.publish(f.node("a1"), template("one"))
+	f.eventually("three checkpoints", func() bool { return f.checkpointCount() >= 3 })
+	require.Equal(t, int64(1), f.checkpointOffset())
+}
+
+func (f *fleet) checkpointCount() int64 {
+	batch, err := f.log.Read(context.Background(), platform.StreamCheckpoints, beyondTail, 1, 0)
+	require.NoError(f.t, err)
+	return batch.Next - 1
+}
+
+// checkpointOffset returns the position of the latest checkpoint, or 0.
+func (f *fleet) checkpointOffset() int64 {
+	batch, err := f.log.Read(context.Background(), platform.StreamCheckpoints, f.checkpointCount(), 1, 0)
+	require.NoError(f.t, err)
+	if len(batch.Entries) == 0 {
+		return 0
+	}
+	state, err := decodeCheckpoint(batch.Entries[0].Data)
+	require.NoError(f.t, err)
+	return state.Offset
+}
+
+// prepareSilent adds a member that accepts connections and never answers, like a frozen process.
+func (f *fleet) prepareSilent(id string) {
+	_, listener := f.prepare(id, "a")
+	f.t.Cleanup(func() { listener.Close() })
+}
--- /dev/null
+++ b/pkg/distribution/reader.go
@@ -0,0 +1,122 @@
+package distribution
+
+import (
+	"context"
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+)
+
+const readLimit = 500 // entries in one read of the log
+
+// readLog long-polls the log while this node is a reader of its data centre.
+func (d *Distributor) readLog(ctx context.Context) error {
+	for ctx.Err() == nil {
+		r := d.currentRoles()
+		if !r.isReader() {
+			return nil
+		}
+		from := d.State().Offset + 1
+		batch, err := d.options.Log.Read(ctx, platform.StreamConfig, from, readLimit, d.timing.PollWait)
+		if err == nil {
+			err = d.acceptBatch(ctx, fromLog, from, batch)
+		}
+		d.noteLogRead(ctx, err)
+		if err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (d *Distributor) noteLogRead(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err == nil {
+		d.tables.logFailures = 0
+		return
+	}
+	d.tables.logFailures++
+	if d.tables.logFailures == 1 {
+		d.options.Logger.Warn("log_read_failed", zap.Error(err))
+	}
+}
+
+// readToTail reads the log until this node holds everything that it held when the read began.
+func (d *Distributor) readToTail(ctx context.Context) error {
+	tail := int64(-1)
+	for {
+		from := d.State().Offset + 1
+		batch, err := d.options.Log.Read(ctx, platform.StreamConfig, from, readLimit, 0)
+		if err != nil {
+			return err
+		}
+		if err := d.acceptBatch(ctx, fromTail, from, batch); err != nil {
+			return err
+		}
+		if tail < 0 {
+			tail = batch.Next - 1
+		}
+		offset := d.State().Offset
+		if offset >= tail {
+			return nil
+		}
+		if offset < from {
+			return apierror.New(apierror.Unavailable, fmt.Sprintf("the log gave no record at offset %d, its tail is %d", from, tail), "retry")
+		}
+	}
+}
+
+// acceptBatch replays a batch that was read from an offset. If the records at that offset have expired it loads a
+// checkpoint or the state of a peer.
+func (d *Distributor) acceptBatch(ctx context.Context, by source, from int64, batch platform.Batch) error {
+	if batch.Next < from {
+		d.count("config_log_behind")
+		return apierror.New(apierror.Unavailable, fmt.Sprintf("the log ends at offset %d, before this node's position %d", batch.Next-1, from-1), "check that platform.urls names the right log service")
+	}
+	if batch.First > d.State().Offset+1 {
+		return d.loadMissing(ctx, batch.First)
+	}
+	d.accept(by, batch.Entries)
+	return nil
+}
+
+// loadMissing brings the node to a position from which the log, which starts at first, continues.
+func (d *Distributor) loadMissing(ctx context.Context, first int64) error {
+	d.count("config_expired")
+	checkpoints, err := d.checkpoints(ctx)
+	if err != nil {
+		return err
+	}
+	for _, c := range checkpoints {
+		if c.state.Offset >= first-1 && d.adopt(c.state, "checkpoint") {
+			return nil
+		}
+	}
+	if err := d.pullStateFromPeers(ctx); err != nil {
+		return err
+	}
+	if d.State().Offset >= first-1 {
+		return nil
+	}
+	return apierror.New(apierror.Unavailable, fmt.Sprintf("the log starts at offset %d and neither a checkpoint nor a peer reaches it", first), "publish the configuration again, or restore a checkpoint")
+}
+
+// adopt takes over a complete state of a higher offset.
+func (d *Distributor) adopt(state *config.State, from string) bool {
+	if !d.store.adopt(state) {
+		return false
+	}
+	d.count("config_states_loaded", "from", from)
+	d.options.Logger.Info("state_loaded", zap.String("from", from), zap.Int64("offset", state.Offset))
+	d.relayAfter(state.Offset - 1)
+	d.tryActivate()
+	return true
+}
--- /dev/null
+++ b/pkg/distribution/relay.go
@@ -0,0 +1,175 @@
+package distribution
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+)
+
+// outgoing is the push to one child. At most one message to a child is under way; entries that arrive meanwhile go
+// into the next one.
+type outgoing struct {
+	after int64 // the child has, or was sent, everything up to this offset
+	more  bool  // entries arrived while a message was under way
+}
+
+// source says where entries came from. It is a label of counters.
+type source string
+
+const (
+	fromLog  source = "log"
+	fromTail source = "tail" // a read to the tail at a start or a publish
+	fromPush source = "push"
+	fromPull source = "pull"
+)
+
+// accept replays entries, relays what is new and activates the result.
+func (d *Distributor) accept(from source, entries []platform.Entry) applied {
+	out := d.store.apply(entries)
+	d.options.Metrics.Counter("config_entries", "from", string(from), "outcome", "applied").Inc(int64(len(out.results)))
+	d.options.Metrics.Counter("config_entries", "from", string(from), "outcome", "stale").Inc(int64(out.stale))
+	for _, result := range out.results {
+		d.note(result)
+	}
+	if out.first == 0 {
+		return out
+	}
+	if d.mustRelay(from, out.state.Offset) {
+		d.relayAfter(out.first - 1)
+	}
+	d.tryActivate()
+	return out
+}
+
+// mustRelay reports whether new entries go to the children. A starting node does not repeat to them what other members
+// hold already.
+func (d *Distributor) mustRelay(from source, offset int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	catchingUp := !d.tables.start.ready && (from == fromTail || from == fromPull)
+	return !catchingUp || offset > d.tables.heard
+}
+
+// note records the outcome of one record.
+func (d *Distributor) note(result config.Result) {
+	d.count("config_records", "outcome", string(result.Outcome))
+	if result.Outcome == config.Accepted {
+		return
+	}
+	cause := string(result.Outcome)
+	if len(result.Errors) > 0 {
+		cause += ": " + result.Errors.Error()
+	}
+	d.options.Logger.Info("record_not_accepted", zap.Int64("offset", result.Offset),
+		zap.String("record_id", result.RecordID), zap.String("outcome", string(result.Outcome)), zap.String("cause", cause))
+	d.explain(explain.Rejected, "record "+strconv.FormatInt(result.Offset, 10), cause)
+}
+
+// relayAfter sends the entries after an offset to the children.
+func (d *Distributor) relayAfter(offset int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, child := range d.tables.roles.children() {
+		if push, busy := d.relay[child.ID]; busy {
+			push.more = true
+			continue
+		}
+		push := &outgoing{after: offset}
+		if d.spawn(func(ctx context.Context) { d.pushAll(ctx, child, push) }) {
+			d.relay[child.ID] = push
+		}
+	}
+}
+
+// pushAll sends messages to a child until it has everything or one fails. A child that missed a push learns of the
+// higher position from heartbeats, so a failed push is not repeated.
+func (d *Distributor) pushAll(ctx context.Context, child membership.Member, push *outgoing) {
+	for {
+		sent, err := d.push(ctx, child, push.after)
+		if err != nil {
+			d.count("config_push_failed")
+		}
+		push.after = sent
+		d.mu.Lock()
+		if err != nil || !push.more && sent >= d.store.current().Offset {
+			delete(d.relay, child.ID)
+			d.mu.Unlock()
+			return
+		}
+		push.more = false
+		d.mu.Unlock()
+	}
+}
+
+// push sends one message and returns the offset up to which the child needs no more pushes.
+func (d *Distributor) push(ctx context.Context, child membership.Member, after int64) (int64, error) {
+	entries, state, _ := d.store.after(after)
+	request := pushRequest{
+		Sender:   d.options.Self.ID,
+		Address:  d.options.Self.ControlAddress,
+		Entries:  entries,
+		position: positionOf(state),
+	}
+	sent := state.Offset
+	if len(entries) > 0 {
+		sent = entries[len(entries)-1].Offset
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.timing.CallTimeout)
+	defer cancel()
+	var response pushResponse
+	d.count("config_push_sent")
+	if err := d.options.Client.Call(ctx, child.ControlAddress, methodPush, request, &response); err != nil {
+		return after, err
+	}
+	d.hearPosition(child.ID, child.ControlAddress, response.position)
+	return max(sent, response.Offset), nil
+}
+
+// handlePush serves config.push. Entries that are not new are ignored, and entries beyond a gap lead to a pull from
+// the sender.
+func (d *Distributor) handlePush(_ context.Context, params json.RawMessage) (any, error) {
+	var request pushRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, apierror.New(apierror.Invalid, "config.push: "+err.Error(), "run the same version on all nodes")
+	}
+	d.count("config_push_received")
+	d.hear(request.Sender, request.position)
+	out := d.accept(fromPush, request.Entries)
+	if out.first == 0 && out.stale > 0 {
+		d.count("config_push_stale")
+	}
+	d.hearPosition(request.Sender, request.Address, request.position)
+	return pushResponse{position: positionOf(d.store.current())}, nil
+}
+
+// hear raises the highest position that a peer is known to hold.
+func (d *Distributor) hear(id string, peer position) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tables.hear(peer.Offset, id)
+}
+
+// hearPosition takes note of a position that a peer stated in a message: there is no push in flight to wait for.
+func (d *Distributor) hearPosition(id, address string, peer position) {
+	d.hear(id, peer)
+	d.tryActivate()
+	state := d.store.current()
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if peer.Offset > state.Offset {
+		d.tables.pull.want(state.Offset, peer.Offset, address, now.Add(jitter(d.rng, d.timing.PullDelay/4)))
+	}
+	if peer.Offset == state.Offset && peer.Digest != "" && peer.Digest != state.Digest() {
+		d.suspectDivergence(id, address, state, peer.Digest, now)
+	}
+}
--- /dev/null
+++ b/pkg/distribution/roles_test.go
@@ -0,0 +1,101 @@
+package distribution
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+)
+
+// Guards against members that no relay path reaches from one reader while the other is frozen, and against members to
+// which more than the two readers or one parent relay.
+func TestRelayReachesEveryMember(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 300).Draw(t, "members")
+		members := make([]membership.Member, n)
+		for i := range members {
+			members[i] = membership.Member{ID: fmt.Sprintf("n%d", i), DataCentre: "a", Status: membership.Alive}
+		}
+		order := assignRoles(members[0], members).order
+		parents := map[string]int{}
+		for i := range order {
+			for _, child := range (&roles{order: order, self: i}).children() {
+				parents[child.ID]++
+			}
+		}
+		for root := range min(readersPerDataCentre, n) {
+			reached := map[string]bool{order[root].ID: true}
+			for queue := []int{root}; len(queue) > 0; queue = queue[1:] {
+				for _, child := range (&roles{order: order, self: queue[0]}).children() {
+					if !reached[child.ID] && indexOf(order, child.ID) >= readersPerDataCentre {
+						reached[child.ID] = true
+						queue = append(queue, indexOf(order, child.ID))
+					}
+				}
+			}
+			for i, m := range order {
+				if i >= readersPerDataCentre && (!reached[m.ID] || parents[m.ID] > readersPerDataCentre) {
+					t.Fatalf("member %d of %d: reached %v, %d parents", i, n, reached[m.ID], parents[m.ID])
+				}
+			}
+		}
+	})
+}
+
+// Guards against suspect and dead members keeping roles, and against fewer than two readers per data centre.
+func TestRolesIgnoreSuspects(t *testing.T) {
+	var members []membership.Member
+	for i := range 9 {
+		m := membership.Member{ID: fmt.Sprintf("n%d", i), DataCentre: fmt.Sprintf("c%d", i%3), Status: membership.Alive}
+		members = append(members, m)
+	}
+	first := assignRoles(members[0], members)
+	require.Len(t, first.farReaders, 4)
+	for i := range members {
+		if members[i].ID == first.farReaders[0].ID {
+			members[i].Status = membership.Suspect
+		}
+	}
+	second := assignRoles(members[0], members)
+	require.Len(t, second.farReaders, 4)
+	require.NotContains(t, second.farReaders, first.farReaders[0])
+	require.Equal(t, 7, second.peers)
+}
+
+// Guards against retries in step and against delays that grow without bound.
+func TestBackoffHasFullJitterAndABound(t *testing.T) {
+	timing := Timing{}.withDefaults()
+	rng := rand.New(rand.NewPCG(1, 1))
+	for failures := range 100 {
+		limit := min(timing.RetryBase<<min(failures, 16), timing.RetryMax)
+		low := false
+		for range 100 {
+			d := timing.backoff(rng, failures)
+			require.True(t, d >= 0 && d < limit)
+			low = low || d < limit/4
+		}
+		require.True(t, low)
+	}
+}
+
+// Guards against two runs of one action at a time and against actions that are not due.
+func TestDecideStartsDueActionsOnce(t *testing.T) {
+	timing := Timing{}.withDefaults()
+	now := time.Unix(1000, 0)
+	tables := tables{pull: pullTable{target: 5}}
+	tables.start.ready = true
+	tables.start.asked = true
+	tables.roles = roles{order: []membership.Member{{ID: "x"}}, writerRank: -1}
+	require.Equal(t, []action{actRead, actPull}, tables.decide(now, 4, timing))
+	require.Empty(t, tables.decide(now, 4, timing))
+	tables.read.done(errCut, now, 0, rand.New(rand.NewPCG(1, 1)), timing)
+	tables.pull.job.done(&retryAfterError{delay: time.Hour}, now, 0, rand.New(rand.NewPCG(1, 1)), timing)
+	require.Empty(t, tables.decide(now, 4, timing))
+	require.Equal(t, []action{actRead}, tables.decide(now.Add(timing.RetryBase), 4, timing))
+	require.Equal(t, []action{actPull}, tables.decide(now.Add(time.Hour), 4, timing))
+}
