--- a/pkg/callctx/context.go
+++ b/pkg/callctx/context.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
@@ -34,25 +35,33 @@
 
 // Signer signs and verifies contexts. It is safe for concurrent use.
 type Signer struct {
-	keys [][]byte
+	keys atomic.Pointer[[][]byte]
 }
 
 // NewSigner returns a signer. The first key signs and all keys verify, so that keys can be rotated: add the new key last
 // on all nodes, then move it to the front, then remove the old one. Without keys nothing verifies.
 func NewSigner(keys [][]byte) *Signer {
 	s := &Signer{}
+	s.SetKeys(keys)
+	return s
+}
+
+// SetKeys replaces the keys, as NewSigner takes them.
+func (s *Signer) SetKeys(keys [][]byte) {
+	copied := make([][]byte, 0, len(keys))
 	for _, key := range keys {
 		if len(key) > 0 {
-			s.keys = append(s.keys, append([]byte(nil), key...))
+			copied = append(copied, append([]byte(nil), key...))
 		}
 	}
-	return s
+	s.keys.Store(&copied)
 }
 
 // Encode returns the header form: base64url(JSON) "." base64url(HMAC-SHA256). It is empty if the signer has no key or
 // the result would exceed MaxContextBytes.
 func (s *Signer) Encode(c Context) string {
-	if len(s.keys) == 0 {
+	keys := *s.keys.Load()
+	if len(keys) == 0 {
 		return ""
 	}
 	wire := wireContext{RequestID: c.RequestID, Rank: c.Rank, DeadlineMS: c.Deadline.UnixMilli(), Depth: c.Depth, Parent: c.Parent}
@@ -61,7 +70,7 @@
 		return ""
 	}
 	text := base64.RawURLEncoding.EncodeToString(payload)
-	header := text + "." + base64.RawURLEncoding.EncodeToString(mac(s.keys[0], text))
+	header := text + "." + base64.RawURLEncoding.EncodeToString(mac(keys[0], text))
 	if len(header) > MaxContextBytes {
 		return ""
 	}
@@ -85,7 +94,7 @@
 }
 
 func (s *Signer) verifies(text string, given []byte) bool {
-	for _, key := range s.keys {
+	for _, key := range *s.keys.Load() {
 		if hmac.Equal(mac(key, text), given) {
 			return true
 		}
--- a/pkg/node/api.go
+++ b/pkg/node/api.go
@@ -113,7 +113,7 @@
 
 func (r *remover) Remove(ctx context.Context, id string, incarnation uint64) error {
 	for _, m := range r.node.membership.Members() {
-		if m.ID == id && m.Incarnation == incarnation && m.Status == membership.StatusAlive {
+		if m.ID == id && m.Incarnation == incarnation && m.Status == membership.Alive {
 			return apierror.New(apierror.Conflict, id+" is alive", "stop the node first, or wait until it is declared dead")
 		}
 	}
--- a/pkg/node/backend.go
+++ b/pkg/node/backend.go
@@ -36,8 +36,8 @@
 func (b *backendTracker) announce(e membership.Endpoint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.leaving && e.State != membership.StateGone {
-		e.State = membership.StateDraining
+	if b.leaving && e.State != membership.EndpointGone {
+		e.State = membership.EndpointDraining
 	}
 	b.renewed = time.Now()
 	b.inbound.SetBackend(e)
@@ -49,11 +49,11 @@
 func (b *backendTracker) tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.endpoint.State == "" || b.endpoint.State == membership.StateGone || now.Sub(b.renewed) < announcementLifetime {
+	if b.endpoint.State == "" || b.endpoint.State == membership.EndpointGone || now.Sub(b.renewed) < announcementLifetime {
 		return
 	}
 	gone := b.endpoint
-	gone.State = membership.StateGone
+	gone.State = membership.EndpointGone
 	b.logger.Warn("backend_withdrawn", zap.String("service", gone.Service), zap.String("cause", "not announced for 3 s"))
 	b.publish(gone)
 }
@@ -63,11 +63,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.leaving = true
-	if b.endpoint.State == "" || b.endpoint.State == membership.StateGone {
+	if b.endpoint.State == "" || b.endpoint.State == membership.EndpointGone {
 		return
 	}
 	draining := b.endpoint
-	draining.State = membership.StateDraining
+	draining.State = membership.EndpointDraining
 	b.publish(draining)
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -112,12 +111,13 @@
 		Self: self, Seeds: n.settings.Seeds, Contacts: n.presence.Contacts,
 		Client: n.client, Server: n.server,
 		Beat:    func() membership.Beat { return n.distribution.Beat() },
-		OnBeat:  n.onBeat,
+		OnBeat:  func(from membership.Member, beat membership.Beat) { n.distribution.OnBeat(from, beat) },
 		Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
 	})
 	n.distribution = distribution.New(distribution.Options{
 		Self: self, Log: log, Members: n.membership.Members, Client: n.client, Server: n.server,
 		Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
+		Timing: distribution.Timing{Retention: n.settings.Platform.Retention()},
 	})
 	n.inbound = inbound.New(inbound.Options{
 		Self: self, Snapshot: n.distribution.Snapshot, Window: n.presence.Window, Retention: n.settings.Platform.Retention(),
@@ -135,11 +135,6 @@
 	n.registerStatusRPC()
 }
 
-func (n *Node) onBeat(from membership.Member, beat membership.Beat) {
-	n.versions.heard(from.ID, beat.Version, beat.Digest)
-	n.distribution.OnBeat(from, beat)
-}
-
 func (n *Node) selfMember() membership.Member {
 	return membership.Member{
 		ID: n.settings.ID, Region: n.settings.Region, DataCentre: n.settings.DataCentre,
--- a/pkg/node/versions.go
+++ b/pkg/node/versions.go
@@ -92,7 +92,7 @@
 	group := errgroup.Group{}
 	group.SetLimit(collectConcurrency)
 	for _, m := range members {
-		if m.ID == c.self || m.Status != membership.StatusAlive {
+		if m.ID == c.self || m.Status != membership.Alive {
 			continue
 		}
 		group.Go(func() error { c.ask(m); return nil })
