--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -1,9 +1,9 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 )
@@ -87,31 +87,25 @@
 
 // sortEntries puts ranks and routes into an order that depends on their content only.
 func (s *Snapshot) sortEntries() {
-	sort.SliceStable(s.Ranks, func(i, j int) bool {
-		a, b := s.Ranks[i], s.Ranks[j]
-		if a.Priority != b.Priority {
-			return a.Priority < b.Priority
-		}
-		return a.Name < b.Name
-	})
-	sort.SliceStable(s.Routes, func(i, j int) bool {
-		return s.Routes[i].before(&s.Routes[j])
+	slices.SortStableFunc(s.Ranks, func(a, b Rank) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Name, b.Name))
 	})
+	slices.SortStableFunc(s.Routes, func(a, b Route) int { return a.compare(&b) })
 	s.rankIndex = make(map[string]int, len(s.Ranks))
 	for i, rank := range s.Ranks {
 		s.rankIndex[rank.Name] = i
 	}
 }
 
-// before reports whether Match tries r before other.
-func (r *Route) before(other *Route) bool {
-	if len(r.PathPrefix) != len(other.PathPrefix) {
-		return len(r.PathPrefix) > len(other.PathPrefix)
+// compare orders routes as Match tries them.
+func (r *Route) compare(other *Route) int {
+	if order := cmp.Compare(len(other.PathPrefix), len(r.PathPrefix)); order != 0 {
+		return order
 	}
 	if (len(r.Methods) == 0) != (len(other.Methods) == 0) {
-		return len(r.Methods) > 0
+		return cmp.Compare(min(len(other.Methods), 1), min(len(r.Methods), 1))
 	}
-	return r.Name < other.Name
+	return cmp.Compare(r.Name, other.Name)
 }
 
 // Match returns the route for a call, or false if there is none.
