--- a/cli/cmd/change.go
+++ b/cli/cmd/change.go
@@ -90,6 +90,11 @@
 	if err != nil {
 		return f.explainUnknown(err, record, c)
 	}
+	if result.Outcome == config.Duplicate {
+		if result, err = s.earlierOutcome(ctx, record, result); err != nil {
+			return err
+		}
+	}
 	if err := s.reportResult(record, result); err != nil {
 		return err
 	}
@@ -162,6 +167,22 @@
 	return apierror.New(apierror.Unknown, "the change may have taken effect ("+err.Error()+")", "repeat it safely with: "+command)
 }
 
+// earlierOutcome finds out what became of a record whose id was seen before.
+func (s *session) earlierOutcome(ctx context.Context, record *config.Record, result config.Result) (config.Result, error) {
+	answer, err := s.client.Entity(ctx, record.Entity)
+	if err != nil && apierror.KindOf(err) != apierror.NotFound {
+		return result, err
+	}
+	for _, revision := range answer.Revisions {
+		if revision.RecordID == record.ID {
+			result.Outcome, result.Offset = config.Accepted, revision.Revision
+			return result, nil
+		}
+	}
+	return result, apierror.New(apierror.Conflict, "record "+record.ID+" was seen earlier and is not among the kept revisions of "+record.Entity.String(),
+		"it was refused, or replaced since; see laburnumctl history "+entityArguments(record.Entity))
+}
+
 // reportResult prints the outcome of a record. Outcomes other than accepted end the verb with their exit code.
 func (s *session) reportResult(record *config.Record, result config.Result) error {
 	printErr := s.print(result, func(out io.Writer) {
@@ -180,7 +201,7 @@
 		}
 	}
 	switch result.Outcome {
-	case config.Accepted, config.Duplicate:
+	case config.Accepted:
 		return nil
 	case config.Conflicts:
 		return errReported{apierror.Conflict}
--- a/cli/cmd/exit.go
+++ b/cli/cmd/exit.go
@@ -72,6 +72,9 @@
 		return exitCode(reported.kind)
 	}
 	list := asList(err)
+	if errors.Is(err, operator.ErrNoAddress) {
+		list = apierror.List{usage("api", operator.ErrNoAddress.Message, operator.ErrNoAddress.Remedy)}
+	}
 	if s.json() {
 		if err := s.print(operator.ErrorBody{Errors: list}, nil); err != nil {
 			return ExitFailure
--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -30,7 +30,10 @@
 
 func verbs() []verb {
 	return []verb{
-		publishVerb(), amendVerb(), getVerb(), statusVerb(),
+		publishVerb(), amendVerb(), retireVerb(), rollbackVerb(),
+		getVerb(), listVerb(), historyVerb(), diffVerb(),
+		validateVerb(), renderVerb(),
+		statusVerb(), explainVerb(), membersVerb(), drainVerb(),
 	}
 }
 
@@ -39,25 +42,46 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	s := &session{stdout: stdout, stderr: stderr}
-	run, name, err := parse(s, arguments)
-	if err != nil {
-		return s.fail(err)
-	}
-	if run == nil {
+	defer recoverExit(&code)
+	if len(arguments) == 0 || isHelp(arguments[0]) {
 		fmt.Fprint(stdout, overview())
-		if name != "" {
-			return ExitUsage
-		}
 		return ExitOK
 	}
+	run, err := parse(s, arguments)
+	if err != nil {
+		return s.fail(err)
+	}
 	if err := s.prepare(); err != nil {
 		return s.fail(err)
 	}
 	return s.fail(run(ctx, s))
 }
 
-// parse returns the function of the chosen verb. It is nil if no verb was given.
-func parse(s *session, arguments []string) (run runFunc, chosen string, err error) {
+func isHelp(argument string) bool {
+	return argument == "help" || argument == "--help" || argument == "-h"
+}
+
+// exitText is how flaggy reports the exit code in the panic that takes the place of ending the process.
+const exitText = "Panic instead of exit with code: %d"
+
+// recoverExit turns flaggy's wish to end the process into an exit code.
+func recoverExit(code *int) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	text, ok := cause.(string)
+	if !ok {
+		panic(cause)
+	}
+	if _, err := fmt.Sscanf(text, exitText, code); err != nil {
+		panic(cause)
+	}
+}
+
+// parse returns the function of the chosen verb. Wrong flags end in the help text of the verb and exit code 2.
+func parse(s *session, arguments []string) (runFunc, error) {
+	flaggy.PanicInsteadOfExit = true
 	parser := flaggy.NewParser("laburnumctl")
 	parser.Version = Version
 	parser.Description = "publishes configuration to a laburnumcleat mesh and shows its state"
@@ -77,14 +101,14 @@
 	}
 	parser.AdditionalHelpAppend = exitCodeHelp
 	if err := parser.ParseArgs(arguments); err != nil {
-		return nil, "", apierror.New(apierror.Invalid, err.Error(), "see laburnumctl <verb> --help")
+		return nil, apierror.New(usageKind, err.Error(), "see laburnumctl <verb> --help")
 	}
 	for _, r := range all {
 		if r.command.Used {
-			return r.run, r.command.Name, nil
+			return r.run, nil
 		}
 	}
-	return nil, strings.Join(arguments, " "), nil
+	return nil, apierror.New(usageKind, "no verb is given", "see laburnumctl help")
 }
 
 func overview() string {
--- a/pkg/operator/auth.go
+++ b/pkg/operator/auth.go
@@ -24,8 +24,10 @@
 	RoleBackend           Role = "backend"            // announcements of the local backend server
 )
 
-// minTokenBytes keeps tokens from being guessed.
-const minTokenBytes = 16
+const (
+	minTokenBytes     = 16  // keeps tokens from being guessed
+	maxTokenNameBytes = 128 // the name becomes the author of records, which is limited to this
+)
 
 // Token is one credential. It is sent as "Authorization: Bearer <secret>".
 type Token struct {
@@ -52,8 +54,8 @@
 
 func (t Token) validate(field string) apierror.List {
 	var errs apierror.List
-	if t.Name == "" {
-		errs = append(errs, apierror.InvalidField(field+".name", "missing", "name the operator or program that holds the token"))
+	if t.Name == "" || len(t.Name) > maxTokenNameBytes {
+		errs = append(errs, apierror.InvalidField(field+".name", "missing or longer than 128 bytes", "name the operator or program that holds the token"))
 	}
 	if len(t.Secret) < minTokenBytes {
 		errs = append(errs, apierror.InvalidField(field+".secret", "shorter than 16 bytes", "use 16 or more random bytes"))
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -21,6 +22,7 @@
 
 const (
 	readAttemptTime  = 5 * time.Second // for one address, before the next is tried
+	changeTime       = defaultPublishTime + 5*time.Second
 	maxResponseBytes = 64 << 20
 )
 
@@ -97,13 +99,17 @@
 }
 
 // Status returns the status of a node and how many members have reached the version; 0 means the node's own version.
-func (c *Client) Status(ctx context.Context, version int64) (Status, error) {
-	path := "/v1/status"
+// With probe, the node asks members whose position it does not know.
+func (c *Client) Status(ctx context.Context, version int64, probe bool) (Status, error) {
+	query := url.Values{}
 	if version > 0 {
-		path += "?version=" + strconv.FormatInt(version, 10)
+		query.Set("version", strconv.FormatInt(version, 10))
+	}
+	if probe {
+		query.Set("probe", "true")
 	}
 	var answer Status
-	return answer, c.get(ctx, path, &answer)
+	return answer, c.get(ctx, "/v1/status?"+query.Encode(), &answer)
 }
 
 // Members lists the nodes.
@@ -124,14 +130,30 @@
 	return answer, c.get(ctx, "/v1/explain?subject="+url.QueryEscape(subject), &answer)
 }
 
+// Each returns a client for each address alone.
+func (c *Client) Each() []*Client {
+	clients := make([]*Client, len(c.addresses))
+	for i, address := range c.addresses {
+		clients[i] = &Client{addresses: []string{address}, token: c.token, http: c.http}
+	}
+	return clients
+}
+
+// Address returns the first address.
+func (c *Client) Address() string {
+	if len(c.addresses) == 0 {
+		return ""
+	}
+	return c.addresses[0]
+}
+
 // Drain starts a drain of the first address, or returns its progress.
 func (c *Client) Drain(ctx context.Context) (DrainStatus, error) {
 	var answer DrainStatus
 	if len(c.addresses) == 0 {
-		return answer, errNoAddress()
+		return answer, ErrNoAddress
 	}
-	only := &Client{addresses: c.addresses[:1], token: c.token, http: c.http}
-	return answer, only.post(ctx, "/v1/drain", struct{}{}, &answer)
+	return answer, c.Each()[0].post(ctx, "/v1/drain", struct{}{}, &answer)
 }
 
 // Announce announces the local backend server.
@@ -142,7 +164,7 @@
 
 // get tries each address until one answers with anything but unavailable.
 func (c *Client) get(ctx context.Context, path string, into any) error {
-	err := error(errNoAddress())
+	err := error(ErrNoAddress)
 	for _, base := range c.addresses {
 		err = c.getFrom(ctx, base, path, into)
 		if err == nil || !worthAnotherAddress(err) || ctx.Err() != nil {
@@ -182,9 +204,9 @@
 	if err != nil {
 		return 0, nil, apierror.New(apierror.Invalid, "the request cannot be encoded: "+err.Error(), "correct the JSON file")
 	}
-	failure := errNoAddress()
+	failure := ErrNoAddress
 	for _, base := range c.addresses {
-		status, body, err := c.send(ctx, http.MethodPost, base, path, encoded)
+		status, body, err := c.sendChange(ctx, base, path, encoded)
 		if err == nil {
 			return status, body, nil
 		}
@@ -196,9 +218,19 @@
 	return 0, nil, failure
 }
 
+func (c *Client) sendChange(ctx context.Context, base, path string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTime)
+	defer cancel()
+	return c.send(ctx, http.MethodPost, base, path, body)
+}
+
 // neverConnected reports whether the request cannot have reached a node.
 func neverConnected(err error) bool {
 	var operation *net.OpError
+	var certificate *tls.CertificateVerificationError
+	if errors.As(err, &certificate) {
+		return true
+	}
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &operation) && operation.Op == "dial"
 }
 
@@ -246,6 +278,5 @@
 	return apierror.New(apierror.Internal, fmt.Sprintf("status %d: %.200s", status, body), "check that --api names a node")
 }
 
-func errNoAddress() *apierror.Error {
-	return apierror.New(apierror.Invalid, "no address of a node is given", "pass --api ip:port[,ip:port], or set LABURNUM_API")
-}
+// ErrNoAddress is returned by a client without addresses.
+var ErrNoAddress = apierror.New(apierror.Invalid, "no address of a node is given", "pass --api ip:port[,ip:port], or set LABURNUM_API")
--- a/pkg/operator/limits.go
+++ b/pkg/operator/limits.go
@@ -10,19 +10,19 @@
 
 // Limits bound what requests may cost.
 type Limits struct {
-	BodyBytes       int64         // of a request; default 4 MiB for validation, one record elsewhere
+	BodyBytes       int64         // of a validation, default 4 MiB
 	PublishTime     time.Duration // for a publish, default 20 s
 	PublishAtOnce   int           // publishes in progress, default 32
-	ValidateAtOnce  int           // validations in progress, default 4
-	ValidateRecords int           // records in one validation, default 2,000
+	ValidateAtOnce  int           // validations in progress, default 2
+	ValidateRecords int           // records in one validation, default 1,000
 }
 
 const (
 	defaultBodyBytes       = 4 << 20
 	defaultPublishTime     = 20 * time.Second
 	defaultPublishAtOnce   = 32
-	defaultValidateAtOnce  = 4
-	defaultValidateRecords = 2000
+	defaultValidateAtOnce  = 2
+	defaultValidateRecords = 1000
 
 	// recordEnvelopeBytes is the allowance for the fields of a record beside its payload.
 	recordEnvelopeBytes = 4 << 10
--- a/pkg/operator/options.go
+++ b/pkg/operator/options.go
@@ -15,7 +15,8 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 )
 
-// NodeView is what the interface reads from its node. All methods are safe for concurrent use and return promptly.
+// NodeView is what the interface reads from its node. All methods are safe for concurrent use and return promptly. The
+// slices that they return belong to the caller.
 type NodeView interface {
 	// Self returns this node.
 	Self() Member
@@ -42,6 +43,12 @@
 	Remove(ctx context.Context, id string, incarnation uint64) error
 }
 
+// Prober asks other nodes.
+type Prober interface {
+	// Position returns the last log offset that a member has read.
+	Position(ctx context.Context, m Member) (int64, error)
+}
+
 // Drainer stops new calls on this node.
 type Drainer interface {
 	// Drain starts a drain unless one is running, and returns its progress at once.
@@ -61,6 +68,7 @@
 	Remover   Remover
 	Drainer   Drainer
 	Backend   Backend
+	Prober    Prober            // optional; without it a status relies on heartbeats
 	Metrics   *metrics.Registry // optional
 	Logger    *zap.Logger       // optional
 
--- a/pkg/operator/read.go
+++ b/pkg/operator/read.go
@@ -9,10 +9,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 )
 
-const (
-	maxLagging      = 20  // ids named in a status answer
-	maxSubjectBytes = 256 // of an explain request
-)
+const maxSubjectBytes = 256 // of an explain request
 
 func (s *server) entities(*http.Request, caller) (any, error) {
 	state := s.Node.State()
@@ -50,7 +47,8 @@
 	return MemberList{Members: members}, nil
 }
 
-// status counts the members at the version of query parameter version, by default the node's own.
+// status counts the members at the version of query parameter version, by default the node's own. With probe=true,
+// members whose position is not known are asked.
 func (s *server) status(r *http.Request, _ caller) (any, error) {
 	state := s.Node.State()
 	wanted := state.Version
@@ -66,33 +64,14 @@
 		Node: s.Node.Self(), Ready: ready, Reason: reason,
 		Offset: state.Offset, Version: state.Version, Digest: state.Digest(),
 	}
-	status.Fleet, status.Lagging = countFleet(s.Node.Members(), wanted)
-	return status, nil
-}
-
-func countFleet(members []Member, wanted int64) (Fleet, []string) {
-	fleet := Fleet{Wanted: wanted}
-	var lagging []string
-	for _, m := range members {
-		switch m.Status {
-		case "alive":
-			fleet.Alive++
-		case "suspect":
-			fleet.Suspect++
-		case "dead":
-			fleet.Dead++
-		}
-		if m.Status != "alive" {
-			continue
-		}
-		if m.Version >= wanted {
-			fleet.Reached++
-		} else {
-			lagging = append(lagging, m.ID)
+	members := s.Node.Members()
+	for i := range members {
+		if members[i].ID == status.Node.ID {
+			members[i].Version = state.Offset
 		}
 	}
-	sort.Strings(lagging)
-	return fleet, lagging[:min(len(lagging), maxLagging)]
+	status.Fleet, status.Lagging = s.fleet(r.Context(), members, wanted, r.URL.Query().Get("probe") == "true")
+	return status, nil
 }
 
 func (s *server) explain(r *http.Request, _ caller) (any, error) {
--- a/pkg/operator/records.go
+++ b/pkg/operator/records.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 
 	"github.com/google/uuid"
@@ -133,15 +134,19 @@
 		return nil, err
 	}
 	if len(request.Records) == 0 || len(request.Records) > s.Limits.ValidateRecords {
-		return nil, apierror.InvalidField("records", "no records or too many", "send 1 to 2000 records")
+		return nil, apierror.InvalidField("records", "no records or too many", fmt.Sprintf("send 1 to %d records", s.Limits.ValidateRecords))
 	}
-	return Validate(s.Node.State(), request.Records), nil
+	return validateRecords(r.Context(), s.Node.State(), request.Records)
 }
 
-// Validate applies records to a state without publishing them. A record without an id gets one.
-func Validate(state *config.State, records []config.Record) ValidateAnswer {
+// validateRecords applies records to a state without publishing them. A record without an id gets one.
+func validateRecords(ctx context.Context, state *config.State, records []config.Record) (ValidateAnswer, error) {
 	answer := ValidateAnswer{Version: state.Version, Valid: true}
+	before := state.Snapshot()
 	for i := range records {
+		if ctx.Err() != nil {
+			return answer, apierror.New(apierror.Unavailable, "the request ended before validation was complete", "send fewer records")
+		}
 		record := records[i]
 		if record.ID == "" {
 			record.ID = uuid.NewString()
@@ -151,7 +156,8 @@
 		answer.Results = append(answer.Results, result)
 		answer.Valid = answer.Valid && result.Outcome == config.Accepted
 	}
-	return answer
+	answer.Changes = config.Diff(before, state.Snapshot())
+	return answer, nil
 }
 
 func applyRecord(state *config.State, record *config.Record) (*config.State, config.Result) {
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -15,6 +16,8 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 )
 
+const jsonType = "application/json"
+
 // retryAfterSeconds is told to callers that are refused because too many requests are in progress.
 const retryAfterSeconds = 2
 
@@ -24,6 +27,7 @@
 	mux        *http.ServeMux
 	publishing chan struct{}
 	validating chan struct{}
+	positions  positions
 }
 
 // handlerFunc returns the value to send as JSON, or an error.
@@ -161,7 +165,7 @@
 		s.Logger.Error("operator_encoding", zap.Error(err))
 		status, encoded = http.StatusInternalServerError, []byte(`{"errors":[{"kind":"internal","message":"the answer could not be encoded"}]}`)
 	}
-	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Type", jsonType)
 	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
 	w.WriteHeader(status)
 	if _, err := w.Write(encoded); err != nil {
@@ -182,8 +186,13 @@
 	return apierror.List{apierror.New(apierror.Internal, err.Error(), "see the log of this node")}
 }
 
-// readBody reads a request body of up to limit bytes.
+// readBody reads a JSON request body of up to limit bytes. Other content types are refused, because a web page may send
+// them to this address without the consent of its user.
 func readBody(r *http.Request, limit int64) ([]byte, error) {
+	mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil || mediaType != jsonType {
+		return nil, apierror.New(apierror.Invalid, "the content type is not "+jsonType, "set header Content-Type: "+jsonType)
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		return nil, apierror.New(apierror.Invalid, "the request body could not be read: "+err.Error(), "send it again")
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -14,13 +14,12 @@
 	ControlAddress string    `json:"control_address,omitempty"`
 	CallAddress    string    `json:"call_address,omitempty"`
 	APIAddress     string    `json:"api_address,omitempty"`
-	Incarnation    uint64    `json:"incarnation"`         // start time of the process, Unix ms
-	Status         string    `json:"status"`              // alive, suspect, dead or left
-	Endpoint       *Endpoint `json:"endpoint,omitempty"`  // nil until the backend server announces itself
-	Version        int64     `json:"version,omitempty"`   // applied version in the latest heartbeat; 0 if none was heard
-	Digest         string    `json:"digest,omitempty"`    // state digest in the latest heartbeat
-	HeardMS        int64     `json:"heard_ms,omitempty"`  // age of that heartbeat in milliseconds
-	BehindFor      int64     `json:"behind_ms,omitempty"` // how long the version has been below the answering node's, in milliseconds
+	Incarnation    uint64    `json:"incarnation"`        // start time of the process, Unix ms
+	Status         string    `json:"status"`             // alive, suspect, dead or left
+	Endpoint       *Endpoint `json:"endpoint,omitempty"` // nil until the backend server announces itself
+	Version        int64     `json:"version,omitempty"`  // log position in the latest heartbeat; 0 if none was heard
+	Digest         string    `json:"digest,omitempty"`   // state digest in the latest heartbeat
+	HeardMS        int64     `json:"heard_ms,omitempty"` // age of that heartbeat in milliseconds
 }
 
 // Endpoint is the backend server beside a node.
@@ -43,15 +42,14 @@
 
 // Status is the answer to GET /v1/status.
 type Status struct {
-	Node     Member   `json:"node"`
-	Ready    bool     `json:"ready"`
-	Reason   string   `json:"reason,omitempty"` // why the node is not ready
-	Draining bool     `json:"draining,omitempty"`
-	Offset   int64    `json:"offset"`  // last record read
-	Version  int64    `json:"version"` // last record accepted
-	Digest   string   `json:"digest"`
-	Fleet    Fleet    `json:"fleet"`
-	Lagging  []string `json:"lagging,omitempty"` // ids of up to 20 live members below the wanted version
+	Node    Member   `json:"node"`
+	Ready   bool     `json:"ready"`
+	Reason  string   `json:"reason,omitempty"` // why the node is not ready
+	Offset  int64    `json:"offset"`           // last record read
+	Version int64    `json:"version"`          // last record accepted
+	Digest  string   `json:"digest"`
+	Fleet   Fleet    `json:"fleet"`
+	Lagging []string `json:"lagging,omitempty"` // ids of up to 20 live members below the wanted version
 }
 
 // Fleet counts the members that the answering node knows.
@@ -59,7 +57,7 @@
 	Alive   int   `json:"alive"`
 	Suspect int   `json:"suspect"`
 	Dead    int   `json:"dead"`
-	Wanted  int64 `json:"wanted"`  // version that AtOrAbove refers to
+	Wanted  int64 `json:"wanted"`  // version that Reached refers to
 	Reached int   `json:"reached"` // alive members at or above the wanted version
 }
 
@@ -109,6 +107,7 @@
 	Version int64           `json:"version"` // of the state that the records were applied to
 	Valid   bool            `json:"valid"`   // every record would be accepted
 	Results []config.Result `json:"results"` // one for each record
+	Changes []config.Change `json:"changes"` // what the accepted ones change in the snapshot
 }
 
 // DrainState is the progress of a drain.
