--- a/cli/cmd/status.go
+++ b/cli/cmd/status.go
@@ -34,7 +34,7 @@
 }
 
 func status(ctx context.Context, s *session, version int64, waiting waitFlags) error {
-	current, err := s.client.Status(ctx, version, false)
+	current, err := s.client.Status(ctx, version)
 	if err != nil {
 		return err
 	}
@@ -42,7 +42,7 @@
 		if err := waiting.wait(ctx, s, current.Fleet.Wanted); err != nil {
 			return err
 		}
-		if current, err = s.client.Status(ctx, current.Fleet.Wanted, true); err != nil {
+		if current, err = s.client.Status(ctx, current.Fleet.Wanted); err != nil {
 			return err
 		}
 	}
@@ -90,10 +90,10 @@
 	progress := newProgress(s.stderr)
 	defer progress.end()
 	for {
-		current, err := s.client.Status(ctx, version, true)
+		current, err := s.client.Status(ctx, version)
 		if err == nil {
 			progress.show(fmt.Sprintf("version %d: %d of %d live nodes", version, current.Fleet.Reached, current.Fleet.Alive))
-			if current.Offset >= version && current.Fleet.Reached >= current.Fleet.Alive {
+			if current.Version >= version && current.Fleet.Reached >= current.Fleet.Alive {
 				return nil
 			}
 		} else if !retryable(err) && ctx.Err() == nil {
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -99,17 +99,13 @@
 }
 
 // Status returns the status of a node and how many members have reached the version; 0 means the node's own version.
-// With probe, the node asks members whose position it does not know.
-func (c *Client) Status(ctx context.Context, version int64, probe bool) (Status, error) {
-	query := url.Values{}
+func (c *Client) Status(ctx context.Context, version int64) (Status, error) {
+	path := "/v1/status"
 	if version > 0 {
-		query.Set("version", strconv.FormatInt(version, 10))
-	}
-	if probe {
-		query.Set("probe", "true")
+		path += "?version=" + strconv.FormatInt(version, 10)
 	}
 	var answer Status
-	return answer, c.get(ctx, "/v1/status?"+query.Encode(), &answer)
+	return answer, c.get(ctx, path, &answer)
 }
 
 // Members lists the nodes.
--- a/pkg/operator/options.go
+++ b/pkg/operator/options.go
@@ -20,7 +20,8 @@
 type NodeView interface {
 	// Self returns this node.
 	Self() Member
-	// Members returns all known nodes including this one, with the versions of their latest heartbeats.
+	// Members returns all known nodes including this one, with the versions that the node last heard of. A status is
+	// requested repeatedly until a change has spread, so these are to be brought up to date between two calls.
 	Members() []Member
 	// State returns the applied configuration state. It is never nil.
 	State() *config.State
@@ -43,12 +44,6 @@
 	Remove(ctx context.Context, id string, incarnation uint64) error
 }
 
-// Prober asks other nodes.
-type Prober interface {
-	// Position returns the last log offset that a member has read.
-	Position(ctx context.Context, m Member) (int64, error)
-}
-
 // Drainer stops new calls on this node.
 type Drainer interface {
 	// Drain starts a drain unless one is running, and returns its progress at once.
@@ -68,7 +63,6 @@
 	Remover   Remover
 	Drainer   Drainer
 	Backend   Backend
-	Prober    Prober            // optional; without it a status relies on heartbeats
 	Metrics   *metrics.Registry // optional
 	Logger    *zap.Logger       // optional
 
--- a/pkg/operator/read.go
+++ b/pkg/operator/read.go
@@ -47,8 +47,7 @@
 	return MemberList{Members: members}, nil
 }
 
-// status counts the members at the version of query parameter version, by default the node's own. With probe=true,
-// members whose position is not known are asked.
+// status counts the members at the version of query parameter version, by default the node's own.
 func (s *server) status(r *http.Request, _ caller) (any, error) {
 	state := s.Node.State()
 	wanted := state.Version
@@ -67,10 +66,10 @@
 	members := s.Node.Members()
 	for i := range members {
 		if members[i].ID == status.Node.ID {
-			members[i].Version = state.Offset
+			members[i].Version = state.Version
 		}
 	}
-	status.Fleet, status.Lagging = s.fleet(r.Context(), members, wanted, r.URL.Query().Get("probe") == "true")
+	status.Fleet, status.Lagging = countFleet(members, wanted)
 	return status, nil
 }
 
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -27,7 +27,6 @@
 	mux        *http.ServeMux
 	publishing chan struct{}
 	validating chan struct{}
-	positions  positions
 }
 
 // handlerFunc returns the value to send as JSON, or an error.
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -17,9 +17,9 @@
 	Incarnation    uint64    `json:"incarnation"`        // start time of the process, Unix ms
 	Status         string    `json:"status"`             // alive, suspect, dead or left
 	Endpoint       *Endpoint `json:"endpoint,omitempty"` // nil until the backend server announces itself
-	Version        int64     `json:"version,omitempty"`  // log position in the latest heartbeat; 0 if none was heard
-	Digest         string    `json:"digest,omitempty"`   // state digest in the latest heartbeat
-	HeardMS        int64     `json:"heard_ms,omitempty"` // age of that heartbeat in milliseconds
+	Version        int64     `json:"version,omitempty"`  // last known applied version; 0 if none was heard
+	Digest         string    `json:"digest,omitempty"`   // state digest at that version
+	HeardMS        int64     `json:"heard_ms,omitempty"` // age of this knowledge in milliseconds
 }
 
 // Endpoint is the backend server beside a node.
