--- /dev/null
+++ b/pkg/operator/fleet.go
@@ -0,0 +1,34 @@
+package operator
+
+import "sort"
+
+const (
+	maxLagging  = 20 // ids named in a status answer
+	statusAlive = "alive"
+)
+
+// countFleet counts the members by status, and the live ones at the wanted version. It names some of the others.
+func countFleet(members []Member, wanted int64) (Fleet, []string) {
+	fleet := Fleet{Wanted: wanted}
+	var lagging []string
+	for _, m := range members {
+		switch m.Status {
+		case statusAlive:
+			fleet.Alive++
+		case "suspect":
+			fleet.Suspect++
+		case "dead":
+			fleet.Dead++
+		}
+		if m.Status != statusAlive {
+			continue
+		}
+		if m.Version >= wanted {
+			fleet.Reached++
+			continue
+		}
+		lagging = append(lagging, m.ID)
+	}
+	sort.Strings(lagging)
+	return fleet, lagging[:min(len(lagging), maxLagging)]
+}
