--- a/pkg/inbound/handler_test.go
+++ b/pkg/inbound/handler_test.go
@@ -38,6 +38,7 @@
 			{Name: "urgent", Priority: 0, MinShare: 0.5, TargetMS: 5000},
 			{Name: "bulk", Priority: 1, MinShare: 0.1, TargetMS: 5000},
 		},
+		Routes:   []config.Route{{Name: "all", PathPrefix: "/", Service: "tracker", Rank: "bulk", TimeoutMS: 20000}},
 		Services: map[string]config.Service{"tracker": {Name: "tracker", QueueLimit: 50, InitialLimit: 2}},
 	}
 }
