--- a/pkg/outbound/handler_test.go
+++ b/pkg/outbound/handler_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -228,13 +229,13 @@
 	for name, declared := range map[string]bool{"long response with length": true, "long response in chunks": false} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
-			cut := true
+			var whole atomic.Bool
 			f.add(func(w http.ResponseWriter, r *http.Request, n *node) {
 				mark(w, r)
 				if declared {
 					w.Header().Set("Content-Length", strconv.Itoa(len(long)))
 				}
-				if !cut {
+				if whole.Load() {
 					w.Write(long)
 					return
 				}
@@ -254,7 +255,7 @@
 			}
 			_, err := get()
 			require.Error(t, err, "a cut response must be an error for the caller")
-			cut = false
+			whole.Store(true)
 			body, err := get()
 			require.NoError(t, err)
 			require.Equal(t, long, body)
@@ -267,17 +268,18 @@
 // Guards against a request body above the buffer limit that arrives changed or is sent twice in parts.
 func TestLongRequestBody(t *testing.T) {
 	f := newFixture(t)
-	var got []byte
+	got := make(chan []byte, 1)
 	f.add(refuse(callctx.NotRun, callctx.Draining))
 	f.add(func(w http.ResponseWriter, r *http.Request, n *node) {
-		got, _ = io.ReadAll(r.Body)
+		body, _ := io.ReadAll(r.Body)
+		got <- body
 		answer(w, r, n)
 	})
 	f.handler.random = func(n int) int { return 1 % n }
 	body := bytes.Repeat([]byte("0123456789"), 300_000)
 	response := f.call(http.MethodPost, "/orders", string(body))
 	requireOutcome(t, response, callctx.Answered, "")
-	require.True(t, bytes.Equal(body, got))
+	require.True(t, bytes.Equal(body, <-got))
 }
 
 func TestLocalEndpointRunsInProcess(t *testing.T) {
