--- a/pkg/outbound/endpoint.go
+++ b/pkg/outbound/endpoint.go
@@ -40,21 +40,36 @@
 type endpoint struct {
 	inFlight atomic.Int64 // calls of this node
 
-	mu           sync.Mutex
-	rampFrom     time.Time // start of the slow start
-	lastUsed     time.Time // last time it was a candidate
-	report       callctx.Load
-	reportedAt   time.Time
-	ownAtReport  int64 // inFlight when the report arrived
-	failures     int   // transport failures in a row
-	errors       int   // status 500 or 502 in a row
-	ejections    int   // in a row
-	ejectedAt    time.Time
-	ejectedUntil time.Time // zero if not ejected
-	avoidUntil   time.Time // it refused calls lately
-	avoidFirst   time.Time // it refused non-idempotent first attempts lately
+	// Read for every candidate of every call, so without a lock.
+	lastUsed     instant // last time it was a candidate, to within usedResolution
+	ejectedUntil instant
+	avoidUntil   instant // it refused calls lately
+	avoidFirst   instant // it refused non-idempotent first attempts lately
+
+	mu          sync.Mutex
+	rampFrom    time.Time // start of the slow start
+	report      callctx.Load
+	reportedAt  time.Time
+	ownAtReport int64 // inFlight when the report arrived
+	failures    int   // transport failures in a row
+	errors      int   // status 500 or 502 in a row
+	ejections   int   // in a row
+	ejectedAt   time.Time
+}
+
+// usedResolution keeps calls from writing to the same memory all the time.
+const usedResolution = time.Second
+
+// instant is a point in time that can be read and written concurrently. The zero value is long ago.
+type instant struct {
+	ns atomic.Int64
 }
 
+func (i *instant) set(t time.Time) { i.ns.Store(t.UnixNano()) }
+
+// after reports whether the instant is later than t.
+func (i *instant) after(t time.Time) bool { return i.ns.Load() > t.UnixNano() }
+
 // load returns the estimated calls at the endpoint and how many it can run at once.
 func (e *endpoint) load(now time.Time, slots int) (calls, limit float64) {
 	own := e.inFlight.Load()
@@ -90,9 +105,7 @@
 
 // ejected reports whether the endpoint is ejected at this time.
 func (e *endpoint) ejected(now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return now.Before(e.ejectedUntil)
+	return e.ejectedUntil.after(now)
 }
 
 // verdict is what one call says about its endpoint.
@@ -132,8 +145,8 @@
 	duration := min(ejectionBase<<min(e.ejections, maxEjections), ejectionMax)
 	e.ejections++
 	e.ejectedAt = now
-	e.ejectedUntil = now.Add(duration)
-	e.rampFrom = e.ejectedUntil
+	e.ejectedUntil.set(now.Add(duration))
+	e.rampFrom = now.Add(duration)
 	e.failures = failureThreshold - 1
 	e.errors = errorThreshold - 1
 	return duration
@@ -144,28 +157,24 @@
 	if r.outcome != callctx.NotRun {
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	switch r.reason {
 	case callctx.Draining, callctx.NotReady, callctx.UnknownService, callctx.WrongIncarnation, callctx.BackendUnreachable:
-		e.avoidUntil = now.Add(avoidFor)
+		e.avoidUntil.set(now.Add(avoidFor))
 	case callctx.PresenceUnconfirmed, callctx.IDBeforePresence, callctx.PresenceExpiring, callctx.TableFull:
-		e.avoidFirst = now.Add(avoidFor)
+		e.avoidFirst.set(now.Add(avoidFor))
 	}
 }
 
 // avoided reports whether other endpoints are preferred for a call. First tells whether it is a non-idempotent first
 // attempt.
 func (e *endpoint) avoided(first bool, now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return now.Before(e.avoidUntil) || first && now.Before(e.avoidFirst)
+	return e.avoidUntil.after(now) || first && e.avoidFirst.after(now)
 }
 
 func (e *endpoint) touch(now time.Time) {
-	e.mu.Lock()
-	e.lastUsed = now
-	e.mu.Unlock()
+	if !e.lastUsed.after(now.Add(-usedResolution)) {
+		e.lastUsed.set(now)
+	}
 }
 
 // endpoints holds what this node observed on each endpoint.
@@ -188,21 +197,38 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if found = t.byKey[key]; found == nil {
-		found = &endpoint{rampFrom: now, lastUsed: now}
+		found = &endpoint{rampFrom: now}
+		found.lastUsed.set(now)
 		t.byKey[key] = found
 	}
 	return found
 }
 
+// of appends the state of each member to states and notes that it is a candidate.
+func (t *endpoints) of(members []membership.Member, states []*endpoint, now time.Time) []*endpoint {
+	missing := false
+	t.mu.RLock()
+	for i := range members {
+		state := t.byKey[keyOf(&members[i])]
+		missing = missing || state == nil
+		states = append(states, state)
+	}
+	t.mu.RUnlock()
+	for i := range states {
+		if missing && states[i] == nil {
+			states[i] = t.get(keyOf(&members[i]), now)
+		}
+		states[i].touch(now)
+	}
+	return states
+}
+
 // expire forgets endpoints that have left.
 func (t *endpoints) expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, e := range t.byKey {
-		e.mu.Lock()
-		unused := now.Sub(e.lastUsed) > endpointIdleFor
-		e.mu.Unlock()
-		if unused && e.inFlight.Load() == 0 {
+		if !e.lastUsed.after(now.Add(-endpointIdleFor)) && e.inFlight.Load() == 0 {
 			delete(t.byKey, key)
 		}
 	}
--- a/pkg/outbound/handler.go
+++ b/pkg/outbound/handler.go
@@ -204,6 +204,12 @@
 	}
 }
 
+func (g *gate) isClosed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.closed
+}
+
 // close refuses further calls. The result is closed when no call is in flight.
 func (g *gate) close() <-chan struct{} {
 	g.mu.Lock()
--- a/pkg/outbound/pick.go
+++ b/pkg/outbound/pick.go
@@ -49,10 +49,10 @@
 // chosen; if it has no free slot, the next tier is looked at. It returns nil if no endpoint is left.
 func (h *Handler) pick(c *call, members []membership.Member, tried map[endpointKey]bool) *candidate {
 	now := h.now()
-	tiers := h.candidates(c, members, tried, now)
+	tiers := h.sample(c, members, tried, now)
 	var best *candidate
 	for t := tierDataCentre; t < tierRefusing; t++ {
-		chosen := h.betterOfTwo(tiers[t], now)
+		chosen := h.better(&tiers[t], now)
 		if chosen == nil {
 			continue
 		}
@@ -66,94 +66,110 @@
 	if best != nil {
 		return best
 	}
-	if chosen := h.betterOfTwo(tiers[tierRefusing], now); chosen != nil {
+	if chosen := h.better(&tiers[tierRefusing], now); chosen != nil {
 		return chosen
 	}
-	return h.betterOfTwo(tiers[tierSuspect], now)
+	return h.better(&tiers[tierSuspect], now)
 }
 
-// candidates sorts the members that may be used into tiers. Ejected ones are left out, unless more than half of the
-// service is ejected: members that left since may have pushed the ejected ones above the cap.
-func (h *Handler) candidates(c *call, members []membership.Member, tried map[endpointKey]bool, now time.Time) [tierCount][]*candidate {
-	var tiers [tierCount][]*candidate
-	all := make([]candidate, len(members))
+// pair is a random sample of up to two endpoints of one tier.
+type pair struct {
+	seen    int // endpoints that the sample was taken from
+	members [2]*membership.Member
+	states  [2]*endpoint
+}
+
+// offer adds an endpoint to the sample so that each pair of those offered is equally likely.
+func (p *pair) offer(member *membership.Member, state *endpoint, random func(n int) int) {
+	slot := p.seen
+	p.seen++
+	if slot >= len(p.members) {
+		slot = random(p.seen)
+	}
+	if slot < len(p.members) {
+		p.members[slot], p.states[slot] = member, state
+	}
+}
+
+// sample takes two random endpoints of each tier. Ejected ones are left out, unless more than half of the service is
+// ejected: members that left since may have pushed the ejected ones above the cap.
+func (h *Handler) sample(c *call, members []membership.Member, tried map[endpointKey]bool, now time.Time) [tierCount]pair {
+	var tiers [tierCount]pair
+	var buffer [64]*endpoint // enough for most services without an allocation
+	states := h.endpoints.of(members, buffer[:0], now)
 	ejected := 0
-	for i := range members {
-		all[i].member = &members[i]
-		all[i].state = h.endpoints.get(keyOf(&members[i]), now)
-		all[i].state.touch(now)
-		if all[i].state.ejected(now) {
+	for _, state := range states {
+		if state.ejected(now) {
 			ejected++
 		}
 	}
 	ignoreEjection := ejected*2 > len(members)
-	for i := range all {
-		one := &all[i]
-		if tried[keyOf(one.member)] || !ignoreEjection && one.state.ejected(now) {
+	for i, state := range states {
+		member := &members[i]
+		if !ignoreEjection && state.ejected(now) || len(tried) > 0 && tried[keyOf(member)] {
 			continue
 		}
-		t := h.tierOf(one.member)
-		if t < tierRefusing && (one.state.avoided(c.firstOnly(), now) || c.tooEarlyFor(one.member)) {
+		t := h.tierOf(member)
+		if t < tierRefusing && (state.avoided(c.firstOnly(), now) || c.tooEarlyFor(member)) {
 			t = tierRefusing
 		}
-		tiers[t] = append(tiers[t], one)
+		tiers[t].offer(member, state, h.random)
 	}
 	return tiers
 }
 
-func (h *Handler) betterOfTwo(tier []*candidate, now time.Time) *candidate {
-	switch len(tier) {
-	case 0:
+// better rates a sample and returns its less loaded endpoint, or nil if the sample is empty.
+func (h *Handler) better(p *pair, now time.Time) *candidate {
+	if p.seen == 0 {
 		return nil
-	case 1:
-		tier[0].rate(now)
-		return tier[0]
 	}
-	i := h.random(len(tier))
-	j := h.random(len(tier) - 1)
-	if j >= i {
-		j++
+	first := rate(p.members[0], p.states[0], now)
+	if p.seen == 1 {
+		return first
 	}
-	tier[i].rate(now)
-	tier[j].rate(now)
-	if tier[j].score < tier[i].score {
-		return tier[j]
+	second := rate(p.members[1], p.states[1], now)
+	if h.random(2) == 1 { // equal scores must not favour the order of the members
+		first, second = second, first
 	}
-	return tier[i]
-}
-
-// firstOnly reports whether the call runs only on an endpoint that accepts it as attempt 1.
-func (c *call) firstOnly() bool {
-	return !c.route.Idempotent && !c.resend
-}
-
-// tooEarlyFor reports whether the id is older than the member's presence record can be. Such a member is sure to refuse
-// the call, because its predecessor may have run it.
-func (c *call) tooEarlyFor(m *membership.Member) bool {
-	started := time.UnixMilli(int64(m.Incarnation))
-	return c.firstOnly() && !c.idTime.After(started.Add(callctx.ClockError))
+	if second.score < first.score {
+		return second
+	}
+	return first
 }
 
 // noLimitScore ranks endpoints that report a limit of 0, which take no calls, after all others.
 const noLimitScore = 1e9
 
-func (c *candidate) rate(now time.Time) {
+func rate(member *membership.Member, state *endpoint, now time.Time) *candidate {
+	c := &candidate{member: member, state: state}
 	slots := 1
-	weight := c.state.weight(now)
-	if c.member.Endpoint != nil {
-		slots = c.member.Endpoint.Slots
-		if c.member.Endpoint.State == membership.EndpointWarming {
+	weight := state.weight(now)
+	if member.Endpoint != nil {
+		slots = member.Endpoint.Slots
+		if member.Endpoint.State == membership.EndpointWarming {
 			weight = minWeight
 		}
 	}
-	calls, limit := c.state.load(now, slots)
+	calls, limit := state.load(now, slots)
 	c.full = calls >= limit
 	c.spare = calls*2 <= limit && limit > 0
-	if limit == 0 {
-		c.score = noLimitScore + calls
-		return
+	c.score = noLimitScore + calls
+	if limit > 0 {
+		c.score = (calls + 1) / (limit * weight)
 	}
-	c.score = (calls + 1) / (limit * weight)
+	return c
+}
+
+// firstOnly reports whether the call runs only on an endpoint that accepts it as attempt 1.
+func (c *call) firstOnly() bool {
+	return !c.route.Idempotent && !c.resend
+}
+
+// tooEarlyFor reports whether the id is older than the member's presence record can be. Such a member is sure to refuse
+// the call, because its predecessor may have run it.
+func (c *call) tooEarlyFor(m *membership.Member) bool {
+	started := time.UnixMilli(int64(m.Incarnation))
+	return c.firstOnly() && !c.idTime.After(started.Add(callctx.ClockError))
 }
 
 // settle counts a verdict on an endpoint and ejects it when it is due and the cap of half of the service allows it.
--- a/pkg/outbound/reply.go
+++ b/pkg/outbound/reply.go
@@ -88,6 +88,10 @@
 	// Not every ResponseWriter supports deadlines; without them the server's own limits apply.
 	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	if h.gate.isClosed() {
+		// The caller must not send its next call on a connection that this node is about to close.
+		w.Header().Set("Connection", "close")
+	}
 	if r.outcome != callctx.Answered {
 		h.deliverRefusal(w, c, r)
 		return final{r.outcome, r.reason}, false
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -17,6 +17,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
 )
 
 // Options configures a Transport. Zero values select the defaults.
@@ -26,7 +28,7 @@
 	IdlePerHost     int           // idle connections kept for each address; default 32
 	IdleTotal       int           // idle connections kept in all; default 1024
 	MaxHeaderBytes  int64         // of a response; default 64 KiB
-	IdleConnTimeout time.Duration // default 60 s
+	IdleConnTimeout time.Duration // default callctx.ConnectionIdleTimeout
 }
 
 const (
@@ -35,7 +37,6 @@
 	// An idle connection costs about 20 KB in buffers and goroutines, so this bounds them to about 20 MB.
 	defaultIdleTotal      = 1024
 	defaultMaxHeaderBytes = 64 << 10
-	defaultIdleTimeout    = time.Minute
 )
 
 // Transport sends requests. It is safe for concurrent use.
@@ -49,7 +50,7 @@
 	t := &http.Transport{
 		MaxIdleConnsPerHost:    orDefault(o.IdlePerHost, defaultIdlePerHost),
 		MaxIdleConns:           orDefault(o.IdleTotal, defaultIdleTotal),
-		IdleConnTimeout:        orDefault(o.IdleConnTimeout, defaultIdleTimeout),
+		IdleConnTimeout:        orDefault(o.IdleConnTimeout, callctx.ConnectionIdleTimeout),
 		MaxResponseHeaderBytes: orDefault(o.MaxHeaderBytes, defaultMaxHeaderBytes),
 		DisableCompression:     true,
 	}
--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -32,7 +32,7 @@
 
 func newCaller(o *Options) (caller, error) {
 	if o.Plain {
-		transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+		transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: callctx.ConnectionIdleTimeout, DisableCompression: true}
 		return &plainCaller{nodes: o.Nodes, client: &http.Client{Transport: transport}}, nil
 	}
 	c, err := client.New(client.Options{Nodes: o.Nodes})
