--- a/cli/cmd/change.go
+++ b/cli/cmd/change.go
@@ -88,7 +88,7 @@
 	repeat := f.recordID != ""
 	result, err := s.client.Publish(ctx, record, repeat)
 	if err != nil {
-		return f.explainUnknown(err, record, c)
+		return explainUnknown(err, s, record, c)
 	}
 	if result.Outcome == config.Duplicate {
 		if result, err = s.earlierOutcome(ctx, record, result); err != nil {
@@ -152,21 +152,38 @@
 }
 
 // explainUnknown names the command that repeats the record when its outcome is not known.
-func (f *changeFlags) explainUnknown(err error, record *config.Record, c change) error {
+func explainUnknown(err error, s *session, record *config.Record, c change) error {
 	if apierror.KindOf(err) != apierror.Unknown {
 		return err
 	}
 	command := fmt.Sprintf("laburnumctl %s %s", c.verb, entityArguments(record.Entity))
 	if c.file != "" {
-		command += " --file " + c.file
+		command += " --file " + shellQuoted(c.file)
 	}
 	if c.restore != 0 {
 		command += " --to " + strconv.FormatInt(c.restore, 10)
 	}
 	command += fmt.Sprintf(" --base %d --record-id %s", record.Base, record.ID)
+	if s.api != "" {
+		command += " --api " + shellQuoted(s.api)
+	}
+	if s.tokenFile != "" {
+		command += " --token-file " + shellQuoted(s.tokenFile)
+	}
 	return apierror.New(apierror.Unknown, "the change may have taken effect ("+err.Error()+")", "repeat it safely with: "+command)
 }
 
+// shellQuoted quotes a word for a shell unless it is plain.
+func shellQuoted(word string) string {
+	plain := func(r rune) bool {
+		return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("-_./:,@%+=", r)
+	}
+	if word != "" && strings.IndexFunc(word, func(r rune) bool { return !plain(r) }) < 0 {
+		return word
+	}
+	return "'" + strings.ReplaceAll(word, "'", `'\''`) + "'"
+}
+
 // earlierOutcome finds out what became of a record whose id was seen before.
 func (s *session) earlierOutcome(ctx context.Context, record *config.Record, result config.Result) (config.Result, error) {
 	answer, err := s.client.Entity(ctx, record.Entity)
