operator: leave the validation of records to the publisher

The state of the answering node may be older than what a record is based on: a node that had not read a template yet refused its parameters as invalid. The publisher reads the log to its tail before it validates.

--- a/cli/cmd/change.go
+++ b/cli/cmd/change.go
@@ -85,8 +85,7 @@
 	if err != nil {
 		return err
 	}
-	repeat := f.recordID != ""
-	result, err := s.client.Publish(ctx, record, repeat)
+	result, err := s.client.Publish(ctx, record)
 	if err != nil {
 		return explainUnknown(err, s, record, c)
 	}
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -50,15 +50,11 @@
 	return &Client{addresses: bases, token: token, http: &http.Client{Transport: transport}}
 }
 
-// Publish sends a record and returns its outcome, also when it is a conflict or invalid. Set repeat for a record whose
-// earlier outcome is unknown. An error of kind unknown means that the record may have taken effect.
-func (c *Client) Publish(ctx context.Context, record *config.Record, repeat bool) (config.Result, error) {
-	path := "/v1/records"
-	if repeat {
-		path += "?" + repeatParameter + "=true"
-	}
+// Publish sends a record and returns its outcome, also when it is a conflict or invalid. An error of kind unknown means
+// that the record may have taken effect; it is safe to send the same record again.
+func (c *Client) Publish(ctx context.Context, record *config.Record) (config.Result, error) {
 	var result config.Result
-	status, body, err := c.change(ctx, path, record)
+	status, body, err := c.change(ctx, "/v1/records", record)
 	if err != nil {
 		return result, err
 	}
--- a/pkg/operator/options.go
+++ b/pkg/operator/options.go
@@ -31,8 +31,9 @@
 	Events(subject string) []explain.Event
 }
 
-// Publisher appends a record to the log and reports its true outcome. Errors are of kind unavailable (nothing was
-// appended) or unknown (repeat with the same record id).
+// Publisher validates a record against the tail of the log, appends it and reports its true outcome. The result of a
+// record that is refused before the append has offset 0. Errors are of kind unavailable (nothing was appended) or
+// unknown (repeat with the same record id).
 type Publisher interface {
 	Publish(ctx context.Context, r *config.Record) (config.Result, error)
 }
--- a/pkg/operator/records.go
+++ b/pkg/operator/records.go
@@ -14,10 +14,6 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 )
 
-// repeatParameter marks a request that repeats an earlier one whose outcome is unknown. Its record is not judged by
-// the state of this node, which may be older than the accepted first attempt.
-const repeatParameter = "repeat"
-
 func decodeStrict(data []byte, into any) error {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
@@ -30,6 +26,8 @@
 	return nil
 }
 
+// publish does not judge the record by the state of this node, which may be older than what the record is based on. The
+// publisher validates it against the tail of the log.
 func (s *server) publish(r *http.Request, c caller) (any, error) {
 	if s.Publisher == nil {
 		return nil, unavailable("publishing")
@@ -38,11 +36,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.URL.Query().Get(repeatParameter) != "true" {
-		if refusal := refuseEarly(s.Node.State(), record); refusal != nil {
-			return s.resultAnswer(record, *refusal), nil
-		}
-	}
 	release, err := acquire(s.publishing)
 	if err != nil {
 		return nil, err
@@ -83,22 +76,6 @@
 	return &apierror.Error{Kind: apierror.Forbidden, Field: "entity", Message: "this token may not change " + entity.String(), Remedy: remedy}
 }
 
-// refuseEarly returns the result of a record that is certain to fail, so that it costs no append. An invalid record
-// stays invalid unless a concurrent change repairs it, and a base below the known revision stays stale.
-func refuseEarly(state *config.State, record *config.Record) *config.Result {
-	encoded, err := json.Marshal(record)
-	if err != nil {
-		return nil
-	}
-	_, result := config.Apply(state, state.Offset+1, encoded)
-	stale := result.Outcome == config.Conflicts && state.Revision(record.Entity) > record.Base
-	if result.Outcome != config.Rejected && !stale {
-		return nil
-	}
-	result.Offset = 0 // the record is not on the log
-	return &result
-}
-
 // resultAnswer maps an outcome to a status. The body is the result in every case.
 func (s *server) resultAnswer(record *config.Record, result config.Result) statusAnswer {
 	s.Metrics.Inc("operator_records", "outcome", string(result.Outcome))
