--- a/pkg/config/apply_test.go
+++ b/pkg/config/apply_test.go
@@ -152,3 +152,53 @@
 		})
 	}
 }
+
+// Guards against two different states with one digest, and against a branch of the replay that changes another one.
+func TestDigestCoversWhatReplayDependsOn(t *testing.T) {
+	l := newLog(t)
+	l.publishBase()
+	entity := ParametersEntity("web", "route")
+	l.accept(Amend, entity, `{"values":{"service":"tracker"}}`)
+	l.accept(Amend, entity, `{"values":{"service":"tracker"}}`)
+	base := Record{ID: "x", Verb: Amend, Entity: entity, Base: l.state.Revision(entity), Payload: json.RawMessage(`{"values":{"service":"tracker"}}`), Author: "nura"}
+	variants := map[string]func(r *Record){
+		"same":            func(*Record) {},
+		"payload":         func(r *Record) { r.Payload = json.RawMessage(`{"values":{"service":"tracker","rank":"normal"}}`) },
+		"author":          func(r *Record) { r.Author = "omar" },
+		"id":              func(r *Record) { r.ID = "y" },
+		"verb":            func(r *Record) { r.Verb, r.Payload = Retire, nil },
+		"rejected":        func(r *Record) { r.Payload = json.RawMessage(`{"values":{}}`) },
+		"rejected, id":    func(r *Record) { r.Payload, r.ID = json.RawMessage(`{"values":{}}`), "y" },
+		"without any id":  func(r *Record) { r.ID = "" },
+		"rolled back":     func(r *Record) { r.Verb, r.Payload, r.Restore = Rollback, nil, r.Base },
+		"conflicting, id": func(r *Record) { r.Base, r.ID = 1, "z" },
+	}
+	digests := make(map[string]string)
+	states := make(map[string]*State)
+	for _, name := range sortedKeys(variants) {
+		r := base
+		variants[name](&r)
+		data, err := json.Marshal(r)
+		require.NoError(t, err)
+		next, _ := Apply(l.state, l.state.Offset+1, data)
+		other, taken := digests[next.Digest()]
+		require.False(t, taken, "%s and %s have the same digest", name, other)
+		digests[next.Digest()], states[name] = name, next
+	}
+	for name, s := range states {
+		data, err := s.Encode()
+		require.NoError(t, err)
+		_, err = DecodeState(data, s.Digest())
+		require.NoError(t, err, name)
+		branch := &logOf{t: t, state: s}
+		verb := Amend
+		if s.Entities[entity.String()].Retired() {
+			verb = Publish
+		}
+		branch.accept(verb, entity, `{"values":{"service":"tracker"}}`)
+		data, err = branch.state.Encode()
+		require.NoError(t, err)
+		_, err = DecodeState(data, branch.state.Digest())
+		require.NoError(t, err, name)
+	}
+}
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -114,7 +114,7 @@
 	require.Empty(t, ValidateTokens("tokens", tokens))
 	node := newFakeNode()
 	options := node.options()
-	options.DisableAuthentication, options.Tokens = false, append(tokens, Token{Name: "short", Roles: []Role{RoleAdmin}})
+	options.DisableAuthentication, options.Tokens = false, append(tokens, Token{Name: "short", Secret: "tiny", Roles: []Role{RoleAdmin}})
 	address := serve(t, options)
 	ctx := context.Background()
 	actions := map[string]func(c *Client) error{
@@ -145,7 +145,7 @@
 			}
 		}
 	}
-	for _, wrong := range []string{"", "guess", secret("reader") + "x"} {
+	for _, wrong := range []string{"", "guess", "tiny", secret("reader") + "x"} {
 		for _, action := range actions {
 			requireKind(t, apierror.Unauthenticated, action(clientOf(t, wrong, address)))
 		}
