calls: address translation, identity of looked-up nodes, connections closed while draining

A draining node answers with Connection: close, so that no call is sent on a connection that is about to be closed.

--- a/pkg/inbound/forward_test.go
+++ b/pkg/inbound/forward_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
 	"github.com/laburnumcleat/laburnumcleat/pkg/execution"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
@@ -75,7 +76,7 @@
 			r := f.request(t, "order")
 			response, _ := f.do(t, r)
 			requireOutcome(t, response, callctx.Unknown, c.reason)
-			result := f.handler.Lookup(LookupParams{r.Header.Get(callctx.HeaderRequestID), execution.NewBallot(time.Now(), "n")})
+			result := f.handler.Lookup(LookupParams{RequestID: r.Header.Get(callctx.HeaderRequestID), Ballot: execution.NewBallot(time.Now(), "n")})
 			require.Equal(t, execution.LookupResult{State: execution.Done}, result, "it may have run")
 			require.Zero(t, f.handler.load().InFlight)
 		})
@@ -403,7 +404,7 @@
 	defer client.Close()
 	lookup := func(id string, ballot execution.Ballot) execution.LookupResult {
 		var result execution.LookupResult
-		require.NoError(t, client.Call(context.Background(), listener.Addr().String(), LookupMethod, LookupParams{id, ballot}, &result))
+		require.NoError(t, client.Call(context.Background(), listener.Addr().String(), LookupMethod, LookupParams{Member: f.handler.options.Self.ID, RequestID: id, Ballot: ballot}, &result))
 		return result
 	}
 	resend := func(id string, ballot execution.Ballot) *http.Response {
@@ -415,6 +416,9 @@
 		return response
 	}
 	id, ballot := callctx.NewRequestID(), execution.NewBallot(time.Now(), "node-2")
+	// A node that has taken over the address of another one must not confirm anything on behalf of it.
+	err = client.Call(context.Background(), listener.Addr().String(), LookupMethod, LookupParams{Member: "another", RequestID: id, Ballot: ballot}, nil)
+	require.Equal(t, apierror.NotFound, apierror.KindOf(err))
 	requireOutcome(t, resend(id, execution.Ballot{}), callctx.Unknown, callctx.Unresolved)
 	requireOutcome(t, resend(id, ballot), callctx.Unknown, callctx.Unresolved)
 	require.Equal(t, execution.Fencing, lookup(id, ballot).State)
--- a/pkg/inbound/handler.go
+++ b/pkg/inbound/handler.go
@@ -81,6 +81,10 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	admitted := h.enter()
 	defer h.leave(admitted)
+	if !admitted {
+		// The caller must not send its next call on a connection that this node is about to close.
+		w.Header().Set("Connection", "close")
+	}
 	in, refused := parseIdentity(r)
 	if refused != nil {
 		h.refuse(w, nil, refused)
@@ -231,6 +235,8 @@
 
 // LookupParams are the parameters of the method call.lookup; its result is an execution.LookupResult.
 type LookupParams struct {
+	// Member is the id of the node that is asked. Another node that has taken over the address must not answer for it.
+	Member    string           `json:"member"`
 	RequestID string           `json:"request_id"`
 	Ballot    execution.Ballot `json:"ballot"`
 }
@@ -245,6 +251,9 @@
 		if err := json.Unmarshal(params, &lookup); err != nil {
 			return nil, apierror.InvalidField("params", err.Error(), "send request_id and ballot")
 		}
+		if lookup.Member != h.options.Self.ID {
+			return nil, apierror.New(apierror.NotFound, "this is node "+h.options.Self.ID+", not "+lookup.Member, "read the presence stream again")
+		}
 		return h.Lookup(lookup), nil
 	})
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -103,6 +103,7 @@
 	log := platform.NewHTTPLog(n.settings.Platform.URLs, n.platformTransport())
 	n.server = rpc.NewServer(n.controlBytes)
 	n.client = rpc.NewClient(n.controlBytes, n.keys.Client())
+	n.client.OverrideAddresses(n.settings.DialOverrides)
 	n.signer = callctx.NewSigner(n.keys.ContextKeys())
 	n.presence = presence.New(presence.Options{
 		Log: log, Self: self, Retention: n.settings.Platform.Retention(), Metrics: n.metrics, Logger: n.logger,
@@ -126,7 +127,7 @@
 	n.inbound.RegisterRPC(n.server)
 	n.outbound = outbound.New(outbound.Options{
 		Self: self, Snapshot: n.distribution.Snapshot, Endpoints: n.membership.Endpoints, Roster: n.presence.Roster,
-		Local: n.inbound, Client: n.client, TLS: n.keys.Client(), Signer: n.signer,
+		Local: n.inbound, Client: n.client, TLS: n.keys.Client(), DialOverrides: n.settings.DialOverrides, Signer: n.signer,
 		Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
 	})
 	n.backend = newBackendTracker(n.inbound, n.membership, n.presence, n.logger)
--- a/pkg/outbound/handler.go
+++ b/pkg/outbound/handler.go
@@ -37,10 +37,12 @@
 	Local     http.Handler // inbound handler of this node; nil: calls to this node go over the network
 	Client    *rpc.Client
 	TLS       *tls.Config // for calls to other nodes; nil: plain HTTP
-	Signer    *callctx.Signer
-	Metrics   *metrics.Registry
-	Logger    *zap.Logger         // nil: no log
-	Explain   func(explain.Event) // nil: not recorded
+	// DialOverrides maps addresses of other nodes to the addresses to connect to instead.
+	DialOverrides map[string]string
+	Signer        *callctx.Signer
+	Metrics       *metrics.Registry
+	Logger        *zap.Logger         // nil: no log
+	Explain       func(explain.Event) // nil: not recorded
 }
 
 // Handler serves callers. It is safe for concurrent use. Create it with New.
@@ -74,7 +76,7 @@
 	}
 	h := &Handler{
 		options:   o,
-		transport: transport.New(transport.Options{TLS: o.TLS}),
+		transport: transport.New(transport.Options{TLS: o.TLS, DialOverrides: o.DialOverrides}),
 		scheme:    "http",
 		endpoints: newEndpoints(),
 		retries:   newBudgets(newRetryBudget),
--- a/pkg/outbound/resolve.go
+++ b/pkg/outbound/resolve.go
@@ -160,7 +160,7 @@
 		targets[i].member = members[i]
 		s.asked[keyOf(&members[i])] = true
 		group.Go(func() error {
-			result, err := s.h.lookup(limited, members[i].ControlAddress, inbound.LookupParams{RequestID: s.c.id, Ballot: s.ballot})
+			result, err := s.h.lookup(limited, members[i].ControlAddress, inbound.LookupParams{Member: members[i].ID, RequestID: s.c.id, Ballot: s.ballot})
 			if err != nil {
 				return nil // not reachable; the outcome stays empty
 			}
--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -9,12 +9,14 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/dial"
 )
 
 // Client calls other nodes. It keeps one connection per address and is safe for concurrent use.
 type Client struct {
 	bytes     *Bytes
 	tlsConfig *tls.Config
+	dialer    dial.Dialer
 
 	mu     sync.Mutex
 	conns  map[string]*jsonrpc2.Conn
@@ -23,7 +25,14 @@
 
 // NewClient returns a client that counts into bytes. A nil tlsConfig means plain TCP.
 func NewClient(bytes *Bytes, tlsConfig *tls.Config) *Client {
-	return &Client{bytes: bytes, tlsConfig: tlsConfig, conns: make(map[string]*jsonrpc2.Conn)}
+	return &Client{
+		bytes: bytes, tlsConfig: tlsConfig, dialer: dial.Dialer{Timeout: dialTimeout}, conns: make(map[string]*jsonrpc2.Conn),
+	}
+}
+
+// OverrideAddresses sets the addresses to connect to instead of others. It must be called before the first Call.
+func (c *Client) OverrideAddresses(overrides map[string]string) {
+	c.dialer.Overrides = overrides
 }
 
 // Call sends one request and waits for its result. Without a deadline in ctx it gives up after 3 s. Errors are of type
@@ -79,12 +88,16 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	if c.tlsConfig == nil {
-		return dialer.DialContext(ctx, "tcp", address)
+	socket, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil || c.tlsConfig == nil {
+		return socket, err
+	}
+	secure := tls.Client(socket, c.tlsConfig)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		socket.Close()
+		return nil, err
 	}
-	secure := &tls.Dialer{NetDialer: dialer, Config: c.tlsConfig}
-	return secure.DialContext(ctx, "tcp", address)
+	return secure, nil
 }
 
 func (c *Client) forgetWhenClosed(address string, conn *jsonrpc2.Conn) {
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -19,16 +19,18 @@
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/dial"
 )
 
 // Options configures a Transport. Zero values select the defaults.
 type Options struct {
-	TLS             *tls.Config   // nil: plain TCP
-	DialTimeout     time.Duration // default 1 s
-	IdlePerHost     int           // idle connections kept for each address; default 32
-	IdleTotal       int           // idle connections kept in all; default 1024
-	MaxHeaderBytes  int64         // of a response; default 64 KiB
-	IdleConnTimeout time.Duration // default callctx.ConnectionIdleTimeout
+	TLS             *tls.Config       // nil: plain TCP
+	DialTimeout     time.Duration     // default 1 s
+	DialOverrides   map[string]string // "ip:port" to the "ip:port" to connect to instead
+	IdlePerHost     int               // idle connections kept for each address; default 32
+	IdleTotal       int               // idle connections kept in all; default 1024
+	MaxHeaderBytes  int64             // of a response; default 64 KiB
+	IdleConnTimeout time.Duration     // default callctx.ConnectionIdleTimeout
 }
 
 const (
@@ -46,7 +48,7 @@
 
 // New returns a transport.
 func New(o Options) *Transport {
-	dialer := &net.Dialer{Timeout: orDefault(o.DialTimeout, defaultDialTimeout)}
+	dialer := &dial.Dialer{Timeout: orDefault(o.DialTimeout, defaultDialTimeout), Overrides: o.DialOverrides}
 	t := &http.Transport{
 		MaxIdleConnsPerHost:    orDefault(o.IdlePerHost, defaultIdlePerHost),
 		MaxIdleConns:           orDefault(o.IdleTotal, defaultIdleTotal),
@@ -58,14 +60,26 @@
 		return track(dialer.DialContext(ctx, network, address))
 	}
 	if o.TLS != nil {
-		secure := &tls.Dialer{NetDialer: dialer, Config: o.TLS}
 		t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			return track(secure.DialContext(ctx, network, address))
+			return track(dialTLS(ctx, dialer, o.TLS, network, address))
 		}
 	}
 	return &Transport{http: t}
 }
 
+func dialTLS(ctx context.Context, dialer *dial.Dialer, config *tls.Config, network, address string) (net.Conn, error) {
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	secure := tls.Client(conn, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
 func orDefault[T comparable](value, standard T) T {
 	var zero T
 	if value == zero {
