--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -11,7 +11,9 @@
 //     non-idempotent call, since a new call has a new id; Remedy says what to do.
 //   - After a lost connection the client sends the same id through another node with the next attempt number. A new id
 //     is used only after a final "not-run", after the node's Retry-After with jitter, within the deadline, within the
-//     retry budget, and not if the node marked its response with Laburnum-No-Retry.
+//     retry budget, and not if the node marked its response with Laburnum-No-Retry. If the node refused because it is
+//     itself leaving or not ready, the call goes to another node at once and without using the budget, so that the
+//     planned stop of a node costs its callers nothing.
 //   - Do returns by the deadline of its context, or after Options.Timeout if the context has none.
 //
 // Callers that use plain HTTP get less. Without Laburnum-Request-Id the first node creates the id; after a lost
@@ -200,12 +202,18 @@
 	return fallback
 }
 
+// markDown makes calls prefer other nodes for a while.
+func (c *Client) markDown(node int) {
+	c.downUntil[node].Store(time.Now().Add(nodeDownFor).UnixNano())
+}
+
 // result is what one request led to.
 type result struct {
 	outcome    callctx.Outcome
 	reason     callctx.Reason
 	notSent    bool
 	lost       bool // the connection broke off
+	byNode     bool // the node that was asked refuses all calls now; others may not
 	noRetry    bool
 	retryAfter time.Duration
 	remedy     string
@@ -305,6 +313,8 @@
 		return r
 	case callctx.NotRun, callctx.Unknown:
 		r.remedy = remedyIn(r.body)
+		// A refusal that an inbound node gave names that node.
+		r.byNode = r.header.Get(callctx.HeaderNode) == "" && (r.reason == callctx.Draining || r.reason == callctx.NotReady)
 		return r
 	default:
 		return result{outcome: callctx.Unknown, reason: callctx.ResponseUnchecked, lost: true, remedy: "check that the address is that of a node"}
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -131,6 +131,18 @@
 	require.Equal(t, []time.Duration{2500 * time.Millisecond}, *waits)
 }
 
+// Guards against calls that wait or fail because one node of several stops as planned.
+func TestLeavingNodeCostsNothing(t *testing.T) {
+	leaving, up := newScript(t, refuse(callctx.NotRun, callctx.Draining, "Retry-After", "1")), newScript(t, answer)
+	c, waits := newClient(t, leaving.address(), up.address())
+	for range 3 * int(budgetFloor) {
+		_, failed := do(c)
+		require.Nil(t, failed)
+	}
+	require.Empty(t, *waits)
+	require.Less(t, len(leaving.requests()), 3*int(budgetFloor), "a node that refuses is used last for a while")
+}
+
 func TestFinalRefusals(t *testing.T) {
 	for _, test := range []struct {
 		name  string
--- a/pkg/client/exchange.go
+++ b/pkg/client/exchange.go
@@ -55,6 +55,10 @@
 	switch {
 	case r.notSent:
 		return e.changeNode(ctx)
+	case r.outcome == callctx.NotRun && r.byNode && len(e.client.options.Nodes) > 1:
+		e.client.markDown(e.node)
+		e.useNewID()
+		return true
 	case r.outcome == callctx.NotRun:
 		return e.startOver(ctx, r)
 	default:
@@ -76,7 +80,7 @@
 // changeNode goes on with the same id and attempt, which no node has received.
 func (e *exchange) changeNode(ctx context.Context) bool {
 	c := e.client
-	c.downUntil[e.node].Store(time.Now().Add(nodeDownFor).UnixNano())
+	c.markDown(e.node)
 	if e.dials >= maxDialRounds*len(c.options.Nodes) {
 		return false
 	}
@@ -95,9 +99,13 @@
 	if !e.wait(ctx, r.retryAfter) {
 		return false
 	}
+	e.useNewID()
+	return true
+}
+
+func (e *exchange) useNewID() {
 	e.id, e.attempt, e.mayHaveRun = callctx.NewRequestID(), 1, false
 	e.node = e.client.chooseNode(e.node)
-	return true
 }
 
 // resend sends the same id as the next attempt.
--- a/pkg/outbound/call.go
+++ b/pkg/outbound/call.go
@@ -182,7 +182,7 @@
 }
 
 // readBody buffers the request body up to maxBufferedRequest, so that the call can be sent again.
-func (c *call) readBody() (callctx.Reason, bool) {
+func (h *Handler) readBody(c *call) (callctx.Reason, bool) {
 	r := c.request
 	if r.Body == nil || r.Body == http.NoBody {
 		return "", true
@@ -193,8 +193,11 @@
 	c.limitReads(c.deadline)
 	buffer := bytes.NewBuffer(make([]byte, 0, min(max(r.ContentLength, 0), maxBufferedRequest)+bytes.MinRead))
 	n, err := buffer.ReadFrom(io.LimitReader(r.Body, maxBufferedRequest))
-	if err != nil {
-		return callctx.BadRequest, false
+	switch {
+	case err != nil && !h.now().Before(c.deadline):
+		return callctx.DeadlineExpired, false
+	case err != nil:
+		return callctx.BadRequest, false // the body is shorter than declared, or the caller has gone
 	}
 	c.body = buffer.Bytes()
 	if n == maxBufferedRequest && r.ContentLength != n {
--- a/pkg/outbound/handler.go
+++ b/pkg/outbound/handler.go
@@ -96,12 +96,12 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.options.Metrics.Inc("outbound_calls")
 	result, abort := final{outcome: callctx.Unknown, reason: callctx.ConnectionLost}, false
-	defer func() { h.count(result) }()
+	c := &call{started: h.now(), request: r, control: http.NewResponseController(w)}
+	defer func() { h.count(c, result) }()
 	open := h.gate.enter()
 	if open {
 		defer h.gate.leave()
 	}
-	c := &call{started: h.now(), request: r, control: http.NewResponseController(w)}
 	defer c.release()
 	result, abort = h.deliver(w, c, h.serve(c, open))
 	if abort {
@@ -122,7 +122,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline.Add(deadlineGrace))
 	c.cancel = cancel
-	if reason, ok := c.readBody(); !ok {
+	if reason, ok := h.readBody(c); !ok {
 		return h.refusal(c, reason)
 	}
 	if c.resend && !c.route.Idempotent {
@@ -137,8 +137,12 @@
 	reason  callctx.Reason
 }
 
-func (h *Handler) count(result final) {
+// count counts a call once by outcome and reason, and once more by rank if its route is known.
+func (h *Handler) count(c *call, result final) {
 	h.options.Metrics.Inc("outbound_outcome", "outcome", string(result.outcome), "reason", reasonLabel(result.reason))
+	if c.rank != "" {
+		h.options.Metrics.Inc("outbound_rank", "rank", c.rank, "outcome", string(result.outcome))
+	}
 }
 
 // Drain refuses new calls with "not-run" and reason draining, and returns when no call is in flight or ctx ends.
--- a/pkg/outbound/resolve.go
+++ b/pkg/outbound/resolve.go
@@ -34,19 +34,38 @@
 // resend resolves a later attempt of a non-idempotent call: it answers with the kept response, runs the call if every
 // node that could have run it has recorded a fence, or answers "unknown".
 func (h *Handler) resend(ctx context.Context, c *call) *reply {
-	select {
-	case h.resolving <- struct{}{}:
-		defer func() { <-h.resolving }()
-	default:
-		return h.unresolved(c, "limit", "too many resends are being resolved on this node; send the call again after Retry-After with the same id and the next attempt number")
-	}
 	s := &resolution{h: h, c: c, ballot: execution.NewBallot(h.now(), h.options.Self.ID), asked: make(map[endpointKey]bool)}
+	if !s.begin() {
+		return s.overLimit()
+	}
+	defer s.end()
 	if r := s.resolve(ctx); r != nil {
 		return r
 	}
 	return s.run(ctx)
 }
 
+// begin counts the resolution against the limit of the node.
+func (s *resolution) begin() bool {
+	select {
+	case s.h.resolving <- struct{}{}:
+		s.counted = true
+	default:
+	}
+	return s.counted
+}
+
+func (s *resolution) end() {
+	if s.counted {
+		s.counted = false
+		<-s.h.resolving
+	}
+}
+
+func (s *resolution) overLimit() *reply {
+	return s.h.unresolved(s.c, "limit", "too many resends are being resolved on this node; send the call again after Retry-After with the same id and the next attempt number")
+}
+
 func (h *Handler) unresolved(c *call, result, remedy string) *reply {
 	h.options.Metrics.Inc("outbound_resolution", "result", result)
 	return &reply{outcome: callctx.Unknown, reason: callctx.Unresolved, remedy: remedy, retryAfter: defaultRetryAfter}
@@ -54,11 +73,12 @@
 
 // resolution is the state of one resend.
 type resolution struct {
-	h      *Handler
-	c      *call
-	ballot execution.Ballot
-	asked  map[endpointKey]bool
-	fenced []membership.Member // nodes that recorded the fence
+	h       *Handler
+	c       *call
+	ballot  execution.Ballot
+	asked   map[endpointKey]bool
+	fenced  []membership.Member // nodes that recorded the fence
+	counted bool                // it counts against the limit
 }
 
 // target is a node to ask.
@@ -100,18 +120,22 @@
 	return nil
 }
 
-// wait lets the id become old enough for the roster. If the deadline does not allow that, the caller is told when to
-// send the call again.
+// wait lets the id become old enough for the roster. A waiting resolution does not count against the limit. If the
+// deadline does not allow the wait, the caller is told when to send the call again.
 func (s *resolution) wait(ctx context.Context, wait time.Duration) *reply {
 	if s.h.now().Add(wait + runReserve).After(s.c.deadline) {
 		r := s.h.unresolved(s.c, "too_early", "send the call again after Retry-After with the same id and the next attempt number")
 		r.retryAfter = wait
 		return r
 	}
+	s.end()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		if !s.begin() {
+			return s.overLimit()
+		}
 		return nil
 	case <-ctx.Done():
 		return &reply{outcome: callctx.Unknown, reason: callctx.CancelledRunning}
--- a/pkg/outbound/run.go
+++ b/pkg/outbound/run.go
@@ -83,6 +83,8 @@
 // retryDenied returns why there must be no further attempt, as a metric label, or "" if there may be one.
 func (h *Handler) retryDenied(ctx context.Context, c *call, r *reply) string {
 	switch {
+	case c.request.Context().Err() != nil:
+		return "caller_gone"
 	case ctx.Err() != nil || !h.now().Before(c.deadline):
 		return "deadline"
 	case r.noRetry:
