--- a/pkg/operator/options.go
+++ b/pkg/operator/options.go
@@ -15,11 +15,13 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 )
 
-// NodeView is what the interface reads from its node. All methods are safe for concurrent use and return promptly.
+// NodeView is what the interface reads from its node. All methods are safe for concurrent use and return promptly. The
+// slices that they return belong to the caller.
 type NodeView interface {
 	// Self returns this node.
 	Self() Member
-	// Members returns all known nodes including this one, with the versions of their latest heartbeats.
+	// Members returns all known nodes including this one, with the versions that the node last heard of. A status is
+	// requested repeatedly until a change has spread, so these are to be brought up to date between two calls.
 	Members() []Member
 	// State returns the applied configuration state. It is never nil.
 	State() *config.State
