--- a/pkg/outbound/handler.go
+++ b/pkg/outbound/handler.go
@@ -37,10 +37,12 @@
 	Local     http.Handler // inbound handler of this node; nil: calls to this node go over the network
 	Client    *rpc.Client
 	TLS       *tls.Config // for calls to other nodes; nil: plain HTTP
-	Signer    *callctx.Signer
-	Metrics   *metrics.Registry
-	Logger    *zap.Logger         // nil: no log
-	Explain   func(explain.Event) // nil: not recorded
+	// DialOverrides maps addresses of other nodes to the addresses to connect to instead.
+	DialOverrides map[string]string
+	Signer        *callctx.Signer
+	Metrics       *metrics.Registry
+	Logger        *zap.Logger         // nil: no log
+	Explain       func(explain.Event) // nil: not recorded
 }
 
 // Handler serves callers. It is safe for concurrent use. Create it with New.
@@ -74,7 +76,7 @@
 	}
 	h := &Handler{
 		options:   o,
-		transport: transport.New(transport.Options{TLS: o.TLS}),
+		transport: transport.New(transport.Options{TLS: o.TLS, DialOverrides: o.DialOverrides}),
 		scheme:    "http",
 		endpoints: newEndpoints(),
 		retries:   newBudgets(newRetryBudget),
@@ -96,12 +98,12 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.options.Metrics.Inc("outbound_calls")
 	result, abort := final{outcome: callctx.Unknown, reason: callctx.ConnectionLost}, false
-	defer func() { h.count(result) }()
+	c := &call{started: h.now(), request: r, control: http.NewResponseController(w)}
+	defer func() { h.count(c, result) }()
 	open := h.gate.enter()
 	if open {
 		defer h.gate.leave()
 	}
-	c := &call{started: h.now(), request: r, control: http.NewResponseController(w)}
 	defer c.release()
 	result, abort = h.deliver(w, c, h.serve(c, open))
 	if abort {
@@ -122,7 +124,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline.Add(deadlineGrace))
 	c.cancel = cancel
-	if reason, ok := c.readBody(); !ok {
+	if reason, ok := h.readBody(c); !ok {
 		return h.refusal(c, reason)
 	}
 	if c.resend && !c.route.Idempotent {
@@ -137,8 +139,12 @@
 	reason  callctx.Reason
 }
 
-func (h *Handler) count(result final) {
+// count counts a call once by outcome and reason, and once more by rank if its route is known.
+func (h *Handler) count(c *call, result final) {
 	h.options.Metrics.Inc("outbound_outcome", "outcome", string(result.outcome), "reason", reasonLabel(result.reason))
+	if c.rank != "" {
+		h.options.Metrics.Inc("outbound_rank", "rank", c.rank, "outcome", string(result.outcome))
+	}
 }
 
 // Drain refuses new calls with "not-run" and reason draining, and returns when no call is in flight or ctx ends.
