--- a/cli/cmd/status.go
+++ b/cli/cmd/status.go
@@ -38,17 +38,39 @@
 	if err != nil {
 		return err
 	}
+	wanted := current.Fleet.Wanted
 	if waiting.enabled {
-		if err := waiting.wait(ctx, s, current.Fleet.Wanted); err != nil {
-			return err
-		}
-		if current, err = s.client.Status(ctx, current.Fleet.Wanted); err != nil {
+		if err := waiting.wait(ctx, s, wanted); err != nil {
 			return err
 		}
+		current, err = s.client.Status(ctx, wanted)
+	} else {
+		current, err = settled(ctx, s, wanted, current)
+	}
+	if err != nil {
+		return err
 	}
 	return s.print(current, func(out io.Writer) { writeStatus(out, current) })
 }
 
+// settled repeats the request for a short time while members seem to lag. The first request makes the node ask the
+// others for their versions, and its answer does not contain them yet.
+func settled(ctx context.Context, s *session, version int64, current operator.Status) (operator.Status, error) {
+	for waited := time.Duration(0); waited < settleTime && current.Fleet.Reached < current.Fleet.Alive; waited += waitInterval {
+		select {
+		case <-ctx.Done():
+			return current, nil
+		case <-time.After(waitInterval):
+		}
+		next, err := s.client.Status(ctx, version)
+		if err != nil {
+			return current, err
+		}
+		current = next
+	}
+	return current, nil
+}
+
 func writeStatus(out io.Writer, status operator.Status) {
 	ready := "ready"
 	if !status.Ready {
@@ -66,6 +88,7 @@
 const (
 	defaultWait  = 60 * time.Second
 	waitInterval = 200 * time.Millisecond
+	settleTime   = time.Second
 )
 
 // waitFlags make a verb wait until a version has spread.
