--- a/pkg/operator/act.go
+++ b/pkg/operator/act.go
@@ -29,12 +29,12 @@
 	maxConnections = 1_000_000
 )
 
-func (s *server) removeMember(r *http.Request, c caller) (any, error) {
+func (s *server) removeMember(r *http.Request, c caller, body []byte) (any, error) {
 	if s.Remover == nil {
 		return nil, unavailable("removal of members")
 	}
 	var request RemoveRequest
-	if err := decodeBody(r, maxSmallBodyBytes, &request); err != nil {
+	if err := decodeStrict(body, &request); err != nil {
 		return nil, err
 	}
 	id := r.PathValue("id")
@@ -53,7 +53,7 @@
 	return RemoveAnswer{ID: id, Incarnation: request.Incarnation}, nil
 }
 
-func (s *server) drain(_ *http.Request, c caller) (any, error) {
+func (s *server) drain(_ *http.Request, c caller, _ []byte) (any, error) {
 	if s.Drainer == nil {
 		return nil, unavailable("drain")
 	}
@@ -62,12 +62,12 @@
 	return status, nil
 }
 
-func (s *server) announce(r *http.Request, _ caller) (any, error) {
+func (s *server) announce(_ *http.Request, _ caller, body []byte) (any, error) {
 	if s.Backend == nil {
 		return nil, unavailable("announcement")
 	}
 	var announcement Announcement
-	if err := decodeBody(r, maxSmallBodyBytes, &announcement); err != nil {
+	if err := decodeStrict(body, &announcement); err != nil {
 		return nil, err
 	}
 	if errs := announcement.validate(); len(errs) > 0 {
--- a/pkg/operator/fake_test.go
+++ b/pkg/operator/fake_test.go
@@ -105,9 +105,7 @@
 // serve starts the interface on loopback and returns its address.
 func serve(t *testing.T, o Options) string {
 	t.Helper()
-	server := httptest.NewUnstartedServer(nil)
-	server.Config = NewServer(o, nil)
-	server.Start()
+	server := httptest.NewServer(New(o))
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
 }
--- a/pkg/operator/limits.go
+++ b/pkg/operator/limits.go
@@ -1,8 +1,6 @@
 package operator
 
 import (
-	"crypto/tls"
-	"net/http"
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
@@ -11,6 +9,7 @@
 // Limits bound what requests may cost.
 type Limits struct {
 	BodyBytes       int64         // of a validation, default 4 MiB
+	BodyTime        time.Duration // to receive the body of a request, default 10 s
 	PublishTime     time.Duration // for a publish, default 20 s
 	PublishAtOnce   int           // publishes in progress, default 32
 	ValidateAtOnce  int           // validations in progress, default 2
@@ -19,6 +18,7 @@
 
 const (
 	defaultBodyBytes       = 4 << 20
+	defaultBodyTime        = 10 * time.Second
 	defaultPublishTime     = 20 * time.Second
 	defaultPublishAtOnce   = 32
 	defaultValidateAtOnce  = 2
@@ -28,18 +28,17 @@
 	recordEnvelopeBytes = 4 << 10
 	maxRecordBodyBytes  = config.MaxRecordBytes + recordEnvelopeBytes
 	maxSmallBodyBytes   = 4 << 10 // announcements and removals
-	maxHeaderBytes      = 16 << 10
 
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 15 * time.Second
-	writeSlack        = 15 * time.Second // to send a response after the longest handler
-	idleTimeout       = 2 * time.Minute
+	writeTime = 15 * time.Second // to send a response after the longest handler
 )
 
 func (l Limits) withDefaults() Limits {
 	if l.BodyBytes == 0 {
 		l.BodyBytes = defaultBodyBytes
 	}
+	if l.BodyTime == 0 {
+		l.BodyTime = defaultBodyTime
+	}
 	if l.PublishTime == 0 {
 		l.PublishTime = defaultPublishTime
 	}
@@ -54,18 +53,3 @@
 	}
 	return l
 }
-
-// NewServer returns an HTTP server with time and size limits for the operators' interface. The caller serves it on its
-// listener and shuts it down. A nil tlsConfig means plain HTTP.
-func NewServer(o Options, tlsConfig *tls.Config) *http.Server {
-	limits := o.Limits.withDefaults()
-	return &http.Server{
-		Handler:           New(o),
-		TLSConfig:         tlsConfig,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      limits.PublishTime + writeSlack,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -307,3 +307,31 @@
 	}
 	http.DefaultClient.CloseIdleConnections()
 }
+
+// Guards against a sender that trickles its body and holds a connection for ever, and against the time limit of a body
+// cutting off the publish that follows it.
+func TestBodyHasATimeLimitOfItsOwn(t *testing.T) {
+	node := newFakeNode()
+	node.publishHook = func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(700 * time.Millisecond):
+			return nil
+		}
+	}
+	options := node.options()
+	options.Limits.BodyTime = 500 * time.Millisecond
+	address := serve(t, options)
+	require.NoError(t, publishAny(clientOf(t, "", address), config.TemplateEntity("ranks")))
+
+	connection, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, "POST /v1/records HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: 100\r\n\r\n{")
+	require.NoError(t, err)
+	answer, err := io.ReadAll(connection)
+	require.NoError(t, err)
+	require.Contains(t, string(answer), "422")
+	require.Contains(t, string(answer), "send it within 500ms")
+}
--- a/pkg/operator/read.go
+++ b/pkg/operator/read.go
@@ -11,7 +11,7 @@
 
 const maxSubjectBytes = 256 // of an explain request
 
-func (s *server) entities(*http.Request, caller) (any, error) {
+func (s *server) entities(*http.Request) (any, error) {
 	state := s.Node.State()
 	list := EntityList{Version: state.Version, Entities: make([]EntitySummary, 0, len(state.Entities))}
 	for _, entity := range state.Entities {
@@ -27,7 +27,7 @@
 	return list, nil
 }
 
-func (s *server) entity(r *http.Request, _ caller) (any, error) {
+func (s *server) entity(r *http.Request) (any, error) {
 	wanted := config.Entity{Kind: config.EntityKind(r.PathValue("kind")), Name: r.PathValue("name")}
 	state := s.Node.State()
 	entity, ok := state.Entities[wanted.String()]
@@ -37,18 +37,18 @@
 	return EntityAnswer{Version: state.Version, Entity: entity.Entity, Retired: entity.Retired(), Revisions: entity.Revisions}, nil
 }
 
-func (s *server) snapshot(*http.Request, caller) (any, error) {
+func (s *server) snapshot(*http.Request) (any, error) {
 	return s.Node.State().Snapshot(), nil
 }
 
-func (s *server) members(*http.Request, caller) (any, error) {
+func (s *server) members(*http.Request) (any, error) {
 	members := s.Node.Members()
 	sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
 	return MemberList{Members: members}, nil
 }
 
 // status counts the members at the version of query parameter version, by default the node's own.
-func (s *server) status(r *http.Request, _ caller) (any, error) {
+func (s *server) status(r *http.Request) (any, error) {
 	state := s.Node.State()
 	wanted := state.Version
 	if text := r.URL.Query().Get("version"); text != "" {
@@ -73,7 +73,7 @@
 	return status, nil
 }
 
-func (s *server) explain(r *http.Request, _ caller) (any, error) {
+func (s *server) explain(r *http.Request) (any, error) {
 	subject := r.URL.Query().Get("subject")
 	if len(subject) > maxSubjectBytes {
 		return nil, apierror.InvalidField("subject", "longer than 256 bytes", "use a request id, member id, version or route")
--- a/pkg/operator/records.go
+++ b/pkg/operator/records.go
@@ -28,11 +28,11 @@
 
 // publish does not judge the record by the state of this node, which may be older than what the record is based on. The
 // publisher validates it against the tail of the log.
-func (s *server) publish(r *http.Request, c caller) (any, error) {
+func (s *server) publish(r *http.Request, c caller, body []byte) (any, error) {
 	if s.Publisher == nil {
 		return nil, unavailable("publishing")
 	}
-	record, err := s.readRecord(r, c)
+	record, err := s.parseRecord(c, body)
 	if err != nil {
 		return nil, err
 	}
@@ -51,11 +51,7 @@
 	return s.resultAnswer(record, result), nil
 }
 
-func (s *server) readRecord(r *http.Request, c caller) (*config.Record, error) {
-	body, err := readBody(r, maxRecordBodyBytes)
-	if err != nil {
-		return nil, err
-	}
+func (s *server) parseRecord(c caller, body []byte) (*config.Record, error) {
 	record, err := config.ParseRecord(body)
 	if err != nil {
 		return nil, err
@@ -100,14 +96,14 @@
 	return apierror.New(apierror.Unknown, "the outcome is unknown: "+err.Error(), "repeat with the same record id")
 }
 
-func (s *server) validate(r *http.Request, _ caller) (any, error) {
+func (s *server) validate(r *http.Request, _ caller, body []byte) (any, error) {
 	release, err := acquire(s.validating)
 	if err != nil {
 		return nil, err
 	}
 	defer release()
 	var request ValidateRequest
-	if err := decodeBody(r, s.Limits.BodyBytes, &request); err != nil {
+	if err := decodeStrict(body, &request); err != nil {
 		return nil, err
 	}
 	if len(request.Records) == 0 || len(request.Records) > s.Limits.ValidateRecords {
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -29,8 +30,8 @@
 	validating chan struct{}
 }
 
-// handlerFunc returns the value to send as JSON, or an error.
-type handlerFunc func(r *http.Request, c caller) (any, error)
+// handlerFunc returns the value to send as JSON, or an error. The body is that of a POST.
+type handlerFunc func(r *http.Request, c caller, body []byte) (any, error)
 
 func newServer(o Options) *server {
 	o.Limits = o.Limits.withDefaults()
@@ -55,17 +56,17 @@
 }
 
 func (s *server) routes() {
-	s.handle("POST /v1/records", RoleRead, s.publish)
-	s.handle("POST /v1/validate", RoleRead, s.validate)
-	s.handle("GET /v1/entities", RoleRead, s.entities)
-	s.handle("GET /v1/entities/{kind}/{name...}", RoleRead, s.entity)
-	s.handle("GET /v1/snapshot", RoleRead, s.snapshot)
-	s.handle("GET /v1/status", RoleRead, s.status)
-	s.handle("GET /v1/members", RoleRead, s.members)
-	s.handle("POST /v1/members/{id}/remove", RoleAdmin, s.removeMember)
-	s.handle("GET /v1/explain", RoleRead, s.explain)
-	s.handle("POST /v1/drain", RoleAdmin, s.drain)
-	s.handle("POST /v1/backend", RoleBackend, s.announce)
+	s.handlePost("/v1/records", RoleRead, maxRecordBodyBytes, s.publish)
+	s.handlePost("/v1/validate", RoleRead, s.Limits.BodyBytes, s.validate)
+	s.handleGet("/v1/entities", RoleRead, s.entities)
+	s.handleGet("/v1/entities/{kind}/{name...}", RoleRead, s.entity)
+	s.handleGet("/v1/snapshot", RoleRead, s.snapshot)
+	s.handleGet("/v1/status", RoleRead, s.status)
+	s.handleGet("/v1/members", RoleRead, s.members)
+	s.handlePost("/v1/members/{id}/remove", RoleAdmin, maxSmallBodyBytes, s.removeMember)
+	s.handleGet("/v1/explain", RoleRead, s.explain)
+	s.handlePost("/v1/drain", RoleAdmin, maxSmallBodyBytes, s.drain)
+	s.handlePost("/v1/backend", RoleBackend, maxSmallBodyBytes, s.announce)
 	s.mux.HandleFunc("GET /metrics", s.metricsText)
 	s.mux.HandleFunc("GET /healthz", s.healthz)
 	s.mux.HandleFunc("GET /readyz", s.readyz)
@@ -80,6 +81,11 @@
 			s.writeError(w, apierror.New(apierror.Internal, "internal error", "see the log of this node"))
 		}
 	}()
+	// A connection that takes no responses would hold its goroutine for ever.
+	deadline := time.Now().Add(s.Limits.BodyTime + s.Limits.PublishTime + writeTime)
+	if err := http.NewResponseController(w).SetWriteDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		s.Logger.Debug("operator_write_deadline", zap.Error(err))
+	}
 	_, pattern := s.mux.Handler(r)
 	if pattern == "" {
 		s.writeUnrouted(w, r)
@@ -112,7 +118,25 @@
 func (p *statusRecorder) Write(b []byte) (int, error) { return len(b), nil }
 func (p *statusRecorder) WriteHeader(status int)      { p.status = status }
 
-func (s *server) handle(pattern string, role Role, handler handlerFunc) {
+func (s *server) handleGet(path string, role Role, handler func(r *http.Request) (any, error)) {
+	s.handle("GET "+path, role, func(_ http.ResponseWriter, r *http.Request, _ caller) (any, error) {
+		return handler(r)
+	})
+}
+
+// handlePost registers a handler whose request body has up to limit bytes.
+func (s *server) handlePost(path string, role Role, limit int64, handler handlerFunc) {
+	s.handle("POST "+path, role, func(w http.ResponseWriter, r *http.Request, c caller) (any, error) {
+		body, err := s.readBody(w, r, limit)
+		if err != nil {
+			return nil, err
+		}
+		return handler(r, c, body)
+	})
+}
+
+// handle authenticates before anything of the body is read.
+func (s *server) handle(pattern string, role Role, handler func(w http.ResponseWriter, r *http.Request, c caller) (any, error)) {
 	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 		c, authErr := s.auth.authenticate(r)
 		if authErr == nil && !c.has(role) {
@@ -123,7 +147,7 @@
 			s.writeError(w, authErr)
 			return
 		}
-		answer, err := handler(r, c)
+		answer, err := handler(w, r, c)
 		if err != nil {
 			s.writeError(w, err)
 			return
@@ -187,14 +211,14 @@
 
 // readBody reads a JSON request body of up to limit bytes. Other content types are refused, because a web page may send
 // them to this address without the consent of its user.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+func (s *server) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
 	if err != nil || mediaType != jsonType {
 		return nil, apierror.New(apierror.Invalid, "the content type is not "+jsonType, "set header Content-Type: "+jsonType)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := s.readInTime(w, r, limit)
 	if err != nil {
-		return nil, apierror.New(apierror.Invalid, "the request body could not be read: "+err.Error(), "send it again")
+		return nil, apierror.New(apierror.Invalid, "the request body could not be read: "+err.Error(), fmt.Sprintf("send it within %s", s.Limits.BodyTime))
 	}
 	if int64(len(body)) > limit {
 		return nil, apierror.New(apierror.TooLarge, fmt.Sprintf("the request body exceeds %d bytes", limit), "send less at a time")
@@ -202,13 +226,21 @@
 	return body, nil
 }
 
-// decodeBody decodes a JSON body and refuses unknown fields.
-func decodeBody(r *http.Request, limit int64, into any) error {
-	body, err := readBody(r, limit)
+// readInTime reads up to one byte more than limit. The deadline is lifted afterwards, because net/http would take its
+// passing for the end of the connection and cancel the request.
+func (s *server) readInTime(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(time.Now().Add(s.Limits.BodyTime)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return err
+		return nil, err
+	}
+	if err := controller.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, err
 	}
-	return decodeStrict(body, into)
+	return body, nil
 }
 
 // acquire takes a place in a bounded group. It does not wait.
