--- a/test/failures/harness_test.go
+++ b/test/failures/harness_test.go
@@ -263,7 +263,7 @@
 	id, err := uuid.NewV7()
 	require.NoError(c.t, err)
 	record := &config.Record{ID: id.String(), Verb: verb, Entity: entity, Base: base, Payload: payload, Author: "test"}
-	return client.Publish(c.ctx, record, false)
+	return client.Publish(c.ctx, record)
 }
 
 // The canary route carries a generation in its path, so that callers see which version a node runs.
