--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"io/fs"
-	"path"
 	"slices"
 	"strings"
 
@@ -117,18 +116,6 @@
 	}
 }
 
-// Records returns publish records for files, for an empty configuration. Their ids are the paths with dots for slashes.
-func Records(files []File, author string) []config.Record {
-	records := make([]config.Record, len(files))
-	for i, file := range files {
-		records[i] = config.Record{
-			ID:   strings.ReplaceAll(path.Clean(file.Path), "/", "."),
-			Verb: config.Publish, Entity: file.Entity, Payload: file.Payload, Author: author,
-		}
-	}
-	return records
-}
-
 // Apply publishes files on a state, or amends what exists with other content. Because a file may refer to what another
 // one defines, it repeats those that were refused until no more are accepted. It returns the new state, the files that
 // were accepted in an order in which they can be published, and the errors of the others.
--- a/pkg/config/state.go
+++ b/pkg/config/state.go
@@ -92,11 +92,6 @@
 	return known.Current().Revision
 }
 
-// Keys returns the keys of Entities in order.
-func (s *State) Keys() []string {
-	return slices.Clone(s.order)
-}
-
 // Encode returns the state as JSON for checkpoints and transfers.
 func (s *State) Encode() ([]byte, error) {
 	return json.Marshal(s)
