--- a/pkg/inbound/forward_test.go
+++ b/pkg/inbound/forward_test.go
@@ -303,12 +303,13 @@
 	f.announce(b.address, membership.EndpointReady)
 	first, disconnect := context.WithCancel(context.Background())
 	f.start(t, first)
+	<-b.arrived
 	f.start(t, context.Background())
+	<-b.arrived
 	waiting, leave := context.WithCancel(context.Background())
 	f.start(t, waiting)
+	f.waitLoad(t, callctx.Load{InFlight: 2, Limit: 2, Queued: 1})
 	last := f.start(t, context.Background())
-	<-b.arrived
-	<-b.arrived
 	f.waitLoad(t, callctx.Load{InFlight: 2, Limit: 2, Queued: 2})
 	leave()
 	f.waitLoad(t, callctx.Load{InFlight: 2, Limit: 2, Queued: 1})
