--- a/pkg/outbound/fleet_test.go
+++ b/pkg/outbound/fleet_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
 	"github.com/laburnumcleat/laburnumcleat/pkg/inbound"
@@ -122,6 +128,16 @@
 	return total
 }
 
+// send makes one attempt of a non-idempotent call through a node.
+func (f *fleet) send(n *fullNode, id, attempt string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest("POST", "/orders", strings.NewReader("x"))
+	r.Header.Set(callctx.HeaderRequestID, id)
+	r.Header.Set(callctx.HeaderAttempt, attempt)
+	w := httptest.NewRecorder()
+	n.outbound.ServeHTTP(w, r)
+	return w
+}
+
 func (f *fleet) checkCounters() {
 	for _, n := range f.nodes {
 		values, sum := n.metrics.Values(), int64(0)
@@ -185,23 +201,63 @@
 // Guards against a resend that runs a second time, or not at all, when the response to its first attempt was lost.
 func TestResendThroughAnotherNode(t *testing.T) {
 	f := newFleet(t, 3, backend.Faults{})
-	send := func(n *fullNode, id, attempt string) *httptest.ResponseRecorder {
-		r := httptest.NewRequest("POST", "/orders", strings.NewReader("x"))
-		r.Header.Set(callctx.HeaderRequestID, id)
-		r.Header.Set(callctx.HeaderAttempt, attempt)
-		w := httptest.NewRecorder()
-		n.outbound.ServeHTTP(w, r)
-		return w
-	}
 	id := callctx.NewRequestID()
-	first := send(f.nodes[0], id, "1")
+	first := f.send(f.nodes[0], id, "1")
 	require.Equal(t, 200, first.Code, first.Body.String())
-	again := send(f.nodes[1], id, "2")
+	again := f.send(f.nodes[1], id, "2")
 	require.Equal(t, first.Body.String(), again.Body.String(), "the kept response")
 
 	never := callctx.NewRequestID()
-	ran := send(f.nodes[2], never, "2")
+	ran := f.send(f.nodes[2], never, "2")
 	require.Equal(t, string(callctx.Answered), ran.Header().Get(callctx.HeaderOutcome), ran.Body.String())
-	require.Equal(t, ran.Body.String(), send(f.nodes[0], never, "3").Body.String())
+	require.Equal(t, ran.Body.String(), f.send(f.nodes[0], never, "3").Body.String())
 	require.Equal(t, map[string]int{id: 1, never: 1}, f.executions())
 }
+
+// agedID returns an id that was made some time ago, so that its resolution does not wait for the roster.
+func agedID(age time.Duration, random *rand.Rand) string {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(time.Now().Add(-age).UnixMilli())<<16|random.Uint64()&0xfff|0x7000)
+	binary.BigEndian.PutUint64(id[8:], random.Uint64()&(1<<62-1)|1<<63)
+	return id.String()
+}
+
+// Guards G6 against races between the first attempt and several resends that run at the same time through different
+// nodes, while backend servers drop responses.
+func TestConcurrentResendsRunOnce(t *testing.T) {
+	const ids = 150
+	f := newFleet(t, 3, backend.Faults{Close: 0.2})
+	random := rand.New(rand.NewPCG(11, 12))
+	var mu sync.Mutex
+	answers := make(map[string]map[string]bool) // bodies of the answered attempts of each id
+	var group errgroup.Group
+	group.SetLimit(40)
+	for range ids {
+		id := agedID(10*time.Second, random)
+		mu.Lock()
+		answers[id] = make(map[string]bool)
+		mu.Unlock()
+		for attempt := 1; attempt <= 4; attempt++ {
+			n := f.nodes[random.IntN(len(f.nodes))]
+			group.Go(func() error {
+				w := f.send(n, id, strconv.Itoa(attempt))
+				if w.Header().Get(callctx.HeaderOutcome) == string(callctx.Answered) {
+					mu.Lock()
+					defer mu.Unlock()
+					answers[id][w.Body.String()] = true
+				}
+				return nil
+			})
+		}
+	}
+	require.NoError(t, group.Wait())
+	executions, answered := f.executions(), 0
+	for id, bodies := range answers {
+		require.LessOrEqual(t, executions[id], 1, "id %s ran twice", id)
+		require.LessOrEqual(t, len(bodies), 1, "id %s has two responses", id)
+		require.GreaterOrEqual(t, executions[id], len(bodies), "id %s was answered without a run", id)
+		answered += len(bodies)
+	}
+	t.Logf("%d of %d ids answered, %d ran", answered, ids, len(executions))
+	require.Positive(t, answered)
+}
