--- a/pkg/outbound/fleet_test.go
+++ b/pkg/outbound/fleet_test.go
@@ -157,6 +157,7 @@
 	streams := []load.Stream{
 		{Name: "orders", Rank: "urgent", Method: "POST", Path: "/orders", BodyBytes: 200, Rate: 300, DurationMS: 2000, TimeoutMS: 8000, TargetMS: 1000},
 		{Name: "views", Rank: "bulk", Method: "GET", Path: "/views", Idempotent: true, Rate: 150, DurationMS: 2000, TimeoutMS: 8000, TargetMS: 1000},
+		{Name: "long", Rank: "urgent", Method: "POST", Path: "/orders", Headers: map[string]string{backend.SizeHeader: "1500000"}, Rate: 5, DurationMS: 2000, TimeoutMS: 8000, TargetMS: 1000},
 		{Name: "hedged", Rank: "urgent", Method: "GET", Path: "/hedged", Idempotent: true, Rate: 50, DurationMS: 2000, TimeoutMS: 8000, TargetMS: 1000},
 	}
 	stop, stopped := make(chan struct{}), make(chan struct{})
--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -42,6 +42,14 @@
 	return &clientCaller{client: c}, nil
 }
 
+func headerOf(s *Stream) http.Header {
+	header := make(http.Header, len(s.Headers))
+	for name, value := range s.Headers {
+		header.Set(name, value)
+	}
+	return header
+}
+
 // clientCaller uses pkg/client.
 type clientCaller struct {
 	client *client.Client
@@ -50,7 +58,7 @@
 func (c *clientCaller) close() { c.client.Close() }
 
 func (c *clientCaller) call(ctx context.Context, s *Stream, body []byte) answer {
-	response, err := c.client.Do(ctx, client.Request{Method: s.Method, Path: s.Path, Body: body})
+	response, err := c.client.Do(ctx, client.Request{Method: s.Method, Path: s.Path, Header: headerOf(s), Body: body})
 	if err == nil {
 		return answer{id: response.RequestID, outcome: callctx.Answered, status: response.Status, body: response.Body, sends: response.Sends}
 	}
@@ -80,6 +88,7 @@
 		return answer{id: id, outcome: callctx.NotRun, reason: callctx.BadRequest}
 	}
 	request.GetBody = nil
+	request.Header = headerOf(s)
 	request.Header.Set(callctx.HeaderRequestID, id)
 	request.Header.Set(callctx.HeaderAttempt, "1")
 	if deadline, ok := ctx.Deadline(); ok {
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -24,17 +24,18 @@
 
 // Stream is one kind of call that arrives at a mean rate.
 type Stream struct {
-	Name       string  `json:"name"`
-	Rank       string  `json:"rank"` // only for the summary; the route decides the rank of the calls
-	Method     string  `json:"method"`
-	Path       string  `json:"path"`
-	Idempotent bool    `json:"idempotent"`  // of the route; Verify accepts several executions of an id
-	BodyBytes  int     `json:"body_bytes"`  // of each request; 0: no body
-	Rate       float64 `json:"rate"`        // calls a second
-	StartMS    int     `json:"start_ms"`    // begin after the start of the run
-	DurationMS int     `json:"duration_ms"` // length of the stream
-	TimeoutMS  int     `json:"timeout_ms"`  // deadline of a call
-	TargetMS   int     `json:"target_ms"`   // a response within this time is in time
+	Name       string            `json:"name"`
+	Rank       string            `json:"rank"` // only for the summary; the route decides the rank of the calls
+	Method     string            `json:"method"`
+	Path       string            `json:"path"`
+	Idempotent bool              `json:"idempotent"`        // of the route; Verify accepts several executions of an id
+	BodyBytes  int               `json:"body_bytes"`        // of each request; 0: no body
+	Headers    map[string]string `json:"headers,omitempty"` // of each request
+	Rate       float64           `json:"rate"`              // calls a second
+	StartMS    int               `json:"start_ms"`          // begin after the start of the run
+	DurationMS int               `json:"duration_ms"`       // length of the stream
+	TimeoutMS  int               `json:"timeout_ms"`        // deadline of a call
+	TargetMS   int               `json:"target_ms"`         // a response within this time is in time
 }
 
 // Options configures a run.
@@ -223,7 +224,7 @@
 	record.LatencyMS = milliseconds(latency)
 	if answer.outcome == callctx.Answered {
 		record.Foreign, record.Cut = check(answer, body)
-		record.InTime = latency <= time.Duration(s.TargetMS)*time.Millisecond && answer.status < 500 && !record.Foreign && !record.Cut
+		record.InTime = latency <= time.Duration(s.TargetMS)*time.Millisecond && !failed(answer.status) && !record.Foreign && !record.Cut
 	}
 	return record
 }
@@ -242,16 +243,19 @@
 	return body
 }
 
+// failed reports whether a status is an error of the backend server.
+func failed(status int) bool { return status >= 400 }
+
 // echo is the part of the backend stand-in's response that identifies the request.
 type echo struct {
 	RequestID  string `json:"request_id"`
 	BodySHA256 string `json:"body_sha256"`
 }
 
-// check reports whether a response belongs to another request, and whether it is incomplete. Only responses of the
-// backend stand-in with a status below 500 can be checked.
+// check reports whether a response belongs to another request, and whether it is incomplete. The backend stand-in's
+// error responses do not identify the request and cannot be checked.
 func check(answer answer, body []byte) (foreign, cut bool) {
-	if answer.status >= 500 {
+	if failed(answer.status) {
 		return false, false
 	}
 	var parsed echo
--- a/standin/load/summary.go
+++ b/standin/load/summary.go
@@ -17,7 +17,7 @@
 	Late    int     `json:"late"`    // answered after the target
 	Refused int     `json:"refused"` // "not-run"
 	Unknown int     `json:"unknown"`
-	Failed  int     `json:"failed"`  // answered with a status of 500 or more, cut or foreign
+	Failed  int     `json:"failed"`  // answered with a status of 400 or more, cut or foreign
 	Dropped int     `json:"dropped"` // not sent by the generator
 	P50MS   float64 `json:"p50_ms"`  // of the answered calls, 0 if there is none
 	P99MS   float64 `json:"p99_ms"`
@@ -77,7 +77,7 @@
 		s.Refused++
 	case r.Outcome != callctx.Answered:
 		s.Unknown++
-	case r.Foreign || r.Cut || r.Status >= 500:
+	case r.Foreign || r.Cut || failed(r.Status):
 		s.Failed++
 	case r.InTime:
 		s.InTime++
