--- a/pkg/outbound/balance_test.go
+++ b/pkg/outbound/balance_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 )
 
@@ -122,10 +123,17 @@
 	ch.fail(1, failureThreshold)
 	ch.fail(2, failureThreshold)
 	require.Zero(t, ch.share("node-1", 100))
+	ch.handler.Tick(ch.clock)
+	require.Equal(t, int64(2), ch.metrics.Values()["outbound_ejected"])
 	require.Positive(t, ch.share("node-2", 100), "at most half of the service is ejected")
 	require.Positive(t, ch.metrics.Values()["outbound_ejection_capped"])
 
 	ch.clock = ch.clock.Add(ejectionBase + slowStart)
+	var events []explain.Event
+	ch.handler.options.Explain = func(e explain.Event) { events = append(events, e) }
+	ch.handler.Tick(ch.clock)
+	ch.handler.Tick(ch.clock)
+	require.Len(t, events, 2, "each return is reported once")
 	require.Positive(t, ch.share("node-0", 100))
 	ch.fail(0, 1)
 	ch.clock = ch.clock.Add(ejectionBase)
--- a/pkg/outbound/endpoint.go
+++ b/pkg/outbound/endpoint.go
@@ -55,6 +55,7 @@
 	errors      int   // status 500 or 502 in a row
 	ejections   int   // in a row
 	ejectedAt   time.Time
+	out         bool // ejected, and its return not reported yet
 }
 
 // usedResolution keeps calls from writing to the same memory all the time.
@@ -145,6 +146,7 @@
 	duration := min(ejectionBase<<min(e.ejections, maxEjections), ejectionMax)
 	e.ejections++
 	e.ejectedAt = now
+	e.out = true
 	e.ejectedUntil.set(now.Add(duration))
 	e.rampFrom = now.Add(duration)
 	e.failures = failureThreshold - 1
@@ -223,13 +225,30 @@
 	return states
 }
 
-// expire forgets endpoints that have left.
-func (t *endpoints) expire(now time.Time) {
+// returned reports once that an ejection has ended.
+func (e *endpoint) returned(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.out || e.ejected(now) {
+		return false
+	}
+	e.out = false
+	return true
+}
+
+// expire forgets endpoints that have left. It returns how many are ejected and which ones are in use again.
+func (t *endpoints) expire(now time.Time) (ejected int, returned []endpointKey) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, e := range t.byKey {
-		if !e.lastUsed.after(now.Add(-endpointIdleFor)) && e.inFlight.Load() == 0 {
+		switch {
+		case !e.lastUsed.after(now.Add(-endpointIdleFor)) && e.inFlight.Load() == 0:
 			delete(t.byKey, key)
+		case e.ejected(now):
+			ejected++
+		case e.returned(now):
+			returned = append(returned, key)
 		}
 	}
+	return ejected, returned
 }
--- a/pkg/outbound/handler.go
+++ b/pkg/outbound/handler.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// Tick refills budgets and forgets endpoints that have left.
+// Tick refills budgets, forgets endpoints that have left and reports ended ejections.
 func (h *Handler) Tick(now time.Time) {
 	snapshot := h.options.Snapshot()
 	keep := func(rank string) bool {
@@ -169,7 +169,11 @@
 	h.retries.refill(now, keep)
 	h.hedges.refill(now, keep)
 	h.latencies.expire(func(route string) bool { return snapshot == nil || hasRoute(snapshot, route) })
-	h.endpoints.expire(now)
+	ejected, returned := h.endpoints.expire(now)
+	h.options.Metrics.Gauge("outbound_ejected").Update(int64(ejected))
+	for _, key := range returned {
+		h.options.Explain(explain.Event{Time: now, Kind: explain.Readmit, Subject: key.id, Cause: "the ejection has ended; used again with a slow start"})
+	}
 }
 
 func hasRoute(snapshot *config.Snapshot, name string) bool {
