--- a/pkg/outbound/call.go
+++ b/pkg/outbound/call.go
@@ -23,6 +23,8 @@
 
 	maxBufferedRequest = 1 << 20  // bytes of a request body that are kept for a retry
 	maxRequestBytes    = 64 << 20 // bytes of a request body
+	maxBufferedTotal   = 64 << 20 // bytes of the request bodies of all calls that are kept
+	bufferStep         = 32 << 10 // bytes reserved at a time for a body of unknown length
 	maxTimeout         = 10 * time.Minute
 )
 
@@ -44,12 +46,14 @@
 	parent   string
 
 	body     []byte
+	reserved int64       // bytes of Handler.buffered
 	rest     *onceReader // remainder of a body above maxBufferedRequest; nil if the body is complete
 	attempts int
 }
 
 // release frees what the call holds.
-func (c *call) release() {
+func (h *Handler) release(c *call) {
+	h.buffered.Add(-c.reserved)
 	if c.cancel != nil {
 		c.cancel()
 	}
@@ -181,6 +185,18 @@
 	return "", true
 }
 
+// reserve counts bytes of a request body against the limit of the node.
+func (h *Handler) reserve(c *call, bytes int64) bool {
+	if h.buffered.Add(bytes) > maxBufferedTotal {
+		h.buffered.Add(-bytes)
+		return false
+	}
+	c.reserved += bytes
+	return true
+}
+
+var errNoBufferLeft = errors.New("too many request bodies are buffered")
+
 // readBody buffers the request body up to maxBufferedRequest, so that the call can be sent again.
 func (h *Handler) readBody(c *call) (callctx.Reason, bool) {
 	r := c.request
@@ -191,23 +207,51 @@
 		return callctx.BodyTooLarge, false
 	}
 	c.limitReads(c.deadline)
-	buffer := bytes.NewBuffer(make([]byte, 0, min(max(r.ContentLength, 0), maxBufferedRequest)+bytes.MinRead))
-	n, err := buffer.ReadFrom(io.LimitReader(r.Body, maxBufferedRequest))
+	complete, err := h.fillBody(c)
 	switch {
+	case errors.Is(err, errNoBufferLeft):
+		return callctx.Overloaded, false
 	case err != nil && !h.now().Before(c.deadline):
 		return callctx.DeadlineExpired, false
 	case err != nil:
 		return callctx.BadRequest, false // the body is shorter than declared, or the caller has gone
 	}
-	c.body = buffer.Bytes()
-	if n == maxBufferedRequest && r.ContentLength != n {
-		c.rest = &onceReader{source: r.Body, left: maxRequestBytes - n}
+	if !complete {
+		c.rest = &onceReader{source: r.Body, left: maxRequestBytes - int64(len(c.body))}
 		return "", true
 	}
 	c.limitReads(time.Time{})
 	return "", true
 }
 
+// fillBody reads the body up to maxBufferedRequest and reports whether that is all of it.
+func (h *Handler) fillBody(c *call) (complete bool, err error) {
+	length := c.request.ContentLength
+	step := int64(bufferStep)
+	if length >= 0 {
+		step = min(length, maxBufferedRequest)
+	}
+	var buffer bytes.Buffer
+	for int64(buffer.Len()) < maxBufferedRequest {
+		if !h.reserve(c, step) {
+			return false, errNoBufferLeft
+		}
+		buffer.Grow(int(step))
+		n, err := io.CopyN(&buffer, c.request.Body, step)
+		c.body = buffer.Bytes()
+		if err == io.EOF && length < 0 {
+			return true, nil
+		}
+		if err != nil {
+			return false, err
+		}
+		if length >= 0 {
+			return n == length, nil
+		}
+	}
+	return false, nil
+}
+
 // newBody returns the body for one attempt and its length, -1 if unknown.
 func (c *call) newBody() (io.Reader, int64) {
 	if c.rest == nil {
--- a/pkg/outbound/handler.go
+++ b/pkg/outbound/handler.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -57,6 +58,7 @@
 	ejecting  sync.Mutex    // serialises ejections, so that the cap holds
 	resolving chan struct{} // one element for each resolution in progress
 	gate      gate
+	buffered  atomic.Int64 // bytes reserved for request bodies
 
 	now    func() time.Time
 	random func(n int) int
@@ -100,24 +102,24 @@
 	result, abort := final{outcome: callctx.Unknown, reason: callctx.ConnectionLost}, false
 	c := &call{started: h.now(), request: r, control: http.NewResponseController(w)}
 	defer func() { h.count(c, result) }()
-	open := h.gate.enter()
-	if open {
+	closed := h.gate.enter()
+	if closed == "" {
 		defer h.gate.leave()
 	}
-	defer c.release()
-	result, abort = h.deliver(w, c, h.serve(c, open))
+	defer h.release(c)
+	result, abort = h.deliver(w, c, h.serve(c, closed))
 	if abort {
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// serve runs a call to its reply. It refuses the call if the node is draining, which open denies.
-func (h *Handler) serve(c *call, open bool) *reply {
+// serve runs a call to its reply. It refuses the call if the gate gave a reason.
+func (h *Handler) serve(c *call, closed callctx.Reason) *reply {
 	if !h.readID(c) {
 		return h.refusal(c, callctx.BadRequest)
 	}
-	if !open {
-		return h.refusal(c, callctx.Draining)
+	if closed != "" {
+		return h.refusal(c, closed)
 	}
 	if reason, ok := h.admit(c); !ok {
 		return h.refusal(c, reason)
@@ -187,6 +189,9 @@
 	return false
 }
 
+// maxCalls bounds the calls in flight. At about 20 KB each without bodies they take 80 MB.
+const maxCalls = 4096
+
 // gate counts the calls in flight and closes when the node drains.
 type gate struct {
 	mu     sync.Mutex
@@ -195,14 +200,18 @@
 	empty  chan struct{}
 }
 
-func (g *gate) enter() bool {
+// enter counts a call, or returns the reason for which it is refused. A call that entered must leave.
+func (g *gate) enter() callctx.Reason {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed {
-		return false
+	switch {
+	case g.closed:
+		return callctx.Draining
+	case g.calls >= maxCalls:
+		return callctx.Overloaded
 	}
 	g.calls++
-	return true
+	return ""
 }
 
 func (g *gate) leave() {
--- a/pkg/outbound/handler_test.go
+++ b/pkg/outbound/handler_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -311,3 +312,37 @@
 	f.handler.options.Snapshot = func() *config.Snapshot { return nil }
 	requireOutcome(t, f.call(http.MethodPost, "/orders", ""), callctx.NotRun, callctx.NotReady)
 }
+
+// Guards against request bodies that exhaust the memory of the node, and against limits that leak.
+func TestMemoryLimits(t *testing.T) {
+	f := newFixture(t)
+	f.add(answer)
+	f.handler.buffered.Store(maxBufferedTotal - 10)
+	require.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodPost, "/orders", "more than ten bytes").StatusCode)
+	requireOutcome(t, f.call(http.MethodPost, "/orders", "few bytes"), callctx.Answered, "")
+	require.Equal(t, int64(maxBufferedTotal-10), f.handler.buffered.Load())
+	f.handler.gate.calls = maxCalls
+	requireOutcome(t, f.call(http.MethodPost, "/orders", ""), callctx.NotRun, callctx.Overloaded)
+	f.handler.gate.calls--
+	requireOutcome(t, f.call(http.MethodPost, "/orders", ""), callctx.Answered, "")
+}
+
+// Guards against a truncated request that reaches a backend server as a complete one.
+func TestTruncatedRequestIsNotForwarded(t *testing.T) {
+	f := newFixture(t)
+	n := f.add(answer)
+	caller := httptest.NewServer(f.handler)
+	defer caller.Close()
+	for _, framing := range []string{"Content-Length: 100\r\n\r\nshort", "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n"} {
+		conn, err := net.Dial("tcp", caller.Listener.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "POST /orders HTTP/1.1\r\nHost: x\r\n"+framing)
+		require.NoError(t, err)
+		require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+		_, _ = io.ReadAll(conn)
+		conn.Close()
+	}
+	require.NoError(t, f.handler.Drain(context.Background()))
+	require.Zero(t, n.calls())
+	f.checkCounters()
+}
--- a/pkg/outbound/reply.go
+++ b/pkg/outbound/reply.go
@@ -17,8 +17,9 @@
 
 const (
 	defaultRetryAfter = time.Second
-	// writeTimeout limits each write to a caller that reads slowly.
+	// writeTimeout limits the write of each piece to a caller that reads slowly.
 	writeTimeout = 30 * time.Second
+	pieceBytes   = 64 << 10
 )
 
 // reply is the result of an attempt, and in the end of the call.
@@ -102,7 +103,7 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(r.length, 10))
 	}
 	w.WriteHeader(r.status)
-	if _, err := w.Write(r.body); err != nil && len(r.body) > 0 && c.request.Method != http.MethodHead {
+	if err := writePieces(w, control, r.body); err != nil {
 		closeRest(r)
 		return final{callctx.Unknown, callctx.CancelledRunning}, true
 	}
@@ -112,6 +113,19 @@
 	return h.stream(w, control, r)
 }
 
+// writePieces writes data with a time limit for each piece.
+func writePieces(w http.ResponseWriter, control *http.ResponseController, data []byte) error {
+	for len(data) > 0 {
+		n := min(len(data), pieceBytes)
+		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := w.Write(data[:n]); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
+}
+
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = append([]string(nil), values...)
@@ -128,14 +142,11 @@
 // the caller sees an error and never a short success.
 func (h *Handler) stream(w http.ResponseWriter, control *http.ResponseController, r *reply) (result final, abort bool) {
 	defer r.rest.Close()
-	buffer := make([]byte, 64<<10)
+	buffer := make([]byte, pieceBytes)
 	for {
 		n, readErr := r.rest.Read(buffer)
-		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if n > 0 {
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return final{callctx.Unknown, callctx.CancelledRunning}, true
-			}
+		if err := writePieces(w, control, buffer[:n]); err != nil {
+			return final{callctx.Unknown, callctx.CancelledRunning}, true
 		}
 		if readErr == io.EOF {
 			return final{callctx.Answered, ""}, false
