--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -104,6 +103,7 @@
 	log := platform.NewHTTPLog(n.settings.Platform.URLs, n.platformTransport())
 	n.server = rpc.NewServer(n.controlBytes)
 	n.client = rpc.NewClient(n.controlBytes, n.keys.Client())
+	n.client.OverrideAddresses(n.settings.DialOverrides)
 	n.signer = callctx.NewSigner(n.keys.ContextKeys())
 	n.presence = presence.New(presence.Options{
 		Log: log, Self: self, Retention: n.settings.Platform.Retention(), Metrics: n.metrics, Logger: n.logger,
@@ -112,12 +112,13 @@
 		Self: self, Seeds: n.settings.Seeds, Contacts: n.presence.Contacts,
 		Client: n.client, Server: n.server,
 		Beat:    func() membership.Beat { return n.distribution.Beat() },
-		OnBeat:  n.onBeat,
+		OnBeat:  func(from membership.Member, beat membership.Beat) { n.distribution.OnBeat(from, beat) },
 		Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
 	})
 	n.distribution = distribution.New(distribution.Options{
 		Self: self, Log: log, Members: n.membership.Members, Client: n.client, Server: n.server,
 		Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
+		Timing: distribution.Timing{Retention: n.settings.Platform.Retention()},
 	})
 	n.inbound = inbound.New(inbound.Options{
 		Self: self, Snapshot: n.distribution.Snapshot, Window: n.presence.Window, Retention: n.settings.Platform.Retention(),
@@ -126,7 +127,7 @@
 	n.inbound.RegisterRPC(n.server)
 	n.outbound = outbound.New(outbound.Options{
 		Self: self, Snapshot: n.distribution.Snapshot, Endpoints: n.membership.Endpoints, Roster: n.presence.Roster,
-		Local: n.inbound, Client: n.client, TLS: n.keys.Client(), Signer: n.signer,
+		Local: n.inbound, Client: n.client, TLS: n.keys.Client(), DialOverrides: n.settings.DialOverrides, Signer: n.signer,
 		Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
 	})
 	n.backend = newBackendTracker(n.inbound, n.membership, n.presence, n.logger)
@@ -135,11 +136,6 @@
 	n.registerStatusRPC()
 }
 
-func (n *Node) onBeat(from membership.Member, beat membership.Beat) {
-	n.versions.heard(from.ID, beat.Version, beat.Digest)
-	n.distribution.OnBeat(from, beat)
-}
-
 func (n *Node) selfMember() membership.Member {
 	return membership.Member{
 		ID: n.settings.ID, Region: n.settings.Region, DataCentre: n.settings.DataCentre,
--- a/pkg/operator/options.go
+++ b/pkg/operator/options.go
@@ -15,11 +15,13 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 )
 
-// NodeView is what the interface reads from its node. All methods are safe for concurrent use and return promptly.
+// NodeView is what the interface reads from its node. All methods are safe for concurrent use and return promptly. The
+// slices that they return belong to the caller.
 type NodeView interface {
 	// Self returns this node.
 	Self() Member
-	// Members returns all known nodes including this one, with the versions of their latest heartbeats.
+	// Members returns all known nodes including this one, with the versions that the node last heard of. A status is
+	// requested repeatedly until a change has spread, so these are to be brought up to date between two calls.
 	Members() []Member
 	// State returns the applied configuration state. It is never nil.
 	State() *config.State
@@ -29,8 +31,9 @@
 	Events(subject string) []explain.Event
 }
 
-// Publisher appends a record to the log and reports its true outcome. Errors are of kind unavailable (nothing was
-// appended) or unknown (repeat with the same record id).
+// Publisher validates a record against the tail of the log, appends it and reports its true outcome. The result of a
+// record that is refused before the append has offset 0. Errors are of kind unavailable (nothing was appended) or
+// unknown (repeat with the same record id).
 type Publisher interface {
 	Publish(ctx context.Context, r *config.Record) (config.Result, error)
 }
--- a/pkg/outbound/resolve.go
+++ b/pkg/outbound/resolve.go
@@ -19,7 +19,8 @@
 	maxResolutions = 64 // at the same time on one node
 	maxLookups     = 64 // at the same time for one resolution
 	lookupTimeout  = time.Second
-	rosterTimeout  = 2 * time.Second
+	// rosterTimeout includes the wait for the log's clock, which may be callctx.ClockError behind this node's.
+	rosterTimeout = callctx.ClockError + time.Second
 	// runReserve is the time that must be left for running the call after a wait.
 	runReserve = 200 * time.Millisecond
 )
@@ -33,19 +34,38 @@
 // resend resolves a later attempt of a non-idempotent call: it answers with the kept response, runs the call if every
 // node that could have run it has recorded a fence, or answers "unknown".
 func (h *Handler) resend(ctx context.Context, c *call) *reply {
-	select {
-	case h.resolving <- struct{}{}:
-		defer func() { <-h.resolving }()
-	default:
-		return h.unresolved(c, "limit", "too many resends are being resolved on this node; send the call again after Retry-After with the same id and the next attempt number")
-	}
 	s := &resolution{h: h, c: c, ballot: execution.NewBallot(h.now(), h.options.Self.ID), asked: make(map[endpointKey]bool)}
+	if !s.begin() {
+		return s.overLimit()
+	}
+	defer s.end()
 	if r := s.resolve(ctx); r != nil {
 		return r
 	}
 	return s.run(ctx)
 }
 
+// begin counts the resolution against the limit of the node.
+func (s *resolution) begin() bool {
+	select {
+	case s.h.resolving <- struct{}{}:
+		s.counted = true
+	default:
+	}
+	return s.counted
+}
+
+func (s *resolution) end() {
+	if s.counted {
+		s.counted = false
+		<-s.h.resolving
+	}
+}
+
+func (s *resolution) overLimit() *reply {
+	return s.h.unresolved(s.c, "limit", "too many resends are being resolved on this node; send the call again after Retry-After with the same id and the next attempt number")
+}
+
 func (h *Handler) unresolved(c *call, result, remedy string) *reply {
 	h.options.Metrics.Inc("outbound_resolution", "result", result)
 	return &reply{outcome: callctx.Unknown, reason: callctx.Unresolved, remedy: remedy, retryAfter: defaultRetryAfter}
@@ -53,11 +73,12 @@
 
 // resolution is the state of one resend.
 type resolution struct {
-	h      *Handler
-	c      *call
-	ballot execution.Ballot
-	asked  map[endpointKey]bool
-	fenced []membership.Member // nodes that recorded the fence
+	h       *Handler
+	c       *call
+	ballot  execution.Ballot
+	asked   map[endpointKey]bool
+	fenced  []membership.Member // nodes that recorded the fence
+	counted bool                // it counts against the limit
 }
 
 // target is a node to ask.
@@ -99,18 +120,22 @@
 	return nil
 }
 
-// wait lets the id become old enough for the roster. If the deadline does not allow that, the caller is told when to
-// send the call again.
+// wait lets the id become old enough for the roster. A waiting resolution does not count against the limit. If the
+// deadline does not allow the wait, the caller is told when to send the call again.
 func (s *resolution) wait(ctx context.Context, wait time.Duration) *reply {
 	if s.h.now().Add(wait + runReserve).After(s.c.deadline) {
 		r := s.h.unresolved(s.c, "too_early", "send the call again after Retry-After with the same id and the next attempt number")
 		r.retryAfter = wait
 		return r
 	}
+	s.end()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		if !s.begin() {
+			return s.overLimit()
+		}
 		return nil
 	case <-ctx.Done():
 		return &reply{outcome: callctx.Unknown, reason: callctx.CancelledRunning}
@@ -120,7 +145,7 @@
 // readRoster returns the incarnations that were not asked yet. Lost names a node that ended too late for the id: what it
 // knew is gone.
 func (s *resolution) readRoster(ctx context.Context, readAfter time.Time) (rest []membership.Member, lost string, r *reply) {
-	limited, cancel := context.WithTimeout(ctx, rosterTimeout)
+	limited, cancel := context.WithTimeout(ctx, min(rosterTimeout, s.c.deadline.Sub(s.h.now())-runReserve))
 	defer cancel()
 	roster, err := s.h.options.Roster(limited, s.c.route.Service, readAfter)
 	if err != nil {
@@ -159,7 +184,7 @@
 		targets[i].member = members[i]
 		s.asked[keyOf(&members[i])] = true
 		group.Go(func() error {
-			result, err := s.h.lookup(limited, members[i].ControlAddress, inbound.LookupParams{RequestID: s.c.id, Ballot: s.ballot})
+			result, err := s.h.lookup(limited, members[i].ControlAddress, inbound.LookupParams{Member: members[i].ID, RequestID: s.c.id, Ballot: s.ballot})
 			if err != nil {
 				return nil // not reachable; the outcome stays empty
 			}
@@ -258,7 +283,7 @@
 			return r
 		}
 		if !r.notSent {
-			return r
+			return recorded(r)
 		}
 		if ctx.Err() != nil || !c.repeatable() {
 			break
@@ -268,6 +293,15 @@
 	return h.unresolved(c, "no_endpoint", "no node could be reached to run the call; send it again after Retry-After with the same id and the next attempt number")
 }
 
+// recorded turns a "not-run" that the inbound node did not record into "unknown". A node without configuration refuses
+// before it looks at its table.
+func recorded(r *reply) *reply {
+	if r.outcome == callctx.NotRun && r.reason == callctx.NotReady {
+		r.outcome = callctx.Unknown
+	}
+	return r
+}
+
 // runnable returns the fenced nodes that serve the service now.
 func (s *resolution) runnable() []membership.Member {
 	fenced := make(map[endpointKey]bool, len(s.fenced))
