--- a/cmd/laburnum-standin/demo.go
+++ b/cmd/laburnum-standin/demo.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"os"
-	"path/filepath"
 
 	"github.com/rotisserie/eris"
 
@@ -25,21 +24,6 @@
 		} else if deployment != "falaj" {
 			return eris.Errorf("unknown deployment %q; use falaj or van-der-merwe", deployment)
 		}
-		if o.BinDir == "" {
-			own, err := os.Executable()
-			if err != nil {
-				return eris.Wrap(err, "finding the programs; name their folder with --bin")
-			}
-			o.BinDir = filepath.Dir(own)
-		}
-		if o.WorkDir == "" {
-			temporary, err := os.MkdirTemp("", "laburnum-demo-")
-			if err != nil {
-				return eris.Wrap(err, "creating a work folder")
-			}
-			defer os.RemoveAll(temporary)
-			o.WorkDir = temporary
-		}
-		return demo.Run(ctx, o)
+		return withFolders(&o.BinDir, &o.WorkDir, func() error { return demo.Run(ctx, o) })
 	}}
 }
--- /dev/null
+++ b/standin/bench/config.go
@@ -0,0 +1,333 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/standin/demo"
+	"github.com/laburnumcleat/laburnumcleat/standin/logservice"
+)
+
+const (
+	idleWindow       = 20 * time.Second
+	configChanges    = 30
+	changeInterval   = 250 * time.Millisecond
+	settleWindow     = 3 * time.Second
+	pollBaseline     = 10 * time.Second
+	pollInterval     = time.Second // of each node in the polling baseline
+	herdShare        = 3           // one of this many nodes restarts
+	versionSubject   = "version "
+	collectorWorkers = 16
+)
+
+// Config measures convergence and control bytes at several fleet sizes. Baselines: every node polling the log, and full
+// state in place of records.
+func Config(ctx context.Context, o Options) error {
+	for _, size := range o.Sizes {
+		if err := configAt(ctx, o, size); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func configAt(ctx context.Context, o Options, size int) error {
+	r, err := startFleet(ctx, o, size)
+	if err != nil {
+		return err
+	}
+	defer r.close()
+	idle, err := r.measure(func() error { return sleep(ctx, idleWindow) })
+	if err != nil {
+		return err
+	}
+	var convergence []float64
+	changing, err := r.measure(func() error {
+		convergence, err = r.changes(ctx)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	herdSeconds, herd, err := r.herd(ctx)
+	if err != nil {
+		return err
+	}
+	polling, err := r.pollingBaseline(ctx)
+	if err != nil {
+		return err
+	}
+	stateBytes, err := r.stateBytes(ctx)
+	if err != nil {
+		return err
+	}
+	perChange := (changing.controlBytes - idle.controlBytes) * changing.seconds / configChanges
+	daily := idle.controlBytes + perChange*changesPerDay/secondsPerDay
+	fmt.Fprintf(o.Out, "bench=config nodes=%d converged_ms_p50=%.0f converged_ms_p99=%.0f converged_ms_max=%.0f"+
+		" idle_bytes_per_node_s=%.0f bytes_per_node_per_change=%.0f bytes_per_node_s_at_2800_a_day=%.0f"+
+		" herd_nodes=%d herd_ready_s=%.1f herd_bytes_per_node_s=%.0f herd_log_appends=%d herd_log_reads=%d"+
+		" idle_platform_bytes_s=%.0f polling_platform_bytes_s=%.0f platform_share_of_polling=%.3f"+
+		" full_state_bytes=%d full_state_factor=%.1f\n",
+		size, demo.Percentile(convergence, 50), demo.Percentile(convergence, 99), demo.Percentile(convergence, 100),
+		idle.controlBytes, perChange, daily,
+		size/herdShare, herdSeconds, herd.bytesPerNode, herd.appends, herd.reads,
+		idle.platform, polling, idle.platform/polling,
+		stateBytes, float64(stateBytes)/max(perChange, 1))
+	return nil
+}
+
+// changes amends one team's parameters again and again and returns the times from acceptance to activation on each node
+// in milliseconds. All processes share the machine's clock.
+func (r *run) changes(ctx context.Context) ([]float64, error) {
+	target, err := r.amendable(ctx)
+	if err != nil {
+		return nil, err
+	}
+	acceptedAt := make(map[int64]time.Time)
+	for i := range configChanges {
+		if err := r.amend(ctx, target, float64(i%2)); err != nil {
+			return nil, err
+		}
+		acceptedAt[target.revision] = time.Now()
+		if err := sleep(ctx, changeInterval); err != nil {
+			return nil, err
+		}
+	}
+	if err := r.fleet.WaitVersion(ctx, readyLimit, target.revision, r.fleet.Nodes); err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, settleWindow); err != nil {
+		return nil, err
+	}
+	return r.activations(ctx, acceptedAt)
+}
+
+// amendment is a number in a team's parameters that the benchmark changes back and forth.
+type amendment struct {
+	entity   config.Entity
+	revision int64
+	values   map[string]any
+	name     string
+	number   float64
+}
+
+// amendable finds a number to change in the examples.
+func (r *run) amendable(ctx context.Context) (*amendment, error) {
+	list, err := r.fleet.Nodes[0].Client().Entities(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, summary := range list.Entities {
+		if summary.Entity.Kind != config.KindParameters || summary.Retired {
+			continue
+		}
+		answer, err := r.fleet.Nodes[0].Client().Entity(ctx, summary.Entity)
+		if err != nil {
+			return nil, err
+		}
+		parameters := config.Parameters{}
+		if err := json.Unmarshal(answer.Revisions[len(answer.Revisions)-1].Payload, &parameters); err != nil {
+			return nil, eris.Wrap(err, "decoding parameters")
+		}
+		for name, value := range parameters.Values {
+			if number, ok := value.(float64); ok && number > 10 {
+				return &amendment{summary.Entity, summary.Revision, parameters.Values, name, number}, nil
+			}
+		}
+	}
+	return nil, eris.New("the examples have no parameters with a number above 10")
+}
+
+// amend sets the number to its first value plus a difference.
+func (r *run) amend(ctx context.Context, target *amendment, difference float64) error {
+	target.values[target.name] = target.number + difference
+	payload, err := json.Marshal(config.Parameters{Values: target.values})
+	if err != nil {
+		return eris.Wrap(err, "encoding parameters")
+	}
+	result, err := r.publish(ctx, config.Amend, target.entity, target.revision, payload)
+	target.revision = result.Offset
+	return err
+}
+
+// activations reads from every node when it activated the versions.
+func (r *run) activations(ctx context.Context, acceptedAt map[int64]time.Time) ([]float64, error) {
+	perNode := make([][]float64, len(r.fleet.Nodes))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(collectorWorkers)
+	for i, n := range r.fleet.Nodes {
+		group.Go(func() error {
+			list, err := n.Client().Explain(ctx, "")
+			if err != nil {
+				return err
+			}
+			perNode[i] = delays(list.Events, acceptedAt)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	var all []float64
+	for i := range perNode {
+		all = append(all, perNode[i]...)
+	}
+	return all, nil
+}
+
+// delays returns for each accepted version the time until the node ran it or a later one.
+func delays(events []explain.Event, acceptedAt map[int64]time.Time) []float64 {
+	var result []float64
+	for version, accepted := range acceptedAt {
+		for i := range events {
+			var activated int64
+			if events[i].Kind != explain.Activated {
+				continue
+			}
+			if _, err := fmt.Sscanf(events[i].Subject, versionSubject+"%d", &activated); err != nil || activated < version {
+				continue
+			}
+			result = append(result, max(0, float64(events[i].Time.Sub(accepted).Microseconds())/1000))
+			break
+		}
+	}
+	return result
+}
+
+type herdResult struct {
+	bytesPerNode   float64 // bytes a second per node while the herd restarts
+	appends, reads int64   // at the log service
+}
+
+// herd kills a third of the nodes at once, restarts them at once and waits until they are ready at the current version.
+func (r *run) herd(ctx context.Context) (float64, herdResult, error) {
+	version, err := r.fleet.Nodes[len(r.fleet.Nodes)-1].Client().Status(ctx, 0)
+	if err != nil {
+		return 0, herdResult{}, err
+	}
+	before, err := r.logStats(ctx)
+	if err != nil {
+		return 0, herdResult{}, err
+	}
+	herd := r.fleet.Nodes[:len(r.fleet.Nodes)/herdShare]
+	var group errgroup.Group
+	for _, n := range herd {
+		group.Go(func() error { n.Kill(); return nil })
+	}
+	_ = group.Wait()
+	begin := time.Now()
+	for _, n := range herd {
+		group.Go(n.Restart)
+	}
+	if err := group.Wait(); err != nil {
+		return 0, herdResult{}, err
+	}
+	if err := r.fleet.WaitVersion(ctx, readyLimit, version.Version, herd); err != nil {
+		return 0, herdResult{}, err
+	}
+	seconds := time.Since(begin).Seconds()
+	window, err := r.measure(func() error { return sleep(ctx, settleWindow) })
+	if err != nil {
+		return 0, herdResult{}, err
+	}
+	after, err := r.logStats(ctx)
+	return seconds, herdResult{
+		bytesPerNode: window.controlBytes, appends: after.Appends - before.Appends, reads: after.Reads - before.Reads,
+	}, err
+}
+
+// logStats adds up the counters of the log service over all peers.
+func (r *run) logStats(ctx context.Context) (logservice.PeerStats, error) {
+	var total logservice.PeerStats
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.fleet.LogURL+"/control/stats", nil)
+	if err != nil {
+		return total, eris.Wrap(err, "log stats")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return total, eris.Wrap(err, "log stats")
+	}
+	defer response.Body.Close()
+	var peers map[string]logservice.PeerStats
+	if err := json.NewDecoder(response.Body).Decode(&peers); err != nil {
+		return total, eris.Wrap(err, "decoding log stats")
+	}
+	for _, p := range peers {
+		total.Appends += p.Appends
+		total.Reads += p.Reads
+		total.BytesSent += p.BytesSent
+		total.BytesReceived += p.BytesReceived
+	}
+	return total, nil
+}
+
+// pollingBaseline lets one client for each node poll the log every second and returns the bytes a second at the log
+// service, the fleet's own share deducted.
+func (r *run) pollingBaseline(ctx context.Context) (float64, error) {
+	own, err := r.platformRate(ctx, func() error { return sleep(ctx, pollBaseline) })
+	if err != nil {
+		return 0, err
+	}
+	with, err := r.platformRate(ctx, func() error {
+		polling, cancel := context.WithTimeout(ctx, pollBaseline)
+		defer cancel()
+		var group errgroup.Group
+		for range r.fleet.Nodes {
+			group.Go(func() error { r.poll(polling); return nil })
+		}
+		return group.Wait()
+	})
+	return with - own, err
+}
+
+func (r *run) platformRate(ctx context.Context, during func() error) (float64, error) {
+	before, err := r.logStats(ctx)
+	if err != nil {
+		return 0, err
+	}
+	begin := time.Now()
+	if err := during(); err != nil {
+		return 0, err
+	}
+	after, err := r.logStats(ctx)
+	bytes := after.BytesReceived + after.BytesSent - before.BytesReceived - before.BytesSent
+	return float64(bytes) / time.Since(begin).Seconds(), err
+}
+
+func (r *run) poll(ctx context.Context) {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	log := platform.NewHTTPLog([]string{r.fleet.LogURL}, transport)
+	from := int64(1)
+	for ctx.Err() == nil {
+		batch, err := log.Read(ctx, platform.StreamConfig, from, 1000, 0)
+		if err == nil {
+			from = batch.Next
+		}
+		_ = sleep(ctx, pollInterval)
+	}
+}
+
+// stateBytes returns the size of the full state, which every node would get at each change without deltas.
+func (r *run) stateBytes(ctx context.Context) (int, error) {
+	log := platform.NewHTTPLog([]string{r.fleet.LogURL}, http.DefaultTransport)
+	batch, err := log.Read(ctx, platform.StreamConfig, 1, 10_000, 0)
+	if err != nil {
+		return 0, err
+	}
+	state := config.NewState()
+	for _, entry := range batch.Entries {
+		state, _ = config.Apply(state, entry.Offset, entry.Data)
+	}
+	encoded, err := state.Encode()
+	return len(encoded), err
+}
