--- a/pkg/config/property_test.go
+++ b/pkg/config/property_test.go
@@ -61,6 +61,12 @@
 		entity = ParametersEntity(anyTeam.Draw(t, "team"), template)
 	}
 	r.Entity, r.Base = entity, s.Revision(entity)
+	if rapid.IntRange(0, 4).Draw(t, "fitting verb") > 0 {
+		r.Verb = Publish
+		if known, ok := s.Entities[entity.String()]; ok && !known.Retired() {
+			r.Verb = Amend
+		}
+	}
 	if rapid.IntRange(0, 9).Draw(t, "stale") == 0 {
 		r.Base = rapid.Int64Range(0, 50).Draw(t, "base")
 	}
