security: tests of TLS, tokens and key rotation with real processes

A secure fleet runs TLS between nodes and towards operators, client certificates between nodes, and tokens. Seen failing first: without the demand for client certificates TestUnauthenticatedAccessIsRefused got an answer; without the reload TestKeysAreRotatedWithoutRestart did not see the restarted node accepted. The rotation test passed without the reload at first, because the restarted node took its configuration from the log alone; it now waits until all nodes know all backend servers.

--- a/cmd/laburnum-standin/backend.go
+++ b/cmd/laburnum-standin/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,11 +17,13 @@
 // newBackendCmd runs one backend server.
 func newBackendCmd() verb {
 	o := backend.Options{Listen: "127.0.0.1:7100", Service: "demo", Slots: 10, Connections: 120}
-	serviceMS, coldMS, executions := 20, 0, ""
+	serviceMS, coldMS, executions, tokenFile := 20, 0, "", ""
 	command := newCommand("backend", "backend server with slots, cold start, load shedding and misleading health")
 	command.String(&o.Service, "s", "service", "name of the service")
 	command.String(&o.Listen, "l", "listen", `address "ip:port"`)
 	command.String(&o.NodeAPI, "a", "api", "base URL of the API of the node in the same VM")
+	command.String(&o.CAFile, "", "ca-file", "PEM file with the certificates that the API of the node is verified against")
+	command.String(&tokenFile, "", "token-file", "file with the token for announcements")
 	command.String(&o.NodeCalls, "c", "calls", "base URL for callers of the node in the same VM, for nested calls")
 	command.String(&o.Nested, "n", "nested", "path that each request calls through the node; empty: none")
 	command.Int(&o.Slots, "", "slots", "requests served at the same time")
@@ -37,6 +40,13 @@
 			return err
 		}
 		o.Logger = logger
+		if tokenFile != "" {
+			token, err := os.ReadFile(tokenFile)
+			if err != nil {
+				return eris.Wrap(err, "reading the token")
+			}
+			o.Token = strings.TrimSpace(string(token))
+		}
 		if executions != "" {
 			file, err := os.OpenFile(executions, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 			if err != nil {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -29,6 +29,8 @@
 	Listen      string        // "ip:port"; port 0 selects a free one
 	Service     string        // name of the service
 	NodeAPI     string        // base URL of the node's operator interface; empty: no announcements
+	Token       string        // for announcements; empty: none
+	CAFile      string        // PEM certificates that NodeAPI is verified against; empty: those of the system
 	NodeCalls   string        // base URL of the node's outbound side, for nested calls
 	Slots       int           // requests served at the same time; default 10
 	Connections int           // accepted connections; default 120
@@ -108,7 +110,7 @@
 	s := &Server{
 		options:    o,
 		listener:   newLimitedListener(listener, o.Connections),
-		client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.Slots}},
+		client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.Slots, DialTLSContext: dialTrusting(o.CAFile)}},
 		random:     newLockedRandom(o.Seed),
 		slots:      make(chan struct{}, o.Slots),
 		started:    time.Now(),
--- a/standin/backend/node.go
+++ b/standin/backend/node.go
@@ -3,11 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
@@ -18,6 +23,35 @@
 	nestedTimeout  = 10 * time.Second // when the call has no deadline of its own
 )
 
+// dialTrusting opens TLS connections that are verified against the certificates in a file. It reads the file each time,
+// so that keys can be rotated.
+func dialTrusting(file string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		config, err := trustedBy(file)
+		if err != nil {
+			return nil, err
+		}
+		dialer := tls.Dialer{Config: config}
+		return dialer.DialContext(ctx, network, address)
+	}
+}
+
+// trustedBy returns the TLS settings for calls to the node.
+func trustedBy(file string) (*tls.Config, error) {
+	if file == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the certificates that the node is verified against")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, eris.Errorf("%s holds no certificate", file)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}, nil
+}
+
 // announce posts the state to the node. A failure is logged: the next announcement follows in a second.
 func (s *Server) announce(ctx context.Context, state string) {
 	if s.options.NodeAPI == "" {
@@ -40,6 +74,9 @@
 		return
 	}
 	r.Header.Set("Content-Type", "application/json")
+	if s.options.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+s.options.Token)
+	}
 	response, err := s.client.Do(r)
 	if err != nil {
 		s.options.Logger.Info("announcement_failed", zap.String("state", state), zap.Error(err))
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -47,6 +47,7 @@
 	LogLevel   string // of the nodes; default info
 	ColdStart  time.Duration
 	NoBackends bool // start nodes only
+	Secure     bool // TLS between nodes and towards operators, and tokens
 
 	// DialOverrides, if set, returns the address that nodes of a data centre connect to instead of another node's
 	// address, so that a fault-injecting proxy can stand between data centres.
@@ -72,6 +73,7 @@
 
 	node    *process
 	backend *process
+	access  *access
 }
 
 // Fleet is a running deployment.
@@ -81,6 +83,8 @@
 	LogURL  string
 
 	log       *process
+	access    *access
+	ips       []string                     // of Nodes
 	overrides map[string]map[string]string // by data centre
 }
 
@@ -142,6 +146,10 @@
 	if err := f.writeKey(); err != nil {
 		return err
 	}
+	var err error
+	if f.access, err = newAccess(f.Options.WorkDir, f.Options.Secure); err != nil {
+		return err
+	}
 	d := f.Options.Deployment
 	slots := d.slots()
 	next := make([]int, len(d.DataCentres))
@@ -153,6 +161,7 @@
 		}
 		ips[i] = fmt.Sprintf("127.%d.%d.%d", octet, s.dataCentre+1, next[s.dataCentre])
 	}
+	f.ips = ips
 	f.buildOverrides(slots, ips)
 	for i, s := range slots {
 		seeds := f.seeds(slots, ips, i)
@@ -222,10 +231,12 @@
 		Seeds:         seeds,
 		DialOverrides: f.overrides[dataCentre],
 		Platform:      settings.Platform{URLs: []string{f.logURLFor(dataCentre)}, RetentionS: retentionS},
-		Keys:          settings.Keys{ContextFiles: []string{f.path("context.key")}, AllowPlain: true},
-		Operators:     settings.Operators{AllowAnonymous: true},
+		Keys:          settings.Keys{ContextFiles: []string{f.path("context.key")}},
 		DrainTimeoutS: 60, LogLevel: level,
 	}
+	if err := f.access.configure(&nodeSettings, ip); err != nil {
+		return err
+	}
 	encoded, err := json.MarshalIndent(nodeSettings, "", "  ")
 	if err != nil {
 		return eris.Wrap(err, "encoding settings")
@@ -236,14 +247,14 @@
 	}
 	n := &Node{
 		ID: s.id, DataCentre: dataCentre, Service: s.service.Name,
-		CallURL: "http://" + at(portCalls), APIURL: "http://" + at(portAPI), BackendURL: "http://" + at(portBackend),
+		CallURL: "http://" + at(portCalls), APIURL: f.access.scheme() + at(portAPI), access: f.access, BackendURL: "http://" + at(portBackend),
 	}
 	n.node = newProcess(f.path(s.id+".node.log"), f.binary("laburnumd"), "--settings", file)
-	n.backend = newProcess(f.path(s.id+".backend.log"), f.binary("laburnum-standin"), "backend",
+	n.backend = newProcess(f.path(s.id+".backend.log"), f.binary("laburnum-standin"), append([]string{"backend",
 		"--service", s.service.Name, "--listen", at(portBackend), "--api", n.APIURL,
 		"--slots", strconv.Itoa(d.Slots), "--connections", strconv.Itoa(d.Connections),
 		"--service-time-ms", strconv.Itoa(s.service.ServiceTimeMS),
-		"--executions", f.path(s.id+".executions"), "--cold-start-ms", strconv.FormatInt(f.Options.ColdStart.Milliseconds(), 10))
+		"--executions", f.path(s.id + ".executions"), "--cold-start-ms", strconv.FormatInt(f.Options.ColdStart.Milliseconds(), 10)}, f.access.backendFlags()...)...)
 	f.Nodes = append(f.Nodes, n)
 	return nil
 }
@@ -313,6 +324,9 @@
 // Resume continues a frozen process.
 func (n *Node) Resume() error { return n.node.signal(syscall.SIGCONT) }
 
+// Reload makes the node read its key files again.
+func (n *Node) Reload() error { return n.node.signal(syscall.SIGHUP) }
+
 // PID returns the process id of the node.
 func (n *Node) PID() int {
 	n.node.mu.Lock()
--- a/standin/fleet/observe.go
+++ b/standin/fleet/observe.go
@@ -22,7 +22,7 @@
 
 // Client returns a client of the node's interface for operators.
 func (n *Node) Client() *operator.Client {
-	return operator.NewClient([]string{n.APIURL}, "", http.DefaultTransport)
+	return operator.NewClient([]string{n.APIURL}, n.access.token, n.access.transport)
 }
 
 // CallAddresses returns the "ip:port" of every node's interface for callers.
@@ -88,8 +88,13 @@
 
 // Metrics reads the counters and gauges of the node.
 func (n *Node) Metrics() (map[string]float64, error) {
-	client := &http.Client{Timeout: requestTimeout}
-	response, err := client.Get(n.APIURL + "/metrics")
+	client := &http.Client{Timeout: requestTimeout, Transport: n.access.transport}
+	request, err := http.NewRequest(http.MethodGet, n.APIURL+"/metrics", nil)
+	if err != nil {
+		return nil, eris.Wrapf(err, "metrics of %s", n.ID)
+	}
+	request.Header.Set("Authorization", "Bearer "+n.access.token)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, eris.Wrapf(err, "metrics of %s", n.ID)
 	}
--- /dev/null
+++ b/test/failures/security_test.go
@@ -0,0 +1,78 @@
+package failures
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/pkg/operator"
+	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
+	"github.com/laburnumcleat/laburnumcleat/standin/fleet"
+)
+
+func startSecure(t *testing.T) *cluster {
+	c := startCluster(t, fleet.Falaj(), func(o *fleet.Options) { o.Secure = true })
+	c.publishExamples()
+	require.NoError(t, c.WaitEndpoints(c.ctx, settleLimit))
+	return c
+}
+
+// Guards against interfaces that accept processes without a certificate or operators without a token.
+func TestUnauthenticatedAccessIsRefused(t *testing.T) {
+	c := startSecure(t)
+	n := c.Nodes[0]
+	for _, token := range []string{"", "not-a-token-of-this-fleet"} {
+		client := operator.NewClient([]string{n.APIURL}, token, c.Transport())
+		_, err := client.Members(c.ctx)
+		require.Equal(t, apierror.Unauthenticated, apierror.KindOf(err), "%v", err)
+	}
+	backendOnly := operator.NewClient([]string{n.APIURL}, c.BackendToken(), c.Transport())
+	_, err := backendOnly.Publish(c.ctx, &config.Record{ID: "0190a2b4-0000-7000-8000-000000000000", Verb: config.Retire,
+		Entity: config.Entity{Kind: config.KindTemplate, Name: "ranks"}, Base: 1})
+	require.Equal(t, apierror.Forbidden, apierror.KindOf(err), "%v", err)
+
+	plain := rpc.NewClient(&rpc.Bytes{}, nil)
+	defer plain.Close()
+	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+	defer cancel()
+	require.Error(t, plain.Call(ctx, c.ControlAddress(0), "node.status", struct{}{}, nil), "plain JSON-RPC")
+	response, err := http.Get("http://" + c.NodesAddress(0) + "/")
+	if err == nil {
+		response.Body.Close()
+		require.Equal(t, http.StatusBadRequest, response.StatusCode, "plain HTTP on the port for nodes")
+	}
+	anonymous := http.Client{Transport: c.Transport(), Timeout: callTimeout}
+	_, err = anonymous.Get("https://" + c.NodesAddress(0) + "/")
+	require.ErrorContains(t, err, "certificate required", "TLS without a client certificate")
+	// A connection that never sends anything must not keep others out.
+	silent, err := net.DialTimeout("tcp", c.ControlAddress(0), time.Second)
+	require.NoError(t, err)
+	defer silent.Close()
+	_, err = n.Client().Members(c.ctx)
+	require.NoError(t, err)
+}
+
+// Guards against key rotation that needs a restart or separates nodes with old keys from nodes with new ones.
+func TestKeysAreRotatedWithoutRestart(t *testing.T) {
+	c := startSecure(t)
+	version := c.publishCanary()
+	require.NoError(t, c.WaitVersion(c.ctx, settleLimit, version, c.Nodes))
+	require.NoError(t, c.RotateKeys())
+	restarted := c.Nodes[len(c.Nodes)-1]
+	restarted.KillVM() // opens new connections with the new certificates in both directions
+	require.NoError(t, restarted.RestartVM())
+	require.NoError(t, c.WaitEndpoints(c.ctx, settleLimit), "all nodes accept the restarted one")
+	c.eventually("a version published after the rotation is in force everywhere", func() bool {
+		result, err := c.tryChange(c.Nodes[0], config.Amend, canaryParameters, c.canary(2))
+		return err == nil && result.Outcome == config.Accepted
+	})
+	for _, n := range c.Nodes {
+		c.eventually(n.ID+" serves generation 2", func() bool { return c.serves(n, 2) })
+	}
+}
