--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -16,8 +16,9 @@
 	s.queue[id] = &broadcast{id: id}
 }
 
-// takeDeltas appends the changes sent least often, up to the size limit of a message, and counts them as sent.
-func (s *system) takeDeltas(now time.Time, deltas []update) []update {
+// takeDeltas appends the changes sent least often, up to the size limit of a message, and counts them as sent. Those
+// about members in received are left out: sending them back would use up their transmissions on peers that have them.
+func (s *system) takeDeltas(now time.Time, deltas, received []update) []update {
 	if len(s.queue) == 0 {
 		return deltas
 	}
@@ -29,6 +30,9 @@
 			delete(s.queue, b.id)
 			continue
 		}
+		if slices.ContainsFunc(received, func(u update) bool { return u.ID == b.id }) {
+			continue
+		}
 		u := e.delta(now)
 		room -= u.size()
 		if room < 0 {
@@ -83,9 +87,18 @@
 		if len(chosen) == n {
 			break
 		}
-		if e := s.partner(i); e.Status == Alive && !slices.Contains(chosen, e) {
+		if e := s.partner(i); s.hearsGossip(e) && !slices.Contains(chosen, e) {
 			chosen = append(chosen, e)
 		}
 	}
 	return chosen
 }
+
+// hearsGossip includes a new suspect, so that it learns of the suspicion even if the first message about it was lost.
+func (s *system) hearsGossip(e *entry) bool {
+	if e.Status == Alive {
+		return true
+	}
+	waiting := s.suspicions[e.ID]
+	return waiting != nil && waiting.held.IsZero()
+}
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -49,6 +49,7 @@
 	if starting {
 		clear(s.queue) // the others have these members already; only this member is news
 	}
+	s.rebuildRing()
 	s.enqueue(s.self)
 	s.nextGossip = now
 }
--- /dev/null
+++ b/pkg/membership/partition_test.go
@@ -0,0 +1,100 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// isolate cuts a data centre off from the others.
+func (x *exchange) isolate(dataCentre string) {
+	inside := func(id string) bool {
+		i := x.nodes[id].me().DataCentre
+		return i == dataCentre
+	}
+	x.blocked = func(a, b string) bool { return inside(a) != inside(b) }
+}
+
+func (x *exchange) heal() {
+	x.blocked = func(string, string) bool { return false }
+}
+
+func (x *exchange) allAlive() bool {
+	for id := range x.nodes {
+		if x.knownBy(id, Alive) != len(x.nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// seeds is the number of runs: a run of the large fleet takes seconds.
+func seeds(n int) int {
+	return max(1, 60/n)
+}
+
+// Guards against a partition that is taken for many deaths: both sides must keep the other's members as suspect, find
+// each other again, and still notice a single death on their own side.
+func TestPartitionOfDataCentre(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{12, 192} {
+		for seed := range uint64(seeds(n)) {
+			x := newExchange(t, n, 10+seed)
+			x.advance(3 * time.Second)
+			x.isolate("seeb")
+			x.advance(10 * time.Second)
+			require.Empty(t, x.deaths(), "%d members, seed %d", n, seed)
+			require.Equal(t, n-n/3, x.knownBy(nodeID(0), Suspect), "the far side sees suspects")
+
+			victim := nodeID(1)
+			x.nodes[victim].up = false
+			x.advance(20 * time.Second)
+			require.Equal(t, n-n/3-1, x.knownBy(victim, Dead), "its own side sees the death")
+			x.advance(2 * time.Minute)
+			require.Equal(t, []string{victim}, x.deaths(), "%d members, seed %d", n, seed)
+
+			delete(x.nodes, victim)
+			x.heal()
+			healed := x.now
+			for !x.allAlive() {
+				x.advance(100 * time.Millisecond)
+				require.LessOrEqual(t, x.now.Sub(healed), 30*time.Second, "%d members, seed %d", n, seed)
+			}
+			if seed == 0 {
+				t.Logf("%d members: all alive to all %v after healing", n, x.now.Sub(healed))
+			}
+		}
+	}
+}
+
+// Guards against suspects that are kept forever after their data centre was lost for good.
+func TestLostDataCentreIsDeadInTheEnd(t *testing.T) {
+	t.Parallel()
+	x := newExchange(t, 12, 4)
+	x.advance(time.Second)
+	for id, node := range x.nodes {
+		if node.me().DataCentre == "seeb" {
+			node.up = false
+			defer func() { require.Positive(t, x.knownBy(id, Dead)) }()
+		}
+	}
+	x.advance(x.timing.PartitionHold / 2)
+	require.Empty(t, x.deaths())
+	x.advance(x.timing.PartitionHold/2 + 10*time.Second)
+}
+
+// Guards against an isolated member that declares the fleet dead, and against a fleet that never takes it back.
+func TestIsolatedMemberComesBack(t *testing.T) {
+	t.Parallel()
+	x := newExchange(t, 24, 5)
+	x.advance(time.Second)
+	alone := nodeID(7)
+	x.blocked = func(a, b string) bool { return a == alone || b == alone }
+	x.advance(30 * time.Second)
+	require.Equal(t, []string{alone}, x.deaths(), "the isolated member declares nobody dead")
+	require.Equal(t, 23, x.knownBy(alone, Dead))
+	x.heal()
+	x.advance(time.Minute)
+	require.True(t, x.allAlive())
+}
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -63,17 +63,23 @@
 // Independent random choices would leave 1 member in 7 without a probe for 2 s. Where clocks or tables differ the
 // choice is merely random. The few distances keep the number of connections at log2 of the fleet size.
 func (s *system) sendProbe(now time.Time, out []message) []message {
+	out = s.sendPlanned(now, out) // a target due at the end of its round is probed after it
 	offsets := s.offsets()
 	if offsets == 0 || s.position < 0 {
 		return out
 	}
 	interval := int64(s.timing.ProbeInterval)
 	round := now.UnixNano() / interval
-	if round != s.slot.round {
-		target := s.partner(int(round % int64(offsets)))
-		phase := int64(target.hash % uint64(interval))
-		s.slot = probeSlot{round: round, target: target.ID, due: time.Unix(0, round*interval+phase)}
+	if round == s.slot.round {
+		return out
 	}
+	target := s.partner(int(round % int64(offsets)))
+	phase := int64(target.hash % uint64(interval))
+	s.slot = probeSlot{round: round, target: target.ID, due: time.Unix(0, round*interval+phase)}
+	return s.sendPlanned(now, out)
+}
+
+func (s *system) sendPlanned(now time.Time, out []message) []message {
 	if s.slot.target == "" || now.Before(s.slot.due) {
 		return out
 	}
@@ -99,15 +105,15 @@
 
 // probeMessage builds a probe or gossip message. A target under suspicion learns of it first.
 func (s *system) probeMessage(now time.Time, target *entry) message {
-	p := s.packet(now, target)
+	p := s.packet(now, target, nil)
 	p.To = target.ID
 	return message{
 		method: methodProbe, to: target.ID, address: target.ControlAddress, packet: p, timeout: 2 * s.timing.ProbeTimeout,
 	}
 }
 
-// packet builds a packet for a peer, which may be nil.
-func (s *system) packet(now time.Time, peer *entry) packet {
+// packet builds a packet for a peer, which may be nil. Changes that the peer itself has just sent are not sent back.
+func (s *system) packet(now time.Time, peer *entry, received []update) packet {
 	beat := s.beat()
 	p := packet{
 		From: s.self, Incarnation: s.me().Incarnation, Digest: s.table.digest(), Version: beat.Version, State: beat.Digest,
@@ -115,7 +121,7 @@
 	if peer != nil && peer.Status != Alive {
 		p.Deltas = append(p.Deltas, peer.delta(now))
 	}
-	p.Deltas = s.takeDeltas(now, p.Deltas)
+	p.Deltas = s.takeDeltas(now, p.Deltas, received)
 	return p
 }
 
@@ -137,7 +143,7 @@
 
 func (s *system) sendIndirect(now time.Time, number uint64, p *probe, out []message) []message {
 	for _, helper := range s.randomMembers(s.timing.IndirectProbes, p.target) {
-		request := s.packet(now, helper)
+		request := s.packet(now, helper, nil)
 		request.To = p.target
 		out = append(out, message{
 			method: methodIndirect, to: helper.ID, address: helper.ControlAddress, probe: number, packet: request,
@@ -203,13 +209,33 @@
 	if p.To != s.self || s.superseded {
 		return packet{}, false
 	}
-	s.apply(now, p.Deltas)
+	outdated := s.apply(now, p.Deltas)
+	s.hear(now, p.From)
 	sender := s.table.entries[p.From]
-	reply := s.packet(now, s.contradicted(sender, p.Incarnation))
+	reply := s.packet(now, s.contradicted(sender, p.Incarnation), p.Deltas)
+	reply.Deltas = s.corrections(now, outdated, reply.Deltas)
 	reply.Stranger = sender == nil || sender.ControlAddress == ""
 	return reply, true
 }
 
+// corrections appends the entries that the peer has out of date, within the size limit of a message. A member that
+// missed a refutation passes the suspicion on and so gets the refutation back before it declares a death.
+func (s *system) corrections(now time.Time, outdated []string, deltas []update) []update {
+	room := s.timing.MaxDeltaBytes
+	for _, u := range deltas {
+		room -= u.size()
+	}
+	for _, id := range outdated {
+		u := s.table.entries[id].delta(now)
+		room -= u.size()
+		if room < 0 {
+			break
+		}
+		deltas = append(deltas, u)
+	}
+	return deltas
+}
+
 // handleIndirect takes in a request for an indirect probe and returns the probe to send, or false if this member does not
 // know the target.
 func (s *system) handleIndirect(now time.Time, p packet) (message, bool) {
@@ -228,7 +254,7 @@
 
 // indirectReply tells the prober whether the target answered.
 func (s *system) indirectReply(now time.Time, answered bool) packet {
-	reply := s.packet(now, nil)
+	reply := s.packet(now, nil, nil)
 	reply.Failed = !answered
 	return reply
 }
@@ -253,6 +279,7 @@
 		return
 	}
 	s.apply(now, p.Deltas)
+	s.hear(now, p.From)
 	if p.Failed {
 		return
 	}
--- a/pkg/membership/suspicion.go
+++ b/pkg/membership/suspicion.go
@@ -9,19 +9,32 @@
 // partitionMinimum is the least number of unreachable members in a data centre that is taken for a partition.
 const partitionMinimum = 3
 
+// contactProbes is the number of members of a data centre that are probed before one of them is declared dead without
+// recent contact to the others.
+const contactProbes = 3
+
 // suspicion is the time left for a suspect to refute.
 type suspicion struct {
+	since    time.Time
 	deadline time.Time
+	checked  bool      // contact to the rest of its data centre was checked
 	held     time.Time // since when a partition is assumed; zero if none
 }
 
 func (s *system) beginSuspicion(now time.Time, e *entry) {
 	s.notice.count("membership_suspected")
-	s.suspicions[e.ID] = &suspicion{deadline: now.Add(s.timing.suspicion(s.size()))}
+	deadline := now.Add(s.timing.suspicion(s.size()))
+	s.suspicions[e.ID] = &suspicion{since: now, deadline: deadline}
+	if deadline.Before(s.nextExpiry) || len(s.suspicions) == 1 {
+		s.nextExpiry = deadline
+	}
 }
 
 // expireSuspicions declares suspects dead whose time is over, except those that seem to be behind a partition.
-func (s *system) expireSuspicions(now time.Time) {
+func (s *system) expireSuspicions(now time.Time, out []message) []message {
+	if len(s.suspicions) == 0 || now.Before(s.nextExpiry) {
+		return out
+	}
 	var counts map[string]reach
 	for _, id := range sortedKeys(s.suspicions) {
 		waiting := s.suspicions[id]
@@ -36,10 +49,82 @@
 		if counts == nil {
 			counts = s.countReach(now)
 		}
-		if s.hold(now, e, waiting, counts[e.DataCentre]) {
+		r := counts[e.DataCentre]
+		contact := s.hasContact(e, waiting.since, r)
+		if !contact && !waiting.checked {
+			waiting.checked = true
+			waiting.deadline = now.Add(2 * s.timing.ProbeTimeout)
+			if now.Sub(s.contactChecks[e.DataCentre]) >= 2*s.timing.ProbeTimeout {
+				s.contactChecks[e.DataCentre] = now
+				out = s.checkContact(now, e, out)
+			}
 			continue
 		}
-		s.declareDead(now, e)
+		if !s.hold(now, e, waiting, r.partitioned() || !contact) {
+			s.declareDead(now, e)
+		}
+	}
+	s.planExpiry(now)
+	return out
+}
+
+func (s *system) planExpiry(now time.Time) {
+	s.nextExpiry = now.Add(s.timing.PartitionHold)
+	for _, waiting := range s.suspicions {
+		if waiting.deadline.Before(s.nextExpiry) {
+			s.nextExpiry = waiting.deadline
+		}
+	}
+}
+
+// hasContact reports whether another member of the suspect's data centre was heard since the suspicion began. Without
+// contact the whole data centre, or this member, may be cut off. If the data centre has no other member, contact to
+// any member counts, and a fleet of two cannot tell.
+func (s *system) hasContact(e *entry, since time.Time, r reach) bool {
+	others := r.members - 1
+	if e.DataCentre == s.me().DataCentre {
+		others--
+	}
+	if others > 0 {
+		return !s.heard[e.DataCentre].Before(since)
+	}
+	if len(s.ring) <= 2 {
+		return true
+	}
+	for _, at := range s.heard {
+		if !at.Before(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkContact probes other members of the suspect's data centre, or any others if there are none.
+func (s *system) checkContact(now time.Time, suspect *entry, out []message) []message {
+	var near, far []*entry
+	for _, i := range s.random.Perm(len(s.ring)) {
+		e := s.ring[i]
+		switch {
+		case e == suspect || e.ID == s.self:
+		case e.DataCentre == suspect.DataCentre:
+			near = append(near, e)
+		default:
+			far = append(far, e)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	for _, e := range near[:min(len(near), contactProbes)] {
+		out = append(out, s.probeMessage(now, e))
+	}
+	return out
+}
+
+// hear notes a message from a member.
+func (s *system) hear(now time.Time, id string) {
+	if e := s.table.entries[id]; e != nil {
+		s.heard[e.DataCentre] = now
 	}
 }
 
@@ -71,16 +156,18 @@
 	return counts
 }
 
-// hold prolongs the suspicion while most of the data centre is unreachable, up to PartitionHold. A suspect that is
-// still silent when the rest of its data centre is back gets the usual time again.
-func (s *system) hold(now time.Time, e *entry, waiting *suspicion, r reach) bool {
+// hold prolongs the suspicion while a partition is assumed, up to PartitionHold. A suspect that is still silent when
+// the rest of its data centre is back gets the usual time again.
+func (s *system) hold(now time.Time, e *entry, waiting *suspicion, partitioned bool) bool {
+	if !partitioned && waiting.held.IsZero() {
+		return false
+	}
+	waiting.since = now
 	usual := s.timing.suspicion(s.size())
-	if !r.partitioned() {
-		if waiting.held.IsZero() {
-			return false
-		}
+	waiting.deadline = now.Truncate(usual).Add(2 * usual) // all that are held are looked at in the same tick
+	waiting.checked = true                                // the usual probes reach the data centre often enough
+	if !partitioned {
 		waiting.held = time.Time{}
-		waiting.deadline = now.Add(usual)
 		return true
 	}
 	if waiting.held.IsZero() {
@@ -88,7 +175,6 @@
 		s.notice.count("membership_held")
 		s.explainEvent(now, explain.Suspected, e.ID, "most of data centre "+e.DataCentre+" is unreachable: kept as suspect")
 	}
-	waiting.deadline = now.Add(usual)
 	return now.Sub(waiting.held) < s.timing.PartitionHold
 }
 
--- a/pkg/membership/system.go
+++ b/pkg/membership/system.go
@@ -21,14 +21,18 @@
 	ringChanges uint64   // table.changes when the ring was built
 	position    int      // of self in the ring
 
-	lastTick   time.Time
-	slot       probeSlot
-	probes     map[uint64]*probe
-	nextProbe  uint64
-	suspicions map[string]*suspicion
-	queue      map[string]*broadcast
-	nextGossip time.Time
-	nextRetry  time.Time // next probe of a dead member
+	lastTick      time.Time
+	slot          probeSlot
+	probes        map[uint64]*probe
+	nextProbe     uint64
+	suspicions    map[string]*suspicion
+	nextExpiry    time.Time            // no suspicion ends before
+	heard         map[string]time.Time // latest message from each data centre
+	contactChecks map[string]time.Time // latest check of the contact to each data centre
+	queue         map[string]*broadcast
+	nextGossip    time.Time
+	nextRetry     time.Time // next probe of a dead member
+	nextForget    time.Time
 
 	mismatchSince time.Time // since when no peer has had the same digest
 	nextSync      time.Time
@@ -48,7 +52,7 @@
 func newSystem(timing Timing, self Member, beat func() Beat, random *rand.Rand, n notices) *system {
 	s := &system{
 		timing: timing, table: NewTable(timing.Retention), random: random, self: self.ID, beat: beat, notice: n,
-		probes: make(map[uint64]*probe), suspicions: make(map[string]*suspicion), queue: make(map[string]*broadcast),
+		probes: make(map[uint64]*probe), suspicions: make(map[string]*suspicion), heard: make(map[string]time.Time), contactChecks: make(map[string]time.Time), queue: make(map[string]*broadcast),
 	}
 	self.Status = Alive
 	s.table.merge(time.Time{}, self, 0)
@@ -66,13 +70,11 @@
 		return nil
 	}
 	s.forgivePause(now)
-	for _, id := range s.table.forgetEnded(now) {
-		delete(s.queue, id)
-	}
+	s.forget(now)
 	s.rebuildRing()
 	var out []message
 	out = s.expireProbes(now, out)
-	s.expireSuspicions(now)
+	out = s.expireSuspicions(now, out)
 	s.rebuildRing()
 	out = s.sendProbe(now, out)
 	out = s.retryDead(now, out)
@@ -80,6 +82,16 @@
 	return out
 }
 
+func (s *system) forget(now time.Time) {
+	if now.Before(s.nextForget) {
+		return
+	}
+	s.nextForget = now.Add(s.timing.ProbeInterval)
+	for _, id := range s.table.forgetEnded(now) {
+		delete(s.queue, id)
+	}
+}
+
 // forgivePause drops the pending probes and prolongs suspicions when this process itself was stopped: the silence says
 // nothing about the others.
 func (s *system) forgivePause(now time.Time) {
@@ -130,24 +142,29 @@
 	return s.sendDeltas(now, s.randomMembers(leaveFanout, ""), nil)
 }
 
-// apply merges the updates of another member.
-func (s *system) apply(now time.Time, updates []update) {
+// apply merges the updates of another member and returns the ids of those that are out of date there.
+func (s *system) apply(now time.Time, updates []update) []string {
+	var outdated []string
 	for _, u := range updates {
 		if !u.valid() {
 			s.notice.count("membership_invalid_update")
 			continue
 		}
-		s.applyOne(now, u)
+		m := u.member()
+		s.applyOne(now, m, time.Duration(u.AgeMS)*time.Millisecond)
+		if e := s.table.entries[m.ID]; e != nil && e.overrides(m) {
+			outdated = append(outdated, m.ID)
+		}
 	}
+	return outdated
 }
 
-func (s *system) applyOne(now time.Time, u update) {
-	m := u.member()
+func (s *system) applyOne(now time.Time, m Member, age time.Duration) {
 	if m.ID == s.self {
 		s.applyAboutSelf(now, m)
 		return
 	}
-	c := s.table.merge(now, m, time.Duration(u.AgeMS)*time.Millisecond)
+	c := s.table.merge(now, m, age)
 	if !c.any() {
 		return
 	}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -125,6 +125,14 @@
 	return a.Status.precedence() > b.Status.precedence()
 }
 
+// overrides reports whether the status known here is newer than that of m.
+func (e *entry) overrides(m Member) bool {
+	if e.Incarnation != m.Incarnation {
+		return e.Incarnation > m.Incarnation
+	}
+	return newer(e.Member, m)
+}
+
 // touch renews the digest after a change of e.
 func (t *Table) touch(e *entry) {
 	t.changes++
