--- /dev/null
+++ b/pkg/outbound/pick.go
@@ -0,0 +1,204 @@
+package outbound
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+)
+
+// tier orders endpoints by preference. A later tier is used when the earlier ones are short of capacity.
+type tier int
+
+const (
+	tierDataCentre tier = iota // own data centre
+	tierRegion                 // own region
+	tierFar                    // other regions
+	tierRefusing               // endpoints that refused lately or are sure to refuse this call
+	tierSuspect                // members that do not answer probes
+	tierCount
+)
+
+func (h *Handler) tierOf(m *membership.Member) tier {
+	self := &h.options.Self
+	switch {
+	case m.Status != membership.Alive:
+		return tierSuspect
+	case m.Region != self.Region:
+		return tierFar
+	case m.DataCentre != self.DataCentre:
+		return tierRegion
+	default:
+		return tierDataCentre
+	}
+}
+
+// candidate is one endpoint that a call may use.
+type candidate struct {
+	member *membership.Member
+	state  *endpoint
+	score  float64 // estimated load for each unit of weight; lower is better
+	full   bool    // no slot is estimated to be free
+	spare  bool    // at most half of the slots are estimated to be in use
+}
+
+// pick chooses an endpoint among members, without those in tried. Within a tier the better of two random ones is
+// chosen; if it has no free slot, the next tier is looked at. It returns nil if no endpoint is left.
+func (h *Handler) pick(c *call, members []membership.Member, tried map[endpointKey]bool) *candidate {
+	now := h.now()
+	tiers := h.sample(c, members, tried, now)
+	var best *candidate
+	for t := tierDataCentre; t < tierRefusing; t++ {
+		chosen := h.better(&tiers[t], now)
+		if chosen == nil {
+			continue
+		}
+		if !chosen.full {
+			return chosen
+		}
+		if best == nil || best.score >= noLimitScore {
+			best = chosen
+		}
+	}
+	if best != nil {
+		return best
+	}
+	if chosen := h.better(&tiers[tierRefusing], now); chosen != nil {
+		return chosen
+	}
+	return h.better(&tiers[tierSuspect], now)
+}
+
+// pair is a random sample of up to two endpoints of one tier.
+type pair struct {
+	seen    int // endpoints that the sample was taken from
+	members [2]*membership.Member
+	states  [2]*endpoint
+}
+
+// offer adds an endpoint to the sample so that each pair of those offered is equally likely.
+func (p *pair) offer(member *membership.Member, state *endpoint, random func(n int) int) {
+	slot := p.seen
+	p.seen++
+	if slot >= len(p.members) {
+		slot = random(p.seen)
+	}
+	if slot < len(p.members) {
+		p.members[slot], p.states[slot] = member, state
+	}
+}
+
+// sample takes two random endpoints of each tier. Ejected ones are left out, unless more than half of the service is
+// ejected: members that left since may have pushed the ejected ones above the cap.
+func (h *Handler) sample(c *call, members []membership.Member, tried map[endpointKey]bool, now time.Time) [tierCount]pair {
+	var tiers [tierCount]pair
+	var buffer [64]*endpoint // enough for most services without an allocation
+	states := h.endpoints.of(members, buffer[:0], now)
+	ejected := 0
+	for _, state := range states {
+		if state.ejected(now) {
+			ejected++
+		}
+	}
+	ignoreEjection := ejected*2 > len(members)
+	for i, state := range states {
+		member := &members[i]
+		if !ignoreEjection && state.ejected(now) || len(tried) > 0 && tried[keyOf(member)] {
+			continue
+		}
+		t := h.tierOf(member)
+		if t < tierRefusing && (state.avoided(c.firstOnly(), now) || c.tooEarlyFor(member)) {
+			t = tierRefusing
+		}
+		tiers[t].offer(member, state, h.random)
+	}
+	return tiers
+}
+
+// better rates a sample and returns its less loaded endpoint, or nil if the sample is empty.
+func (h *Handler) better(p *pair, now time.Time) *candidate {
+	if p.seen == 0 {
+		return nil
+	}
+	first := rate(p.members[0], p.states[0], now)
+	if p.seen == 1 {
+		return first
+	}
+	second := rate(p.members[1], p.states[1], now)
+	if h.random(2) == 1 { // equal scores must not favour the order of the members
+		first, second = second, first
+	}
+	if second.score < first.score {
+		return second
+	}
+	return first
+}
+
+// noLimitScore ranks endpoints that report a limit of 0, which take no calls, after all others.
+const noLimitScore = 1e9
+
+func rate(member *membership.Member, state *endpoint, now time.Time) *candidate {
+	c := &candidate{member: member, state: state}
+	slots := 1
+	weight := state.weight(now)
+	if member.Endpoint != nil {
+		slots = member.Endpoint.Slots
+		if member.Endpoint.State == membership.EndpointWarming {
+			weight = minWeight
+		}
+	}
+	calls, limit := state.load(now, slots)
+	c.full = calls >= limit
+	c.spare = calls*2 <= limit && limit > 0
+	c.score = noLimitScore + calls
+	if limit > 0 {
+		c.score = (calls + 1) / (limit * weight)
+	}
+	return c
+}
+
+// firstOnly reports whether the call runs only on an endpoint that accepts it as attempt 1.
+func (c *call) firstOnly() bool {
+	return !c.route.Idempotent && !c.resend
+}
+
+// tooEarlyFor reports whether the id is older than the member's presence record can be. Such a member is sure to refuse
+// the call, because its predecessor may have run it.
+func (c *call) tooEarlyFor(m *membership.Member) bool {
+	started := time.UnixMilli(int64(m.Incarnation))
+	return c.firstOnly() && !c.idTime.After(started.Add(callctx.ClockError))
+}
+
+// settle counts a verdict on an endpoint and ejects it when it is due and the cap of half of the service allows it.
+func (h *Handler) settle(service string, c *candidate, v verdict) {
+	now := h.now()
+	if !c.state.observe(v, now) {
+		return
+	}
+	h.ejecting.Lock()
+	defer h.ejecting.Unlock()
+	members := h.options.Endpoints(service)
+	ejected := 0
+	for i := range members {
+		if h.endpoints.get(keyOf(&members[i]), now).ejected(now) {
+			ejected++
+		}
+	}
+	if c.state.ejected(now) {
+		return
+	}
+	if (ejected+1)*2 > len(members) {
+		h.options.Metrics.Inc("outbound_ejection_capped")
+		return
+	}
+	h.reportEjection(service, c, c.state.eject(now))
+}
+
+func (h *Handler) reportEjection(service string, c *candidate, duration time.Duration) {
+	h.options.Metrics.Inc("outbound_ejection")
+	h.options.Explain(explain.Event{Time: h.now(), Kind: explain.Ejected, Subject: c.member.ID, Cause: "calls to it failed in a row; not used for " + duration.String()})
+	h.options.Logger.Info("endpoint ejected", zap.String("member", c.member.ID), zap.String("service", service), zap.Duration("duration", duration))
+}
