--- /dev/null
+++ b/pkg/rpc/frame_test.go
@@ -0,0 +1,34 @@
+package rpc
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// FuzzReadObject guards against frames that make the decoder panic, read past their end, or take what is cut short.
+func FuzzReadObject(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x02{}rest"))
+	f.Add([]byte("\x00\x00\x00\x02{"))
+	f.Add([]byte("\xff\xff\xff\xff{}"))
+	f.Add([]byte("\x00"))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		stream := bufio.NewReader(bytes.NewReader(data))
+		var got json.RawMessage
+		err := frameCodec{}.ReadObject(stream, &got)
+		if err != nil {
+			return
+		}
+		require.GreaterOrEqual(t, len(data), headerBytes+len(got))
+		require.True(t, json.Valid(got))
+		var out bytes.Buffer
+		require.NoError(t, frameCodec{}.WriteObject(&out, got))
+		var again json.RawMessage
+		require.NoError(t, frameCodec{}.ReadObject(bufio.NewReader(&out), &again))
+		require.JSONEq(t, string(got), string(again))
+	})
+}
--- /dev/null
+++ b/pkg/rpc/rpc_test.go
@@ -0,0 +1,266 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
+// startServer serves "echo", "fail", "large" and "wait"; the last one answers when its context ends.
+func startServer(t *testing.T, tlsConfig *tls.Config) (*Server, string) {
+	t.Helper()
+	server := NewServer(&Bytes{})
+	server.Handle("echo", func(_ context.Context, params json.RawMessage) (any, error) { return params, nil })
+	server.Handle("fail", func(context.Context, json.RawMessage) (any, error) {
+		return nil, &apierror.Error{Kind: apierror.Conflict, Field: "base", Message: "is stale", Remedy: "read again"}
+	})
+	server.Handle("large", func(context.Context, json.RawMessage) (any, error) {
+		return strings.Repeat("x", MaxMessageBytes), nil
+	})
+	server.Handle("wait", func(ctx context.Context, _ json.RawMessage) (any, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	listener := listen(t)
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = server.Serve(listener, tlsConfig) })
+	t.Cleanup(func() { server.Close(); serving.Wait() })
+	return server, listener.Addr().String()
+}
+
+func startClient(t *testing.T, tlsConfig *tls.Config) *Client {
+	t.Helper()
+	client := NewClient(&Bytes{}, tlsConfig)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// background bounds calls only to end a run that hangs; no verdict depends on how long a call takes.
+func background(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func echo(ctx context.Context, c *Client, address, text string) error {
+	var got string
+	if err := c.Call(ctx, address, "echo", text, &got); err != nil {
+		return err
+	}
+	if got != text {
+		return errors.New("got the answer to another call: " + got)
+	}
+	return nil
+}
+
+// Guards against errors that lose their kind or remedy on the way, and against calls of another version that hang.
+func TestErrorsOfCalls(t *testing.T) {
+	_, address := startServer(t, nil)
+	client := startClient(t, nil)
+	ctx := background(t)
+	err := client.Call(ctx, address, "fail", nil, nil)
+	require.Equal(t, &apierror.Error{Kind: apierror.Conflict, Field: "base", Message: "is stale", Remedy: "read again"}, err)
+	require.Equal(t, apierror.NotFound, apierror.KindOf(client.Call(ctx, address, "unknown", nil, nil)))
+	require.Equal(t, apierror.TooLarge, apierror.KindOf(client.Call(ctx, address, "large", nil, nil)))
+
+	oversized := strings.Repeat("x", MaxMessageBytes)
+	require.Equal(t, apierror.TooLarge, apierror.KindOf(client.Call(ctx, address, "echo", oversized, nil)))
+	require.NoError(t, echo(ctx, client, address, "still usable"))
+
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.Equal(t, apierror.Unavailable, apierror.KindOf(echo(ended, client, address, "late")))
+	closed := listen(t)
+	closed.Close()
+	require.Equal(t, apierror.Unavailable, apierror.KindOf(echo(background(t), client, closed.Addr().String(), "x")))
+}
+
+// Guards against answers that reach the wrong caller and against one connection per caller.
+func TestConcurrentCallersShareOneConnection(t *testing.T) {
+	server, address := startServer(t, nil)
+	client := startClient(t, nil)
+	ctx := background(t)
+	failures := make(chan error, 300)
+	for i := range cap(failures) {
+		go func() { failures <- echo(ctx, client, address, strconv.Itoa(i)) }()
+	}
+	for range cap(failures) {
+		require.NoError(t, <-failures)
+	}
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	require.Len(t, server.accepted, 1)
+}
+
+// Guards against a call that fails because the kept connection was closed as idle before the request was sent.
+func TestCallOnClosedConnectionIsSentOnNewOne(t *testing.T) {
+	_, address := startServer(t, nil)
+	client := startClient(t, nil)
+	require.NoError(t, echo(background(t), client, address, "first"))
+	closed := client.cached(address)
+	closed.Close()
+	client.mu.Lock()
+	client.conns[address] = closed
+	client.mu.Unlock()
+	require.NoError(t, echo(background(t), client, address, "second"))
+	require.NotSame(t, closed, client.cached(address))
+}
+
+// Guards against idle connections that are kept open or that a waiting call cannot use.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	go func() { _, _ = io.Copy(io.Discard, theirs) }()
+	idle := &timedConn{Conn: ours, idle: time.Millisecond}
+	_, err := idle.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+
+	idle.idle = time.Hour
+	read := make(chan error, 1)
+	_, err = idle.Write([]byte("request"))
+	require.NoError(t, err)
+	go func() {
+		_, err := idle.Read(make([]byte, 1))
+		read <- err
+	}()
+	_, err = theirs.Write([]byte("a"))
+	require.NoError(t, err)
+	require.NoError(t, <-read, "a request renews the time")
+}
+
+// Guards against a peer that does not read and holds its callers, or the callers of other nodes, beyond their deadline.
+func TestPeerThatDoesNotRead(t *testing.T) {
+	stuck := listen(t)
+	_, address := startServer(t, nil)
+	client := startClient(t, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	large := strings.Repeat("x", MaxMessageBytes/2)
+	err := client.Call(ctx, stuck.Addr().String(), "echo", large, nil)
+	require.Equal(t, apierror.Unavailable, apierror.KindOf(err))
+	require.NoError(t, echo(background(t), client, address, "another node"))
+}
+
+// Guards against a call without an answer that outlives its deadline, and against a handler that goes on after the
+// connection is gone.
+func TestPeerThatDoesNotAnswer(t *testing.T) {
+	_, address := startServer(t, nil)
+	client := startClient(t, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	require.Equal(t, apierror.Unavailable, apierror.KindOf(client.Call(ctx, address, "wait", nil, nil)))
+	require.NoError(t, echo(background(t), client, address, "same connection"))
+}
+
+// Guards against calls that wait on a connection whose other end is gone without closing it, as after a partition.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	listener := listen(t)
+	first := make(chan net.Conn, 1)
+	server := NewServer(&Bytes{})
+	server.Handle("echo", func(_ context.Context, params json.RawMessage) (any, error) { return params, nil })
+	go func() {
+		if socket, err := listener.Accept(); err == nil {
+			first <- socket // never answered
+			_ = server.Serve(listener, nil)
+		}
+	}()
+	t.Cleanup(server.Close)
+	client := startClient(t, nil)
+	address := listener.Addr().String()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*silenceLimit)
+	defer cancel()
+	require.Equal(t, apierror.Unavailable, apierror.KindOf(echo(ctx, client, address, "lost")))
+	require.NoError(t, echo(background(t), client, address, "found"))
+	(<-first).Close()
+}
+
+// Guards against broken frames that stop the server or hang the client.
+func TestBrokenFrames(t *testing.T) {
+	_, address := startServer(t, nil)
+	for name, raw := range map[string]string{
+		"cut header":      "\x00\x00",
+		"cut body":        "\x00\x00\x00\x10{}",
+		"over the limit":  "\xff\xff\xff\xff",
+		"empty":           "\x00\x00\x00\x00",
+		"not JSON":        "\x00\x00\x00\x03abc",
+		"not JSON-RPC":    "\x00\x00\x00\x02{}",
+		"neither":         "\x00\x00\x00\x04null",
+		"stray answer":    frameOf(`{"id":7,"result":1,"jsonrpc":"2.0"}`),
+		"request in list": frameOf(`[{"id":7,"method":"echo","jsonrpc":"2.0"}]`),
+	} {
+		socket, err := net.Dial("tcp", address)
+		require.NoError(t, err, name)
+		_, err = socket.Write([]byte(raw))
+		require.NoError(t, err, name)
+		require.NoError(t, socket.(*net.TCPConn).CloseWrite(), name)
+		_, err = io.ReadAll(socket)
+		require.True(t, err == nil || errors.Is(err, net.ErrClosed) || strings.Contains(err.Error(), "reset"), "%s: %v", name, err)
+		socket.Close()
+	}
+	require.NoError(t, echo(background(t), startClient(t, nil), address, "the server goes on"))
+
+	broken := listen(t)
+	go func() {
+		socket, err := broken.Accept()
+		if err == nil {
+			_, _ = socket.Write([]byte("\x00\x00\x00\x10{"))
+			socket.Close()
+		}
+	}()
+	err := echo(background(t), startClient(t, nil), broken.Addr().String(), "x")
+	require.Equal(t, apierror.Unavailable, apierror.KindOf(err))
+}
+
+func frameOf(body string) string {
+	return string(binary.BigEndian.AppendUint32(nil, uint32(len(body)))) + body
+}
+
+// Guards against a flood of requests that exhausts the memory of a node.
+func TestRequestsOverTheLimitAreRefused(t *testing.T) {
+	server, address := startServer(t, nil)
+	for range maxServerRequests {
+		server.requests <- struct{}{}
+	}
+	client := startClient(t, nil)
+	require.Equal(t, apierror.Overloaded, apierror.KindOf(echo(background(t), client, address, "x")))
+	<-server.requests
+	require.NoError(t, echo(background(t), client, address, "x"))
+}
+
+// Guards against a server that serves after Close, or that Close does not end.
+func TestCloseBeforeServe(t *testing.T) {
+	server := NewServer(&Bytes{})
+	server.Close()
+	require.NoError(t, server.Serve(listen(t), nil))
+	client := NewClient(&Bytes{}, nil)
+	_, address := startServer(t, nil)
+	client.Close()
+	require.Equal(t, apierror.Unavailable, apierror.KindOf(echo(background(t), client, address, "x")))
+}
--- a/pkg/rpc/server.go
+++ b/pkg/rpc/server.go
@@ -4,31 +4,43 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 )
 
-// maxServerConns bounds the connections that a node accepts, so that a reconnect storm cannot exhaust its memory.
-const maxServerConns = 1024
+const (
+	// maxServerConns bounds the connections that a node accepts, so that a reconnect storm cannot exhaust its memory.
+	maxServerConns = 1024
+	// maxServerRequests bounds the requests served at a time.
+	maxServerRequests = 1024
+	// acceptPause follows a failed accept, for example when the process has no free file descriptor.
+	acceptPause = 50 * time.Millisecond
+)
 
 // Server answers control messages. Register handlers before Serve.
 type Server struct {
 	bytes    *Bytes
 	handlers map[string]Handler
+	requests chan struct{} // one token per request served
 
-	mu     sync.Mutex
-	conns  map[*jsonrpc2.Conn]struct{}
-	closed bool
-	listen net.Listener
+	mu       sync.Mutex
+	accepted map[net.Conn]struct{} // sockets, also those in their TLS handshake
+	closed   bool
+	listen   net.Listener
 }
 
 // NewServer returns a server that counts into bytes.
 func NewServer(bytes *Bytes) *Server {
-	return &Server{bytes: bytes, handlers: make(map[string]Handler), conns: make(map[*jsonrpc2.Conn]struct{})}
+	return &Server{
+		bytes: bytes, handlers: make(map[string]Handler), requests: make(chan struct{}, maxServerRequests),
+		accepted: make(map[net.Conn]struct{}),
+	}
 }
 
 // Handle registers the handler of a method.
@@ -38,42 +50,52 @@
 
 // Serve accepts connections until Close. A nil tlsConfig means plain TCP.
 func (s *Server) Serve(listener net.Listener, tlsConfig *tls.Config) error {
-	if tlsConfig != nil {
-		listener = tls.NewListener(listener, tlsConfig)
-	}
 	s.mu.Lock()
 	s.listen = listener
+	closed := s.closed
 	s.mu.Unlock()
+	if closed {
+		return listener.Close()
+	}
 	for {
 		socket, err := listener.Accept()
-		if err != nil {
-			if s.isClosed() {
-				return nil
-			}
+		switch {
+		case err == nil:
+			s.accept(socket, tlsConfig)
+		case s.isClosed():
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			return err
+		default:
+			time.Sleep(acceptPause)
 		}
-		s.accept(socket)
 	}
 }
 
-func (s *Server) accept(socket net.Conn) {
+func (s *Server) accept(socket net.Conn, tlsConfig *tls.Config) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= maxServerConns {
+	if s.closed || len(s.accepted) >= maxServerConns {
 		socket.Close()
 		return
 	}
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.dispatch).SuppressErrClosed())
-	conn := newConn(socket, s.bytes, handler)
-	s.conns[conn] = struct{}{}
-	go s.forgetWhenClosed(conn)
+	s.accepted[socket] = struct{}{}
+	go s.serveSocket(socket, tlsConfig)
 }
 
-func (s *Server) forgetWhenClosed(conn *jsonrpc2.Conn) {
-	<-conn.DisconnectNotify()
-	s.mu.Lock()
-	delete(s.conns, conn)
-	s.mu.Unlock()
+func (s *Server) serveSocket(socket net.Conn, tlsConfig *tls.Config) {
+	defer func() {
+		socket.Close()
+		s.mu.Lock()
+		delete(s.accepted, socket)
+		s.mu.Unlock()
+	}()
+	ready, err := acceptSocket(socket, s.bytes, tlsConfig)
+	if err != nil {
+		return
+	}
+	handler := jsonrpc2.HandlerWithError(s.dispatch).SuppressErrClosed()
+	<-newConn(ready, jsonrpc2.AsyncHandler(handler)).DisconnectNotify()
 }
 
 func (s *Server) dispatch(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
@@ -81,15 +103,27 @@
 	if !ok {
 		return nil, toWire(apierror.New(apierror.NotFound, "unknown method "+request.Method, "run the same version on all nodes"))
 	}
+	select {
+	case s.requests <- struct{}{}:
+		defer func() { <-s.requests }()
+	default:
+		return nil, toWire(apierror.New(apierror.Overloaded, "too many control requests", "retry later"))
+	}
 	params := json.RawMessage("null")
 	if request.Params != nil {
 		params = *request.Params
 	}
+	ctx, cancel := context.WithTimeout(ctx, handlerTimeout)
+	defer cancel()
 	result, err := handler(ctx, params)
 	if err != nil {
 		return nil, toWire(err)
 	}
-	return result, nil
+	encoded, err := encode(result)
+	if err != nil {
+		return nil, toWire(err)
+	}
+	return encoded, nil
 }
 
 func (s *Server) isClosed() bool {
@@ -101,14 +135,12 @@
 // Close stops accepting and closes all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.closed = true
-	conns := s.conns
-	s.conns = make(map[*jsonrpc2.Conn]struct{})
 	if s.listen != nil {
 		s.listen.Close()
 	}
-	s.mu.Unlock()
-	for conn := range conns {
-		conn.Close()
+	for socket := range s.accepted {
+		socket.Close()
 	}
 }
--- /dev/null
+++ b/pkg/rpc/tls_test.go
@@ -0,0 +1,102 @@
+package rpc
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+)
+
+// authority issues the certificates of one fleet.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	pool        *x509.CertPool
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{pool: x509.NewCertPool()}
+	template := &x509.Certificate{IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
+	der, key := issue(t, template, nil)
+	certificate, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	a.certificate, a.key = certificate, key
+	a.pool.AddCert(certificate)
+	return a
+}
+
+func (a *authority) node(t *testing.T) tls.Certificate {
+	t.Helper()
+	der, key := issue(t, &x509.Certificate{
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, a)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+}
+
+func issue(t *testing.T, template *x509.Certificate, by *authority) ([]byte, *ecdsa.PrivateKey) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template.SerialNumber = big.NewInt(1)
+	template.Subject = pkix.Name{CommonName: "node"}
+	template.NotBefore, template.NotAfter = time.Now().Add(-time.Hour), time.Now().Add(time.Hour)
+	parent, signer := template, key
+	if by != nil {
+		parent, signer = by.certificate, by.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	require.NoError(t, err)
+	return der, key
+}
+
+func (a *authority) server(t *testing.T) *tls.Config {
+	return &tls.Config{Certificates: []tls.Certificate{a.node(t)}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: a.pool}
+}
+
+// Guards against nodes that accept a peer without a certificate of the fleet, in either direction, and against bytes
+// of TLS that are not counted.
+func TestTLSWithClientCertificates(t *testing.T) {
+	ours, others := newAuthority(t), newAuthority(t)
+	server, address := startServer(t, ours.server(t))
+	own := &tls.Config{RootCAs: ours.pool, Certificates: []tls.Certificate{ours.node(t)}}
+	for name, c := range map[string]struct {
+		config *tls.Config
+		valid  bool
+	}{
+		"own fleet":          {own, true},
+		"no certificate":     {&tls.Config{RootCAs: ours.pool}, false},
+		"foreign client":     {&tls.Config{RootCAs: ours.pool, Certificates: []tls.Certificate{others.node(t)}}, false},
+		"foreign server":     {&tls.Config{RootCAs: others.pool, Certificates: []tls.Certificate{ours.node(t)}}, false},
+		"plain TCP, no TLS":  {nil, false},
+		"own fleet, resumed": {own, true},
+	} {
+		err := echo(background(t), startClient(t, c.config), address, "x")
+		if c.valid {
+			require.NoError(t, err, name)
+			continue
+		}
+		require.Equal(t, apierror.Unavailable, apierror.KindOf(err), name)
+	}
+
+	client := startClient(t, own)
+	before := server.bytes.Received.Load()
+	require.NoError(t, echo(background(t), client, address, "x"))
+	require.Equal(t, client.bytes.Sent.Load(), server.bytes.Received.Load()-before)
+	first := client.bytes.Sent.Load() + client.bytes.Received.Load()
+	require.NoError(t, echo(background(t), client, address, "x"))
+	second := client.bytes.Sent.Load() + client.bytes.Received.Load() - first
+	t.Logf("call with handshake: %d bytes, without: %d bytes", first, second)
+	require.Less(t, second, first/4, "the connection is kept")
+}
