--- a/pkg/execution/table.go
+++ b/pkg/execution/table.go
@@ -202,29 +202,26 @@
 func (t *Table) Lookup(id string, ballot Ballot) LookupResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if ballot.IsZero() {
-		return LookupResult{State: Unconfirmed}
-	}
 	entry, ok := t.entries[id]
-	if !ok {
-		return t.fence(id, ballot)
-	}
-	switch {
-	case entry.state != Fencing:
+	if ok && entry.state != Fencing {
 		return LookupResult{State: entry.state, Response: entry.response}
-	case ballot.Compare(entry.ballot) < 0:
-		return LookupResult{State: Superseded}
 	}
-	entry.ballot = ballot
-	return LookupResult{State: Fencing}
-}
-
-func (t *Table) fence(id string, ballot Ballot) LookupResult {
+	// An old fence confirms nothing either: the presence records of other nodes may have left the stream since it was
+	// recorded, so that the look-up may have missed the node that ran the id.
 	made, err := callctx.IDTime(id)
-	if err != nil || !t.canConfirm(made) || len(t.entries) >= t.options.MaxEntries {
+	if err != nil || ballot.IsZero() || !t.canConfirm(made) {
+		return LookupResult{State: Unconfirmed}
+	}
+	switch {
+	case !ok && len(t.entries) >= t.options.MaxEntries:
 		return LookupResult{State: Unconfirmed}
+	case !ok:
+		t.add(id, Fencing, ballot)
+	case ballot.Compare(entry.ballot) < 0:
+		return LookupResult{State: Superseded}
+	default:
+		entry.ballot = ballot
 	}
-	t.add(id, Fencing, ballot)
 	return LookupResult{State: Fencing}
 }
 
--- a/pkg/execution/table_test.go
+++ b/pkg/execution/table_test.go
@@ -192,6 +192,10 @@
 	c.now = started.Add(time.Hour)
 	require.Equal(t, Unconfirmed, c.Lookup(idAt(c.now.Add(-callctx.EntryLifetime+epsilon)), ballot(1)).State, "too old")
 	require.Equal(t, Fencing, c.Lookup(idAt(c.now.Add(-callctx.EntryLifetime+epsilon+time.Millisecond)), ballot(1)).State)
+	fenced := idAt(c.now)
+	require.Equal(t, Fencing, c.Lookup(fenced, ballot(1)).State)
+	c.now = c.now.Add(callctx.EntryLifetime - epsilon)
+	require.Equal(t, Unconfirmed, c.Lookup(fenced, ballot(2)).State, "the roster may lack the node that ran it")
 	require.Equal(t, Unconfirmed, c.Lookup("no-uuid", ballot(1)).State)
 	require.Equal(t, Unconfirmed, c.Lookup(idAt(c.now), Ballot{}).State, "without a ballot")
 }
