--- a/pkg/outbound/handler_test.go
+++ b/pkg/outbound/handler_test.go
@@ -346,3 +346,36 @@
 	require.Zero(t, n.calls())
 	f.checkCounters()
 }
+
+// Guards G4 against a response that breaks off at any byte: in the status line, the headers, a chunk size or the body.
+func TestResponseCutAtEachByte(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nLaburnum-Outcome: answered\r\nLaburnum-Request-Id: %s\r\n"
+	for name, rest := range map[string]string{
+		"length": "Content-Length: 5\r\n\r\nhello",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			var cut atomic.Int64
+			f.add(func(w http.ResponseWriter, r *http.Request, n *node) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				whole := fmt.Sprintf(head, r.Header.Get(callctx.HeaderRequestID)) + rest
+				_, _ = io.WriteString(conn, whole[:min(int(cut.Load()), len(whole))])
+			})
+			size := len(fmt.Sprintf(head, callctx.NewRequestID())) + len(rest)
+			for at := range size {
+				cut.Store(int64(at))
+				response := f.call(http.MethodPost, "/orders", "")
+				require.Equal(t, string(callctx.Unknown), response.Header.Get(callctx.HeaderOutcome), "cut after %d bytes", at)
+			}
+			cut.Store(int64(size))
+			response := f.call(http.MethodPost, "/orders", "")
+			requireOutcome(t, response, callctx.Answered, "")
+			require.Equal(t, "hello", bodyOf(t, response))
+		})
+	}
+}
