--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -11,9 +11,9 @@
 //     non-idempotent call, since a new call has a new id; Remedy says what to do.
 //   - After a lost connection the client sends the same id through another node with the next attempt number. A new id
 //     is used only after a final "not-run", after the node's Retry-After with jitter, within the deadline, within the
-//     retry budget, and not if the node marked its response with Laburnum-No-Retry. If the node refused because it is
-//     itself leaving or not ready, the call goes to another node at once and without using the budget, so that the
-//     planned stop of a node costs its callers nothing.
+//     retry budget, and not if the node marked its response with Laburnum-No-Retry. The second and later resends of an id
+//     use the same budget. If the node refused because it is itself leaving or not ready, the call goes to another node
+//     at once and without using the budget, so that the planned stop of a node costs its callers nothing.
 //   - Do returns by the deadline of its context, or after Options.Timeout if the context has none.
 //
 // Callers that use plain HTTP get less. Without Laburnum-Request-Id the first node creates the id; after a lost
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -182,6 +182,15 @@
 		require.Equal(t, "do this", failed.Remedy)
 	}
 	require.LessOrEqual(t, len(n.requests()), calls+int(budgetFloor))
+
+	n = newScript(t, abort)
+	c, _ = newClient(t, n.address())
+	c.budget.refilled = time.Now().Add(time.Hour)
+	for range calls {
+		_, failed := do(c)
+		require.Equal(t, callctx.Unknown, failed.Outcome)
+	}
+	require.LessOrEqual(t, len(n.requests()), 2*calls+int(budgetFloor), "one resend for each call, and the budget")
 }
 
 // Guards against a short or foreign response that is returned as a success.
--- a/pkg/client/exchange.go
+++ b/pkg/client/exchange.go
@@ -108,11 +108,15 @@
 	e.node = e.client.chooseNode(e.node)
 }
 
-// resend sends the same id as the next attempt.
+// resend sends the same id as the next attempt. The first resend is free, since it is the only way to learn what became
+// of a lost call. Further ones use the budget, so that a system that loses many calls does not get three times the load.
 func (e *exchange) resend(ctx context.Context, r result) bool {
 	if r.reason == callctx.AlreadyDone || !fits(ctx, r.retryAfter) {
 		return false
 	}
+	if e.attempt > 1 && !e.client.budget.take() {
+		return false
+	}
 	if !e.wait(ctx, r.retryAfter) {
 		return false
 	}
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -27,7 +27,7 @@
 	TLS             *tls.Config       // nil: plain TCP
 	DialTimeout     time.Duration     // default 1 s
 	DialOverrides   map[string]string // "ip:port" to the "ip:port" to connect to instead
-	IdlePerHost     int               // idle connections kept for each address; default 32
+	IdlePerHost     int               // idle connections kept for each address; default 128
 	IdleTotal       int               // idle connections kept in all; default 1024
 	MaxHeaderBytes  int64             // of a response; default 64 KiB
 	IdleConnTimeout time.Duration     // default callctx.ConnectionIdleTimeout
@@ -35,7 +35,9 @@
 
 const (
 	defaultDialTimeout = time.Second
-	defaultIdlePerHost = 32
+	// A surge fills the queues of an inbound node. With fewer idle connections its calls would open and close connections
+	// all the time.
+	defaultIdlePerHost = 128
 	// An idle connection costs about 20 KB in buffers and goroutines, so this bounds them to about 20 MB.
 	defaultIdleTotal      = 1024
 	defaultMaxHeaderBytes = 64 << 10
