test/failures: configuration under failure, with real processes

Clients watch every node through the canary route, which moved to standin/canary and follows nodes that skip generations.

--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -16,6 +16,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/standin/canary"
 	"github.com/laburnumcleat/laburnumcleat/standin/fleet"
 	"github.com/laburnumcleat/laburnumcleat/standin/load"
 )
@@ -46,7 +47,7 @@
 type run struct {
 	options Options
 	fleet   *fleet.Fleet
-	prober  *prober
+	prober  *canary.Prober
 }
 
 // Run runs the demo. It returns an error if a guarantee was violated.
@@ -69,11 +70,11 @@
 	if err := r.publishExamples(ctx); err != nil {
 		return err
 	}
-	r.prober = newProber(r.fleet)
+	r.prober = canary.NewProber(r.fleet.Nodes)
 	probeCtx, stopProber := context.WithCancel(ctx)
 	defer stopProber()
 	probed := make(chan struct{})
-	go func() { r.prober.run(probeCtx); close(probed) }()
+	go func() { r.prober.Run(probeCtx); close(probed) }()
 	if err := r.fleet.WaitEndpoints(ctx, readyLimit); err != nil {
 		return err
 	}
--- a/standin/demo/report.go
+++ b/standin/demo/report.go
@@ -10,6 +10,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/standin/canary"
 	"github.com/laburnumcleat/laburnumcleat/standin/load"
 )
 
@@ -21,7 +22,7 @@
 	}
 	var streams []load.Stream
 	for _, route := range snapshot.Routes {
-		if route.Name == "canary" {
+		if route.Name == canary.RouteName {
 			continue
 		}
 		method := "GET"
@@ -46,18 +47,19 @@
 	if err != nil {
 		return err
 	}
-	convergence, err := r.prober.convergence(amendments)
+	convergence, err := r.prober.Convergence(amendments)
 	if err != nil {
 		return err
 	}
 	v := load.Verify(records, executions)
 	fmt.Fprintln(r.options.Out, load.Summarise(records))
 	fmt.Fprintln(r.options.Out, outcomes(records))
-	dangling := r.prober.dangling + countReason(records, callctx.UnknownService)
+	older, dangling := r.prober.Violations()
+	dangling += countReason(records, callctx.UnknownService)
 	fmt.Fprintf(r.options.Out, "converged_ms_p50=%.0f converged_ms_p99=%.0f control_bytes_per_node_s=%.0f calls=%d ok=%d foreign=%d unexecuted=%d cut=%d doubled=%d older_version=%d dangling_route=%d not_run_false=%d\n",
 		Percentile(convergence, 50), Percentile(convergence, 99), r.controlBytesPerNode(), v.Calls, v.OK, v.Foreign, v.Unexecuted,
-		v.Cut, v.Doubled, r.prober.older, dangling, v.NotRunExecuted)
-	if !v.Clean() || r.prober.older > 0 || dangling > 0 {
+		v.Cut, v.Doubled, older, dangling, v.NotRunExecuted)
+	if !v.Clean() || older > 0 || dangling > 0 {
 		return eris.New("a guarantee was violated; the counts above name it")
 	}
 	return nil
--- a/test/failures/harness_test.go
+++ b/test/failures/harness_test.go
@@ -20,8 +20,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
+	"github.com/laburnumcleat/laburnumcleat/standin/canary"
 	"github.com/laburnumcleat/laburnumcleat/standin/fleet"
 	"github.com/laburnumcleat/laburnumcleat/standin/logservice"
 )
@@ -63,6 +63,7 @@
 	server  *toxiproxy.ApiServer
 	proxies map[link][]*toxiproxy.Proxy
 	logs    map[string]*toxiproxy.Proxy // by data centre
+	probers []*canary.Prober
 }
 
 // link is a direction between two data centres.
@@ -266,16 +267,12 @@
 	return client.Publish(c.ctx, record)
 }
 
-// The canary route carries a generation in its path, so that callers see which version a node runs.
-const canaryTemplate = `{"parameters":[{"name":"generation","type":"integer","required":true},{"name":"service","type":"string","required":true},{"name":"rank","type":"string","required":true}],
-	"body":{"routes":[{"name":"canary","methods":["GET"],"path_prefix":"/canary/${generation}/","service":"${service}","rank":"${rank}","timeout_ms":2000,"idempotent":true}]}}`
-
-var canaryParameters = config.ParametersEntity("test", "canary")
+var canaryParameters = canary.ParametersEntity("test")
 
 // publishCanary publishes generation 1 of the canary route.
 func (c *cluster) publishCanary() int64 {
 	c.t.Helper()
-	c.change(c.Nodes[0], config.Publish, config.Entity{Kind: config.KindTemplate, Name: "canary"}, []byte(canaryTemplate))
+	c.change(c.Nodes[0], config.Publish, canary.TemplateEntity(), []byte(canary.Template))
 	return c.change(c.Nodes[0], config.Publish, canaryParameters, c.canary(1))
 }
 
@@ -283,22 +280,37 @@
 func (c *cluster) canary(generation int) []byte {
 	snapshot, err := c.Nodes[0].Client().Snapshot(c.ctx)
 	require.NoError(c.t, err)
-	d := c.Options.Deployment
-	return fmt.Appendf(nil, `{"values":{"generation":%d,"service":%q,"rank":%q}}`, generation,
-		d.Services[len(d.Services)-1].Name, snapshot.Ranks[len(snapshot.Ranks)-1].Name)
+	services := c.Options.Deployment.Services
+	return canary.Parameters(snapshot, services[len(services)-1].Name, generation)
 }
 
-// serves reports whether a node has the canary route of a generation, as a caller sees it. It returns false also if the
-// node does not answer.
-func (c *cluster) serves(n *fleet.Node, generation int) bool {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get(fmt.Sprintf("%s/canary/%d/", n.CallURL, generation))
-	if err != nil {
-		return false
+// announceGeneration tells the probers which generations may be in force from now on.
+func (c *cluster) announceGeneration(generation int) {
+	for _, p := range c.probers {
+		p.Accepted(generation, time.Now())
 	}
-	response.Body.Close()
-	reason := response.Header.Get(callctx.HeaderReason)
-	return reason != string(callctx.UnknownRoute) && reason != string(callctx.NotReady)
+}
+
+// watch probes nodes until the test ends and fails it if one went back to an older version or had a dangling route.
+func (c *cluster) watch(nodes []*fleet.Node) *canary.Prober {
+	prober := canary.NewProber(nodes)
+	c.probers = append(c.probers, prober)
+	ctx, stop := context.WithCancel(c.ctx)
+	done := make(chan struct{})
+	go func() { prober.Run(ctx); close(done) }()
+	c.t.Cleanup(func() {
+		stop()
+		<-done
+		older, dangling := prober.Violations()
+		require.Zero(c.t, older, "older versions")
+		require.Zero(c.t, dangling, "dangling routes")
+	})
+	return prober
+}
+
+// serves reports whether a node has the canary route of a generation, as a caller sees it.
+func (c *cluster) serves(n *fleet.Node, generation int) bool {
+	return canary.NewProber(nil).Probe(c.ctx, n, generation) == canary.Served
 }
 
 // eventually waits until the condition holds.
