--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -212,18 +212,21 @@
 	}
 }
 
-func TestDeadline(t *testing.T) {
-	release := make(chan struct{})
-	defer close(release)
-	n := newScript(t, func(http.ResponseWriter, *http.Request) { <-release })
-	c, _ := newClient(t, n.address())
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+// Guards against a "not-run" for a call whose caller gave up after it was sent.
+func TestEndOfContextAfterSend(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
+	n := newScript(t, func(_ http.ResponseWriter, r *http.Request) {
+		cancel()
+		<-r.Context().Done()
+	})
+	c, _ := newClient(t, n.address())
 	_, err := c.Do(ctx, Request{Path: "/"})
 	var failed *Error
 	require.ErrorAs(t, err, &failed)
+	require.Equal(t, callctx.Unknown, failed.Outcome)
 	require.Equal(t, callctx.DeadlineRunning, failed.Reason)
-	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.ErrorIs(t, err, context.Canceled)
 }
 
 func TestNewChecksNodes(t *testing.T) {
--- a/pkg/outbound/balance_test.go
+++ b/pkg/outbound/balance_test.go
@@ -236,14 +236,18 @@
 	setup := func(t *testing.T, load string) (f *fixture, slow, fast *node, release chan struct{}) {
 		f = newFixture(t)
 		release = make(chan struct{})
-		t.Cleanup(func() { close(release) })
+		entered := make(chan struct{})
 		slow = f.add(func(w http.ResponseWriter, r *http.Request, n *node) {
+			close(entered)
 			select {
 			case <-release:
 			case <-r.Context().Done():
 			}
 		})
-		fast = f.add(answer)
+		fast = f.add(func(w http.ResponseWriter, r *http.Request, n *node) {
+			<-entered // a hedge that wins earlier would cancel the first attempt before it arrives
+			answer(w, r, n)
+		})
 		// The first choice is the slow one; with one candidate left no random number is used.
 		f.handler.random = func(int) int { return 0 }
 		for range minHedgeSamples {
@@ -254,20 +258,28 @@
 		f.handler.endpoints.get(keyOf(&fast.member), time.Now()).observeLoad(report, time.Now().Add(time.Hour))
 		return f, slow, fast, release
 	}
-	f, slow, fast, _ := setup(t, "4/10/0")
+	f, slow, fast, release := setup(t, "4/10/0")
 	requireOutcome(t, f.call(http.MethodGet, "/hedged", ""), callctx.Answered, "")
 	require.Equal(t, 1, slow.calls())
 	require.Equal(t, 1, fast.calls())
 	require.Equal(t, int64(1), f.metrics.Values()["outbound_hedge"])
+	close(release)
 
 	for name, load := range map[string]string{"capacity": "9/10/0", "budget": "4/10/0"} {
-		f, _, fast, _ := setup(t, load)
+		f, _, fast, release := setup(t, load)
 		if name == "budget" {
 			require.True(t, f.handler.hedges.of("urgent").take())
 		}
-		f.call(http.MethodGet, "/hedged", "", callctx.HeaderTimeoutMS, "200")
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			f.handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/hedged", nil))
+		}()
+		denied := `outbound_hedge_denied{reason="` + name + `"}`
+		require.Eventually(t, func() bool { return f.metrics.Values()[denied] == 1 }, time.Minute, time.Millisecond)
 		require.Zero(t, fast.calls(), name)
-		require.Equal(t, int64(1), f.metrics.Values()[`outbound_hedge_denied{reason="`+name+`"}`])
+		close(release)
+		<-ended
 	}
 }
 
