--- a/cmd/laburnum-standin/backend.go
+++ b/cmd/laburnum-standin/backend.go
@@ -16,7 +16,7 @@
 // newBackendCmd runs one backend server.
 func newBackendCmd() verb {
 	o := backend.Options{Listen: "127.0.0.1:7100", Service: "demo", Slots: 10, Connections: 120}
-	serviceMS, coldMS, executions := 20, 0, ""
+	serviceMS, coldMS, holdMS, executions := 20, 0, 0, ""
 	command := newCommand("backend", "backend server with slots, cold start, load shedding and misleading health")
 	command.String(&o.Service, "s", "service", "name of the service")
 	command.String(&o.Listen, "l", "listen", `address "ip:port"`)
@@ -27,11 +27,13 @@
 	command.Int(&o.Connections, "", "connections", "accepted connections")
 	command.Int(&serviceMS, "", "service-time-ms", "mean time of a request in milliseconds")
 	command.Int(&coldMS, "", "cold-start-ms", "time after the start during which requests are slow, in milliseconds")
+	command.Int(&holdMS, "", "drain-hold-ms", "least time from the announcement of a drain to the end of the process, in milliseconds")
 	command.Bool(&o.HealthLies, "", "health-lies", "the health endpoint reports an idle server whatever the truth")
-	command.String(&executions, "", "executions", "file that gets one line with the request id at the begin of each execution")
+	command.String(&executions, "", "executions", "file that gets one line with the request id and the time in Unix microseconds at the begin of each execution")
 	return verb{command, func(ctx context.Context) error {
 		o.ServiceTime = time.Duration(serviceMS) * time.Millisecond
 		o.ColdStart = time.Duration(coldMS) * time.Millisecond
+		o.DrainHold = time.Duration(holdMS) * time.Millisecond
 		logger, err := logging.New(os.Stderr, "info")
 		if err != nil {
 			return err
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -177,8 +177,8 @@
 	case <-groupCtx.Done():
 	}
 	stop()
+	n.server.Close() // before its socket closes, so that it does not report the closed socket as a failure
 	n.listeners.close()
-	n.server.Close()
 	n.client.Close()
 	err := group.Wait()
 	n.logger.Info("node_stopped")
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -42,8 +42,12 @@
 	Faults      Faults
 	Logger      *zap.Logger
 
-	// ExecutionLog gets one line with the request id at the begin of each execution, so that the count survives the
-	// death of the process. Nil: none.
+	// DrainHold is the least time between the announcement "draining" and the end of the process, so that tests can see
+	// whether new work still arrives.
+	DrainHold time.Duration
+
+	// ExecutionLog gets one line with the request id and the time in Unix microseconds at the begin of each execution, so
+	// that the count survives the death of the process. Nil: none.
 	ExecutionLog io.Writer
 }
 
@@ -96,6 +100,7 @@
 	peak       int // most requests served at the same time
 	busy       int
 	shed       int
+	cancelled  int
 }
 
 // New opens the listener of a server. Run serves it.
@@ -137,6 +142,7 @@
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
 	defer cancel()
 	s.announce(drain, "draining")
+	sleep(drain, s.options.DrainHold)
 	s.waitIdle(drain)
 	s.announce(drain, "gone")
 	err := s.http.Shutdown(drain)
--- a/standin/backend/serve.go
+++ b/standin/backend/serve.go
@@ -31,6 +31,8 @@
 	Peak int `json:"peak"` // most requests served at the same time
 	Shed int `json:"shed"`
 	Runs int `json:"runs"` // executions of all ids
+
+	Cancelled int `json:"cancelled"` // requests whose caller was gone before the service time was over
 }
 
 const (
@@ -95,7 +97,7 @@
 func (s *Server) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	stats := Stats{Busy: s.busy, Peak: s.peak, Shed: s.shed}
+	stats := Stats{Busy: s.busy, Peak: s.peak, Shed: s.shed, Cancelled: s.cancelled}
 	for _, count := range s.executions {
 		stats.Runs += count
 	}
@@ -130,6 +132,7 @@
 	}
 	fault := s.pickFault()
 	if !sleep(r.Context(), s.serviceTime()+fault.delay) {
+		s.countCancelled()
 		return
 	}
 	if s.options.Nested != "" {
@@ -157,7 +160,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.options.ExecutionLog != nil {
-		fmt.Fprintln(s.options.ExecutionLog, id)
+		fmt.Fprintln(s.options.ExecutionLog, id, time.Now().UnixMicro())
 	}
 	s.executions[id]++
 	return s.executions[id]
@@ -183,6 +186,12 @@
 	s.shed++
 }
 
+func (s *Server) countCancelled() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancelled++
+}
+
 func (s *Server) serviceTime() time.Duration {
 	base := float64(s.options.ServiceTime)
 	if s.cold() {
--- a/standin/demo/report.go
+++ b/standin/demo/report.go
@@ -52,7 +52,7 @@
 	}
 	v := load.Verify(records, executions)
 	fmt.Fprintln(r.options.Out, load.Summarise(records))
-	fmt.Fprintln(r.options.Out, outcomes(records))
+	fmt.Fprintln(r.options.Out, Outcomes(records))
 	dangling := r.prober.dangling + countReason(records, callctx.UnknownService)
 	fmt.Fprintf(r.options.Out, "converged_ms_p50=%.0f converged_ms_p99=%.0f control_bytes_per_node_s=%.0f calls=%d ok=%d foreign=%d unexecuted=%d cut=%d doubled=%d older_version=%d dangling_route=%d not_run_false=%d\n",
 		Percentile(convergence, 50), Percentile(convergence, 99), r.controlBytesPerNode(), v.Calls, v.OK, v.Foreign, v.Unexecuted,
@@ -63,8 +63,8 @@
 	return nil
 }
 
-// outcomes counts the calls by outcome and reason.
-func outcomes(records []load.Record) string {
+// Outcomes counts the calls by outcome and reason.
+func Outcomes(records []load.Record) string {
 	counts := make(map[string]int)
 	for i := range records {
 		key := string(records[i].Outcome)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -30,6 +30,9 @@
 	portLog     = 7200
 )
 
+// ControlPort ends the address of every node's listener for control messages, which carry gossip and look-ups.
+var ControlPort = ":" + strconv.Itoa(portControl)
+
 const (
 	stopLimit       = 90 * time.Second // for a graceful stop
 	retentionS      = 3600
@@ -48,6 +51,9 @@
 	ColdStart  time.Duration
 	NoBackends bool // start nodes only
 
+	// BackendArgs, if set, returns further arguments for the backend server of a node.
+	BackendArgs func(node string) []string
+
 	// DialOverrides, if set, returns the address that nodes of a data centre connect to instead of another node's
 	// address, so that a fault-injecting proxy can stand between data centres.
 	DialOverrides func(dataCentre string, nodes []Address) map[string]string
@@ -239,11 +245,15 @@
 		CallURL: "http://" + at(portCalls), APIURL: "http://" + at(portAPI), BackendURL: "http://" + at(portBackend),
 	}
 	n.node = newProcess(f.path(s.id+".node.log"), f.binary("laburnumd"), "--settings", file)
-	n.backend = newProcess(f.path(s.id+".backend.log"), f.binary("laburnum-standin"), "backend",
+	arguments := []string{"backend",
 		"--service", s.service.Name, "--listen", at(portBackend), "--api", n.APIURL,
 		"--slots", strconv.Itoa(d.Slots), "--connections", strconv.Itoa(d.Connections),
 		"--service-time-ms", strconv.Itoa(s.service.ServiceTimeMS),
-		"--executions", f.path(s.id+".executions"), "--cold-start-ms", strconv.FormatInt(f.Options.ColdStart.Milliseconds(), 10))
+		"--executions", f.path(s.id + ".executions"), "--cold-start-ms", strconv.FormatInt(f.Options.ColdStart.Milliseconds(), 10)}
+	if f.Options.BackendArgs != nil {
+		arguments = append(arguments, f.Options.BackendArgs(s.id)...)
+	}
+	n.backend = newProcess(f.path(s.id+".backend.log"), f.binary("laburnum-standin"), arguments...)
 	f.Nodes = append(f.Nodes, n)
 	return nil
 }
@@ -313,6 +323,13 @@
 // Resume continues a frozen process.
 func (n *Node) Resume() error { return n.node.signal(syscall.SIGCONT) }
 
+// BackendPID returns the process id of the backend server.
+func (n *Node) BackendPID() int {
+	n.backend.mu.Lock()
+	defer n.backend.mu.Unlock()
+	return n.backend.cmd.Process.Pid
+}
+
 // PID returns the process id of the node.
 func (n *Node) PID() int {
 	n.node.mu.Lock()
--- a/standin/fleet/observe.go
+++ b/standin/fleet/observe.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -112,33 +110,6 @@
 	return time.Since(n.node.started)
 }
 
-// Executions returns how often each request id was executed, over all backend servers including those that were killed.
-func (f *Fleet) Executions() (map[string]int, error) {
-	executions := make(map[string]int)
-	for _, n := range f.Nodes {
-		if err := countLines(f.path(n.ID+".executions"), executions); err != nil {
-			return nil, err
-		}
-	}
-	return executions, nil
-}
-
-func countLines(path string, counts map[string]int) error {
-	file, err := os.Open(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return eris.Wrap(err, "opening executions")
-	}
-	defer file.Close()
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		counts[lines.Text()]++
-	}
-	return eris.Wrap(lines.Err(), "reading executions")
-}
-
 // RestartVM starts node and backend server again.
 func (n *Node) RestartVM() error {
 	return n.start(false)
--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -33,7 +33,7 @@
 func newCaller(o *Options) (caller, error) {
 	if o.Plain {
 		transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: callctx.ConnectionIdleTimeout, DisableCompression: true}
-		return &plainCaller{nodes: o.Nodes, client: &http.Client{Transport: transport}}, nil
+		return &plainCaller{nodes: o.Nodes, queues: newQueues(o), client: &http.Client{Transport: transport}}, nil
 	}
 	c, err := client.New(client.Options{Nodes: o.Nodes})
 	if err != nil {
@@ -73,15 +73,37 @@
 // that the records can be checked.
 type plainCaller struct {
 	nodes  []string
+	queues []chan struct{} // by node; empty: none
 	client *http.Client
 	next   atomic.Uint64
 }
 
+func newQueues(o *Options) []chan struct{} {
+	if o.FIFO <= 0 {
+		return nil
+	}
+	queues := make([]chan struct{}, len(o.Nodes))
+	for i := range queues {
+		queues[i] = make(chan struct{}, o.FIFO)
+	}
+	return queues
+}
+
 func (p *plainCaller) close() { p.client.CloseIdleConnections() }
 
 func (p *plainCaller) call(ctx context.Context, s *Stream, body []byte) answer {
 	id := callctx.NewRequestID()
-	node := p.nodes[p.next.Add(1)%uint64(len(p.nodes))]
+	turn := p.next.Add(1) % uint64(len(p.nodes))
+	node := p.nodes[turn]
+	if len(p.queues) > 0 {
+		// Goroutines that wait for a channel are served in order of arrival.
+		select {
+		case p.queues[turn] <- struct{}{}:
+			defer func() { <-p.queues[turn] }()
+		case <-ctx.Done():
+			return answer{id: id, outcome: callctx.NotRun, reason: callctx.DeadlineExpired}
+		}
+	}
 	lost := answer{id: id, outcome: callctx.Unknown, reason: callctx.ConnectionLost}
 	request, err := http.NewRequestWithContext(ctx, s.Method, "http://"+node+s.Path, bytes.NewReader(body))
 	if err != nil {
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -40,12 +40,14 @@
 
 // Options configures a run.
 type Options struct {
-	Nodes    []string  `json:"nodes"` // "host:port" of the nodes' interface for callers
-	Streams  []Stream  `json:"streams"`
-	Seed     uint64    `json:"seed"`
-	Plain    bool      `json:"plain"`     // plain HTTP: one request for each call, without pkg/client
-	Output   io.Writer `json:"-"`         // one JSON line for each call; nil: none
-	MaxCalls int       `json:"max_calls"` // in flight at the same time; default 20,000. A call beyond it is recorded as dropped
+	Nodes    []string        `json:"nodes"` // "host:port" of the nodes' interface for callers
+	Streams  []Stream        `json:"streams"`
+	Seed     uint64          `json:"seed"`
+	Plain    bool            `json:"plain"`     // plain HTTP: one request for each call, without pkg/client
+	FIFO     int             `json:"fifo"`      // with Plain: each address is a backend server with that many slots behind a queue of its own; 0: no queue
+	Output   io.Writer       `json:"-"`         // one JSON line for each call; nil: none
+	Stop     <-chan struct{} `json:"-"`         // when closed, no further call starts; those in flight finish. Nil: never
+	MaxCalls int             `json:"max_calls"` // in flight at the same time; default 20,000. A call beyond it is recorded as dropped
 }
 
 const defaultMaxCalls = 20_000
@@ -164,7 +166,7 @@
 	begin := time.Now()
 	started := 0
 	for i := range schedule {
-		if !waitUntil(ctx, begin.Add(schedule[i].At)) {
+		if !waitUntil(ctx, g.options.Stop, begin.Add(schedule[i].At)) {
 			break
 		}
 		started++
@@ -186,16 +188,15 @@
 	return records[:started], g.writeErr
 }
 
-func waitUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
+// waitUntil reports false if the run ends before. A time that has passed is not waited for.
+func waitUntil(ctx context.Context, stop <-chan struct{}, at time.Time) bool {
+	timer := time.NewTimer(max(time.Until(at), 0))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		return ctx.Err() == nil
+	case <-stop:
+		return false
 	case <-ctx.Done():
 		return false
 	}
