--- a/pkg/membership/joiner.go
+++ b/pkg/membership/joiner.go
@@ -18,8 +18,13 @@
 // seed is not among the members, as after a start during a partition.
 func (s *Service) keepJoined(ctx context.Context) {
 	backoff := s.timing.JoinBackoff
+	reported := false
 	for ctx.Err() == nil {
 		pause := s.joinOnce(ctx)
+		if alone := s.isAlone(); alone != reported {
+			reported = alone
+			s.reportAlone(alone)
+		}
 		switch {
 		case pause > 0: // told when to retry
 			backoff = s.timing.JoinBackoff
@@ -37,6 +42,16 @@
 	}
 }
 
+func (s *Service) reportAlone(alone bool) {
+	if !alone {
+		s.options.Logger.Info("member_of_fleet")
+		return
+	}
+	s.options.Metrics.Inc("membership_alone")
+	s.options.Logger.Warn("no_other_member_found", zap.Strings("seeds", s.options.Seeds),
+		zap.String("remedy", "check the setting seeds, or the log service for contacts; joining is tried again"))
+}
+
 // globalRandom is the process-wide random source: pauses of the joiner need no fixed seed.
 type globalRandom struct{}
 
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -188,7 +188,7 @@
 // retryDead probes one dead member at a time, since a partition of few members looks like their death. A member that
 // is alive after all answers with a higher counter.
 func (s *system) retryDead(now time.Time, out []message) []message {
-	if now.Before(s.nextRetry) {
+	if now.Before(s.nextRetry) || s.table.ended == 0 {
 		return out
 	}
 	s.nextRetry = now.Add(jitter(s.random, s.timing.ReconnectInterval))
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -59,7 +59,7 @@
 	s := &Service{options: o, timing: o.Timing.withDefaults()}
 	random := rand.New(rand.NewPCG(hashID(o.Self.ID), o.Self.Incarnation))
 	s.system = newSystem(s.timing, o.Self, o.Beat, random, notices{
-		explain: o.Explain, count: o.Metrics.Inc, superseded: s.superseded,
+		explain: s.decided, count: o.Metrics.Inc, superseded: s.superseded,
 	})
 	s.publish()
 	o.Server.Handle(methodProbe, s.serveProbe)
@@ -188,6 +188,12 @@
 	}
 }
 
+// decided records and logs a decision of the system.
+func (s *Service) decided(e explain.Event) {
+	s.options.Explain(e)
+	s.options.Logger.Info("member_"+string(e.Kind), zap.String("member", e.Subject), zap.String("cause", e.Cause))
+}
+
 func (s *Service) superseded(incarnation uint64) {
 	s.options.Logger.Error("membership_superseded", zap.String("id", s.options.Self.ID),
 		zap.Uint64("incarnation", s.options.Self.Incarnation), zap.Uint64("successor", incarnation))
--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"net"
 	"sync"
@@ -15,6 +16,10 @@
 )
 
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil { // a failure must be the same in each run
+		panic(err)
+	}
 	goleak.VerifyTestMain(m)
 }
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -17,6 +17,7 @@
 	entries   map[string]*entry
 	digests   [digestBuckets]uint32
 	changes   uint64 // raised at each change
+	ended     int    // number of dead and left members
 }
 
 type entry struct {
@@ -24,6 +25,7 @@
 	hash    uint64
 	version uint32    // part of this entry in its bucket's digest
 	ended   time.Time // since when the member has been dead or left
+	counted bool      // in Table.ended
 }
 
 // change tells what a merge altered.
@@ -136,12 +138,24 @@
 // touch renews the digest after a change of e.
 func (t *Table) touch(e *entry) {
 	t.changes++
+	t.countEnded(e)
 	bucket := &t.digests[e.hash%digestBuckets]
 	*bucket ^= e.version
 	e.version = versionOf(e)
 	*bucket ^= e.version
 }
 
+func (t *Table) countEnded(e *entry) {
+	if ended := e.Status.ended(); ended != e.counted {
+		e.counted = ended
+		if ended {
+			t.ended++
+		} else {
+			t.ended--
+		}
+	}
+}
+
 // versionOf hashes what a merge compares. Whether addresses are known is part of it, so that a member known only from
 // a status update is completed by anti-entropy.
 func versionOf(e *entry) uint32 {
@@ -172,11 +186,15 @@
 
 // forgetEnded drops the members that have been dead or left for the retention.
 func (t *Table) forgetEnded(now time.Time) []string {
+	if t.ended == 0 {
+		return nil
+	}
 	var forgotten []string
 	for id, e := range t.entries {
 		if e.Status.ended() && now.Sub(e.ended) >= t.retention {
 			t.digests[e.hash%digestBuckets] ^= e.version
 			t.changes++
+			t.ended--
 			delete(t.entries, id)
 			forgotten = append(forgotten, id)
 		}
