execution: a resend runs only within the window of the presence record

The model shows that a resend on a node whose presence record is too new or leaves the stream too early is missed by a later look-up, so that the id could run twice.

--- a/pkg/execution/table.go
+++ b/pkg/execution/table.go
@@ -126,7 +126,9 @@
 	return t.add(id, Running, ballot), nil
 }
 
-// beginResend refuses with outcome Unknown throughout: an earlier attempt may have run.
+// beginResend refuses with outcome Unknown throughout: an earlier attempt may have run. A resend, too, runs only within
+// the window of the presence record: a later look-up whose roster lacks this node would let the id run again elsewhere.
+// A refusal leaves the fence as it is, so that the resend can be sent to another node.
 func (t *Table) beginResend(id string, ballot Ballot) (*Entry, *Refusal) {
 	entry, ok := t.entries[id]
 	if !ok {
@@ -138,6 +140,13 @@
 	if entry.ballot != ballot {
 		return nil, &Refusal{callctx.Unknown, callctx.Superseded}
 	}
+	made, err := callctx.IDTime(id)
+	if err != nil {
+		return nil, &Refusal{callctx.Unknown, callctx.BadRequest}
+	}
+	if reason, ok := t.checkWindow(made); !ok {
+		return nil, &Refusal{callctx.Unknown, reason}
+	}
 	entry.state = Running
 	return entry, nil
 }
--- a/pkg/execution/table_test.go
+++ b/pkg/execution/table_test.go
@@ -156,6 +156,24 @@
 	require.Equal(t, &Refusal{callctx.Unknown, callctx.Unresolved}, refused, "a resend without a fence here")
 }
 
+// Guards against a resend that runs on a node which a later look-up does not ask, because its presence record is too new
+// or leaves the stream too early.
+func TestResendWithinPresenceWindow(t *testing.T) {
+	for reason, spoil := range map[callctx.Reason]func(c *clockedTable){
+		callctx.PresenceUnconfirmed: func(c *clockedTable) { c.acknowledged = false },
+		callctx.IDBeforePresence:    func(c *clockedTable) { c.established = c.now },
+		callctx.PresenceExpiring:    func(c *clockedTable) { c.renewed = c.now.Add(-time.Hour) },
+	} {
+		c := newTable(nil)
+		id := idAt(c.now)
+		require.Equal(t, Fencing, c.Lookup(id, ballot(1)).State)
+		spoil(c)
+		_, refused := c.Begin(id, ballot(1), testIncarnation)
+		require.Equal(t, &Refusal{callctx.Unknown, reason}, refused)
+		require.Equal(t, Fencing, c.Lookup(id, ballot(2)).State, "the fence stays")
+	}
+}
+
 // Guards against a run after a final "not-run": the refusal of a resend must be found by every later look-up, while a
 // refused attempt 1 must leave no trace, because its node may still try elsewhere.
 func TestRefusedCalls(t *testing.T) {
