--- a/pkg/node/api.go
+++ b/pkg/node/api.go
@@ -136,7 +136,7 @@
 		d.node.backend.leave()
 		go d.run()
 	}
-	return operator.DrainStatus{Node: d.node.settings.ID, State: d.state}
+	return operator.DrainStatus{Node: d.node.settings.ID, State: d.state, InFlight: d.node.inbound.InFlight()}
 }
 
 func (d *drainer) run() {
--- a/pkg/node/listeners.go
+++ b/pkg/node/listeners.go
@@ -45,7 +45,8 @@
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		IdleTimeout:       time.Minute, // longer than clients keep idle connections, so that the client closes first
+		// Handlers set the limits for bodies, which depend on the route.
+		IdleTimeout: time.Minute, // longer than clients keep idle connections, so that the client closes first
 	}
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
--- a/pkg/node/versions.go
+++ b/pkg/node/versions.go
@@ -48,29 +48,32 @@
 }
 
 type heardVersion struct {
-	version int64
-	digest  string
-	at      time.Time
+	incarnation uint64
+	version     int64
+	digest      string
+	at          time.Time
 }
 
 func newVersionCollector(client *rpc.Client, self string) *versionCollector {
 	return &versionCollector{client: client, self: self, known: make(map[string]heardVersion)}
 }
 
-// heard records the version of a member.
-func (c *versionCollector) heard(id string, version int64, digest string) {
+// heard records the version of a member. Answers of one incarnation that arrive out of order keep the highest version.
+func (c *versionCollector) heard(m membership.Member, answer statusAnswer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if version >= c.known[id].version {
-		c.known[id] = heardVersion{version: version, digest: digest, at: time.Now()}
+	known := c.known[m.ID]
+	if m.Incarnation < known.incarnation || m.Incarnation == known.incarnation && answer.Version < known.version {
+		return
 	}
+	c.known[m.ID] = heardVersion{incarnation: m.Incarnation, version: answer.Version, digest: answer.Digest, at: time.Now()}
 }
 
 // annotate adds the last known version to a member.
 func (c *versionCollector) annotate(m operator.Member) operator.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if known, ok := c.known[m.ID]; ok {
+	if known, ok := c.known[m.ID]; ok && known.incarnation == m.Incarnation {
 		m.Version, m.Digest = known.version, known.digest
 		m.HeardMS = time.Since(known.at).Milliseconds()
 	}
@@ -108,6 +111,6 @@
 	defer cancel()
 	var answer statusAnswer
 	if err := c.client.Call(ctx, m.ControlAddress, methodStatus, struct{}{}, &answer); err == nil {
-		c.heard(m.ID, answer.Version, answer.Digest)
+		c.heard(m, answer)
 	}
 }
