node: stop when another process has taken over the name

Membership noticed a higher incarnation under its own name but the node went on taking calls, although its table of request ids was no longer asked by resends. It now drains and exits with status 1 and the remedy. The new test saw the replaced process still running before the change.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
 	"github.com/laburnumcleat/laburnumcleat/pkg/distribution"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
@@ -56,6 +57,7 @@
 	drainer      *drainer
 	versions     *versionCollector
 	tokens       []operator.Token
+	superseded   chan struct{} // closed when another process has taken over the name of this node
 
 	listeners listeners
 }
@@ -77,6 +79,7 @@
 		metrics:       metrics.New(),
 		recorder:      explain.NewRecorder(explainedDecisions),
 		keys:          keys,
+		superseded:    make(chan struct{}),
 		controlBytes:  &rpc.Bytes{},
 		platformBytes: &rpc.Bytes{},
 	}
@@ -111,9 +114,10 @@
 	n.membership = membership.New(membership.Options{
 		Self: self, Seeds: n.settings.Seeds, Contacts: n.presence.Contacts,
 		Client: n.client, Server: n.server,
-		Beat:    func() membership.Beat { return n.distribution.Beat() },
-		OnBeat:  func(from membership.Member, beat membership.Beat) { n.distribution.OnBeat(from, beat) },
-		Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
+		Beat:         func() membership.Beat { return n.distribution.Beat() },
+		OnBeat:       func(from membership.Member, beat membership.Beat) { n.distribution.OnBeat(from, beat) },
+		OnSuperseded: func(uint64) { close(n.superseded) },
+		Metrics:      n.metrics, Logger: n.logger, Explain: n.recorder.Add,
 	})
 	n.distribution = distribution.New(distribution.Options{
 		Self: self, Log: log, Members: n.membership.Members, Client: n.client, Server: n.server,
@@ -171,9 +175,13 @@
 		group.Go(func() error { run(groupCtx); return nil })
 	}
 	n.logger.Info("node_started", zap.String("calls", n.settings.Listen.Calls), zap.String("control", n.settings.Listen.Control))
+	var failure error
 	select {
 	case <-ctx.Done():
 		n.shutdown()
+	case <-n.superseded:
+		n.shutdown()
+		failure = apierror.New(apierror.Conflict, "another process has taken over the name "+n.settings.ID, "give each VM slot its own id")
 	case <-groupCtx.Done():
 	}
 	stop()
@@ -182,6 +190,9 @@
 	n.client.Close()
 	err := group.Wait()
 	n.logger.Info("node_stopped")
+	if failure != nil {
+		return failure
+	}
 	return err
 }
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -321,6 +321,9 @@
 	return n.node.wait(stopLimit)
 }
 
+// Wait waits until the node's process has ended by itself. It returns an error if it exited with a failure.
+func (n *Node) Wait(limit time.Duration) error { return n.node.wait(limit) }
+
 // StopBackend stops the backend server gracefully and waits until it has ended.
 func (n *Node) StopBackend() error {
 	if err := n.backend.signal(syscall.SIGTERM); err != nil {
--- /dev/null
+++ b/test/failures/identity_test.go
@@ -0,0 +1,48 @@
+package failures
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumcleat/laburnumcleat/standin/fleet"
+)
+
+// Guards against two processes under one name that both take calls: the table of request ids of the earlier one would
+// not be asked any more, and a resend could run twice (G6).
+func TestReplacedNodeTakesNoMoreWork(t *testing.T) {
+	c := startCluster(t, fleet.Falaj(), nil)
+	c.publishExamples()
+	require.NoError(t, c.WaitEndpoints(c.ctx, settleLimit))
+	replaced := c.Nodes[0]
+	file := filepath.Join(c.Options.WorkDir, replaced.ID+".json")
+	content, err := os.ReadFile(file)
+	require.NoError(t, err)
+	address := strings.TrimPrefix(replaced.APIURL, "http://")
+	host := address[:strings.IndexByte(address, ':')]
+	second := bytes.ReplaceAll(content, []byte(`"`+host+":"), []byte(`"127.0.0.9:`))
+	file = filepath.Join(c.Options.WorkDir, "second.json")
+	require.NoError(t, os.WriteFile(file, second, 0o600))
+	command := exec.CommandContext(c.ctx, filepath.Join(binDir, "laburnumd"), "--settings", file)
+	require.NoError(t, command.Start())
+	defer func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	}()
+	require.ErrorContains(t, replaced.Wait(settleLimit), "exit status 1")
+	c.eventually("the others know the second process under the name", func() bool {
+		list, err := c.Nodes[1].Client().Members(c.ctx)
+		require.NoError(t, err)
+		for _, m := range list.Members {
+			if m.ID == replaced.ID {
+				return m.Status == "alive" && strings.HasPrefix(m.APIAddress, "127.0.0.9:")
+			}
+		}
+		return false
+	})
+}
