--- /dev/null
+++ b/pkg/metrics/metrics_test.go
@@ -0,0 +1,34 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against counts lost between goroutines and against a text format that its readers cannot parse.
+func TestRegistryCountsAndServes(t *testing.T) {
+	r := New()
+	var counting sync.WaitGroup
+	for range 20 {
+		counting.Go(func() {
+			r.Inc("refused", "reason", "draining")
+			r.Inc("calls")
+		})
+	}
+	counting.Wait()
+	r.Gauge("bytes").Update(7)
+	require.Equal(t, map[string]int64{`refused{reason="draining"}`: 20, "calls": 20, "bytes": 7}, r.Values())
+
+	response := httptest.NewRecorder()
+	r.ServeHTTP(response, nil)
+	require.Equal(t, "laburnum_bytes 7\nlaburnum_calls 20\nlaburnum_refused{reason=\"draining\"} 20\n", response.Body.String())
+}
+
+// Guards against label values that break the line format.
+func TestNameQuotesLabels(t *testing.T) {
+	require.Equal(t, "a", Name("a"))
+	require.Equal(t, `a{b="c",d="e\"\nf"}`, Name("a", "b", "c", "d", "e\"\nf"))
+}
