--- a/pkg/outbound/handler_test.go
+++ b/pkg/outbound/handler_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -311,3 +312,70 @@
 	f.handler.options.Snapshot = func() *config.Snapshot { return nil }
 	requireOutcome(t, f.call(http.MethodPost, "/orders", ""), callctx.NotRun, callctx.NotReady)
 }
+
+// Guards against request bodies that exhaust the memory of the node, and against limits that leak.
+func TestMemoryLimits(t *testing.T) {
+	f := newFixture(t)
+	f.add(answer)
+	f.handler.buffered.Store(maxBufferedTotal - 10)
+	require.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodPost, "/orders", "more than ten bytes").StatusCode)
+	requireOutcome(t, f.call(http.MethodPost, "/orders", "few bytes"), callctx.Answered, "")
+	require.Equal(t, int64(maxBufferedTotal-10), f.handler.buffered.Load())
+	f.handler.gate.calls = maxCalls
+	requireOutcome(t, f.call(http.MethodPost, "/orders", ""), callctx.NotRun, callctx.Overloaded)
+	f.handler.gate.calls--
+	requireOutcome(t, f.call(http.MethodPost, "/orders", ""), callctx.Answered, "")
+}
+
+// Guards against a truncated request that reaches a backend server as a complete one.
+func TestTruncatedRequestIsNotForwarded(t *testing.T) {
+	f := newFixture(t)
+	n := f.add(answer)
+	caller := httptest.NewServer(f.handler)
+	defer caller.Close()
+	for _, framing := range []string{"Content-Length: 100\r\n\r\nshort", "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n"} {
+		conn, err := net.Dial("tcp", caller.Listener.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "POST /orders HTTP/1.1\r\nHost: x\r\n"+framing)
+		require.NoError(t, err)
+		require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+		_, _ = io.ReadAll(conn)
+		conn.Close()
+	}
+	require.NoError(t, f.handler.Drain(context.Background()))
+	require.Zero(t, n.calls())
+	f.checkCounters()
+}
+
+// Guards G4 against a response that breaks off at any byte: in the status line, the headers, a chunk size or the body.
+func TestResponseCutAtEachByte(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nLaburnum-Outcome: answered\r\nLaburnum-Request-Id: %s\r\n"
+	for name, rest := range map[string]string{
+		"length": "Content-Length: 5\r\n\r\nhello",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			var cut atomic.Int64
+			f.add(func(w http.ResponseWriter, r *http.Request, n *node) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				whole := fmt.Sprintf(head, r.Header.Get(callctx.HeaderRequestID)) + rest
+				_, _ = io.WriteString(conn, whole[:min(int(cut.Load()), len(whole))])
+			})
+			size := len(fmt.Sprintf(head, callctx.NewRequestID())) + len(rest)
+			for at := range size {
+				cut.Store(int64(at))
+				response := f.call(http.MethodPost, "/orders", "")
+				require.Equal(t, string(callctx.Unknown), response.Header.Get(callctx.HeaderOutcome), "cut after %d bytes", at)
+			}
+			cut.Store(int64(size))
+			response := f.call(http.MethodPost, "/orders", "")
+			requireOutcome(t, response, callctx.Answered, "")
+			require.Equal(t, "hello", bodyOf(t, response))
+		})
+	}
+}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -29,6 +29,8 @@
 	Listen      string        // "ip:port"; port 0 selects a free one
 	Service     string        // name of the service
 	NodeAPI     string        // base URL of the node's operator interface; empty: no announcements
+	Token       string        // for announcements; empty: none
+	CAFile      string        // PEM certificates that NodeAPI is verified against; empty: those of the system
 	NodeCalls   string        // base URL of the node's outbound side, for nested calls
 	Slots       int           // requests served at the same time; default 10
 	Connections int           // accepted connections; default 120
@@ -42,8 +44,12 @@
 	Faults      Faults
 	Logger      *zap.Logger
 
-	// ExecutionLog gets one line with the request id at the begin of each execution, so that the count survives the
-	// death of the process. Nil: none.
+	// DrainHold is the least time between the announcement "draining" and the end of the process, so that tests can see
+	// whether new work still arrives.
+	DrainHold time.Duration
+
+	// ExecutionLog gets one line with the request id and the time in Unix microseconds at the begin of each execution, so
+	// that the count survives the death of the process. Nil: none.
 	ExecutionLog io.Writer
 }
 
@@ -96,6 +102,7 @@
 	peak       int // most requests served at the same time
 	busy       int
 	shed       int
+	cancelled  int
 }
 
 // New opens the listener of a server. Run serves it.
@@ -108,7 +115,7 @@
 	s := &Server{
 		options:    o,
 		listener:   newLimitedListener(listener, o.Connections),
-		client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.Slots}},
+		client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.Slots, DialTLSContext: dialTrusting(o.CAFile)}},
 		random:     newLockedRandom(o.Seed),
 		slots:      make(chan struct{}, o.Slots),
 		started:    time.Now(),
@@ -137,6 +144,7 @@
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
 	defer cancel()
 	s.announce(drain, "draining")
+	sleep(drain, s.options.DrainHold)
 	s.waitIdle(drain)
 	s.announce(drain, "gone")
 	err := s.http.Shutdown(drain)
--- a/standin/fleet/observe.go
+++ b/standin/fleet/observe.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -22,7 +20,7 @@
 
 // Client returns a client of the node's interface for operators.
 func (n *Node) Client() *operator.Client {
-	return operator.NewClient([]string{n.APIURL}, "", http.DefaultTransport)
+	return operator.NewClient([]string{n.APIURL}, n.access.token, n.access.transport)
 }
 
 // CallAddresses returns the "ip:port" of every node's interface for callers.
@@ -88,8 +86,13 @@
 
 // Metrics reads the counters and gauges of the node.
 func (n *Node) Metrics() (map[string]float64, error) {
-	client := &http.Client{Timeout: requestTimeout}
-	response, err := client.Get(n.APIURL + "/metrics")
+	client := &http.Client{Timeout: requestTimeout, Transport: n.access.transport}
+	request, err := http.NewRequest(http.MethodGet, n.APIURL+"/metrics", nil)
+	if err != nil {
+		return nil, eris.Wrapf(err, "metrics of %s", n.ID)
+	}
+	request.Header.Set("Authorization", "Bearer "+n.access.token)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, eris.Wrapf(err, "metrics of %s", n.ID)
 	}
@@ -112,33 +115,6 @@
 	return time.Since(n.node.started)
 }
 
-// Executions returns how often each request id was executed, over all backend servers including those that were killed.
-func (f *Fleet) Executions() (map[string]int, error) {
-	executions := make(map[string]int)
-	for _, n := range f.Nodes {
-		if err := countLines(f.path(n.ID+".executions"), executions); err != nil {
-			return nil, err
-		}
-	}
-	return executions, nil
-}
-
-func countLines(path string, counts map[string]int) error {
-	file, err := os.Open(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return eris.Wrap(err, "opening executions")
-	}
-	defer file.Close()
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		counts[lines.Text()]++
-	}
-	return eris.Wrap(lines.Err(), "reading executions")
-}
-
 // RestartVM starts node and backend server again.
 func (n *Node) RestartVM() error {
 	return n.start(false)
