--- a/pkg/presence/presence_test.go
+++ b/pkg/presence/presence_test.go
@@ -300,3 +300,34 @@
 	cancel()
 	require.Equal(t, apierror.Unknown, apierror.KindOf(p.End(stopped, KindRemoved, "vm-2", 1)))
 }
+
+// Guards against an announcement that expires because it is not renewed, or that is given up during an outage.
+func TestRunRenewsAndOutlastsOutages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{now: start, down: true}
+		p := newPresence(log, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		stopped := make(chan struct{})
+		go func() { p.Run(ctx); close(stopped) }()
+		count := func() int {
+			synctest.Wait()
+			log.mu.Lock()
+			defer log.mu.Unlock()
+			return len(log.entries)
+		}
+		p.SetService("tracker")
+		time.Sleep(10 * time.Minute)
+		require.Zero(t, count())
+		log.mu.Lock()
+		log.down = false
+		log.mu.Unlock()
+		time.Sleep(2 * maximumRetry)
+		require.Equal(t, 1, count())
+		time.Sleep(19 * time.Minute)
+		require.Equal(t, 1, count(), "renewed at a third of the retention of one hour, not before")
+		time.Sleep(time.Minute)
+		require.Equal(t, 2, count())
+		cancel()
+		<-stopped
+	})
+}
