--- a/pkg/membership/joiner.go
+++ b/pkg/membership/joiner.go
@@ -77,7 +77,7 @@
 	if told == 0 {
 		return 0
 	}
-	return told + time.Duration(rand.Int64N(int64(told)+1))
+	return jitter(globalRandom{}, told)
 }
 
 func (s *Service) askToJoin(ctx context.Context, address string) (joinResponse, error) {
