--- a/pkg/inbound/forward.go
+++ b/pkg/inbound/forward.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	maxStaleRetries        = 2 // reused connections found closed before one byte was written
-	backendIdleTimeout     = 30 * time.Second
+	maxStaleRetries = 2 // reused connections found closed before one byte was written
+	// A backend server that closes an idle connection while a request is sent on it leaves the outcome unknown. Common
+	// servers keep idle connections for 5 s or longer.
+	backendIdleTimeout     = 4 * time.Second
 	maxResponseHeaderBytes = 64 << 10
 )
 
--- a/pkg/inbound/handler_test.go
+++ b/pkg/inbound/handler_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -153,3 +155,52 @@
 	require.Equal(t, body, result.Response.Body)
 	require.Equal(t, 1, f.backend.Executions()[id])
 }
+
+// Guards the invariants G4 to G6 under overload: every response belongs to its request, what was answered has run once,
+// and what was refused has not run.
+func TestOverloadKeepsEveryOutcomeTrue(t *testing.T) {
+	const callers, callsEach = 48, 20
+	f := newFixture(t, standin.Options{ServiceTime: 2 * time.Millisecond, Slots: 4, Connections: 4})
+	f.handler.SetBackend(membership.Endpoint{Service: "tracker", Address: f.backend.Address(), Slots: 4, Connections: 4, State: membership.EndpointReady})
+	outcomes := make(chan [2]string, callers*callsEach)
+	f.server.Client().Transport.(*http.Transport).MaxIdleConnsPerHost = callers
+	for caller := range callers {
+		go func() {
+			for call := range callsEach {
+				body := strconv.Itoa(caller*callsEach + call)
+				r := f.request(t, body)
+				id := r.Header.Get(callctx.HeaderRequestID)
+				r.Header.Set(callctx.HeaderTimeoutMS, strconv.Itoa(5+10*(call%3)))
+				response, err := f.server.Client().Do(r)
+				if err != nil {
+					outcomes <- [2]string{id, err.Error()}
+					continue
+				}
+				outcome := response.Header.Get(callctx.HeaderOutcome)
+				if outcome == string(callctx.Answered) && response.Header.Get(standin.DigestHeader) != fmt.Sprintf("%x", sha256.Sum256([]byte(body))) {
+					outcome = "misdelivered"
+				}
+				io.Copy(io.Discard, response.Body)
+				response.Body.Close()
+				outcomes <- [2]string{id, outcome}
+			}
+		}()
+	}
+	counts := map[string]int{}
+	ran := map[string]int{string(callctx.Answered): 1, string(callctx.NotRun): 0}
+	for range callers * callsEach {
+		o := <-outcomes
+		counts[o[1]]++
+		runs := f.backend.Executions()[o[0]]
+		if want, decided := ran[o[1]]; decided {
+			require.Equal(t, want, runs, "%v", o)
+		} else {
+			require.Equal(t, string(callctx.Unknown), o[1])
+			require.LessOrEqual(t, runs, 1)
+		}
+	}
+	t.Log(counts, f.backend.Stats())
+	require.Positive(t, counts[string(callctx.NotRun)], "there was no overload")
+	require.Zero(t, f.handler.load().InFlight)
+	require.Zero(t, f.handler.load().Queued)
+}
