--- a/pkg/distribution/distribution.go
+++ b/pkg/distribution/distribution.go
@@ -74,6 +74,7 @@
 		relay:     make(map[string]*outgoing),
 		stopped:   make(chan struct{}),
 	}
+	d.tables.incarnations = make(map[string]uint64)
 	d.tables.start.reason = "starting: peers and the log have not been asked yet"
 	o.Server.Handle(methodPush, d.handlePush)
 	o.Server.Handle(methodPull, d.handlePull)
@@ -108,7 +109,9 @@
 // OnBeat takes note of a peer's position. It schedules a pull if the peer is ahead and a check if the peer has a
 // different state at the same position.
 func (d *Distributor) OnBeat(from membership.Member, beat membership.Beat) {
-	d.hear(from.ID, position{Offset: beat.Version, Digest: beat.Digest})
+	if !d.hear(speaker{ID: from.ID, Incarnation: from.Incarnation}, position{Offset: beat.Version, Digest: beat.Digest}) {
+		return
+	}
 	d.tryActivate()
 	state := d.store.current()
 	now := time.Now()
--- a/pkg/distribution/failure_test.go
+++ b/pkg/distribution/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -81,7 +82,7 @@
 	beyond := platform.Entry{Offset: 5, Data: encode(t, template("beyond"))}
 	content, err := packEntries([]platform.Entry{old, beyond})
 	require.NoError(t, err)
-	params, err := json.Marshal(pushRequest{Sender: "x", Address: "127.0.0.1:1", Entries: content})
+	params, err := json.Marshal(pushRequest{speaker: speaker{ID: "x"}, Address: "127.0.0.1:1", Entries: content})
 	require.NoError(t, err)
 	_, err = n.handlePush(context.Background(), params)
 	require.NoError(t, err)
@@ -156,6 +157,43 @@
 	require.Equal(t, int64(1), n.Snapshot().Version)
 }
 
+// Guards against a delayed push of an ended process counting as evidence that the restarted member holds the version.
+func TestOldIncarnationIsNoEvidence(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	n := f.start("a1", "a")
+	f.ready()
+	restarted, err := json.Marshal(floorRequest{speaker{ID: "a2", Incarnation: 2}})
+	require.NoError(t, err)
+	_, err = n.handleFloor(context.Background(), restarted)
+	require.NoError(t, err)
+	late, err := json.Marshal(pushRequest{speaker: speaker{ID: "a2", Incarnation: 1}, position: position{Offset: 9}})
+	require.NoError(t, err)
+	_, err = n.handlePush(context.Background(), late)
+	require.NoError(t, err)
+	n.Distributor.mu.Lock()
+	defer n.Distributor.mu.Unlock()
+	require.Zero(t, n.tables.heard)
+}
+
+// Guards against members that restarted together confirming a position to each other that is below what they served
+// before: none of them is ready, so none may know the floor.
+func TestStartingPeersDoNotConfirm(t *testing.T) {
+	f := newFleet(t, logservice.Options{})
+	f.put(template("one"))
+	f.startAll(2, "a")
+	f.converged(1)
+	f.loseReadiness()
+	for _, n := range f.every() {
+		f.eventually("the reason is stated", func() bool {
+			ready, reason := n.Ready()
+			require.False(t, ready)
+			return strings.HasPrefix(reason, "no peer that answers is ready")
+		})
+	}
+	f.node("a1").log.setCut(false)
+	f.ready()
+}
+
 // Guards against reconnect storms at the platform and against lost configuration when a whole data centre restarts.
 func TestMassRestart(t *testing.T) {
 	f := newFleet(t, logservice.Options{})
@@ -243,7 +281,7 @@
 	f.converged(last)
 	for _, n := range f.every() {
 		require.Equal(t, f.node("a1").State().Digest(), n.State().Digest())
-		require.Equal(t, int64(3), n.metrics.Values()[`config_records{outcome="invalid"}`])
+		f.eventually("the bad records are counted", func() bool { return n.metrics.Values()[`config_records{outcome="invalid"}`] == 3 })
 	}
 }
 
@@ -351,3 +389,14 @@
 	_, listener := f.prepare(id, "a")
 	f.t.Cleanup(func() { listener.Close() })
 }
+
+// loseReadiness cuts all nodes off from the log and makes them start again at the same moment, keeping their state.
+func (f *fleet) loseReadiness() {
+	for _, n := range f.every() {
+		n.log.setCut(true)
+		n.Distributor.mu.Lock()
+		defer n.Distributor.mu.Unlock()
+		t := &n.tables.start
+		t.ready, t.tailRead, t.peersConfirmed, t.reason = false, false, false, "restarted"
+	}
+}
--- a/pkg/distribution/messages.go
+++ b/pkg/distribution/messages.go
@@ -18,16 +18,24 @@
 	Digest string `json:"digest,omitempty"` // of the state at Offset
 }
 
+// speaker names the process that stated a position. What an earlier incarnation of a restarted member stated is no
+// evidence of what the member holds.
+type speaker struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
 // pushRequest carries new entries from a relay parent. Entries may be empty if the parent no longer keeps them.
 type pushRequest struct {
-	Sender  string `json:"sender"`  // member id
 	Address string `json:"address"` // control address of the sender, for a pull
 	Entries packed `json:"entries,omitempty"`
+	speaker
 	position
 }
 
 // pushResponse is the receiver's position after the push.
 type pushResponse struct {
+	speaker
 	position
 }
 
@@ -44,9 +52,15 @@
 	Entries      packed `json:"entries,omitempty"`
 	State        packed `json:"state,omitempty"`
 	RetryAfterMS int    `json:"retry_after_ms,omitempty"`
+	speaker
 	position
 }
 
+// floorRequest tells the peer that earlier incarnations of the asking member have ended.
+type floorRequest struct {
+	speaker
+}
+
 // floorResponse answers config.floor.
 type floorResponse struct {
 	position
--- a/pkg/distribution/pull.go
+++ b/pkg/distribution/pull.go
@@ -118,7 +118,9 @@
 		d.count("config_pull_failed", "reason", "refused")
 		return false, &retryAfterError{delay: time.Duration(response.RetryAfterMS) * time.Millisecond}
 	}
-	d.hear(address, response.position)
+	if !d.hear(response.speaker, response.position) {
+		return false, apierror.New(apierror.Unavailable, "peer "+address+" has restarted", "retry")
+	}
 	before := d.State().Offset
 	if err := d.acceptPulled(response); err != nil {
 		d.count("config_pull_failed", "reason", "bad_content")
@@ -178,7 +180,7 @@
 	defer slots.Release(1)
 	d.waitBeyond(ctx, request.After, time.Duration(request.WaitMS)*time.Millisecond)
 	entries, state, kept := d.store.after(request.After)
-	response := pullResponse{position: positionOf(state)}
+	response := pullResponse{speaker: d.self(), position: positionOf(state)}
 	if kept && !request.State || state.Offset <= request.After {
 		d.count("config_pull_served", "form", "entries")
 		content, err := packEntries(entries)
@@ -228,10 +230,17 @@
 }
 
 // handleFloor serves config.floor.
-func (d *Distributor) handleFloor(context.Context, json.RawMessage) (any, error) {
+func (d *Distributor) handleFloor(_ context.Context, params json.RawMessage) (any, error) {
+	var request floorRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, apierror.New(apierror.Invalid, "config.floor: "+err.Error(), "run the same version on all nodes")
+	}
 	state := d.State()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if request.Incarnation > d.tables.incarnations[request.ID] {
+		d.tables.incarnations[request.ID] = request.Incarnation
+	}
 	return floorResponse{
 		position: positionOf(state),
 		Floor:    max(state.Offset, d.tables.heard),
--- a/pkg/distribution/relay.go
+++ b/pkg/distribution/relay.go
@@ -118,7 +118,7 @@
 		return after, err
 	}
 	request := pushRequest{
-		Sender:   d.options.Self.ID,
+		speaker:  d.self(),
 		Address:  d.options.Self.ControlAddress,
 		Entries:  content,
 		position: positionOf(state),
@@ -134,7 +134,7 @@
 	if err := d.options.Client.Call(ctx, child.ControlAddress, methodPush, request, &response); err != nil {
 		return after, err
 	}
-	d.hearPosition(child.ID, child.ControlAddress, response.position)
+	d.hearPosition(response.speaker, child.ControlAddress, response.position)
 	return max(sent, response.Offset), nil
 }
 
@@ -150,25 +150,39 @@
 	if err != nil {
 		return nil, err
 	}
-	d.hear(request.Sender, request.position)
+	if !d.hear(request.speaker, request.position) {
+		return pushResponse{speaker: d.self(), position: positionOf(d.store.current())}, nil
+	}
 	out := d.accept(fromPush, entries)
 	if out.first == 0 && out.stale > 0 {
 		d.count("config_push_stale")
 	}
-	d.hearPosition(request.Sender, request.Address, request.position)
-	return pushResponse{position: positionOf(d.store.current())}, nil
+	d.hearPosition(request.speaker, request.Address, request.position)
+	return pushResponse{speaker: d.self(), position: positionOf(d.store.current())}, nil
+}
+
+func (d *Distributor) self() speaker {
+	return speaker{ID: d.options.Self.ID, Incarnation: d.options.Self.Incarnation}
 }
 
-// hear raises the highest position that a peer is known to hold.
-func (d *Distributor) hear(id string, peer position) {
+// hear raises the highest position that a peer is known to hold. It reports false for a message of an incarnation that
+// has ended; the message is to be ignored.
+func (d *Distributor) hear(from speaker, peer position) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.tables.hear(peer.Offset, id)
+	if from.Incarnation < d.tables.incarnations[from.ID] {
+		d.count("config_old_incarnation")
+		return false
+	}
+	d.tables.hear(peer.Offset, from.ID)
+	return true
 }
 
 // hearPosition takes note of a position that a peer stated in a message: there is no push in flight to wait for.
-func (d *Distributor) hearPosition(id, address string, peer position) {
-	d.hear(id, peer)
+func (d *Distributor) hearPosition(from speaker, address string, peer position) {
+	if !d.hear(from, peer) {
+		return
+	}
 	d.tryActivate()
 	state := d.store.current()
 	now := time.Now()
@@ -178,6 +192,6 @@
 		d.tables.pull.want(state.Offset, peer.Offset, address, now.Add(jitter(d.rng, d.timing.PullDelay/4)))
 	}
 	if peer.Offset == state.Offset && peer.Digest != "" && peer.Digest != state.Digest() {
-		d.suspectDivergence(id, address, state, peer.Digest, now)
+		d.suspectDivergence(from.ID, address, state, peer.Digest, now)
 	}
 }
--- a/pkg/distribution/start.go
+++ b/pkg/distribution/start.go
@@ -92,17 +92,22 @@
 	return err
 }
 
-// confirmWithPeers asks every reachable peer of the own data centre, or of others if there is none, because any of them
-// may be the one that knows the highest floor.
+// confirmWithPeers asks every reachable peer of the own data centre, or of others if none is ready, because any of them
+// may be the one that knows the highest floor. One that is ready must be among them: peers that are starting too may
+// have lost the floor themselves.
 func (d *Distributor) confirmWithPeers(ctx context.Context, near, far []membership.Member, logErr error) {
 	answers := d.askFloors(ctx, near)
-	if answers.total == 0 {
-		answers = d.askFloors(ctx, far)
+	if answers.ready == 0 {
+		more := d.askFloors(ctx, far)
+		answers.total, answers.ready = answers.total+more.total, more.ready
 	}
 	d.setStart(func(t *startTable) {
-		t.peersConfirmed = answers.total > 0
-		if answers.total == 0 {
+		t.peersConfirmed = answers.ready > 0
+		switch {
+		case answers.total == 0:
 			t.reason = "alone: no peer answers and the log cannot be read (" + logErr.Error() + ")"
+		case answers.ready == 0:
+			t.reason = "no peer that answers is ready and the log cannot be read (" + logErr.Error() + ")"
 		}
 	})
 }
@@ -188,7 +193,7 @@
 	defer cancel()
 	var response floorResponse
 	d.count("config_floor_sent")
-	err := d.options.Client.Call(ctx, address, methodFloor, struct{}{}, &response)
+	err := d.options.Client.Call(ctx, address, methodFloor, floorRequest{speaker: d.self()}, &response)
 	return response, err
 }
 
--- a/pkg/distribution/tables.go
+++ b/pkg/distribution/tables.go
@@ -40,17 +40,19 @@
 
 // tables is what the tick decides on.
 type tables struct {
-	roles       roles
-	rolesDue    time.Time
-	heard       int64  // highest position that any peer stated; a node not ready waits until it holds it
-	heardFrom   string // id of that peer
-	start       startTable
-	read        job
-	far         job // long polls of other data centres while the log cannot be read
-	pull        pullTable
-	divergence  divergenceTable
-	checkpoint  checkpointTable
-	logFailures int // reads of the log that failed in a row
+	roles     roles
+	rolesDue  time.Time
+	heard     int64  // highest position that any peer stated; a node not ready waits until it holds it
+	heardFrom string // id of that peer
+	// incarnations that asked for the floor at their start, by member id: earlier ones have ended
+	incarnations map[string]uint64
+	start        startTable
+	read         job
+	far          job // long polls of other data centres while the log cannot be read
+	pull         pullTable
+	divergence   divergenceTable
+	checkpoint   checkpointTable
+	logFailures  int // reads of the log that failed in a row
 }
 
 // begin sets the first due times of a run.
