--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -30,6 +30,9 @@
 	portLog     = 7200
 )
 
+// ControlPort ends the address of every node's listener for control messages, which carry gossip and look-ups.
+var ControlPort = ":" + strconv.Itoa(portControl)
+
 const (
 	stopLimit       = 90 * time.Second // for a graceful stop
 	retentionS      = 3600
@@ -47,6 +50,10 @@
 	LogLevel   string // of the nodes; default info
 	ColdStart  time.Duration
 	NoBackends bool // start nodes only
+	Secure     bool // TLS between nodes and towards operators, and tokens
+
+	// BackendArgs, if set, returns further arguments for the backend server of a node.
+	BackendArgs func(node string) []string
 
 	// DialOverrides, if set, returns the address that nodes of a data centre connect to instead of another node's
 	// address, so that a fault-injecting proxy can stand between data centres.
@@ -72,6 +79,7 @@
 
 	node    *process
 	backend *process
+	access  *access
 }
 
 // Fleet is a running deployment.
@@ -81,6 +89,8 @@
 	LogURL  string
 
 	log       *process
+	access    *access
+	ips       []string                     // of Nodes
 	overrides map[string]map[string]string // by data centre
 }
 
@@ -142,6 +152,10 @@
 	if err := f.writeKey(); err != nil {
 		return err
 	}
+	var err error
+	if f.access, err = newAccess(f.Options.WorkDir, f.Options.Secure); err != nil {
+		return err
+	}
 	d := f.Options.Deployment
 	slots := d.slots()
 	next := make([]int, len(d.DataCentres))
@@ -153,6 +167,7 @@
 		}
 		ips[i] = fmt.Sprintf("127.%d.%d.%d", octet, s.dataCentre+1, next[s.dataCentre])
 	}
+	f.ips = ips
 	f.buildOverrides(slots, ips)
 	for i, s := range slots {
 		seeds := f.seeds(slots, ips, i)
@@ -222,10 +237,12 @@
 		Seeds:         seeds,
 		DialOverrides: f.overrides[dataCentre],
 		Platform:      settings.Platform{URLs: []string{f.logURLFor(dataCentre)}, RetentionS: retentionS},
-		Keys:          settings.Keys{ContextFiles: []string{f.path("context.key")}, AllowPlain: true},
-		Operators:     settings.Operators{AllowAnonymous: true},
+		Keys:          settings.Keys{ContextFiles: []string{f.path("context.key")}},
 		DrainTimeoutS: 60, LogLevel: level,
 	}
+	if err := f.access.configure(&nodeSettings, ip); err != nil {
+		return err
+	}
 	encoded, err := json.MarshalIndent(nodeSettings, "", "  ")
 	if err != nil {
 		return eris.Wrap(err, "encoding settings")
@@ -236,14 +253,19 @@
 	}
 	n := &Node{
 		ID: s.id, DataCentre: dataCentre, Service: s.service.Name,
-		CallURL: "http://" + at(portCalls), APIURL: "http://" + at(portAPI), BackendURL: "http://" + at(portBackend),
+		CallURL: "http://" + at(portCalls), APIURL: f.access.scheme() + at(portAPI), access: f.access, BackendURL: "http://" + at(portBackend),
 	}
 	n.node = newProcess(f.path(s.id+".node.log"), f.binary("laburnumd"), "--settings", file)
-	n.backend = newProcess(f.path(s.id+".backend.log"), f.binary("laburnum-standin"), "backend",
+	arguments := []string{"backend",
 		"--service", s.service.Name, "--listen", at(portBackend), "--api", n.APIURL,
 		"--slots", strconv.Itoa(d.Slots), "--connections", strconv.Itoa(d.Connections),
 		"--service-time-ms", strconv.Itoa(s.service.ServiceTimeMS),
-		"--executions", f.path(s.id+".executions"), "--cold-start-ms", strconv.FormatInt(f.Options.ColdStart.Milliseconds(), 10))
+		"--executions", f.path(s.id + ".executions"), "--cold-start-ms", strconv.FormatInt(f.Options.ColdStart.Milliseconds(), 10)}
+	arguments = append(arguments, f.access.backendFlags()...)
+	if f.Options.BackendArgs != nil {
+		arguments = append(arguments, f.Options.BackendArgs(s.id)...)
+	}
+	n.backend = newProcess(f.path(s.id+".backend.log"), f.binary("laburnum-standin"), arguments...)
 	f.Nodes = append(f.Nodes, n)
 	return nil
 }
@@ -299,6 +321,9 @@
 	return n.node.wait(stopLimit)
 }
 
+// Wait waits until the node's process has ended by itself. It returns an error if it exited with a failure.
+func (n *Node) Wait(limit time.Duration) error { return n.node.wait(limit) }
+
 // StopBackend stops the backend server gracefully and waits until it has ended.
 func (n *Node) StopBackend() error {
 	if err := n.backend.signal(syscall.SIGTERM); err != nil {
@@ -313,6 +338,16 @@
 // Resume continues a frozen process.
 func (n *Node) Resume() error { return n.node.signal(syscall.SIGCONT) }
 
+// Reload makes the node read its key files again.
+func (n *Node) Reload() error { return n.node.signal(syscall.SIGHUP) }
+
+// BackendPID returns the process id of the backend server.
+func (n *Node) BackendPID() int {
+	n.backend.mu.Lock()
+	defer n.backend.mu.Unlock()
+	return n.backend.cmd.Process.Pid
+}
+
 // PID returns the process id of the node.
 func (n *Node) PID() int {
 	n.node.mu.Lock()
--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -33,7 +33,7 @@
 func newCaller(o *Options) (caller, error) {
 	if o.Plain {
 		transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: callctx.ConnectionIdleTimeout, DisableCompression: true}
-		return &plainCaller{nodes: o.Nodes, client: &http.Client{Transport: transport}}, nil
+		return &plainCaller{nodes: o.Nodes, queues: newQueues(o), client: &http.Client{Transport: transport}}, nil
 	}
 	c, err := client.New(client.Options{Nodes: o.Nodes})
 	if err != nil {
@@ -42,6 +42,14 @@
 	return &clientCaller{client: c}, nil
 }
 
+func headerOf(s *Stream) http.Header {
+	header := make(http.Header, len(s.Headers))
+	for name, value := range s.Headers {
+		header.Set(name, value)
+	}
+	return header
+}
+
 // clientCaller uses pkg/client.
 type clientCaller struct {
 	client *client.Client
@@ -50,7 +58,7 @@
 func (c *clientCaller) close() { c.client.Close() }
 
 func (c *clientCaller) call(ctx context.Context, s *Stream, body []byte) answer {
-	response, err := c.client.Do(ctx, client.Request{Method: s.Method, Path: s.Path, Body: body})
+	response, err := c.client.Do(ctx, client.Request{Method: s.Method, Path: s.Path, Header: headerOf(s), Body: body})
 	if err == nil {
 		return answer{id: response.RequestID, outcome: callctx.Answered, status: response.Status, body: response.Body, sends: response.Sends}
 	}
@@ -65,21 +73,44 @@
 // that the records can be checked.
 type plainCaller struct {
 	nodes  []string
+	queues []chan struct{} // by node; empty: none
 	client *http.Client
 	next   atomic.Uint64
 }
 
+func newQueues(o *Options) []chan struct{} {
+	if o.FIFO <= 0 {
+		return nil
+	}
+	queues := make([]chan struct{}, len(o.Nodes))
+	for i := range queues {
+		queues[i] = make(chan struct{}, o.FIFO)
+	}
+	return queues
+}
+
 func (p *plainCaller) close() { p.client.CloseIdleConnections() }
 
 func (p *plainCaller) call(ctx context.Context, s *Stream, body []byte) answer {
 	id := callctx.NewRequestID()
-	node := p.nodes[p.next.Add(1)%uint64(len(p.nodes))]
+	turn := p.next.Add(1) % uint64(len(p.nodes))
+	node := p.nodes[turn]
+	if len(p.queues) > 0 {
+		// Goroutines that wait for a channel are served in order of arrival.
+		select {
+		case p.queues[turn] <- struct{}{}:
+			defer func() { <-p.queues[turn] }()
+		case <-ctx.Done():
+			return answer{id: id, outcome: callctx.NotRun, reason: callctx.DeadlineExpired}
+		}
+	}
 	lost := answer{id: id, outcome: callctx.Unknown, reason: callctx.ConnectionLost}
 	request, err := http.NewRequestWithContext(ctx, s.Method, "http://"+node+s.Path, bytes.NewReader(body))
 	if err != nil {
 		return answer{id: id, outcome: callctx.NotRun, reason: callctx.BadRequest}
 	}
 	request.GetBody = nil
+	request.Header = headerOf(s)
 	request.Header.Set(callctx.HeaderRequestID, id)
 	request.Header.Set(callctx.HeaderAttempt, "1")
 	if deadline, ok := ctx.Deadline(); ok {
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -24,27 +24,30 @@
 
 // Stream is one kind of call that arrives at a mean rate.
 type Stream struct {
-	Name       string  `json:"name"`
-	Rank       string  `json:"rank"` // only for the summary; the route decides the rank of the calls
-	Method     string  `json:"method"`
-	Path       string  `json:"path"`
-	Idempotent bool    `json:"idempotent"`  // of the route; Verify accepts several executions of an id
-	BodyBytes  int     `json:"body_bytes"`  // of each request; 0: no body
-	Rate       float64 `json:"rate"`        // calls a second
-	StartMS    int     `json:"start_ms"`    // begin after the start of the run
-	DurationMS int     `json:"duration_ms"` // length of the stream
-	TimeoutMS  int     `json:"timeout_ms"`  // deadline of a call
-	TargetMS   int     `json:"target_ms"`   // a response within this time is in time
+	Name       string            `json:"name"`
+	Rank       string            `json:"rank"` // only for the summary; the route decides the rank of the calls
+	Method     string            `json:"method"`
+	Path       string            `json:"path"`
+	Idempotent bool              `json:"idempotent"`        // of the route; Verify accepts several executions of an id
+	BodyBytes  int               `json:"body_bytes"`        // of each request; 0: no body
+	Headers    map[string]string `json:"headers,omitempty"` // of each request
+	Rate       float64           `json:"rate"`              // calls a second
+	StartMS    int               `json:"start_ms"`          // begin after the start of the run
+	DurationMS int               `json:"duration_ms"`       // length of the stream
+	TimeoutMS  int               `json:"timeout_ms"`        // deadline of a call
+	TargetMS   int               `json:"target_ms"`         // a response within this time is in time
 }
 
 // Options configures a run.
 type Options struct {
-	Nodes    []string  `json:"nodes"` // "host:port" of the nodes' interface for callers
-	Streams  []Stream  `json:"streams"`
-	Seed     uint64    `json:"seed"`
-	Plain    bool      `json:"plain"`     // plain HTTP: one request for each call, without pkg/client
-	Output   io.Writer `json:"-"`         // one JSON line for each call; nil: none
-	MaxCalls int       `json:"max_calls"` // in flight at the same time; default 20,000. A call beyond it is recorded as dropped
+	Nodes    []string        `json:"nodes"` // "host:port" of the nodes' interface for callers
+	Streams  []Stream        `json:"streams"`
+	Seed     uint64          `json:"seed"`
+	Plain    bool            `json:"plain"`     // plain HTTP: one request for each call, without pkg/client
+	FIFO     int             `json:"fifo"`      // with Plain: each address is a backend server with that many slots behind a queue of its own; 0: no queue
+	Output   io.Writer       `json:"-"`         // one JSON line for each call; nil: none
+	Stop     <-chan struct{} `json:"-"`         // when closed, no further call starts; those in flight finish. Nil: never
+	MaxCalls int             `json:"max_calls"` // in flight at the same time; default 20,000. A call beyond it is recorded as dropped
 }
 
 const defaultMaxCalls = 20_000
@@ -163,7 +166,7 @@
 	begin := time.Now()
 	started := 0
 	for i := range schedule {
-		if !waitUntil(ctx, begin.Add(schedule[i].At)) {
+		if !waitUntil(ctx, g.options.Stop, begin.Add(schedule[i].At)) {
 			break
 		}
 		started++
@@ -185,16 +188,15 @@
 	return records[:started], g.writeErr
 }
 
-func waitUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
+// waitUntil reports false if the run ends before. A time that has passed is not waited for.
+func waitUntil(ctx context.Context, stop <-chan struct{}, at time.Time) bool {
+	timer := time.NewTimer(max(time.Until(at), 0))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		return ctx.Err() == nil
+	case <-stop:
+		return false
 	case <-ctx.Done():
 		return false
 	}
@@ -223,7 +225,7 @@
 	record.LatencyMS = milliseconds(latency)
 	if answer.outcome == callctx.Answered {
 		record.Foreign, record.Cut = check(answer, body)
-		record.InTime = latency <= time.Duration(s.TargetMS)*time.Millisecond && answer.status < 500 && !record.Foreign && !record.Cut
+		record.InTime = latency <= time.Duration(s.TargetMS)*time.Millisecond && !failed(answer.status) && !record.Foreign && !record.Cut
 	}
 	return record
 }
@@ -242,16 +244,19 @@
 	return body
 }
 
+// failed reports whether a status is an error of the backend server.
+func failed(status int) bool { return status >= 400 }
+
 // echo is the part of the backend stand-in's response that identifies the request.
 type echo struct {
 	RequestID  string `json:"request_id"`
 	BodySHA256 string `json:"body_sha256"`
 }
 
-// check reports whether a response belongs to another request, and whether it is incomplete. Only responses of the
-// backend stand-in with a status below 500 can be checked.
+// check reports whether a response belongs to another request, and whether it is incomplete. The backend stand-in's
+// error responses do not identify the request and cannot be checked.
 func check(answer answer, body []byte) (foreign, cut bool) {
-	if answer.status >= 500 {
+	if failed(answer.status) {
 		return false, false
 	}
 	var parsed echo
