--- a/pkg/execution/table.go
+++ b/pkg/execution/table.go
@@ -126,7 +126,9 @@
 	return t.add(id, Running, ballot), nil
 }
 
-// beginResend refuses with outcome Unknown throughout: an earlier attempt may have run.
+// beginResend refuses with outcome Unknown throughout: an earlier attempt may have run. A resend, too, runs only within
+// the window of the presence record: a later look-up whose roster lacks this node would let the id run again elsewhere.
+// A refusal leaves the fence as it is, so that the resend can be sent to another node.
 func (t *Table) beginResend(id string, ballot Ballot) (*Entry, *Refusal) {
 	entry, ok := t.entries[id]
 	if !ok {
@@ -138,6 +140,13 @@
 	if entry.ballot != ballot {
 		return nil, &Refusal{callctx.Unknown, callctx.Superseded}
 	}
+	made, err := callctx.IDTime(id)
+	if err != nil {
+		return nil, &Refusal{callctx.Unknown, callctx.BadRequest}
+	}
+	if reason, ok := t.checkWindow(made); !ok {
+		return nil, &Refusal{callctx.Unknown, reason}
+	}
 	entry.state = Running
 	return entry, nil
 }
@@ -202,29 +211,26 @@
 func (t *Table) Lookup(id string, ballot Ballot) LookupResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if ballot.IsZero() {
-		return LookupResult{State: Unconfirmed}
-	}
 	entry, ok := t.entries[id]
-	if !ok {
-		return t.fence(id, ballot)
-	}
-	switch {
-	case entry.state != Fencing:
+	if ok && entry.state != Fencing {
 		return LookupResult{State: entry.state, Response: entry.response}
-	case ballot.Compare(entry.ballot) < 0:
-		return LookupResult{State: Superseded}
 	}
-	entry.ballot = ballot
-	return LookupResult{State: Fencing}
-}
-
-func (t *Table) fence(id string, ballot Ballot) LookupResult {
+	// An old fence confirms nothing either: the presence records of other nodes may have left the stream since it was
+	// recorded, so that the look-up may have missed the node that ran the id.
 	made, err := callctx.IDTime(id)
-	if err != nil || !t.canConfirm(made) || len(t.entries) >= t.options.MaxEntries {
+	if err != nil || ballot.IsZero() || !t.canConfirm(made) {
+		return LookupResult{State: Unconfirmed}
+	}
+	switch {
+	case !ok && len(t.entries) >= t.options.MaxEntries:
 		return LookupResult{State: Unconfirmed}
+	case !ok:
+		t.add(id, Fencing, ballot)
+	case ballot.Compare(entry.ballot) < 0:
+		return LookupResult{State: Superseded}
+	default:
+		entry.ballot = ballot
 	}
-	t.add(id, Fencing, ballot)
 	return LookupResult{State: Fencing}
 }
 
--- a/pkg/execution/table_test.go
+++ b/pkg/execution/table_test.go
@@ -156,6 +156,24 @@
 	require.Equal(t, &Refusal{callctx.Unknown, callctx.Unresolved}, refused, "a resend without a fence here")
 }
 
+// Guards against a resend that runs on a node which a later look-up does not ask, because its presence record is too new
+// or leaves the stream too early.
+func TestResendWithinPresenceWindow(t *testing.T) {
+	for reason, spoil := range map[callctx.Reason]func(c *clockedTable){
+		callctx.PresenceUnconfirmed: func(c *clockedTable) { c.acknowledged = false },
+		callctx.IDBeforePresence:    func(c *clockedTable) { c.established = c.now },
+		callctx.PresenceExpiring:    func(c *clockedTable) { c.renewed = c.now.Add(-time.Hour) },
+	} {
+		c := newTable(nil)
+		id := idAt(c.now)
+		require.Equal(t, Fencing, c.Lookup(id, ballot(1)).State)
+		spoil(c)
+		_, refused := c.Begin(id, ballot(1), testIncarnation)
+		require.Equal(t, &Refusal{callctx.Unknown, reason}, refused)
+		require.Equal(t, Fencing, c.Lookup(id, ballot(2)).State, "the fence stays")
+	}
+}
+
 // Guards against a run after a final "not-run": the refusal of a resend must be found by every later look-up, while a
 // refused attempt 1 must leave no trace, because its node may still try elsewhere.
 func TestRefusedCalls(t *testing.T) {
@@ -192,6 +210,10 @@
 	c.now = started.Add(time.Hour)
 	require.Equal(t, Unconfirmed, c.Lookup(idAt(c.now.Add(-callctx.EntryLifetime+epsilon)), ballot(1)).State, "too old")
 	require.Equal(t, Fencing, c.Lookup(idAt(c.now.Add(-callctx.EntryLifetime+epsilon+time.Millisecond)), ballot(1)).State)
+	fenced := idAt(c.now)
+	require.Equal(t, Fencing, c.Lookup(fenced, ballot(1)).State)
+	c.now = c.now.Add(callctx.EntryLifetime - epsilon)
+	require.Equal(t, Unconfirmed, c.Lookup(fenced, ballot(2)).State, "the roster may lack the node that ran it")
 	require.Equal(t, Unconfirmed, c.Lookup("no-uuid", ballot(1)).State)
 	require.Equal(t, Unconfirmed, c.Lookup(idAt(c.now), Ballot{}).State, "without a ballot")
 }
