--- a/pkg/inbound/scheduler.go
+++ b/pkg/inbound/scheduler.go
@@ -63,7 +63,8 @@
 // Of the ranks with waiting calls, the most urgent one that is below its minimum share goes first, then the most urgent
 // one. A rank is below its share while its credit is not negative and it holds fewer slots than its share. Credit is
 // bounded on both sides, so that a rank that borrowed unused slots, or that was idle, gets its share at once when it
-// comes back, and no more than its share.
+// comes back, and little more than its share. A rank keeps its credit through the gaps between its calls and may use one
+// more slot while it has the credit for a call; otherwise random arrivals at little more than its share lose part of it.
 type scheduler struct {
 	ranks      []*rankState // most urgent first
 	limiter    *limiter
@@ -76,7 +77,7 @@
 }
 
 const (
-	creditSeconds = 0.25                  // credit that a waiting rank can gather, in seconds of its share
+	creditSeconds = 0.5                   // credit that a rank can gather while it asks for less than its share, in seconds of its share
 	sweepInterval = 10 * time.Millisecond // least time between two searches for hopeless calls
 	stallFactor   = 2                     // cautious service times without progress after which a stall is assumed
 	maxWait       = time.Hour             // keeps estimates within the range of a duration
@@ -258,7 +259,11 @@
 
 func (s *scheduler) belowShare(rank *rankState) bool {
 	entitled := rank.policy.share * float64(s.limiter.current())
-	return rank.credit >= 0 && float64(rank.inFlight) < math.Ceil(entitled)
+	allowed := math.Ceil(entitled)
+	if rank.credit >= rank.service.expected().Seconds() {
+		allowed++ // catches up on a gap between its calls
+	}
+	return rank.credit >= 0 && float64(rank.inFlight) < allowed
 }
 
 func (s *scheduler) unqueue(c *call) {
@@ -310,11 +315,7 @@
 		entitled := rank.policy.share * limit
 		service := rank.service.expected().Seconds()
 		rank.credit += (entitled - float64(rank.inFlight)) * elapsed
-		most := 0.0
-		if rank.queue.Len() > 0 {
-			most = max(service, entitled*creditSeconds)
-		}
-		rank.credit = max(-service, min(rank.credit, most))
+		rank.credit = max(-service, min(rank.credit, max(service, entitled*creditSeconds)))
 	}
 }
 
--- a/pkg/inbound/surge_test.go
+++ b/pkg/inbound/surge_test.go
@@ -346,6 +346,19 @@
 	}
 }
 
+// Guards against a rank that asks for a little more than its share and loses part of it in the gaps between random
+// arrivals, while the most urgent work surges.
+func TestShareWithGaps(t *testing.T) {
+	for name, fleet := range map[string]func([3]float64) simulation{"falaj": falaj, "icicle": icicle} {
+		t.Run(name, func(t *testing.T) {
+			sim := fleet([3]float64{4, 1.2 * simRanks[1].share, 1.2 * simRanks[2].share})
+			sim.end = 2 * time.Minute
+			tested := compare(t, sim) // the share of bulk, which has less than one slot of Van der Merwe, failed at 0.082 of 0.1
+			require.GreaterOrEqual(t, tested.share(1), 0.98*simRanks[1].share)
+		})
+	}
+}
+
 // Guards against credit or debt from the past: a rank that was idle, or that borrowed all slots, gets its share within a
 // second of coming back, and no more than its share.
 func TestShareAfterIdlenessAndBorrowing(t *testing.T) {
