--- a/pkg/outbound/balance_test.go
+++ b/pkg/outbound/balance_test.go
@@ -54,6 +54,26 @@
 	return float64(count) / float64(picks)
 }
 
+// Guards against urgent calls that a slow backend server in its cold start gets, because the queues of less urgent work
+// make all others look busier.
+func TestUrgentCallsAvoidWarming(t *testing.T) {
+	ch := newChooser(t, 3)
+	ch.call.snapshot = testSnapshot()
+	ranks := ch.call.snapshot.Ranks
+	ch.members[0].Endpoint.State = membership.EndpointWarming
+	for i := range ch.members {
+		ch.state(i).observeLoad(callctx.Load{InFlight: 10, Limit: 10, Queued: 100}, ch.clock)
+	}
+	ch.state(0).observeLoad(callctx.Load{Limit: 3}, ch.clock)
+	ch.call.rank = ranks[0].Name
+	require.Zero(t, ch.share(ch.members[0].ID, 100))
+	ch.call.rank = ranks[len(ranks)-1].Name
+	require.Positive(t, ch.share(ch.members[0].ID, 100), "the least urgent work warms it up")
+	ch.members = ch.members[:1]
+	ch.call.rank = ranks[0].Name
+	require.Equal(t, 1.0, ch.share(ch.members[0].ID, 10), "it is used when there is no other")
+}
+
 func (ch *chooser) state(i int) *endpoint {
 	return ch.handler.endpoints.get(keyOf(&ch.members[i]), ch.clock)
 }
--- a/pkg/outbound/pick.go
+++ b/pkg/outbound/pick.go
@@ -17,6 +17,7 @@
 	tierDataCentre tier = iota // own data centre
 	tierRegion                 // own region
 	tierFar                    // other regions
+	tierWarming                // backend servers in their cold start, unless the call is of the least urgent rank
 	tierRefusing               // endpoints that refused lately or are sure to refuse this call
 	tierSuspect                // members that do not answer probes
 	tierCount
@@ -51,7 +52,7 @@
 	now := h.now()
 	tiers := h.sample(c, members, tried, now)
 	var best *candidate
-	for t := tierDataCentre; t < tierRefusing; t++ {
+	for t := tierDataCentre; t < tierWarming; t++ {
 		chosen := h.better(&tiers[t], now)
 		if chosen == nil {
 			continue
@@ -63,6 +64,12 @@
 			best = chosen
 		}
 	}
+	if best != nil && best.score < noLimitScore {
+		return best
+	}
+	if chosen := h.better(&tiers[tierWarming], now); chosen != nil {
+		return chosen
+	}
 	if best != nil {
 		return best
 	}
@@ -113,6 +120,9 @@
 		if t < tierRefusing && (state.avoided(c.firstOnly(), now) || c.tooEarlyFor(member)) {
 			t = tierRefusing
 		}
+		if t < tierWarming && isWarming(member) && !c.leastUrgent() {
+			t = tierWarming
+		}
 		tiers[t].offer(member, state, h.random)
 	}
 	return tiers
@@ -146,7 +156,7 @@
 	weight := state.weight(now)
 	if member.Endpoint != nil {
 		slots = member.Endpoint.Slots
-		if member.Endpoint.State == membership.EndpointWarming {
+		if isWarming(member) {
 			weight = minWeight
 		}
 	}
@@ -160,6 +170,21 @@
 	return c
 }
 
+func isWarming(m *membership.Member) bool {
+	return m.Endpoint != nil && m.Endpoint.State == membership.EndpointWarming
+}
+
+// leastUrgent reports whether the call has the least urgent rank. Only such calls warm a backend server up while others
+// take calls: an urgent call would often miss its target there, and the load that the others report includes queues of
+// less urgent work, behind which it would not wait.
+func (c *call) leastUrgent() bool {
+	if c.snapshot == nil {
+		return false
+	}
+	index, ok := c.snapshot.RankIndex(c.rank)
+	return ok && index == len(c.snapshot.Ranks)-1
+}
+
 // firstOnly reports whether the call runs only on an endpoint that accepts it as attempt 1.
 func (c *call) firstOnly() bool {
 	return !c.route.Idempotent && !c.resend
