node: a stopping node lingers from its last call on, and gives responses 10 s to be written

The 5 s in which a stopping node goes on answering were counted from the start of its drain, so that a node with long calls closed its connections right after the last of them.

--- a/pkg/node/listeners.go
+++ b/pkg/node/listeners.go
@@ -62,9 +62,13 @@
 	})
 }
 
+// shutdownLimit bounds the wait for refusals that are still being written. A busy machine needs more than the moment that
+// they take otherwise, and what is not written by then is cut off.
+const shutdownLimit = 10 * time.Second
+
 // close shuts the HTTP servers down after their last request and closes the sockets.
 func (l *listeners) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
 	l.mu.Lock()
 	servers := l.servers
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -251,11 +251,12 @@
 	group, drainCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.outbound.Drain(drainCtx) })
 	group.Go(func() error { return n.inbound.Drain(drainCtx) })
-	linger := time.After(callctx.DrainLinger)
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		n.logger.Warn("drain_incomplete", zap.Error(err), zap.String("remedy", "raise drain_timeout_s above the longest route timeout"))
 	}
-	<-linger
+	n.logger.Info("node_drained")
+	// Counted from the last call: its caller may keep the connection for ConnectionIdleTimeout and send another call on it.
+	time.Sleep(callctx.DrainLinger)
 	if err := n.presence.End(ctx, presence.KindLeft, n.settings.ID, n.membership.Self().Incarnation); err != nil {
 		n.logger.Warn("presence_not_ended", zap.Error(err))
 	}
--- a/test/failures/calls_test.go
+++ b/test/failures/calls_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -293,6 +295,50 @@
 	assert.Zero(c.t, late, "new work for %s later than %s after its announcement", n.ID, noNewWork)
 }
 
+// Guards against a stopping node that closes its connections right after its last call, when callers may already send the
+// next one on them (G8).
+func TestStopLingersAfterLastCall(t *testing.T) {
+	c := startCluster(t, fleet.Falaj(), nil)
+	c.publishPatient()
+	c.settled()
+	const delay = 2 * time.Second
+	c.setAllFaults(backend.Faults{Delay: 1, DelayMS: int(delay.Milliseconds())})
+	n := c.node("seeb-records-1")
+	answered := make(chan int, 1)
+	go func() {
+		status := 0
+		if response, err := http.Get(n.CallURL + "/v1/tanks/1"); err == nil {
+			status = response.StatusCode
+			response.Body.Close()
+		}
+		answered <- status
+	}()
+	c.eventually("a backend server works on the call", func() bool { return !c.idle() })
+	require.NoError(t, n.Stop())
+	require.Equal(t, http.StatusOK, <-answered)
+	drained, stopped := c.logged(n, "node_drained"), c.logged(n, "node_stopped")
+	require.GreaterOrEqual(t, stopped.Sub(drained), callctx.DrainLinger)
+}
+
+// logged returns when a node last logged an event.
+func (c *cluster) logged(n *fleet.Node, event string) time.Time {
+	c.t.Helper()
+	data, err := os.ReadFile(filepath.Join(c.Options.WorkDir, n.ID+".node.log"))
+	require.NoError(c.t, err)
+	var last time.Time
+	for _, line := range strings.Split(string(data), "\n") {
+		_, text, found := strings.Cut(line, "time=")
+		if !found || !strings.Contains(line, "event="+event+" ") {
+			continue
+		}
+		text, _, _ = strings.Cut(text, " ")
+		last, err = time.Parse(time.RFC3339Nano, strings.Trim(text, `"`))
+		require.NoError(c.t, err)
+	}
+	require.False(c.t, last.IsZero(), "%s did not log %s", n.ID, event)
+	return last
+}
+
 const slowTemplate = `{"parameters":[],"body":{"routes":[{"name":"slow","methods":["POST"],"path_prefix":"/slow/","service":"dispatch","rank":"order","timeout_ms":600000,"idempotent":true}]}}`
 
 // Guards against a slot that stays busy for a client that hung up, and against a backend server that goes on working for
