--- a/test/failures/calls_test.go
+++ b/test/failures/calls_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -184,6 +186,7 @@
 	c := startCluster(t, fleet.Falaj(), nil)
 	c.publishPatient()
 	c.settled()
+	c.setAllFaults(backend.Faults{Delay: 1, DelayMS: 150}) // several calls pass through each node when it is stopped
 	b := c.startLoad(clientRate, 0)
 	for _, n := range c.inDataCentre("seeb") { // one after the other
 		c.stopAndRestart([]*fleet.Node{n}, func() {})
@@ -225,11 +228,14 @@
 	}
 }
 
-// finishWithoutLoss also requires that every call has a known outcome.
+// finishWithoutLoss also requires that every request has a known outcome, so that a resend cannot hide an aborted call.
 func (b *background) finishWithoutLoss() {
 	b.c.t.Helper()
 	for _, r := range b.finish() {
 		known := r.Outcome == callctx.Answered || r.Outcome == callctx.NotRun
+		for _, send := range r.Sends {
+			known = known && send.Outcome != callctx.Unknown
+		}
 		assert.True(b.c.t, known, "call %s on %s: %s/%s, sends %+v", r.ID, r.Stream, r.Outcome, r.Reason, r.Sends)
 	}
 }
@@ -246,9 +252,14 @@
 	c.publishPatient()
 	c.settled()
 	b := c.startLoad(clientRate, 0)
-	c.drain(b, c.node("seeb-records-1"))
+	// Then only seeb has backend servers of the service, so that the others send their calls there.
+	var group sync.WaitGroup
+	for _, id := range []string{"nizwa-records-2", "sohar-records-3", "nizwa-records-5"} {
+		group.Go(func() { c.drain(b, c.node(id)) })
+	}
+	group.Wait()
 	c.eachControlProxy("seeb", c.drop)
-	c.drain(b, c.node("seeb-records-4"))
+	c.drain(b, c.node("seeb-records-1"))
 	c.eachControlProxy("seeb", c.restore)
 	b.finishWithoutLoss()
 }
@@ -284,6 +295,50 @@
 	assert.Zero(c.t, late, "new work for %s later than %s after its announcement", n.ID, noNewWork)
 }
 
+// Guards against a stopping node that closes its connections right after its last call, when callers may already send the
+// next one on them (G8).
+func TestStopLingersAfterLastCall(t *testing.T) {
+	c := startCluster(t, fleet.Falaj(), nil)
+	c.publishPatient()
+	c.settled()
+	const delay = 2 * time.Second
+	c.setAllFaults(backend.Faults{Delay: 1, DelayMS: int(delay.Milliseconds())})
+	n := c.node("seeb-records-1")
+	answered := make(chan int, 1)
+	go func() {
+		status := 0
+		if response, err := http.Get(n.CallURL + "/v1/tanks/1"); err == nil {
+			status = response.StatusCode
+			response.Body.Close()
+		}
+		answered <- status
+	}()
+	c.eventually("a backend server works on the call", func() bool { return !c.idle() })
+	require.NoError(t, n.Stop())
+	require.Equal(t, http.StatusOK, <-answered)
+	drained, stopped := c.logged(n, "node_drained"), c.logged(n, "node_stopped")
+	require.GreaterOrEqual(t, stopped.Sub(drained), callctx.DrainLinger)
+}
+
+// logged returns when a node last logged an event.
+func (c *cluster) logged(n *fleet.Node, event string) time.Time {
+	c.t.Helper()
+	data, err := os.ReadFile(filepath.Join(c.Options.WorkDir, n.ID+".node.log"))
+	require.NoError(c.t, err)
+	var last time.Time
+	for _, line := range strings.Split(string(data), "\n") {
+		_, text, found := strings.Cut(line, "time=")
+		if !found || !strings.Contains(line, "event="+event+" ") {
+			continue
+		}
+		text, _, _ = strings.Cut(text, " ")
+		last, err = time.Parse(time.RFC3339Nano, strings.Trim(text, `"`))
+		require.NoError(c.t, err)
+	}
+	require.False(c.t, last.IsZero(), "%s did not log %s", n.ID, event)
+	return last
+}
+
 const slowTemplate = `{"parameters":[],"body":{"routes":[{"name":"slow","methods":["POST"],"path_prefix":"/slow/","service":"dispatch","rank":"order","timeout_ms":600000,"idempotent":true}]}}`
 
 // Guards against a slot that stays busy for a client that hung up, and against a backend server that goes on working for
