--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build demo test fmt-check vet lint model unit tidy-check
+.PHONY: build demo bench-fleet test fmt-check vet lint model unit tidy-check
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -11,6 +11,9 @@
 demo: build
 	$(BIN)/laburnum-standin demo
 
+bench-fleet: build
+	$(BIN)/laburnum-standin bench-fleet
+
 test: fmt-check vet lint build model unit
 
 fmt-check:
--- a/cmd/laburnum-standin/bench.go
+++ b/cmd/laburnum-standin/bench.go
@@ -55,5 +55,6 @@
 func benchCommands() []verb {
 	return []verb{
 		newBenchCmd("bench-config", "convergence and control bytes at several fleet sizes", "12,48,96,192", bench.Config),
+		newBenchCmd("bench-fleet", "cost per node of an idle fleet, changes, calls and state, with least-squares fits over the fleet size", "24,48,96,192", bench.Fleet),
 	}
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -214,6 +214,7 @@
 func (n *Node) countBytes() {
 	n.metrics.Gauge("control_bytes_sent").Update(n.controlBytes.Sent.Load())
 	n.metrics.Gauge("control_bytes_received").Update(n.controlBytes.Received.Load())
+	n.metrics.Gauge("control_requests_sent").Update(n.controlBytes.Requests.Load())
 	n.metrics.Gauge("platform_bytes_sent").Update(n.platformBytes.Sent.Load())
 	n.metrics.Gauge("platform_bytes_received").Update(n.platformBytes.Received.Load())
 }
--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -70,6 +70,7 @@
 		return err
 	}
 	begun := time.Now()
+	c.bytes.Requests.Add(1)
 	conn, waiter, err := c.dispatch(ctx, address, method, encoded)
 	if err == nil {
 		err = waiter.Wait(ctx, result)
--- a/pkg/rpc/socket.go
+++ b/pkg/rpc/socket.go
@@ -11,6 +11,7 @@
 // Bytes counts what passed the sockets of one node, TLS included.
 type Bytes struct {
 	Sent, Received atomic.Int64
+	Requests       atomic.Int64 // sent by Client.Call
 }
 
 // timedConn limits how long a connection may be idle, how long a message may take to arrive, and how long a peer may
