--- a/pkg/distribution/tables.go
+++ b/pkg/distribution/tables.go
@@ -40,10 +40,11 @@
 
 // tables is what the tick decides on.
 type tables struct {
-	roles     roles
-	rolesDue  time.Time
-	heard     int64  // highest position that any peer stated; a node not ready waits until it holds it
-	heardFrom string // id of that peer
+	roles        roles
+	rolesDue     time.Time
+	rolesVersion uint64 // Options.MembersVersion for which roles were computed
+	heard        int64  // highest position that any peer stated; a node not ready waits until it holds it
+	heardFrom    string // id of that peer
 	// incarnations that asked for the floor at their start, by member id: earlier ones have ended
 	incarnations map[string]uint64
 	start        startTable
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -120,7 +120,7 @@
 		Metrics:      n.metrics, Logger: n.logger, Explain: n.recorder.Add,
 	})
 	n.distribution = distribution.New(distribution.Options{
-		Self: self, Log: log, Members: n.membership.Members, Client: n.client, Server: n.server,
+		Self: self, Log: log, Members: n.membership.Members, MembersVersion: n.membership.Version, Client: n.client, Server: n.server,
 		Metrics: n.metrics, Logger: n.logger, Explain: n.recorder.Add,
 		Timing: distribution.Timing{Retention: n.settings.Platform.Retention()},
 	})
@@ -225,6 +225,7 @@
 func (n *Node) countBytes() {
 	n.metrics.Gauge("control_bytes_sent").Update(n.controlBytes.Sent.Load())
 	n.metrics.Gauge("control_bytes_received").Update(n.controlBytes.Received.Load())
+	n.metrics.Gauge("control_requests_sent").Update(n.controlBytes.Requests.Load())
 	n.metrics.Gauge("platform_bytes_sent").Update(n.platformBytes.Sent.Load())
 	n.metrics.Gauge("platform_bytes_received").Update(n.platformBytes.Received.Load())
 }
