outbound: a node that ended counts as lost up to twice the clock bound before the id

The time in an id may be ahead of the log's clock by twice the clock error: the first node allows that much on its own clock, which may itself be ahead. A node that ended 3 s before an id's time could have run it, and was not asked; the resend could have run twice. The new case of TestResend saw the resend run before the change. model/run.sh prints the depth reached.

--- a/model/run.sh
+++ b/model/run.sh
@@ -21,7 +21,7 @@
     echo "model=$name result=incomplete" >&2
     exit 1
   fi
-  awk -v name="$name" '/State-vector/ {depth=$0; sub(/.*depth reached /,"",depth); sub(/,.*/,"",depth)}
+  awk -v name="$name" '/depth reached/ && /errors:/ {depth=$0; sub(/.*depth reached /,"",depth); sub(/,.*/,"",depth)}
     /errors:/ {errors=$NF} /states, stored/ {states=$1}
     END {printf "model=%s states=%s depth=%s errors=%s\n", name, states, depth, errors}' "$dir/report"
   grep -q 'errors: 0' "$dir/report"
--- a/pkg/outbound/resolve.go
+++ b/pkg/outbound/resolve.go
@@ -21,6 +21,9 @@
 	lookupTimeout  = time.Second
 	// rosterTimeout includes the wait for the log's clock, which may be callctx.ClockError behind this node's.
 	rosterTimeout = callctx.ClockError + time.Second
+	// maxIDLead is how far the time in an id can be ahead of the log's clock when the call is first sent: ClockError that
+	// the first node allows, and its own clock error.
+	maxIDLead = 2 * callctx.ClockError
 	// runReserve is the time that must be left for running the call after a wait.
 	runReserve = 200 * time.Millisecond
 )
@@ -155,7 +158,7 @@
 		one := &roster[i]
 		member := memberOf(one)
 		switch {
-		case !one.Ended.IsZero() && one.Ended.Before(s.c.idTime.Add(-callctx.ClockError)):
+		case !one.Ended.IsZero() && one.Ended.Before(s.c.idTime.Add(-maxIDLead)):
 			continue
 		case !one.Ended.IsZero():
 			lost = one.ID
--- a/pkg/outbound/resolve_test.go
+++ b/pkg/outbound/resolve_test.go
@@ -51,7 +51,8 @@
 		{name: "fenced by a node that only the roster names", answers: []execution.LookupResult{fenced}, rostered: &fenced, outcome: callctx.Answered, result: "run"},
 		{name: "running on a node that only the roster names", answers: []execution.LookupResult{fenced}, rostered: &execution.LookupResult{State: execution.Running}, outcome: callctx.Unknown, reason: callctx.AlreadyRunning, result: "running"},
 		{name: "roster not readable", answers: []execution.LookupResult{fenced}, noRoster: true, outcome: callctx.Unknown, reason: callctx.Unresolved, result: "no_roster"},
-		{name: "a node ended before the id", answers: []execution.LookupResult{fenced}, ended: -3 * time.Second, outcome: callctx.Answered, result: "run"},
+		{name: "a node ended before the id", answers: []execution.LookupResult{fenced}, ended: -5 * time.Second, outcome: callctx.Answered, result: "run"},
+		{name: "a node ended before the id, but not by the lead that an id may have", answers: []execution.LookupResult{fenced}, ended: -3 * time.Second, outcome: callctx.Unknown, reason: callctx.Unresolved, result: "knowledge_lost"},
 		{name: "a node ended too late", answers: []execution.LookupResult{fenced}, ended: -time.Second, outcome: callctx.Unknown, reason: callctx.Unresolved, result: "knowledge_lost"},
 		{name: "too early for the roster", answers: []execution.LookupResult{fenced}, young: true, outcome: callctx.Unknown, reason: callctx.Unresolved, result: "too_early"},
 	} {
