--- a/model/run.sh
+++ b/model/run.sh
@@ -5,37 +5,58 @@
 # guard, and the verifier must then find a violation; otherwise the property does not depend on the guard.
 set -euo pipefail
 cd "$(dirname "$0")"
+jobs=4 # one verification takes up to 0.5 GB
+export models=$PWD
 work=$(mktemp -d)
+export work
 trap 'rm -rf "$work"' EXIT
 
-# verify FILE [MACRO] prints the verifier's report and returns 0 if it found no error.
+# verify NAME [MACRO] writes the verifier's report and a line with its figures to $work/NAME-MACRO.
 verify() {
-  local file=$1 macro=${2:-} name dir
-  name=$(basename "$file" .pml)${macro:+-$macro}
-  dir="$work/$name"
+  local name=$1 macro=${2:-}
+  local dir="$work/$name-$macro"
   mkdir -p "$dir"
-  (cd "$dir" && spin ${macro:+-D$macro} -a "$OLDPWD/$file" >/dev/null && cc -O2 -DSAFETY -DCOLLAPSE -w -o pan pan.c)
-  (cd "$dir" && ./pan -m1000000 >report 2>&1 || true)
-  if ! grep -q 'errors: [0-9]' "$dir/report" || grep -q 'max search depth too small\|out of memory' "$dir/report"; then
-    cat "$dir/report" >&2
-    echo "model=$name result=incomplete" >&2
-    exit 1
-  fi
-  awk -v name="$name" '/depth reached/ && /errors:/ {depth=$0; sub(/.*depth reached /,"",depth); sub(/,.*/,"",depth)}
-    /errors:/ {errors=$NF} /states, stored/ {states=$1}
-    END {printf "model=%s states=%s depth=%s errors=%s\n", name, states, depth, errors}' "$dir/report"
-  grep -q 'errors: 0' "$dir/report"
+  cd "$dir"
+  spin ${macro:+-D"$macro"} -a "$models/$name.pml" >/dev/null
+  cc -O2 -DSAFETY -DCOLLAPSE -w -o pan pan.c
+  ./pan -m1000000 >report 2>&1 || true
+  awk -v name="$name" -v macro="${macro:-none}" '
+    /depth reached/ && /errors:/ {depth=$0; sub(/.*depth reached /,"",depth); sub(/,.*/,"",depth)}
+    /errors:/ {errors=$NF}
+    /states, stored/ {states=$1}
+    END {printf "model=%s mutant=%s states=%s depth=%s errors=%s\n", name, macro, states, depth, errors}' report >line
 }
+export -f verify
+
+# complete DIR succeeds if the verifier finished its search.
+complete() {
+  grep -q 'errors: [0-9]' "$1/report" && ! grep -q 'max search depth too small\|out of memory' "$1/report"
+}
+
+list() {
+  local file
+  for file in *.pml; do
+    echo "${file%.pml}"
+    sed -n "s|^// mutant: |${file%.pml} |p" "$file"
+  done
+}
+
+list | xargs -P "$jobs" -L 1 bash -c 'set -euo pipefail; verify "$@"' verify
 
 failed=0
-for file in *.pml; do
-  [ -e "$file" ] || continue
-  verify "$file" || { echo "model=$file result=violated" >&2; failed=1; }
-  while read -r macro; do
-    if verify "$file" "$macro"; then
-      echo "model=$file mutant=$macro result=not_rejected" >&2
-      failed=1
-    fi
-  done < <(sed -n 's|^// mutant: ||p' "$file")
-done
+while read -r name macro; do
+  dir="$work/$name-$macro"
+  cat "$dir/line"
+  if ! complete "$dir"; then
+    cat "$dir/report" >&2
+    echo "model=$name mutant=${macro:-none} result=incomplete" >&2
+    failed=1
+  elif [ -z "$macro" ] && ! grep -q 'errors: 0' "$dir/report"; then
+    echo "model=$name result=violated" >&2
+    failed=1
+  elif [ -n "$macro" ] && grep -q 'errors: 0' "$dir/report"; then
+    echo "model=$name mutant=$macro result=not_rejected" >&2
+    failed=1
+  fi
+done < <(list)
 exit "$failed"
