--- a/cmd/laburnum-standin/bench.go
+++ b/cmd/laburnum-standin/bench.go
@@ -58,6 +58,8 @@
 	command := newCommand("bench-calls", "added latency, and goodput of each rank under surges, for both example deployments")
 	command.String(&o.BinDir, "b", "bin", "folder with the programs; default: that of this program")
 	command.String(&o.WorkDir, "w", "work", "folder for settings and process logs; default: a temporary one that is removed")
+	command.String(&o.Deployment, "d", "deployment", `only "falaj" or "van-der-merwe"; default: both`)
+	command.String(&o.Part, "p", "part", `only "latency" or "surges"; default: both`)
 	return verb{command, func(ctx context.Context) error {
 		return withFolders(&o.BinDir, &o.WorkDir, func() error { return bench.Calls(ctx, o) })
 	}}
--- a/standin/bench/bench.go
+++ b/standin/bench/bench.go
@@ -27,6 +27,9 @@
 	WorkDir string
 	Sizes   []int // numbers of nodes, one fleet after the other
 	Out     io.Writer
+
+	Deployment string // only this one; empty: all. Of Calls
+	Part       string // only "latency" or "surges"; empty: both. Of Calls
 }
 
 const (
--- a/standin/bench/calls.go
+++ b/standin/bench/calls.go
@@ -45,12 +45,19 @@
 // Calls measures added latency and goodput under surges for both example deployments. Baselines: direct calls, direct
 // round robin to backend servers behind FIFO queues, and minimum shares of 0.
 func Calls(ctx context.Context, o Options) error {
+	parts := []struct {
+		name      string
+		serviceMS int
+		measure   func(*callBench, context.Context) error
+	}{{"latency", latencyServiceMS, (*callBench).latency}, {"surges", surgeServiceMS, (*callBench).surges}}
 	for _, d := range []fleet.Deployment{fleet.Falaj(), fleet.VanDerMerwe()} {
-		if err := callsAt(ctx, o, d, "latency", latencyServiceMS, (*callBench).latency); err != nil {
-			return err
-		}
-		if err := callsAt(ctx, o, d, "surges", surgeServiceMS, (*callBench).surges); err != nil {
-			return err
+		for _, part := range parts {
+			if o.Deployment != "" && o.Deployment != d.Name || o.Part != "" && o.Part != part.name {
+				continue
+			}
+			if err := callsAt(ctx, o, d, part.name, part.serviceMS, part.measure); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
