--- a/pkg/distribution/distribution.go
+++ b/pkg/distribution/distribution.go
@@ -24,16 +24,18 @@
 
 // Options connects a Distributor to its node.
 type Options struct {
-	Self       membership.Member
-	Log        platform.Log
-	Members    func() []membership.Member // the node's own view, including itself
-	Client     *rpc.Client
-	Server     *rpc.Server            // New registers its methods here
-	OnActivate func(*config.Snapshot) // called in order of versions, one call at a time; may be nil
-	Metrics    *metrics.Registry
-	Logger     *zap.Logger
-	Explain    func(event explain.Event) // may be nil
-	Timing     Timing
+	Self    membership.Member
+	Log     platform.Log
+	Members func() []membership.Member // the node's own view, including itself
+	// MembersVersion changes with each change of Members. Nil: roles are computed at each RoleInterval.
+	MembersVersion func() uint64
+	Client         *rpc.Client
+	Server         *rpc.Server            // New registers its methods here
+	OnActivate     func(*config.Snapshot) // called in order of versions, one call at a time; may be nil
+	Metrics        *metrics.Registry
+	Logger         *zap.Logger
+	Explain        func(event explain.Event) // may be nil
+	Timing         Timing
 }
 
 // Distributor holds the applied configuration of one node. It is safe for concurrent use.
@@ -74,6 +76,7 @@
 		relay:     make(map[string]*outgoing),
 		stopped:   make(chan struct{}),
 	}
+	d.tables.incarnations = make(map[string]uint64)
 	d.tables.start.reason = "starting: peers and the log have not been asked yet"
 	o.Server.Handle(methodPush, d.handlePush)
 	o.Server.Handle(methodPull, d.handlePull)
@@ -108,7 +111,9 @@
 // OnBeat takes note of a peer's position. It schedules a pull if the peer is ahead and a check if the peer has a
 // different state at the same position.
 func (d *Distributor) OnBeat(from membership.Member, beat membership.Beat) {
-	d.hear(from.ID, position{Offset: beat.Version, Digest: beat.Digest})
+	if !d.hear(speaker{ID: from.ID, Incarnation: from.Incarnation}, position{Offset: beat.Version, Digest: beat.Digest}) {
+		return
+	}
 	d.tryActivate()
 	state := d.store.current()
 	now := time.Now()
--- a/pkg/membership/suspicion.go
+++ b/pkg/membership/suspicion.go
@@ -13,20 +13,25 @@
 // recent contact to the others.
 const contactProbes = 3
 
+// reminders is how often a suspicion is sent again before the death is declared.
+const reminders = 3
+
 // suspicion is the time left for a suspect to refute.
 type suspicion struct {
 	since    time.Time
 	deadline time.Time
+	reminder time.Time // when the suspicion is sent again, so that those who know its refutation answer; zero if done
 	checked  bool      // contact to the rest of its data centre was checked
 	held     time.Time // since when a partition is assumed; zero if none
 }
 
 func (s *system) beginSuspicion(now time.Time, e *entry) {
 	s.notice.count("membership_suspected")
-	deadline := now.Add(s.timing.suspicion(s.size()))
-	s.suspicions[e.ID] = &suspicion{since: now, deadline: deadline}
-	if deadline.Before(s.nextExpiry) || len(s.suspicions) == 1 {
-		s.nextExpiry = deadline
+	span := s.timing.suspicion(s.size())
+	waiting := &suspicion{since: now, deadline: now.Add(span), reminder: now.Add(span / 2)}
+	s.suspicions[e.ID] = waiting
+	if waiting.next().Before(s.nextExpiry) || len(s.suspicions) == 1 {
+		s.nextExpiry = waiting.next()
 	}
 }
 
@@ -38,6 +43,7 @@
 	var counts map[string]reach
 	for _, id := range sortedKeys(s.suspicions) {
 		waiting := s.suspicions[id]
+		s.remind(now, id, waiting)
 		if now.Before(waiting.deadline) {
 			continue
 		}
@@ -71,12 +77,28 @@
 func (s *system) planExpiry(now time.Time) {
 	s.nextExpiry = now.Add(s.timing.PartitionHold)
 	for _, waiting := range s.suspicions {
-		if waiting.deadline.Before(s.nextExpiry) {
-			s.nextExpiry = waiting.deadline
+		if next := waiting.next(); next.Before(s.nextExpiry) {
+			s.nextExpiry = next
 		}
 	}
 }
 
+func (w *suspicion) next() time.Time {
+	if w.reminder.IsZero() {
+		return w.deadline
+	}
+	return w.reminder
+}
+
+// remind sends the suspicion to a few members again half-way. A member that missed the refutation gets it in the answer.
+func (s *system) remind(now time.Time, id string, waiting *suspicion) {
+	if waiting.reminder.IsZero() || now.Before(waiting.reminder) {
+		return
+	}
+	waiting.reminder = time.Time{}
+	s.enqueueOnce(id, reminders)
+}
+
 // hasContact reports whether another member of the suspect's data centre was heard since the suspicion began. Without
 // contact the whole data centre, or this member, may be cut off. If the data centre has no other member, contact to
 // any member counts, and a fleet of two cannot tell.
@@ -178,6 +200,31 @@
 	return now.Sub(waiting.held) < s.timing.PartitionHold
 }
 
+// probePartitioned probes one random member in each interval that is still alive in a data centre with held suspects. The
+// ring lets only log2 n members probe a given one. Where all of these are behind the partition too, nobody on this side
+// would notice that the member is out of reach, and calls would go on to it.
+func (s *system) probePartitioned(now time.Time, out []message) []message {
+	if len(s.suspicions) == 0 || now.Before(s.nextHeld) {
+		return out
+	}
+	s.nextHeld = now.Add(s.timing.ProbeInterval)
+	partitioned := make(map[string]bool)
+	for id, waiting := range s.suspicions {
+		if e := s.table.entries[id]; e != nil && !waiting.held.IsZero() {
+			partitioned[e.DataCentre] = true
+		}
+	}
+	if len(partitioned) == 0 {
+		return out
+	}
+	for _, i := range s.random.Perm(len(s.ring)) {
+		if e := s.ring[i]; e.ID != s.self && e.Status == Alive && partitioned[e.DataCentre] {
+			return s.startProbe(now, e, out)
+		}
+	}
+	return out
+}
+
 func (s *system) declareDead(now time.Time, e *entry) {
 	delete(s.suspicions, e.ID)
 	m := e.Member
