--- a/cmd/laburnum-standin/demo.go
+++ b/cmd/laburnum-standin/demo.go
@@ -18,12 +18,22 @@
 	command.String(&binDir, "b", "bin", "folder with the programs; default: that of this program")
 	command.String(&workDir, "w", "work", "folder for settings and process logs; default: a temporary one that is removed")
 	return verb{command, func(ctx context.Context) error {
-		o := demo.Options{Deployment: fleet.Falaj(), BinDir: binDir, WorkDir: workDir, Out: os.Stdout}
-		if deployment == "van-der-merwe" {
-			o.Deployment = fleet.VanDerMerwe()
-		} else if deployment != "falaj" {
-			return eris.Errorf("unknown deployment %q; use falaj or van-der-merwe", deployment)
+		selected, err := deploymentNamed(deployment)
+		if err != nil {
+			return err
 		}
+		o := demo.Options{Deployment: selected, BinDir: binDir, WorkDir: workDir, Out: os.Stdout}
 		return withFolders(&o.BinDir, &o.WorkDir, func() error { return demo.Run(ctx, o) })
 	}}
 }
+
+func deploymentNamed(name string) (fleet.Deployment, error) {
+	switch name {
+	case "falaj":
+		return fleet.Falaj(), nil
+	case "van-der-merwe":
+		return fleet.VanDerMerwe(), nil
+	default:
+		return fleet.Deployment{}, eris.Errorf("unknown deployment %q; use falaj or van-der-merwe", name)
+	}
+}
--- a/cmd/laburnum-standin/main.go
+++ b/cmd/laburnum-standin/main.go
@@ -21,7 +21,7 @@
 func main() {
 	flaggy.SetName("laburnum-standin")
 	flaggy.SetDescription("stand-ins for the log service, backend servers and clients")
-	verbs := append([]verb{newLogCmd(), newBackendCmd(), newLoadCmd(), newDemoCmd()}, benchCommands()...)
+	verbs := append([]verb{newLogCmd(), newBackendCmd(), newLoadCmd(), newFleetCmd(), newDemoCmd()}, benchCommands()...)
 	for _, v := range verbs {
 		flaggy.AttachSubcommand(v.command, 1)
 	}
