--- a/pkg/distribution/tables.go
+++ b/pkg/distribution/tables.go
@@ -45,6 +45,8 @@
 	rolesVersion uint64 // Options.MembersVersion for which roles were computed
 	heard        int64  // highest position that any peer stated; a node not ready waits until it holds it
 	heardFrom    string // id of that peer
+	// incarnations that asked for the floor at their start, by member id: earlier ones have ended
+	incarnations map[string]uint64
 	start        startTable
 	read         job
 	far          job // long polls of other data centres while the log cannot be read
