--- a/pkg/distribution/fleet_test.go
+++ b/pkg/distribution/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -26,6 +27,9 @@
 const patience = 60 * time.Second
 
 func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil { // a failure must be the same in each run
+		panic(err)
+	}
 	goleak.VerifyTestMain(m)
 }
 
