test/failures: retention shorter than an outage, with real processes

The log keeps 200 records of each stream while 520 changes are published; a data centre that was cut off catches up from its peers, and the whole fleet, killed at once, comes back from the checkpoint and the rest of the log at the same version.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -44,10 +44,11 @@
 // Options select what Start starts.
 type Options struct {
 	Deployment Deployment
-	BinDir     string // folder with the programs
-	WorkDir    string // folder for settings, keys and process logs
-	LogURL     string // URL of a log service that is running already; empty: start a stand-in
-	LogLevel   string // of the nodes; default info
+	BinDir     string   // folder with the programs
+	WorkDir    string   // folder for settings, keys and process logs
+	LogURL     string   // URL of a log service that is running already; empty: start a stand-in
+	LogArgs    []string // further arguments of the log service stand-in
+	LogLevel   string   // of the nodes; default info
 	ColdStart  time.Duration
 	NoBackends bool // start nodes only
 	Secure     bool // TLS between nodes and towards operators, and tokens
@@ -137,8 +138,8 @@
 func (f *Fleet) startLog(octet int) error {
 	address := fmt.Sprintf("127.%d.0.1:%d", octet, portLog)
 	f.LogURL = "http://" + address
-	f.log = newProcess(f.path("log.log"), f.binary("laburnum-standin"), "log", "--listen", address,
-		"--retention-s", strconv.Itoa(retentionS))
+	arguments := append([]string{"log", "--listen", address, "--retention-s", strconv.Itoa(retentionS)}, f.Options.LogArgs...)
+	f.log = newProcess(f.path("log.log"), f.binary("laburnum-standin"), arguments...)
 	return f.log.start()
 }
 
--- a/test/failures/config_test.go
+++ b/test/failures/config_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -247,6 +248,45 @@
 	c.requireSameState()
 }
 
+// Guards against nodes that cannot come back, or come back with an older version, when the log has dropped records that
+// they have not read: first a data centre that was cut off for longer than the retention, then the whole fleet at once,
+// which has nothing but the last checkpoint and the rest of the log.
+func TestRetentionShorterThanOutage(t *testing.T) {
+	const retained, changes = 200, 520 // a checkpoint is due after 500 records
+	c := startCluster(t, fleet.Falaj(), func(o *fleet.Options) { o.LogArgs = []string{"--retain-count", strconv.Itoa(retained)} })
+	c.publishExamples()
+	require.NoError(t, c.WaitEndpoints(c.ctx, settleLimit))
+	require.NoError(t, c.WaitVersion(c.ctx, settleLimit, c.publishCanary(), c.Nodes))
+	c.watch(c.Nodes)
+	c.isolate("sohar")
+	base := c.revision(c.Nodes[0], canaryParameters)
+	for generation := 2; generation < 2+changes; generation++ {
+		c.announceGeneration(generation)
+		result, err := c.changeFrom(c.Nodes[0], config.Amend, canaryParameters, base, c.canary(generation))
+		require.NoError(t, err)
+		require.Equal(t, config.Accepted, result.Outcome, "%v", result.Errors)
+		base = result.Offset
+	}
+	require.NoError(t, c.WaitVersion(c.ctx, settleLimit, base, c.outside("sohar")))
+	c.rejoin("sohar")
+	require.NoError(t, c.WaitVersion(c.ctx, settleLimit, base, c.Nodes))
+	c.eventually("a checkpoint is in the log", func() bool {
+		log := platform.NewHTTPLog([]string{c.LogURL}, http.DefaultTransport)
+		batch, err := log.Read(c.ctx, platform.StreamCheckpoints, 1, 1, 0)
+		return err == nil && len(batch.Entries) > 0
+	})
+	var group sync.WaitGroup
+	for _, n := range c.Nodes {
+		group.Go(n.Kill)
+	}
+	group.Wait()
+	for _, n := range c.Nodes {
+		require.NoError(t, n.Restart())
+	}
+	require.NoError(t, c.WaitVersion(c.ctx, settleLimit, base, c.Nodes))
+	c.requireSameState()
+}
+
 // Guards against a reconnect storm: a third of the fleet, then a whole data centre, is killed and comes back at once. The
 // log must not be asked more often than its limit, and the nodes that stay must go on serving (G9).
 func TestMassRestart(t *testing.T) {
