One percentile, one reader of the log's counters, sorted keys from the standard library

standin/load and standin/demo each had a percentile: load.Percentile serves both and the benchmarks, which no longer import the demo. The benchmarks and test/failures each read /control/stats: fleet.LogStats serves both. The two sortedKeys gave way to slices.Sorted(maps.Keys(m)). canary.Prober.Seen had no caller. No behaviour, bound or assertion changed; vet, staticcheck, the tests of the touched packages, TestMassRestart and the demo pass.

--- a/pkg/config/apply_test.go
+++ b/pkg/config/apply_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -175,7 +176,7 @@
 	}
 	digests := make(map[string]string)
 	states := make(map[string]*State)
-	for _, name := range sortedKeys(variants) {
+	for _, name := range slices.Sorted(maps.Keys(variants)) {
 		r := base
 		variants[name](&r)
 		data, err := json.Marshal(r)
--- a/pkg/config/decode.go
+++ b/pkg/config/decode.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -45,10 +47,10 @@
 	}
 	fields := fieldsByName(reflect.ValueOf(into).Elem())
 	var errs apierror.List
-	for _, name := range sortedKeys(raw) {
+	for _, name := range slices.Sorted(maps.Keys(raw)) {
 		field, ok := fields[name]
 		if !ok {
-			errs = append(errs, apierror.InvalidField(join(path, shorten(name)), "unknown field", "use "+strings.Join(sortedKeys(fields), ", ")))
+			errs = append(errs, apierror.InvalidField(join(path, shorten(name)), "unknown field", "use "+strings.Join(slices.Sorted(maps.Keys(fields)), ", ")))
 			continue
 		}
 		if err := json.Unmarshal(raw[name], field.Addr().Interface()); err != nil {
--- a/pkg/config/diff.go
+++ b/pkg/config/diff.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strconv"
 )
 
@@ -64,7 +66,7 @@
 		keys[key] = entity.Entity
 	}
 	var changes []EntityChange
-	for _, key := range sortedKeys(keys) {
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
 		change := EntityChange{Entity: keys[key], Before: before.Revision(keys[key]), After: after.Revision(keys[key])}
 		if change.Before == change.After {
 			continue
@@ -128,7 +130,7 @@
 	for key := range after {
 		union[key] = struct{}{}
 	}
-	for _, key := range sortedKeys(union) {
+	for _, key := range slices.Sorted(maps.Keys(union)) {
 		changes = diffNodes(join(path, key), member(before, key), member(after, key), changes)
 	}
 	return changes
--- a/pkg/config/render.go
+++ b/pkg/config/render.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
@@ -111,7 +113,7 @@
 		}
 		j.fault(j.routeField(route, "."+what), what+" "+quoted(name)+" does not exist", "define the "+what+" or correct the name")
 	}
-	for _, name := range sortedKeys(removed) {
+	for _, name := range slices.Sorted(maps.Keys(removed)) {
 		j.fault(what+" "+name, "is removed but "+strings.Join(removed[name], ", ")+" refer to it", "change or retire the referrers first")
 	}
 }
--- a/pkg/config/state.go
+++ b/pkg/config/state.go
@@ -132,7 +132,7 @@
 	if s.Entities == nil {
 		s.Entities = make(map[string]*EntityState)
 	}
-	s.order = sortedKeys(s.Entities)
+	s.order = slices.Sorted(maps.Keys(s.Entities))
 	for _, key := range s.order {
 		entity := s.Entities[key]
 		if err := entity.restore(key, s.Offset); err != nil {
--- a/pkg/config/template.go
+++ b/pkg/config/template.go
@@ -3,9 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"regexp"
 	"slices"
-	"sort"
 	"strconv"
 	"strings"
 
@@ -132,7 +132,7 @@
 		}
 	}
 	visit(node)
-	return sortedKeys(found)
+	return slices.Sorted(maps.Keys(found))
 }
 
 func (t *Template) renderOnTrial() apierror.List {
@@ -163,7 +163,7 @@
 			resolved[p.Name] = p.Default
 		}
 	}
-	for _, name := range sortedKeys(values) {
+	for _, name := range slices.Sorted(maps.Keys(values)) {
 		if !known[name] {
 			errs = append(errs, apierror.InvalidField("values."+shorten(name), "the template has no such parameter", "remove it or declare it in the template"))
 		}
@@ -288,15 +288,6 @@
 	return errs
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 // prefixed puts the entity that errors were found in before their fields.
 func prefixed(key string, errs apierror.List) apierror.List {
 	for _, e := range errs {
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -111,7 +112,7 @@
 // Consistent reports every reference that does not resolve and every value out of range, as an apierror.List.
 func (s *Snapshot) Consistent() error {
 	fragment := ownedFragment{Fragment: &Fragment{Ranks: s.Ranks, Routes: s.Routes}}
-	for _, name := range sortedKeys(s.Services) {
+	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
 		fragment.Services = append(fragment.Services, s.Services[name])
 	}
 	var errs apierror.List
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -36,7 +38,7 @@
 	}
 	s.apply(now, []update{request.Member})
 	var response joinResponse
-	for _, id := range sortedKeys(s.table.entries) {
+	for _, id := range slices.Sorted(maps.Keys(s.table.entries)) {
 		response.Members = append(response.Members, s.table.entries[id].fullUpdate(now))
 	}
 	return response
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -136,7 +137,7 @@
 
 // expireProbes sends the indirect probes of those that timed out and suspects the targets of those that failed.
 func (s *system) expireProbes(now time.Time, out []message) []message {
-	for _, number := range sortedKeys(s.probes) {
+	for _, number := range slices.Sorted(maps.Keys(s.probes)) {
 		p := s.probes[number]
 		if !p.indirect && !now.Before(p.direct) {
 			p.indirect = true
@@ -205,7 +206,7 @@
 	}
 	s.nextRetry = now.Add(jitter(s.random, s.timing.ReconnectInterval))
 	var dead []*entry
-	for _, id := range sortedKeys(s.table.entries) {
+	for _, id := range slices.Sorted(maps.Keys(s.table.entries)) {
 		if e := s.table.entries[id]; e.Status == Dead && e.ControlAddress != "" {
 			dead = append(dead, e)
 		}
@@ -312,12 +313,3 @@
 func jitter[D ~int64](random interface{ Int64N(int64) int64 }, d D) D {
 	return d/2 + D(random.Int64N(int64(d)+1))
 }
-
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -210,7 +212,7 @@
 	}
 	s.published = table.changes
 	v := &view{version: table.changes, endpoints: make(map[string][]Member)}
-	for _, id := range sortedKeys(table.entries) {
+	for _, id := range slices.Sorted(maps.Keys(table.entries)) {
 		e := table.entries[id]
 		if e.ControlAddress == "" {
 			continue
--- a/pkg/membership/suspicion.go
+++ b/pkg/membership/suspicion.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
@@ -41,7 +43,7 @@
 		return out
 	}
 	var counts map[string]reach
-	for _, id := range sortedKeys(s.suspicions) {
+	for _, id := range slices.Sorted(maps.Keys(s.suspicions)) {
 		waiting := s.suspicions[id]
 		s.remind(now, id, waiting)
 		if now.Before(waiting.deadline) {
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -70,7 +71,7 @@
 
 func (s *system) versions(bucket int) []version {
 	var versions []version
-	for _, id := range sortedKeys(s.table.entries) {
+	for _, id := range slices.Sorted(maps.Keys(s.table.entries)) {
 		if e := s.table.entries[id]; int(e.hash%digestBuckets) == bucket {
 			versions = append(versions, version{ID: id, Version: e.version})
 		}
@@ -88,7 +89,7 @@
 			request.Want = append(request.Want, v.ID)
 		}
 	}
-	for _, id := range sortedKeys(s.table.entries) {
+	for _, id := range slices.Sorted(maps.Keys(s.table.entries)) {
 		e := s.table.entries[id]
 		if !slices.Contains(response.Buckets, int(e.hash%digestBuckets)) || len(request.Updates) == maxSyncUpdates {
 			continue
--- a/standin/bench/config.go
+++ b/standin/bench/config.go
@@ -13,8 +13,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
 	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
-	"github.com/laburnumcleat/laburnumcleat/standin/demo"
-	"github.com/laburnumcleat/laburnumcleat/standin/logservice"
+	"github.com/laburnumcleat/laburnumcleat/standin/load"
 )
 
 const (
@@ -77,7 +76,7 @@
 		" herd_nodes=%d herd_ready_s=%.1f herd_bytes_per_node_s=%.0f herd_log_appends=%d herd_log_reads=%d"+
 		" idle_platform_bytes_s=%.0f polling_platform_bytes_s=%.0f platform_share_of_polling=%.3f"+
 		" full_state_bytes=%d full_state_factor=%.1f\n",
-		size, demo.Percentile(convergence, 50), demo.Percentile(convergence, 99), demo.Percentile(convergence, 100),
+		size, load.Percentile(convergence, 50), load.Percentile(convergence, 99), load.Percentile(convergence, 100),
 		idle.controlBytes, perChange, daily,
 		size/herdShare, herdSeconds, herd.bytesPerNode, herd.appends, herd.reads,
 		idle.platform, polling, idle.platform/polling,
@@ -214,7 +213,7 @@
 	if err != nil {
 		return 0, herdResult{}, err
 	}
-	before, err := r.logStats(ctx)
+	before, err := r.fleet.LogStats(ctx)
 	if err != nil {
 		return 0, herdResult{}, err
 	}
@@ -239,37 +238,12 @@
 	if err != nil {
 		return 0, herdResult{}, err
 	}
-	after, err := r.logStats(ctx)
+	after, err := r.fleet.LogStats(ctx)
 	return seconds, herdResult{
 		bytesPerNode: window.controlBytes, appends: after.Appends - before.Appends, reads: after.Reads - before.Reads,
 	}, err
 }
 
-// logStats adds up the counters of the log service over all peers.
-func (r *run) logStats(ctx context.Context) (logservice.PeerStats, error) {
-	var total logservice.PeerStats
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.fleet.LogURL+"/control/stats", nil)
-	if err != nil {
-		return total, eris.Wrap(err, "log stats")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return total, eris.Wrap(err, "log stats")
-	}
-	defer response.Body.Close()
-	var peers map[string]logservice.PeerStats
-	if err := json.NewDecoder(response.Body).Decode(&peers); err != nil {
-		return total, eris.Wrap(err, "decoding log stats")
-	}
-	for _, p := range peers {
-		total.Appends += p.Appends
-		total.Reads += p.Reads
-		total.BytesSent += p.BytesSent
-		total.BytesReceived += p.BytesReceived
-	}
-	return total, nil
-}
-
 // pollingBaseline lets one client for each node poll the log every second and returns the bytes a second at the log
 // service, the fleet's own share deducted.
 func (r *run) pollingBaseline(ctx context.Context) (float64, error) {
@@ -290,7 +264,7 @@
 }
 
 func (r *run) platformRate(ctx context.Context, during func() error) (float64, error) {
-	before, err := r.logStats(ctx)
+	before, err := r.fleet.LogStats(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -298,7 +272,7 @@
 	if err := during(); err != nil {
 		return 0, err
 	}
-	after, err := r.logStats(ctx)
+	after, err := r.fleet.LogStats(ctx)
 	bytes := after.BytesReceived + after.BytesSent - before.BytesReceived - before.BytesSent
 	return float64(bytes) / time.Since(begin).Seconds(), err
 }
--- a/standin/bench/fleet.go
+++ b/standin/bench/fleet.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
-	"github.com/laburnumcleat/laburnumcleat/standin/demo"
 	"github.com/laburnumcleat/laburnumcleat/standin/fleet"
+	"github.com/laburnumcleat/laburnumcleat/standin/load"
 )
 
 const (
@@ -202,7 +202,7 @@
 	}
 	spent = spent.beyond(m.calm)
 	const changes = 2 * killedNodes
-	m.add("death_known_to_all_s_p50", demo.Percentile(deaths, 50))
+	m.add("death_known_to_all_s_p50", load.Percentile(deaths, 50))
 	m.add("death_known_to_all_s_max", maximum(deaths))
 	m.add("member_change_bytes_per_node", spent.bytes/changes)
 	m.add("member_change_cpu_ms_per_node", spent.cpu/changes*1000)
@@ -286,7 +286,7 @@
 		return err
 	}
 	spent = spent.beyond(m.calm)
-	m.add("config_converged_ms_p99", demo.Percentile(convergence, 99))
+	m.add("config_converged_ms_p99", load.Percentile(convergence, 99))
 	m.add("config_change_bytes_per_node", spent.bytes/configChanges)
 	m.add("config_change_cpu_ms_per_node", spent.cpu/configChanges*1000)
 	return nil
@@ -318,13 +318,13 @@
 
 func (m *meter) sampleLog(ctx context.Context) herdRates {
 	var highest herdRates
-	before, err := m.run.logStats(ctx)
+	before, err := m.run.fleet.LogStats(ctx)
 	if err != nil {
 		return highest
 	}
 	at := time.Now()
 	for sleep(ctx, herdSample) == nil {
-		after, err := m.run.logStats(ctx)
+		after, err := m.run.fleet.LogStats(ctx)
 		if err != nil {
 			break
 		}
--- a/standin/canary/canary.go
+++ b/standin/canary/canary.go
@@ -90,14 +90,6 @@
 	return p.older, p.dangling
 }
 
-// Seen reports whether a node has served a generation.
-func (p *Prober) Seen(generation int, node string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, ok := p.firstSeen[generation][node]
-	return ok
-}
-
 // Run probes all nodes until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
 	var group sync.WaitGroup
--- a/standin/demo/report.go
+++ b/standin/demo/report.go
@@ -57,7 +57,7 @@
 	older, dangling := r.prober.Violations()
 	dangling += countReason(records, callctx.UnknownService)
 	fmt.Fprintf(r.options.Out, "converged_ms_p50=%.0f converged_ms_p99=%.0f control_bytes_per_node_s=%.0f calls=%d ok=%d foreign=%d unexecuted=%d cut=%d doubled=%d older_version=%d dangling_route=%d not_run_false=%d\n",
-		Percentile(convergence, 50), Percentile(convergence, 99), r.controlBytesPerNode(), v.Calls, v.OK, v.Foreign, v.Unexecuted,
+		load.Percentile(convergence, 50), load.Percentile(convergence, 99), r.controlBytesPerNode(), v.Calls, v.OK, v.Foreign, v.Unexecuted,
 		v.Cut, v.Doubled, older, dangling, v.NotRunExecuted)
 	if !v.Clean() || older > 0 || dangling > 0 {
 		return eris.New("a guarantee was violated; the counts above name it")
@@ -114,13 +114,3 @@
 	}
 	return total / float64(nodes)
 }
-
-// Percentile returns the p-th percentile of values, 0 if there are none. It sorts values.
-func Percentile(values []float64, p float64) float64 {
-	if len(values) == 0 {
-		return 0
-	}
-	sort.Float64s(values)
-	index := int(math.Ceil(p/100*float64(len(values)))) - 1
-	return values[max(index, 0)]
-}
--- a/standin/fleet/observe.go
+++ b/standin/fleet/observe.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/operator"
+	"github.com/laburnumcleat/laburnumcleat/standin/logservice"
 )
 
 const (
@@ -119,3 +121,28 @@
 func (n *Node) RestartVM() error {
 	return n.start(false)
 }
+
+// LogStats adds up the counters of the log service over all peers.
+func (f *Fleet) LogStats(ctx context.Context) (logservice.PeerStats, error) {
+	var total logservice.PeerStats
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.LogURL+"/control/stats", nil)
+	if err != nil {
+		return total, eris.Wrap(err, "log stats")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return total, eris.Wrap(err, "log stats")
+	}
+	defer response.Body.Close()
+	var peers map[string]logservice.PeerStats
+	if err := json.NewDecoder(response.Body).Decode(&peers); err != nil {
+		return total, eris.Wrap(err, "decoding log stats")
+	}
+	for _, p := range peers {
+		total.Appends += p.Appends
+		total.Reads += p.Reads
+		total.BytesSent += p.BytesSent
+		total.BytesReceived += p.BytesReceived
+	}
+	return total, nil
+}
--- a/standin/load/summary.go
+++ b/standin/load/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"strings"
 
@@ -60,7 +61,7 @@
 	}
 	summary := make(Summary, 0, len(byRank))
 	for name, rank := range byRank {
-		rank.P50MS, rank.P99MS = percentile(latencies[name], 0.50), percentile(latencies[name], 0.99)
+		rank.P50MS, rank.P99MS = Percentile(latencies[name], 50), Percentile(latencies[name], 99)
 		rank.Share = float64(rank.InTime) / float64(rank.Offered)
 		summary = append(summary, *rank)
 	}
@@ -86,12 +87,12 @@
 	}
 }
 
-// percentile returns the nearest-rank percentile and sorts values.
-func percentile(values []float64, part float64) float64 {
+// Percentile returns the nearest-rank p-th percentile (0 to 100) of values, 0 if there are none. It sorts values.
+func Percentile(values []float64, p float64) float64 {
 	if len(values) == 0 {
 		return 0
 	}
 	sort.Float64s(values)
-	index := int(part*float64(len(values))+0.999999) - 1
-	return values[min(max(index, 0), len(values)-1)]
+	index := int(math.Ceil(p/100*float64(len(values)))) - 1
+	return values[max(index, 0)]
 }
--- a/test/failures/config_test.go
+++ b/test/failures/config_test.go
@@ -315,16 +315,7 @@
 func (c *cluster) logRequests() int64 {
 	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.LogURL+"/control/stats", nil)
+	total, err := c.LogStats(ctx)
 	require.NoError(c.t, err)
-	response, err := http.DefaultClient.Do(request)
-	require.NoError(c.t, err)
-	defer response.Body.Close()
-	var peers map[string]logservice.PeerStats
-	require.NoError(c.t, json.NewDecoder(response.Body).Decode(&peers))
-	total := int64(0)
-	for _, p := range peers {
-		total += p.Appends + p.Reads
-	}
-	return total
+	return total.Appends + total.Reads
 }
