graceful: a planned stop answers every request that reached the process

A new connection stays open for up to 5 s during Shutdown, so that this window is far larger than the one of the listening socket.

Change: pkg/graceful.Server: no keep-alive from the beginning of the stop, the backlog is accepted, and the server closes only when no connection holds a request. Shutdown is not used any more.

--- a/pkg/node/backlog.go
+++ b/pkg/graceful/listener.go
@@ -1,4 +1,5 @@
-package node
+// Package graceful stops HTTP servers without losing a request that has reached the process or its sockets.
+package graceful
 
 import (
 	"errors"
@@ -11,12 +12,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// drainingListener is a TCP listener that can be closed without resetting connections that wait in its backlog.
+// Listener is a TCP listener that can be drained.
 //
 // The kernel completes a connection before the process accepts it. A client may already have sent its request on it, and
 // closing the listening socket resets the connection: the client cannot tell whether the request was read. Drain accepts
 // what waits, and closes the socket only when nothing does.
-type drainingListener struct {
+type Listener struct {
 	*net.TCPListener
 
 	once    sync.Once
@@ -27,12 +28,13 @@
 // errBacklogEmpty is the result of a non-blocking accept when no connection waits.
 var errBacklogEmpty = errors.New("no connection waits to be accepted")
 
-func newDrainingListener(inner *net.TCPListener) *drainingListener {
-	return &drainingListener{TCPListener: inner, drained: make(chan struct{}), closing: make(chan struct{})}
+// New wraps a listener.
+func New(inner *net.TCPListener) *Listener {
+	return &Listener{TCPListener: inner, drained: make(chan struct{}), closing: make(chan struct{})}
 }
 
 // Accept returns the next connection. After Drain it returns those that still wait, and then net.ErrClosed.
-func (l *drainingListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	select {
 	case <-l.closing:
 		return l.acceptWaiting()
@@ -52,7 +54,7 @@
 
 // acceptWaiting accepts without blocking. It closes the socket right after it found the backlog empty, so that the time in
 // which another connection can be completed and reset is a few microseconds.
-func (l *drainingListener) acceptWaiting() (net.Conn, error) {
+func (l *Listener) acceptWaiting() (net.Conn, error) {
 	conn, err := l.acceptNow()
 	if err == nil {
 		return conn, nil
@@ -67,7 +69,7 @@
 	return nil, net.ErrClosed
 }
 
-func (l *drainingListener) acceptNow() (net.Conn, error) {
+func (l *Listener) acceptNow() (net.Conn, error) {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return nil, net.ErrClosed
@@ -91,7 +93,7 @@
 
 // Drain lets Accept return the waiting connections and then closes the socket. It returns when that is done, or after
 // limit if nothing calls Accept.
-func (l *drainingListener) Drain(limit time.Duration) {
+func (l *Listener) Drain(limit time.Duration) {
 	select {
 	case <-l.closing:
 		return
--- a/pkg/node/backlog_test.go
+++ b/pkg/graceful/listener_test.go
@@ -1,4 +1,4 @@
-package node
+package graceful
 
 import (
 	"bufio"
@@ -19,7 +19,7 @@
 func TestStopAnswersConnectionsInTheBacklog(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	listener := newDrainingListener(inner.(*net.TCPListener))
+	listener := New(inner.(*net.TCPListener))
 	clients := make([]net.Conn, 5)
 	for i := range clients {
 		clients[i], err = net.Dial("tcp", inner.Addr().String())
@@ -32,13 +32,13 @@
 	stopped := make(chan struct{})
 	go func() { listener.Drain(testLimit); close(stopped) }()
 	<-listener.closing
-	var l listeners
 	var group errgroup.Group
 	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
-	l.serveHTTP(&group, listener, refuse, nil)
+	server := &http.Server{Handler: refuse}
+	group.Go(func() error { return server.Serve(listener) })
 
 	<-stopped
 	for _, c := range clients {
@@ -47,8 +47,8 @@
 		require.NoError(t, err, "the request was sent before the socket closed")
 		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	}
-	l.close()
-	require.NoError(t, group.Wait(), "a drained listener is no failure of the server")
+	require.NoError(t, server.Shutdown(t.Context()))
+	require.ErrorIs(t, group.Wait(), net.ErrClosed)
 	_, err = net.Dial("tcp", inner.Addr().String())
 	assert.Error(t, err, "the socket is closed")
 }
@@ -56,7 +56,7 @@
 func TestDrainWakesAnAcceptThatWaits(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	listener := newDrainingListener(inner.(*net.TCPListener))
+	listener := New(inner.(*net.TCPListener))
 	result := make(chan error, 1)
 	go func() {
 		_, err := listener.Accept()
--- /dev/null
+++ b/pkg/graceful/server_test.go
@@ -0,0 +1,104 @@
+package graceful
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+func serve(t *testing.T, handler http.HandlerFunc) (*Server, string, *errgroup.Group) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := NewServer(&http.Server{Handler: handler}, New(inner.(*net.TCPListener)))
+	group := &errgroup.Group{}
+	group.Go(func() error { return s.Serve(nil) })
+	return s, inner.Addr().String(), group
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(testLimit)))
+	return c
+}
+
+const payment = "POST /payment HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"
+
+// A request that is read after the stop has begun. http.Server.Shutdown drops it: "if c.server.shuttingDown() return".
+func TestRequestReadDuringTheStopIsAnswered(t *testing.T) {
+	serving, release := make(chan struct{}), make(chan struct{})
+	s, address, group := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			close(serving)
+			<-release
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	slow := dial(t, address)
+	_, err := slow.Write([]byte("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"))
+	require.NoError(t, err)
+	<-serving
+	late := dial(t, address)
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(t.Context()) }()
+	<-s.listener.drained
+	_, err = late.Write([]byte(payment))
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(late), nil)
+	require.NoError(t, err, "the request was read during the stop")
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.True(t, response.Close, "the connection is not to be used again")
+
+	close(release)
+	_, err = http.ReadResponse(bufio.NewReader(slow), nil)
+	require.NoError(t, err)
+	require.NoError(t, <-stopped)
+	require.NoError(t, group.Wait())
+}
+
+func TestStopClosesIdleConnectionsAndSilentOnes(t *testing.T) {
+	s, address, group := serve(t, func(w http.ResponseWriter, _ *http.Request) {})
+	kept := dial(t, address)
+	_, err := kept.Write([]byte(payment))
+	require.NoError(t, err)
+	reader := bufio.NewReader(kept)
+	_, err = http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	silent := dial(t, address)
+	require.NoError(t, s.Stop(t.Context()))
+	require.NoError(t, group.Wait())
+	_, err = reader.ReadByte()
+	assert.Error(t, err)
+	_, err = silent.Read(make([]byte, 1))
+	assert.Error(t, err)
+}
+
+func TestStopEndsWithItsContext(t *testing.T) {
+	serving, release := make(chan struct{}), make(chan struct{})
+	s, address, group := serve(t, func(http.ResponseWriter, *http.Request) {
+		close(serving)
+		<-release
+	})
+	defer close(release)
+	c := dial(t, address)
+	_, err := c.Write([]byte(payment))
+	require.NoError(t, err)
+	<-serving
+	ctx, cancel := contextWithTimeout(t)
+	defer cancel()
+	assert.Error(t, s.Stop(ctx))
+	require.NoError(t, group.Wait())
+}
+
+func contextWithTimeout(t *testing.T) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(t.Context(), 100*time.Millisecond)
+}
--- a/pkg/node/listeners.go
+++ b/pkg/node/listeners.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -12,90 +11,91 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/graceful"
 	"github.com/laburnumcleat/laburnumcleat/pkg/settings"
 )
 
 // listeners holds the sockets of a node and the HTTP servers on them.
 type listeners struct {
-	calls, nodes, control, api net.Listener
+	calls, nodes, api *graceful.Listener
+	control           net.Listener
 
-	mu       sync.Mutex
-	servers  []*http.Server
-	draining []*drainingListener // of the servers
+	mu      sync.Mutex
+	servers []*graceful.Server
 }
 
 func (l *listeners) open(addresses settings.Listen) error {
-	wanted := []struct {
+	control, err := listen(addresses.Control)
+	if err != nil {
+		return err
+	}
+	l.control = control
+	for _, w := range []struct {
 		address string
-		target  *net.Listener
-	}{{addresses.Calls, &l.calls}, {addresses.Nodes, &l.nodes}, {addresses.Control, &l.control}, {addresses.API, &l.api}}
-	for _, w := range wanted {
-		listener, err := net.Listen("tcp", w.address)
+		target  **graceful.Listener
+	}{{addresses.Calls, &l.calls}, {addresses.Nodes, &l.nodes}, {addresses.API, &l.api}} {
+		listener, err := listen(w.address)
 		if err != nil {
 			l.closeSockets()
-			return eris.Wrapf(err, "listening on %s; free the port or change the setting", w.address)
+			return err
 		}
-		*w.target = newDrainingListener(listener.(*net.TCPListener))
+		*w.target = graceful.New(listener)
 	}
 	return nil
 }
 
+func listen(address string) (*net.TCPListener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listening on %s; free the port or change the setting", address)
+	}
+	return listener.(*net.TCPListener), nil
+}
+
 // serveHTTP serves a handler on a listener until close. A nil tlsConfig means plain HTTP.
-func (l *listeners) serveHTTP(group *errgroup.Group, listener net.Listener, handler http.Handler, tlsConfig *tls.Config) {
-	server := &http.Server{
+func (l *listeners) serveHTTP(group *errgroup.Group, listener *graceful.Listener, handler http.Handler, tlsConfig *tls.Config) {
+	server := graceful.NewServer(&http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		// Handlers set the limits for bodies, which depend on the route.
 		IdleTimeout: time.Minute, // longer than clients keep idle connections, so that the client closes first
-	}
+	}, listener)
 	l.mu.Lock()
 	l.servers = append(l.servers, server)
-	if d, ok := listener.(*drainingListener); ok {
-		l.draining = append(l.draining, d)
-	}
 	l.mu.Unlock()
+	var wrap func(net.Listener) net.Listener
 	if tlsConfig != nil {
-		listener = tls.NewListener(listener, tlsConfig)
+		wrap = func(inner net.Listener) net.Listener { return tls.NewListener(inner, tlsConfig) }
 	}
-	group.Go(func() error {
-		err := server.Serve(listener)
-		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			return eris.Wrapf(err, "serving %s", listener.Addr())
-		}
-		return nil
-	})
+	group.Go(func() error { return eris.Wrapf(server.Serve(wrap), "serving %s", listener.Addr()) })
 }
 
 // shutdownLimit bounds the wait for refusals that are still being written. A busy machine needs more than the moment that
 // they take otherwise, and what is not written by then is cut off.
 const shutdownLimit = 10 * time.Second
 
-// backlogLimit bounds the wait for a server to accept the connections in its backlog, in case it has ended by itself.
-const backlogLimit = time.Second
-
-// close stops accepting without resetting connections that wait in a backlog, shuts the HTTP servers down after their last
-// request and closes the sockets.
+// close answers what was received, on all servers at the same time, and closes the sockets.
 func (l *listeners) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
 	l.mu.Lock()
 	servers := l.servers
-	draining := l.draining
 	l.mu.Unlock()
-	for _, d := range draining {
-		d.Drain(backlogLimit)
-	}
+	var stopping sync.WaitGroup
 	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil {
-			server.Close()
-		}
+		// At the limit the remaining connections are cut off; there is nothing more to do about them.
+		stopping.Go(func() { _ = server.Stop(ctx) })
 	}
+	stopping.Wait()
 	l.closeSockets()
 }
 
 func (l *listeners) closeSockets() {
-	for _, listener := range []net.Listener{l.calls, l.nodes, l.control, l.api} {
+	if l.control != nil {
+		l.control.Close()
+	}
+	for _, listener := range []*graceful.Listener{l.calls, l.nodes, l.api} {
 		if listener != nil {
 			listener.Close()
 		}
--- /dev/null
+++ b/pkg/node/listeners_test.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/graceful"
+)
+
+// A planned stop whose accept loop is late: it starts only after the request was sent and the stop has begun.
+func TestCloseAnswersWhatWaitsInTheBacklog(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	client, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	_, err = client.Write([]byte("POST /payment HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"))
+	require.NoError(t, err)
+
+	var l listeners
+	var group errgroup.Group
+	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	l.serveHTTP(&group, graceful.New(inner.(*net.TCPListener)), refuse, nil)
+	l.close()
+	require.NoError(t, group.Wait(), "a drained listener is no failure of the server")
+
+	require.NoError(t, client.SetReadDeadline(time.Now().Add(time.Minute)))
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+}
