--- /dev/null
+++ b/pkg/admission/admission.go
@@ -0,0 +1,96 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Admission lets calls wait for the decisions of the scheduler. It is safe for concurrent use.
+type Admission struct {
+	mu        sync.Mutex
+	scheduler *scheduler
+	now       func() time.Time
+}
+
+// New returns an admission for a backend server with so many slots.
+func New(slots int) *Admission {
+	return &Admission{scheduler: newScheduler(slots), now: time.Now}
+}
+
+// SetSlots takes over an announcement of the backend server.
+func (a *Admission) SetSlots(slots int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.slots = slots
+	a.scheduler.dispatch(a.now())
+}
+
+// Grant is a slot. Its holder must call Release once.
+type Grant struct {
+	admission *Admission
+	call      *waiting
+}
+
+// Release frees the slot.
+func (g *Grant) Release(r Result) {
+	g.admission.mu.Lock()
+	defer g.admission.mu.Unlock()
+	g.admission.scheduler.finish(g.admission.now(), g.call, r)
+}
+
+// minWait keeps the timer of a waiting call from firing again before it can have become hopeless.
+const minWait = time.Millisecond
+
+// Acquire waits until the call gets a slot or is refused. If ctx ends first, the call is withdrawn with reason Gone.
+func (a *Admission) Acquire(ctx context.Context, call Call) (*Grant, *Refusal) {
+	c := &waiting{Call: call, decided: make(chan *Refusal, 1)}
+	a.mu.Lock()
+	c.arrived = a.now()
+	a.scheduler.offer(c.arrived, c)
+	latest := c.Deadline.Sub(c.arrived) - a.scheduler.estimate(c.Class)
+	a.mu.Unlock()
+	select {
+	case refused := <-c.decided:
+		return a.result(c, refused)
+	default:
+	}
+	timer := time.NewTimer(max(latest, minWait))
+	defer timer.Stop()
+	select {
+	case refused := <-c.decided:
+		return a.result(c, refused)
+	case <-ctx.Done():
+		a.withdraw(c, Gone)
+	case <-timer.C:
+		a.withdraw(c, Hopeless)
+	}
+	return a.result(c, <-c.decided)
+}
+
+func (a *Admission) withdraw(c *waiting, reason Reason) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.withdraw(a.now(), c, reason)
+}
+
+func (a *Admission) result(c *waiting, refused *Refusal) (*Grant, *Refusal) {
+	if refused != nil {
+		return nil, refused
+	}
+	return &Grant{admission: a, call: c}, nil
+}
+
+// Close refuses all waiting and all later calls. Granted calls go on.
+func (a *Admission) Close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.close(a.now())
+}
+
+// Load returns the present load.
+func (a *Admission) Load() Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.scheduler.load(a.now())
+}
--- /dev/null
+++ b/pkg/admission/scheduler.go
@@ -0,0 +1,393 @@
+// Package admission decides which calls get the slots of one backend server, and when.
+//
+// All calls for the backend server pass through one Admission, so that its count of calls in flight is exact. A call is granted a
+// slot at once if one is free. It waits if it is expected to start early enough to meet its target. Otherwise it is refused
+// at once, with the time after which it is expected to be accepted: a caller that learns early can still succeed
+// elsewhere or later, and a slot that is spent on a call which ends late is missed by one that could be in time.
+//
+// Order: calls on behalf of admitted work first, because refusing them wastes the slot that their parent holds; then by
+// rank; within a rank the earliest target first, which also puts callers that come back after a refusal before new ones. A
+// less urgent rank keeps a part of what more urgent ones get, so that none starves, and never more than they do.
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Call is what the scheduler knows about a call.
+type Call struct {
+	Class    string    // calls of one class have similar service times
+	Rank     int       // 0 is the most urgent; Inner ranks before it
+	Target   time.Time // an answer until then counts as in time
+	Deadline time.Time // an answer after that is of no use
+}
+
+// Inner is the rank of calls on behalf of admitted work.
+const Inner = -1
+
+// Reason says why a call was refused. None of the refused calls has run or will run.
+type Reason string
+
+// The reasons of refusals.
+const (
+	Full     Reason = "full"     // it would have started too late to be in time
+	Hopeless Reason = "hopeless" // it would have ended after its deadline
+	Gone     Reason = "gone"     // its caller has left
+	Closed   Reason = "closed"   // the admission takes no more calls
+)
+
+// Refusal is the answer to a call that gets no slot.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration // when the same call is expected to be accepted; 0: not within its deadline
+	Waited     time.Duration // from its arrival
+}
+
+// Result is what a call showed about the backend server.
+type Result int
+
+// The results of granted calls.
+const (
+	Answered  Result = iota // the slot time is a valid sample
+	Shed                    // the backend server said that it has no room
+	Abandoned               // no answer; the slot time says nothing
+)
+
+// Load describes the backend server as its callers may weigh it.
+type Load struct {
+	Running, Queued, Limit int
+	SlotTime               time.Duration // mean time that a call holds a slot; 0: unknown
+}
+
+const (
+	queueFactor   = 4               // waiting calls of all ranks, relative to the slots
+	shedHold      = time.Second     // after the backend server shed a call, the limit stays below that level
+	minimumShare  = 0.4             // of the served part of more urgent ranks, which a rank with waiting calls keeps
+	shareMemory   = 3 * time.Second // over which the served part of a rank is averaged
+	firstEstimate = 50 * time.Millisecond
+	sampleWeight  = 0.1 // of a new sample in the mean slot time
+	fastWeight    = 0.3 // of the first samples
+	fastSamples   = 5
+	minRetryAfter = 20 * time.Millisecond
+	retryShare    = 3 // callers honour Retry-After up to this part of the time that they have left
+)
+
+// waiting is a call from its arrival to its end.
+type waiting struct {
+	Call
+	arrived time.Time
+	granted time.Time
+	queued  bool
+	decided chan *Refusal // receives exactly one decision, nil for a grant; capacity 1
+}
+
+// scheduler is a pure function of its calls and the times passed to it. It is not safe for concurrent use.
+type scheduler struct {
+	slots   int
+	shedAt  int // calls in flight when the backend server shed one
+	shedEnd time.Time
+
+	running  int
+	queue    []*waiting // in the order of service
+	ranks    map[int]*rankState
+	classes  map[string]*mean
+	slotTime mean
+	closed   bool
+}
+
+// rankState is the account of one rank.
+type rankState struct {
+	served  float64 // moving average: 1 for a grant, 0 for a refusal
+	decided time.Time
+}
+
+// maxClasses bounds the memory for estimates. A configuration with more classes loses old estimates.
+const maxClasses = 256
+
+func newScheduler(slots int) *scheduler {
+	return &scheduler{slots: slots, ranks: make(map[int]*rankState), classes: make(map[string]*mean)}
+}
+
+// limit is how many calls may be in flight.
+func (s *scheduler) limit(now time.Time) int {
+	if now.Before(s.shedEnd) {
+		return max(1, min(s.slots, s.shedAt-1))
+	}
+	return max(1, s.slots)
+}
+
+// offer grants, queues or refuses a new call.
+func (s *scheduler) offer(now time.Time, c *waiting) {
+	switch {
+	case s.closed:
+		s.refuse(now, c, Closed)
+		return
+	case !now.Before(c.Deadline):
+		s.refuse(now, c, Hopeless)
+		return
+	}
+	if s.running < s.limit(now) && len(s.queue) == 0 {
+		s.grant(now, c)
+		return
+	}
+	if reason := s.check(now, c, s.position(c)); reason != "" {
+		s.refuse(now, c, reason)
+		return
+	}
+	s.insert(c)
+	s.dispatch(now)
+	s.prune(now)
+}
+
+// check returns the reason to refuse a call that has so many calls before it, or "" if it may wait.
+func (s *scheduler) check(now time.Time, c *waiting, ahead int) Reason {
+	start := now.Add(s.wait(now, ahead))
+	end := start.Add(s.estimate(c.Class))
+	switch {
+	case end.After(c.Deadline):
+		return Hopeless
+	case len(s.queue) >= queueFactor*s.limit(now):
+		return Full
+	case end.After(c.Target) && !(c.Rank == Inner):
+		return Full
+	}
+	return ""
+}
+
+// wait estimates when a call with so many waiting calls before it gets a slot.
+func (s *scheduler) wait(now time.Time, ahead int) time.Duration {
+	limit := s.limit(now)
+	if free := limit - s.running; ahead < free {
+		return 0
+	}
+	interval := s.slotTime.value(firstEstimate) / time.Duration(limit)
+	return time.Duration(ahead+1)*interval - interval/2
+}
+
+func (s *scheduler) estimate(class string) time.Duration {
+	if m := s.classes[class]; m != nil {
+		return m.value(0)
+	}
+	return 0
+}
+
+// before reports whether a goes before b when both wait.
+func (s *scheduler) before(a, b *waiting) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	return a.Target.Before(b.Target)
+}
+
+// position is the number of waiting calls that go before c.
+func (s *scheduler) position(c *waiting) int {
+	if s.starved(c.Rank) && !s.hasQueued(c.Rank) {
+		return 0
+	}
+	for i, other := range s.queue {
+		if s.before(c, other) {
+			return i
+		}
+	}
+	return len(s.queue)
+}
+
+func (s *scheduler) hasQueued(rank int) bool {
+	return slices.ContainsFunc(s.queue, func(w *waiting) bool { return w.Rank == rank })
+}
+
+func (s *scheduler) insert(c *waiting) {
+	c.queued = true
+	i := 0
+	for i < len(s.queue) && !s.before(c, s.queue[i]) {
+		i++
+	}
+	s.queue = slices.Insert(s.queue, i, c)
+}
+
+// dispatch grants free slots to waiting calls.
+func (s *scheduler) dispatch(now time.Time) {
+	for s.running < s.limit(now) && len(s.queue) > 0 {
+		i := s.next()
+		c := s.queue[i]
+		s.remove(i)
+		end := now.Add(s.estimate(c.Class))
+		switch {
+		case !now.Before(c.Deadline) || end.After(c.Deadline) && len(s.queue) > 0:
+			s.refuse(now, c, Hopeless)
+		case end.After(c.Target) && c.Rank != Inner && len(s.queue) > 0:
+			s.refuse(now, c, Full) // its slot is worth more to a call that is in time
+		default:
+			s.grant(now, c)
+		}
+	}
+}
+
+// next is the index of the waiting call that goes first: the first call of a starved rank, or the first of all.
+func (s *scheduler) next() int {
+	if s.queue[0].Rank == Inner {
+		return 0
+	}
+	last := s.queue[0].Rank
+	for i, c := range s.queue {
+		if c.Rank != last && s.starved(c.Rank) {
+			return i
+		}
+		last = c.Rank
+	}
+	return 0
+}
+
+// starved reports whether the rank gets much less of its calls served than the more urgent ones do.
+func (s *scheduler) starved(rank int) bool {
+	own := s.ranks[rank]
+	if own == nil || rank <= 0 {
+		return false
+	}
+	for other, state := range s.ranks {
+		if other >= 0 && other < rank && own.served < minimumShare*state.served {
+			return true
+		}
+	}
+	return false
+}
+
+// prune refuses waiting calls that a later, more urgent call has pushed back too far.
+func (s *scheduler) prune(now time.Time) {
+	for i := len(s.queue) - 1; i >= 0; i-- {
+		c := s.queue[i]
+		if s.starved(c.Rank) && (i == 0 || s.queue[i-1].Rank != c.Rank) {
+			continue
+		}
+		if reason := s.check(now, c, i); reason != "" && (len(s.queue) > 1 || reason == Hopeless) {
+			s.remove(i)
+			s.refuse(now, c, reason)
+		}
+	}
+}
+
+func (s *scheduler) remove(i int) {
+	s.queue[i].queued = false
+	s.queue = slices.Delete(s.queue, i, i+1)
+}
+
+// withdraw removes a waiting call. It reports false if the call was decided already.
+func (s *scheduler) withdraw(now time.Time, c *waiting, reason Reason) bool {
+	if !c.queued {
+		return false
+	}
+	s.remove(slices.Index(s.queue, c))
+	s.refuse(now, c, reason)
+	return true
+}
+
+func (s *scheduler) grant(now time.Time, c *waiting) {
+	c.granted = now
+	s.running++
+	s.account(now, c.Rank, 1)
+	c.decided <- nil
+}
+
+func (s *scheduler) refuse(now time.Time, c *waiting, reason Reason) {
+	r := &Refusal{Reason: reason, Waited: now.Sub(c.arrived)}
+	if reason == Full || reason == Hopeless {
+		s.account(now, c.Rank, 0)
+		r.RetryAfter = s.retryAfter(now, c)
+	}
+	c.decided <- r
+}
+
+// retryAfter is when the call is expected to be accepted: when those before it have started. It leaves time to be served
+// before the target if that is possible, and else before the deadline.
+func (s *scheduler) retryAfter(now time.Time, c *waiting) time.Duration {
+	need := s.estimate(c.Class)
+	latest := c.Target.Sub(now) - need
+	if latest < minRetryAfter {
+		latest = c.Deadline.Sub(now) - need
+	}
+	if latest < minRetryAfter {
+		return 0
+	}
+	accepted := s.wait(now, s.position(c)) / 2
+	honoured := c.Deadline.Sub(now) / retryShare
+	return max(minRetryAfter, min(accepted, latest/2, honoured))
+}
+
+func (s *scheduler) account(now time.Time, rank int, served float64) {
+	state := s.ranks[rank]
+	if state == nil {
+		s.ranks[rank] = &rankState{served: served, decided: now}
+		return
+	}
+	weight := min(1, max(0.02, now.Sub(state.decided).Seconds()/shareMemory.Seconds()))
+	state.served += (served - state.served) * weight
+	state.decided = now
+}
+
+// finish frees the slot of a granted call.
+func (s *scheduler) finish(now time.Time, c *waiting, r Result) {
+	switch r {
+	case Answered:
+		held := now.Sub(c.granted)
+		s.slotTime.add(held)
+		s.class(c.Class).add(held)
+	case Shed:
+		s.shedAt = s.running
+		s.shedEnd = now.Add(shedHold)
+	}
+	s.running--
+	s.dispatch(now)
+}
+
+func (s *scheduler) class(name string) *mean {
+	m := s.classes[name]
+	if m == nil {
+		if len(s.classes) >= maxClasses {
+			clear(s.classes)
+		}
+		m = &mean{}
+		s.classes[name] = m
+	}
+	return m
+}
+
+// close refuses all waiting and all later calls.
+func (s *scheduler) close(now time.Time) {
+	s.closed = true
+	for len(s.queue) > 0 {
+		c := s.queue[0]
+		s.remove(0)
+		s.refuse(now, c, Closed)
+	}
+}
+
+func (s *scheduler) load(now time.Time) Load {
+	l := Load{Running: s.running, Queued: len(s.queue), Limit: s.limit(now), SlotTime: s.slotTime.value(0)}
+	if s.closed {
+		l.Limit = 0
+	}
+	return l
+}
+
+// mean is a moving average that follows the first samples quickly, so that it recovers soon from a cold start.
+type mean struct {
+	samples int
+	average time.Duration
+}
+
+func (m *mean) add(sample time.Duration) {
+	m.samples++
+	weight := sampleWeight
+	if m.samples <= fastSamples {
+		weight = max(fastWeight, 1/float64(m.samples))
+	}
+	m.average += time.Duration(float64(sample-m.average) * weight)
+}
+
+func (m *mean) value(unknown time.Duration) time.Duration {
+	if m.samples == 0 {
+		return unknown
+	}
+	return m.average
+}
--- /dev/null
+++ b/pkg/announce/announce.go
@@ -0,0 +1,109 @@
+// Package announce decides what the announcements of a backend server mean. Announcements arrive late, out of order, from
+// processes that have ended, and from writers that are no backend server.
+package announce
+
+import (
+	"cmp"
+	"time"
+)
+
+// Announcement is what a backend server says about itself.
+type Announcement struct {
+	ID       string // of the instance; a process that starts again may keep it
+	Service  string
+	Address  string // "ip:port"
+	Slots    int
+	Draining bool
+	Cold     time.Duration // how much longer its start makes it slow
+	Sequence int64         // grows with each announcement of one process
+	Born     int64         // start of the process, Unix ms; 0: not stated
+}
+
+// Verdict says what became of an announcement.
+type Verdict string
+
+// The verdicts.
+const (
+	Accepted Verdict = "accepted"
+	Stale    Verdict = "stale"   // a later announcement, or a later process, is known
+	Ended    Verdict = "ended"   // the process has said that it leaves
+	Foreign  Verdict = "foreign" // it does not concern the backend server beside this node
+)
+
+// Tracker holds the state of the one backend server beside a node. It is not safe for concurrent use.
+type Tracker struct {
+	current *Announcement
+	seen    time.Time
+	ended   []process
+}
+
+// process identifies one run of a backend server.
+type process struct {
+	id   string
+	born int64
+}
+
+// maxEnded bounds the memory of processes that have ended. Announcements are late by seconds, and a machine does not start
+// so many processes in that time.
+const maxEnded = 64
+
+// Current returns the latest accepted announcement, or nil if the backend server has left or lapsed.
+func (t *Tracker) Current() *Announcement { return t.current }
+
+// Announce takes in an announcement.
+func (t *Tracker) Announce(now time.Time, a Announcement) Verdict {
+	for _, p := range t.ended {
+		if p.id == a.ID && a.Born <= p.born {
+			return Ended
+		}
+	}
+	if c := t.current; c != nil {
+		if order := cmp.Or(cmp.Compare(a.Born, c.Born), t.sameProcess(a, c)); order < 0 {
+			return Stale
+		}
+		if c.ID == a.ID && c.Born == a.Born && c.Draining {
+			a.Draining = true // a process that leaves does not come back
+		}
+	}
+	t.current = &a
+	t.seen = now
+	return Accepted
+}
+
+// sameProcess compares the sequences of announcements by one process.
+func (t *Tracker) sameProcess(a Announcement, c *Announcement) int {
+	if a.ID != c.ID {
+		return 0
+	}
+	return cmp.Compare(a.Sequence, c.Sequence)
+}
+
+// Leave takes in that the instance leaves. It reports whether that is the current one. Of an instance that is not known, as
+// after a restart of this process, every run that began until now has ended.
+func (t *Tracker) Leave(now time.Time, id string) bool {
+	born := now.UnixMilli()
+	known := t.current != nil && t.current.ID == id
+	if known {
+		born = t.current.Born
+	}
+	t.ended = append(t.ended, process{id, born})
+	if len(t.ended) > maxEnded {
+		t.ended = t.ended[1:]
+	}
+	if known {
+		t.current = nil
+	}
+	return known
+}
+
+// Lapse forgets a backend server that was not heard of for so long. It reports whether it did.
+func (t *Tracker) Lapse(now time.Time, after time.Duration) bool {
+	if t.current == nil || now.Sub(t.seen) < after {
+		return false
+	}
+	t.current = nil
+	return true
+}
+
+// Heard notes a sign of life other than an announcement.
+func (t *Tracker) Heard(now time.Time) { t.seen = now }
--- /dev/null
+++ b/pkg/announce/announce_test.go
@@ -0,0 +1,62 @@
+package announce
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestLateAndForeignAnnouncements(t *testing.T) {
+	first := Announcement{ID: "a", Service: "s", Born: 100, Sequence: 5, Slots: 9}
+	for name, c := range map[string]struct {
+		second  Announcement
+		want    Verdict
+		current string
+		slots   int
+	}{
+		"next":                              {Announcement{ID: "a", Born: 100, Sequence: 6, Slots: 8}, Accepted, "a", 8},
+		"late":                              {Announcement{ID: "a", Born: 100, Sequence: 4, Slots: 8}, Stale, "a", 9},
+		"repeated":                          {Announcement{ID: "a", Born: 100, Sequence: 5, Slots: 9}, Accepted, "a", 9},
+		"same id after a restart":           {Announcement{ID: "a", Born: 200, Sequence: 1, Slots: 8}, Accepted, "a", 8},
+		"same id from before a restart":     {Announcement{ID: "a", Born: 50, Sequence: 9, Slots: 8}, Stale, "a", 9},
+		"successor":                         {Announcement{ID: "b", Born: 200, Sequence: 1, Slots: 8}, Accepted, "b", 8},
+		"predecessor, held by a partition":  {Announcement{ID: "b", Born: 50, Sequence: 9, Slots: 8}, Stale, "a", 9},
+		"no start stated, another instance": {Announcement{ID: "b", Sequence: 9, Slots: 8}, Stale, "a", 9},
+	} {
+		var tracker Tracker
+		require.Equal(t, Accepted, tracker.Announce(start, first))
+		assert.Equal(t, c.want, tracker.Announce(start, c.second), name)
+		assert.Equal(t, c.current, tracker.Current().ID, name)
+		assert.Equal(t, c.slots, tracker.Current().Slots, name)
+	}
+}
+
+func TestLeavingIsFinalForAProcess(t *testing.T) {
+	var tracker Tracker
+	tracker.Announce(start, Announcement{ID: "a", Born: 100, Sequence: 1})
+	tracker.Announce(start, Announcement{ID: "a", Born: 100, Sequence: 2, Draining: true})
+	tracker.Announce(start, Announcement{ID: "a", Born: 100, Sequence: 3})
+	assert.True(t, tracker.Current().Draining, "a draining process does not become ready again")
+	assert.True(t, tracker.Leave(start, "a"))
+	assert.Nil(t, tracker.Current())
+	assert.Equal(t, Ended, tracker.Announce(start, Announcement{ID: "a", Born: 100, Sequence: 9}), "a late announcement")
+	assert.Equal(t, Accepted, tracker.Announce(start, Announcement{ID: "a", Born: 101, Sequence: 1}), "started again under its id")
+	assert.False(t, tracker.Leave(start, "other"))
+	assert.NotNil(t, tracker.Current())
+	assert.Equal(t, Ended, tracker.Announce(start, Announcement{ID: "other", Born: start.UnixMilli() - 1, Sequence: 9}), "it left before it was known here")
+}
+
+func TestSilenceLapses(t *testing.T) {
+	var tracker Tracker
+	tracker.Announce(start, Announcement{ID: "a", Born: 100, Sequence: 1})
+	assert.False(t, tracker.Lapse(start.Add(4*time.Second), 5*time.Second))
+	tracker.Heard(start.Add(4 * time.Second))
+	assert.False(t, tracker.Lapse(start.Add(8*time.Second), 5*time.Second))
+	assert.True(t, tracker.Lapse(start.Add(9*time.Second), 5*time.Second))
+	assert.Nil(t, tracker.Current())
+	assert.Equal(t, Accepted, tracker.Announce(start, Announcement{ID: "a", Born: 100, Sequence: 2}), "it was only silent")
+}
--- /dev/null
+++ b/pkg/hop/pool.go
@@ -0,0 +1,183 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// conn is a connection that carries one request at a time.
+type conn struct {
+	net.Conn
+	reader  *bufio.Reader
+	address string
+	idleAt  time.Time     // since when it has been unused
+	idleFor time.Duration // shorter than Options.IdleFor if the other side says so; 0: not restricted
+}
+
+// readBufferBytes holds a usual response header.
+const readBufferBytes = 2 << 10
+
+// pool keeps unused connections by address.
+type pool struct {
+	options Options
+	mu      sync.Mutex
+	idle    map[string][]*conn // the latest used last
+	swept   time.Time
+}
+
+// get returns a kept connection that is usable, or a new one.
+func (p *pool) get(ctx context.Context, address string, freshOnly bool) (cn *conn, reused bool, err error) {
+	limit := p.options.IdleFor
+	if freshOnly {
+		limit = min(limit, p.options.FreshFor)
+	}
+	for {
+		cn := p.take(address, limit)
+		if cn == nil {
+			break
+		}
+		if cn.isUsable() {
+			return cn, true, nil
+		}
+		cn.Close()
+	}
+	cn, err = p.dial(ctx, address)
+	return cn, false, err
+}
+
+// take removes the connection that was used last, if it was idle for no longer than limit.
+func (p *pool) take(address string, limit time.Duration) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[address]
+	if len(kept) == 0 {
+		return nil
+	}
+	cn := kept[len(kept)-1]
+	if cn.idleFor > 0 {
+		limit = min(limit, cn.idleFor)
+	}
+	if time.Since(cn.idleAt) > limit {
+		return nil // the others were idle for longer; sweep closes them
+	}
+	p.idle[address] = kept[:len(kept)-1]
+	return cn
+}
+
+// put keeps a connection for later requests.
+func (p *pool) put(cn *conn) {
+	cn.idleAt = time.Now()
+	p.mu.Lock()
+	kept := p.idle[cn.address]
+	full := len(kept) >= p.options.IdlePerHost
+	if !full {
+		p.idle[cn.address] = append(kept, cn)
+	}
+	expired := p.sweep(cn.idleAt)
+	p.mu.Unlock()
+	if full {
+		cn.Close()
+	}
+	closeAll(expired)
+}
+
+// sweep removes the connections that were idle for too long, at most once a second. The caller holds mu.
+func (p *pool) sweep(now time.Time) []*conn {
+	if now.Sub(p.swept) < time.Second {
+		return nil
+	}
+	p.swept = now
+	var expired []*conn
+	for address, kept := range p.idle {
+		first := 0
+		for first < len(kept) && now.Sub(kept[first].idleAt) > p.options.IdleFor {
+			first++
+		}
+		expired = append(expired, kept[:first]...)
+		if first == len(kept) {
+			delete(p.idle, address)
+		} else if first > 0 {
+			p.idle[address] = append([]*conn(nil), kept[first:]...)
+		}
+	}
+	return expired
+}
+
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = make(map[string][]*conn)
+	p.mu.Unlock()
+	for _, kept := range idle {
+		closeAll(kept)
+	}
+}
+
+func (p *pool) forget(address string) {
+	p.mu.Lock()
+	kept := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	closeAll(kept)
+}
+
+func closeAll(conns []*conn) {
+	for _, cn := range conns {
+		cn.Close()
+	}
+}
+
+// keepAliveProbe is the time between probes of a connection on which nothing is sent, as while a backend server works. Two
+// without an answer end it, so that a connection that went silent is noticed after about 3 s.
+const keepAliveProbe = time.Second
+
+func (p *pool) dial(ctx context.Context, address string) (*conn, error) {
+	dialer := net.Dialer{
+		Timeout:         p.options.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveProbe, Interval: keepAliveProbe, Count: 2},
+		Control:         p.setUserTimeout,
+	}
+	socket, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), address: address}, nil
+}
+
+func (p *pool) setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.options.UserTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+// isUsable reports whether an unused connection is open and nothing has arrived on it. What has arrived is a late answer to an
+// earlier request.
+func (cn *conn) isUsable() bool {
+	if cn.reader.Buffered() > 0 {
+		return false
+	}
+	socket, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,92 @@
+// Package retry bounds the calls that are sent to a second backend server, summed over all nodes.
+//
+// The bound is one for the whole fleet: in any window, at most ratio times the requests for a service, plus a slack. No node
+// can know what the others send, so each has its part: the ratio of its own requests, and an equal part of the slack.
+// The parts add up to the bound whatever the skew between nodes.
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// Terms are the bound of the fleet.
+type Terms struct {
+	Ratio  float64       // of the requests for the service
+	Slack  float64       // further repeats in each window
+	Window time.Duration // any span of this length counts
+}
+
+// caution is the part of the bound that is used. Windows of the nodes and of whoever measures do not begin together, a
+// node that restarts has forgotten what it sent, and a repeat makes its own calls again.
+const caution = 0.5
+
+// buckets divide the window.
+const buckets = 20
+
+// Budget counts requests and repeats for each service over a sliding window. It is safe for concurrent use.
+type Budget struct {
+	terms Terms
+	nodes func() int // in the fleet, this one included
+	now   func() time.Time
+
+	mu       sync.Mutex
+	services map[string]*window
+}
+
+// New returns a budget. nodes returns the size of the fleet.
+func New(terms Terms, nodes func() int) *Budget {
+	return &Budget{terms: terms, nodes: nodes, now: time.Now, services: make(map[string]*window)}
+}
+
+// window counts in buckets that cover Terms.Window.
+type window struct {
+	requests, repeats [buckets]int
+	newest            int64 // number of the newest bucket
+}
+
+// Request counts a call that is sent for the first time.
+func (b *Budget) Request(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, i := b.at(service)
+	w.requests[i]++
+}
+
+// TakeRepeat counts a repeat, or returns false if the budget does not allow it.
+func (b *Budget) TakeRepeat(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, i := b.at(service)
+	requests, repeats := 0, 0
+	for j := range buckets {
+		requests += w.requests[j]
+		repeats += w.repeats[j]
+	}
+	allowed := caution * (b.terms.Ratio*float64(requests) + b.terms.Slack/float64(max(1, b.nodes())))
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	w.repeats[i]++
+	return true
+}
+
+// at returns the window of a service, advanced to now, and the index of its newest bucket.
+func (b *Budget) at(service string) (*window, int) {
+	w := b.services[service]
+	if w == nil {
+		w = &window{}
+		b.services[service] = w
+	}
+	number := b.now().UnixNano() / int64(b.terms.Window/buckets)
+	steps := min(number-w.newest, buckets)
+	for s := int64(1); s <= steps; s++ {
+		i := (w.newest + s) % buckets
+		if steps == buckets {
+			i = s % buckets
+		}
+		w.requests[i], w.repeats[i] = 0, 0
+	}
+	w.newest = max(number, w.newest)
+	return w, int(w.newest % buckets)
+}
--- /dev/null
+++ b/pkg/routing/table.go
@@ -0,0 +1,112 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+)
+
+// Table answers which route a call takes. It is safe for concurrent use.
+type Table struct {
+	Document *Document
+
+	hosts    map[string]map[string]*Entry // by lower-case host and prefix
+	services map[string]*Service
+}
+
+// Entry is a route in use.
+type Entry struct {
+	*Route
+
+	mu    sync.Mutex
+	turns []int // of the destinations, for smooth weighted round robin
+	total int   // sum of the weights
+}
+
+// Compile checks a document and builds its table. An error is an apierror.List with every fault.
+func Compile(d *Document) (*Table, error) {
+	if errs := d.check(); len(errs) > 0 {
+		return nil, errs
+	}
+	t := &Table{Document: d, hosts: make(map[string]map[string]*Entry), services: make(map[string]*Service, len(d.Services))}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		if t.hosts[host] == nil {
+			t.hosts[host] = make(map[string]*Entry)
+		}
+		t.hosts[host][r.PathPrefix] = newEntry(r)
+	}
+	return t, nil
+}
+
+func newEntry(r *Route) *Entry {
+	e := &Entry{Route: r}
+	for _, d := range r.Destinations {
+		e.total += d.Weight
+	}
+	if len(r.Destinations) < 2 {
+		return e
+	}
+	e.turns = make([]int, len(r.Destinations))
+	// Each node begins at another turn. Otherwise the first calls of all nodes go to the same destination.
+	for range rand.IntN(e.total) {
+		e.next()
+	}
+	return e
+}
+
+// Service returns a service of the configuration, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Match returns the route with the longest prefix of the path among those of the host, or nil. The host may have a port.
+func (t *Table) Match(host, path string) *Entry {
+	prefixes := t.hosts[hostName(host)]
+	if prefixes == nil {
+		return nil
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if e := prefixes[path[:end+1]]; e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+func hostName(host string) string {
+	if strings.IndexByte(host, ':') >= 0 {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
+	}
+	return strings.ToLower(host)
+}
+
+// Destination returns the service that the next call of the route goes to. The shares of the destinations are exact over
+// any run of calls as long as the sum of the weights.
+func (e *Entry) Destination() string {
+	if len(e.turns) == 0 {
+		return e.Destinations[0].Service
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Destinations[e.next()].Service
+}
+
+// next is one step of smooth weighted round robin: every destination gains its weight, and the one that is ahead pays the
+// sum.
+func (e *Entry) next() int {
+	best := 0
+	for i := range e.turns {
+		e.turns[i] += e.Destinations[i].Weight
+		if e.turns[i] > e.turns[best] {
+			best = i
+		}
+	}
+	e.turns[best] -= e.total
+	return best
+}
--- /dev/null
+++ b/pkg/sidecar/follower.go
@@ -0,0 +1,183 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
+	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
+	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
+)
+
+const (
+	pollWait     = 25 * time.Second       // of a read that waits for the next configuration; the store allows 30 s
+	pollPause    = 600 * time.Millisecond // after a configuration, so that a quick succession of them costs few reads
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = time.Second // the store is asked again so soon after its return
+	// peerDelay is how long a node that hears of a newer version waits for it to come from the store.
+	peerDelay   = 400 * time.Millisecond
+	pullTimeout = time.Second
+)
+
+// documentMethod is the RPC method with which a node asks another for its configuration.
+const documentMethod = "sidecar.document"
+
+// documentParams asks for a configuration that is newer than a version.
+type documentParams struct {
+	Newer uint64 `json:"newer"`
+}
+
+// follower keeps the node at the newest configuration. The version never falls while the process runs.
+type follower struct {
+	source  Source
+	client  *rpc.Client
+	metrics *metrics.Registry
+	logger  *zap.Logger
+
+	table   atomic.Pointer[routing.Table]
+	mu      sync.Mutex // serialises activation
+	pulling atomic.Bool
+	storeUp atomic.Bool
+}
+
+func newFollower(source Source, client *rpc.Client, server *rpc.Server, m *metrics.Registry, logger *zap.Logger) *follower {
+	f := &follower{source: source, client: client, metrics: m, logger: logger}
+	server.Handle(documentMethod, f.serveDocument)
+	return f
+}
+
+// Table returns the configuration in force, or nil if none is known yet.
+func (f *follower) Table() *routing.Table { return f.table.Load() }
+
+// version is that of the configuration in force, 0 if there is none.
+func (f *follower) version() uint64 {
+	if t := f.table.Load(); t != nil {
+		return t.Document.Version
+	}
+	return 0
+}
+
+// offer activates a configuration if it is newer than the one in force and has no fault.
+func (f *follower) offer(d *routing.Document, from string) {
+	if d == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.version()
+	if d.Version <= before {
+		return
+	}
+	table, err := routing.Compile(d)
+	if err != nil {
+		f.metrics.Inc("configuration_rejected")
+		f.logger.Error("configuration_rejected", zap.Uint64("version", d.Version), zap.String("from", from), zap.Error(err),
+			zap.String("remedy", "publish a corrected configuration; the one in force stays"))
+		return
+	}
+	f.table.Store(table)
+	f.metrics.Inc("configuration_activated", "from", from)
+	f.metrics.Gauge("configuration_version").Update(int64(d.Version))
+	f.logger.Info("configuration_activated", zap.Uint64("version", d.Version), zap.Uint64("before", before),
+		zap.String("from", from), zap.Int("routes", len(d.Routes)), zap.Int("services", len(d.Services)))
+}
+
+// Run reads the source until ctx ends.
+func (f *follower) Run(ctx context.Context) {
+	position, known := int64(0), false
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		var p Published
+		var err error
+		if known {
+			p, err = f.source.Next(ctx, position, pollWait)
+		} else {
+			p, err = f.source.Newest(ctx)
+		}
+		if err != nil {
+			known = known && apierror.KindOf(err) != apierror.NotFound
+			f.failed(err)
+			sleepFor(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
+			backoff = min(2*backoff, lastBackoff)
+			continue
+		}
+		f.reached()
+		backoff = firstBackoff
+		position, known = p.Position, true
+		f.offer(p.Document, "store")
+		if p.Document != nil {
+			sleepFor(ctx, pollPause)
+		}
+	}
+}
+
+func (f *follower) failed(err error) {
+	f.metrics.Inc("store_failed")
+	if f.storeUp.Swap(false) {
+		f.logger.Warn("store_lost", zap.Error(err), zap.String("remedy", "the configuration in force stays; newer ones come from other nodes"))
+	}
+}
+
+func (f *follower) reached() {
+	if !f.storeUp.Swap(true) {
+		f.logger.Info("store_reached")
+	}
+}
+
+func sleepFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// heard takes in that another node has a version. If it is newer, and the store does not deliver it soon, it is asked of that
+// node.
+func (f *follower) heard(ctx context.Context, version uint64, address string) {
+	if version <= f.version() || !f.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer f.pulling.Store(false)
+		if f.table.Load() != nil {
+			sleepFor(ctx, peerDelay)
+		}
+		if version <= f.version() || ctx.Err() != nil {
+			return
+		}
+		f.pull(ctx, address)
+	}()
+}
+
+func (f *follower) pull(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var d *routing.Document
+	if err := f.client.Call(ctx, address, documentMethod, documentParams{Newer: f.version()}, &d); err != nil {
+		f.metrics.Inc("configuration_pull_failed")
+		f.logger.Info("configuration_pull_failed", zap.String("from", address), zap.Error(err))
+		return
+	}
+	f.offer(d, "node")
+}
+
+func (f *follower) serveDocument(_ context.Context, params json.RawMessage) (any, error) {
+	var p documentParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, apierror.InvalidField("params", err.Error(), "run the same version on all nodes")
+	}
+	t := f.table.Load()
+	if t == nil || t.Document.Version <= p.Newer {
+		return nil, nil
+	}
+	return t.Document, nil
+}
--- /dev/null
+++ b/pkg/sidecar/inbound.go
@@ -0,0 +1,280 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/admission"
+	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
+	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
+	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
+	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
+)
+
+const (
+	// backendGrace is how long a backend server may take beyond the deadline that it was given, so that its own answer at the
+	// deadline still counts as its answer.
+	backendGrace = 60 * time.Millisecond
+	// answeredWeight is the weight of one call in the answered part that is reported.
+	answeredWeight = 0.1
+	// backendIdle is how long a connection to the backend server is kept unused, unless the backend server says less. Common
+	// servers keep idle connections for 5 s or longer.
+	backendIdle = 4 * time.Second
+	// spareConnections may be open to the backend server beyond its slots, for those that are just being closed.
+	spareConnections = 2
+)
+
+// inbound hands requests to the backend server on the same machine. Nothing else reaches it, so that what was admitted, what is
+// leaving and what has run are known here exactly.
+type inbound struct {
+	headers Headers
+	client  *hop.Client
+	metrics *metrics.Registry
+	logger  *zap.Logger
+	heard   func() // the backend server answered
+
+	instance atomic.Pointer[instance]
+	stopping atomic.Bool
+	active   sync.WaitGroup
+}
+
+// instance is one run of the backend server.
+type instance struct {
+	announce.Announcement
+	admission *admission.Admission
+	draining  atomic.Bool
+
+	mu       sync.Mutex
+	answered float64 // moving average of the part of calls that it answered
+}
+
+func newInbound(h Headers, m *metrics.Registry, logger *zap.Logger, heard func()) *inbound {
+	return &inbound{
+		headers: h, metrics: m, logger: logger, heard: heard,
+		client: hop.New(hop.Options{EchoHeader: h.RequestID, IdleFor: backendIdle}),
+	}
+}
+
+// set takes over an accepted announcement; nil means that there is no backend server.
+func (in *inbound) set(a *announce.Announcement) {
+	old := in.instance.Load()
+	if a == nil {
+		in.instance.Store(nil)
+		if old != nil {
+			old.close()
+			in.client.Forget(old.Address)
+		}
+		return
+	}
+	if old == nil || old.ID != a.ID || old.Born != a.Born {
+		next := &instance{Announcement: *a, admission: admission.New(max(a.Slots, 1)), answered: 1}
+		if a.Draining {
+			next.close()
+		}
+		in.client.Forget(a.Address)
+		in.instance.Store(next)
+		if old != nil {
+			old.close()
+		}
+		return
+	}
+	if a.Draining {
+		old.close()
+	}
+	old.admission.SetSlots(max(a.Slots, 1))
+}
+
+func (i *instance) close() {
+	i.draining.Store(true)
+	i.admission.Close()
+}
+
+// observe notes whether the backend server answered a call.
+func (i *instance) observe(ok bool) {
+	value := 0.0
+	if ok {
+		value = 1
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.answered += (value - i.answered) * answeredWeight
+}
+
+func (i *instance) load() placement.Load {
+	l := i.admission.Load()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return placement.Load{Running: l.Running, Queued: l.Queued, Limit: l.Limit, SlotTime: l.SlotTime, Answered: i.answered}
+}
+
+// stop refuses new calls and those that wait.
+func (in *inbound) stop() {
+	in.stopping.Store(true)
+	if i := in.instance.Load(); i != nil {
+		i.close()
+	}
+}
+
+// serve decides on a call and, if it gets a slot, hands it to the backend server. The response is nil unless the verdict is
+// answered.
+func (in *inbound) serve(ctx context.Context, c *call, r *hop.Request) (*ruling, *hop.Response) {
+	in.active.Add(1)
+	defer in.active.Done()
+	now := time.Now()
+	i := in.instance.Load()
+	if why := in.refusal(i, c); why != "" {
+		return in.rule(i, &ruling{verdict: notRun, reason: why}), nil
+	}
+	grant, refused := i.admission.Acquire(ctx, admission.Call{
+		Class: c.class, Rank: c.rank, Target: now.Add(c.targetLeft), Deadline: now.Add(c.deadlineLeft),
+	})
+	if refused != nil {
+		return in.rule(i, refusedRuling(refused)), nil
+	}
+	// The slot may have come after a wait; what is decided by the instance is decided now, before the first byte is sent.
+	if in.instance.Load() != i || i.draining.Load() {
+		grant.Release(admission.Abandoned)
+		return in.rule(i, &ruling{verdict: notRun, reason: reasonDraining}), nil
+	}
+	ruled, response, result := in.hand(ctx, i, c, r, now.Add(c.deadlineLeft))
+	if response != nil && response.Rest != nil {
+		response.Rest = &heldSlot{ReadCloser: response.Rest, grant: grant, result: result}
+	} else {
+		grant.Release(result)
+	}
+	return in.rule(i, ruled), response
+}
+
+// refusal returns the reason for which a call cannot be handed to the instance.
+func (in *inbound) refusal(i *instance, c *call) reason {
+	switch {
+	case i == nil && in.stopping.Load():
+		return reasonStopping
+	case i == nil:
+		return reasonNoBackend
+	case i.Service != c.service:
+		return reasonService
+	case i.draining.Load():
+		return reasonDraining
+	}
+	return ""
+}
+
+func refusedRuling(r *admission.Refusal) *ruling {
+	out := &ruling{verdict: notRun, retryAfter: r.RetryAfter}
+	switch r.Reason {
+	case admission.Full:
+		out.reason = reasonFull
+	case admission.Hopeless:
+		out.reason = reasonHopeless
+	case admission.Gone:
+		out.reason = reasonCancelled
+	case admission.Closed:
+		out.reason = reasonDraining
+	}
+	return out
+}
+
+// rule adds the load, and counts.
+func (in *inbound) rule(i *instance, r *ruling) *ruling {
+	if i != nil {
+		r.load, r.hasLoad = i.load(), true
+	}
+	in.metrics.Inc("inbound", "verdict", string(r.verdict), "reason", string(r.reason))
+	return r
+}
+
+// hand sends the request to the backend server.
+func (in *inbound) hand(ctx context.Context, i *instance, c *call, r *hop.Request, deadline time.Time) (*ruling, *hop.Response, admission.Result) {
+	left := time.Until(deadline).Milliseconds()
+	if left <= 0 {
+		return &ruling{verdict: notRun, reason: reasonDeadline}, nil, admission.Abandoned
+	}
+	r.Header.Set(in.headers.DeadlineMS, strconv.FormatInt(left, 10))
+	r.Header.Set(in.headers.ExpectedInstance, i.ID)
+	r.Header.Set(in.headers.Caller, c.caller)
+	r.FreshOnly = !c.idempotent
+	if !c.idempotent {
+		// Once it runs, the caller's leave must not break it off: nothing tells whether half of it took effect.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(backendGrace))
+	response, failed := in.client.Do(ctx, i.Address, r)
+	if failed != nil {
+		cancel()
+		return in.failed(i, failed)
+	}
+	if response.Rest != nil {
+		response.Rest = &cancelOnClose{ReadCloser: response.Rest, cancel: cancel}
+	} else {
+		cancel()
+	}
+	return in.answer(i, response)
+}
+
+func (in *inbound) failed(i *instance, f *hop.Failure) (*ruling, *hop.Response, admission.Result) {
+	out := &ruling{verdict: unknown, arrived: f.Sent}
+	if !f.Sent {
+		out.verdict = notRun
+	}
+	switch f.Cause {
+	case hop.Cancelled:
+		out.reason = reasonCancelled
+	case hop.Deadline:
+		out.reason = reasonDeadline
+	case hop.Unreachable:
+		out.reason = reasonUnreachable
+	case hop.Garbled:
+		out.reason = reasonGarbled
+	case hop.Truncated:
+		out.reason = reasonTruncated
+	case hop.BodyFailed:
+		out.reason = reasonBody
+	default:
+		out.reason = reasonLost
+	}
+	if f.Cause != hop.Cancelled && f.Cause != hop.BodyFailed {
+		i.observe(false)
+	}
+	if errors.Is(f.Err, context.Canceled) {
+		out.reason = reasonCancelled
+	}
+	return out, nil, admission.Abandoned
+}
+
+// answer tells the backend server's own answers from its refusals to run the request.
+func (in *inbound) answer(i *instance, response *hop.Response) (*ruling, *hop.Response, admission.Result) {
+	in.heard()
+	switch {
+	case response.Status == http.StatusMisdirectedRequest:
+		drop(response)
+		return &ruling{verdict: notRun, reason: reasonInstance, arrived: true}, nil, admission.Abandoned
+	case response.Header.Get(in.headers.NotExecuted) != "":
+		drop(response)
+		i.observe(false)
+		return &ruling{verdict: notRun, reason: reasonShed, arrived: true}, nil, admission.Shed
+	case response.Header.Get(in.headers.Signature) == "":
+		drop(response)
+		i.observe(false)
+		return &ruling{verdict: unknown, reason: reasonUnsigned, arrived: true}, nil, admission.Abandoned
+	}
+	i.observe(response.Status != http.StatusInternalServerError)
+	result := admission.Answered
+	if response.Status >= http.StatusInternalServerError {
+		result = admission.Abandoned // it says little about how long a call takes
+	}
+	return &ruling{verdict: answered, arrived: true}, response, result
+}
+
+func drop(response *hop.Response) {
+	if response.Rest != nil {
+		response.Rest.Close()
+	}
+}
--- /dev/null
+++ b/pkg/sidecar/outbound.go
@@ -0,0 +1,434 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
+	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
+	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
+	"github.com/laburnumcleat/laburnumcleat/pkg/retry"
+	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
+)
+
+const (
+	// peerGrace is how long the outbound node waits beyond a call's time limit for an answer that is on its way.
+	peerGrace = 100 * time.Millisecond
+	// maxTries bounds the inbound nodes that are asked for one call. Refusals cost about a millisecond each.
+	maxTries = 4
+	// maxFullTries bounds the refusals for lack of room after which the others are taken to be full as well.
+	maxFullTries = 2
+	// peerUserTimeout ends a connection to another node that does not acknowledge. Round trips take a few milliseconds.
+	peerUserTimeout = 600 * time.Millisecond
+	// notReadyRetry tells callers when to come back to a node that has no configuration yet.
+	notReadyRetry = 500 * time.Millisecond
+	// defaultRetryAfter is used if no inbound node said when to come back.
+	defaultRetryAfter = 100 * time.Millisecond
+	// nextHopTime is what one more try needs beside the service time.
+	nextHopTime = 5 * time.Millisecond
+)
+
+// outbound takes requests of the clients and of the backend server on its machine, and sends each to an inbound node.
+type outbound struct {
+	self      string        // node id
+	service   func() string // of the backend server on this machine
+	headers   Headers
+	table     func() *routing.Table
+	endpoints func(service string) []placement.Endpoint
+	chooser   *placement.Chooser
+	budget    *retry.Budget
+	local     *inbound
+	client    *hop.Client
+	metrics   *metrics.Registry
+	logger    *zap.Logger
+	closing   atomic.Bool // answers end their connection
+	active    sync.WaitGroup
+	firsts    firstDeadlines
+}
+
+// request is one request of a caller on its way.
+type request struct {
+	*http.Request
+	id       string
+	started  time.Time
+	deadline time.Time // the earlier of the caller's and the route's
+	target   time.Time // until which an answer counts as in time
+	route    *routing.Entry
+	service  string // destination
+	out      *hop.Request
+}
+
+// result is the final answer to a caller.
+type result struct {
+	ruling
+	status   int // 0: follows from the verdict
+	response *hop.Response
+	node     string // that gave the ruling
+	tries    int
+	arrivals int // backend servers that got the request
+}
+
+// ServeHTTP answers one request.
+func (o *outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o.active.Add(1)
+	defer o.active.Done()
+	q := &request{Request: r, id: r.Header.Get(o.headers.RequestID), started: time.Now()}
+	res := o.serve(w, q)
+	o.metrics.Inc("outbound", "verdict", string(res.verdict), "reason", string(res.reason))
+	o.log(q, res)
+	if !o.deliver(w, q, res) {
+		panic(http.ErrAbortHandler) // the caller holds a part of the response
+	}
+}
+
+func refuse(status int, why reason) *result {
+	return &result{ruling: ruling{verdict: notRun, reason: why}, status: status}
+}
+
+// serve runs a request to its final answer.
+func (o *outbound) serve(w http.ResponseWriter, q *request) *result {
+	table := o.table()
+	if table == nil {
+		res := refuse(http.StatusServiceUnavailable, reasonNotReady)
+		res.retryAfter = notReadyRetry
+		return res
+	}
+	if limit := table.Document.Limits.HeaderBytes; limit > 0 && headerBytes(q.Request) > limit {
+		return refuse(http.StatusRequestHeaderFieldsTooLarge, reasonHeaderSize)
+	}
+	q.route = table.Match(q.Host, q.URL.Path)
+	if q.route == nil {
+		return refuse(http.StatusNotFound, reasonNoRoute)
+	}
+	if !o.setTimes(q) {
+		return refuse(http.StatusBadRequest, reasonBadRequest)
+	}
+	if res := o.readBody(w, q, table.Document.Limits.BodyBytes); res != nil {
+		return res
+	}
+	q.service = q.route.Destination()
+	o.budget.Request(q.service)
+	return o.run(q)
+}
+
+// headerBytes is the size of the header as it was sent, approximately.
+func headerBytes(r *http.Request) int64 {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + len(" HTTP/1.1\r\nHost: \r\n\r\n")
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return int64(n)
+}
+
+// setTimes works out until when the caller waits, and until when an answer is in time. A caller that comes back after a refusal says
+// that it waits for less than others on the route do; its time began with its first attempt.
+func (o *outbound) setTimes(q *request) bool {
+	timeout := q.route.Timeout()
+	waits := timeout
+	if text := q.Header.Get(o.headers.DeadlineMS); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(ms) || ms < 0 {
+			return false
+		}
+		waits = time.Duration(min(ms, float64(time.Hour/time.Millisecond)) * float64(time.Millisecond))
+	}
+	q.deadline = q.started.Add(min(waits, timeout))
+	q.target = q.started.Add(q.route.Target() - o.firsts.elapsed(q.route.Name, waits))
+	return true
+}
+
+// readBody reads the body before the request is placed, so that a slow caller holds no slot.
+func (o *outbound) readBody(w http.ResponseWriter, q *request, limit int64) *result {
+	control := http.NewResponseController(w)
+	if q.ContentLength != 0 {
+		// Not every ResponseWriter supports deadlines; without them the server's own limits apply.
+		_ = control.SetReadDeadline(q.deadline)
+	}
+	out, err := newHopRequest(q.Request, q.id, limit)
+	switch {
+	case err == nil:
+		if out.Stream == nil && q.ContentLength != 0 {
+			_ = control.SetReadDeadline(time.Time{})
+		}
+		q.out = out
+		return nil
+	case errors.Is(err, errBodyTooLarge):
+		return refuse(http.StatusRequestEntityTooLarge, reasonBodySize)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(http.StatusRequestTimeout, reasonBodySlow)
+	}
+	return refuse(http.StatusBadRequest, reasonBadRequest)
+}
+
+// run tries inbound nodes until one has answered or none is left that may.
+func (o *outbound) run(q *request) *result {
+	ctx := q.Context()
+	if !q.route.Idempotent {
+		// A caller that leaves must not break off what may have taken effect.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(peerGrace))
+	defer func() { cancel() }()
+	tried := map[string]bool{}
+	last := refuse(0, reasonNoEndpoint)
+	arrivals, full, open := 0, 0, false
+	for try := 1; try <= maxTries; try++ {
+		if why := o.mayTry(q, last, arrivals, full); why != "" {
+			if try == 1 {
+				last.reason = why
+			}
+			break
+		}
+		choice := o.choose(q, tried)
+		if choice == nil {
+			break
+		}
+		tried[choice.ID] = true
+		if arrivals > 0 && !o.budget.TakeRepeat(q.service) {
+			choice.Done(placement.Good, nil)
+			o.metrics.Inc("outbound_retry_denied", "reason", string(reasonBudget))
+			break
+		}
+		if try > 1 {
+			o.metrics.Inc("outbound_retry", "reason", string(last.reason))
+		}
+		last = o.try(ctx, q, choice)
+		last.tries = try
+		if last.arrived {
+			arrivals++
+		}
+		last.arrivals = arrivals
+		if last.reason == reasonFull || last.reason == reasonHopeless {
+			full++
+		}
+		open = open || last.verdict == unknown
+		if last.verdict == answered {
+			if last.response.Rest != nil {
+				last.response.Rest = &cancelOnClose{ReadCloser: last.response.Rest, cancel: cancel}
+				cancel = func() {}
+			}
+			break
+		}
+	}
+	if open && last.verdict == notRun {
+		last.verdict = unknown // an earlier try may have run
+	}
+	return last
+}
+
+// mayTry returns the reason for which no further try is made, or "".
+func (o *outbound) mayTry(q *request, last *result, arrivals, full int) reason {
+	switch {
+	case !time.Now().Add(nextHopTime).Before(q.deadline):
+		return reasonDeadline
+	case last.verdict == unknown && !q.route.Idempotent:
+		return last.reason
+	case last.reason == reasonCancelled, last.reason == reasonBody:
+		return last.reason
+	case last.arrived && q.out.Stream != nil:
+		return last.reason // the body cannot be read again
+	case arrivals > 0 && arrivals >= max(1, q.route.MaxAttempts):
+		return last.reason
+	case full >= maxFullTries:
+		return last.reason
+	}
+	return ""
+}
+
+func (o *outbound) choose(q *request, tried map[string]bool) *placement.Choice {
+	return o.chooser.Pick(o.endpoints(q.service), placement.Need{
+		Left:  max(time.Until(q.target), time.Millisecond),
+		Tried: func(e *placement.Endpoint) bool { return tried[e.ID] },
+	})
+}
+
+// try sends the request to one inbound node.
+func (o *outbound) try(ctx context.Context, q *request, choice *placement.Choice) *result {
+	c := &call{
+		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.route.Priority,
+		idempotent: q.route.Idempotent, targetLeft: time.Until(q.target), deadlineLeft: time.Until(q.deadline),
+	}
+	res := &result{node: choice.ID}
+	out := *q.out
+	out.Header = q.out.Header.Clone()
+	if choice.ID == o.self {
+		ruled, response := o.local.serve(ctx, c, &out)
+		res.ruling, res.response = *ruled, response
+	} else {
+		out.Header.Set(headerCall, c.encode())
+		out.FreshOnly = !q.route.Idempotent
+		response, failed := o.client.Do(ctx, choice.Address, &out)
+		o.read(res, response, failed)
+	}
+	choice.Done(outcomeOf(res), loadOf(res))
+	return res
+}
+
+// read takes the ruling from the response of an inbound node.
+func (o *outbound) read(res *result, response *hop.Response, failed *hop.Failure) {
+	if failed != nil {
+		res.ruling = failedRuling(failed)
+		return
+	}
+	ruled, ok := decodeRuling(response.Header)
+	if !ok {
+		drop(response)
+		res.ruling = ruling{verdict: unknown, reason: reasonGarbled, arrived: true}
+		return
+	}
+	res.ruling = *ruled
+	if ruled.verdict != answered {
+		drop(response)
+		return
+	}
+	response.Header.Del(headerReply)
+	res.response = response
+}
+
+func failedRuling(f *hop.Failure) ruling {
+	r := ruling{verdict: unknown, reason: reasonNodeLost, arrived: f.Sent}
+	if !f.Sent {
+		r.verdict = notRun
+	}
+	switch f.Cause {
+	case hop.Cancelled:
+		r.reason = reasonCancelled
+	case hop.Deadline:
+		r.reason = reasonDeadline
+	case hop.BodyFailed:
+		r.reason = reasonBody
+	}
+	return r
+}
+
+func loadOf(res *result) *placement.Load {
+	if !res.hasLoad {
+		return nil
+	}
+	return &res.load
+}
+
+// outcomeOf says what a try means for its endpoint.
+func outcomeOf(res *result) placement.Outcome {
+	switch res.reason {
+	case reasonNodeLost, reasonGarbled:
+		return placement.Failed
+	case reasonDraining, reasonNoBackend, reasonService, reasonNode, reasonStopping, reasonUnreachable, reasonInstance:
+		return placement.Unusable
+	case reasonLost, reasonTruncated, reasonUnsigned:
+		return placement.Good // the report carries the part that the backend server answered
+	case reasonDeadline:
+		if !res.hasLoad {
+			return placement.Failed
+		}
+	}
+	return placement.Good
+}
+
+// refusalBody is the JSON body of an answer of the node's own.
+type refusalBody struct {
+	Outcome verdict `json:"outcome"`
+	Reason  reason  `json:"reason"`
+}
+
+// deliver sends the final answer. It reports false if the connection has to be closed, because a long response broke off.
+func (o *outbound) deliver(w http.ResponseWriter, q *request, res *result) bool {
+	if o.closing.Load() || q.out == nil && q.ContentLength != 0 {
+		// A body that was not read would hold up the answer: net/http reads it before the next request.
+		w.Header().Set("Connection", "close")
+	}
+	if res.response != nil {
+		copyHeader(w.Header(), res.response.Header)
+		if q.Method == http.MethodHead {
+			writeHead(w, res.response.Status, res.response.Length)
+			return true
+		}
+		return writeResponse(w, res.response)
+	}
+	body, err := json.Marshal(refusalBody{res.verdict, res.reason})
+	if err != nil {
+		body = nil // the status says enough
+	}
+	if q.id != "" {
+		w.Header().Set(o.headers.RequestID, q.id)
+	}
+	status := statusOf(res)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfterText(res.retryAfter))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	writeHead(w, status, int64(len(body)))
+	// A caller that has gone does not need the answer.
+	_, _ = w.Write(body)
+	return true
+}
+
+// statusOf keeps the promise of the statuses: 503 means that the request has not run and will not run.
+func statusOf(res *result) int {
+	switch {
+	case res.status != 0:
+		return res.status
+	case res.verdict == notRun:
+		return http.StatusServiceUnavailable
+	case res.reason == reasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+func retryAfterText(d time.Duration) string {
+	if d <= 0 {
+		d = defaultRetryAfter
+	}
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
+
+// log writes one line for each request that was not answered at the first try.
+func (o *outbound) log(q *request, res *result) {
+	if res.verdict == answered && res.tries <= 1 {
+		return
+	}
+	route := ""
+	if q.route != nil {
+		route = q.route.Name
+	}
+	o.logger.Info("request", zap.String("id", q.id), zap.String("route", route), zap.String("service", q.service),
+		zap.String("verdict", string(res.verdict)), zap.String("reason", string(res.reason)), zap.String("node", res.node),
+		zap.Int("tries", res.tries), zap.Int("arrivals", res.arrivals), zap.Int64("ms", time.Since(q.started).Milliseconds()),
+		zap.Int64("left_ms", time.Until(q.deadline).Milliseconds()))
+}
+
+// firstDeadlines remembers how long callers of each route wait at first. A caller that waits for less has tried before.
+type firstDeadlines struct {
+	byRoute sync.Map // route name to *atomic.Int64, milliseconds
+}
+
+// elapsed estimates how long ago the caller's first attempt was.
+func (f *firstDeadlines) elapsed(route string, waits time.Duration) time.Duration {
+	value, ok := f.byRoute.Load(route)
+	if !ok {
+		value, _ = f.byRoute.LoadOrStore(route, &atomic.Int64{})
+	}
+	longest := value.(*atomic.Int64)
+	for {
+		seen := longest.Load()
+		if waits.Milliseconds() <= seen {
+			return time.Duration(seen)*time.Millisecond - waits
+		}
+		if longest.CompareAndSwap(seen, waits.Milliseconds()) {
+			return 0
+		}
+	}
+}
--- /dev/null
+++ b/pkg/sidecar/platform.go
@@ -0,0 +1,63 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
+	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
+)
+
+// Platform is what a sidecar needs of the platform that it runs on. An adapter translates names, formats and calls, and decides
+// nothing.
+type Platform interface {
+	Source
+	Directory
+
+	// Headers returns the names of the header fields that callers and backend servers use.
+	Headers() Headers
+	// AnnouncementHandler serves what the backend server says about itself.
+	AnnouncementHandler(Announcer) http.Handler
+	// ReadinessHandler serves the question whether clients may send requests to this node.
+	ReadinessHandler(ready func() bool) http.Handler
+}
+
+// Published is a configuration and where it was read.
+type Published struct {
+	Document *routing.Document // nil: the operators have not published anything, or what they published cannot be read
+	Position int64             // to read on from
+}
+
+// Source is where operators publish whole configurations. Errors are of type *apierror.Error.
+type Source interface {
+	// Newest returns the newest configuration.
+	Newest(ctx context.Context) (Published, error)
+	// Next waits up to wait for configurations published from position on and returns the newest of them. Its Document is
+	// nil if there is none. An error of kind NotFound means that the position is no longer kept: read Newest.
+	Next(ctx context.Context, position int64, wait time.Duration) (Published, error)
+}
+
+// Contact is the address of a node.
+type Contact struct {
+	ID      string `json:"id"`
+	Control string `json:"control"` // "ip:port" of the JSON-RPC interface
+}
+
+// Directory is where nodes leave their addresses for those that start later.
+type Directory interface {
+	// Enter adds or replaces the contact of this node. An error does not mean that it was not entered.
+	Enter(ctx context.Context, c Contact) error
+	// Remove removes a contact.
+	Remove(ctx context.Context, id string) error
+	// Contacts returns all contacts.
+	Contacts(ctx context.Context) ([]Contact, error)
+}
+
+// Announcer takes in what the backend server beside the node says. When a method has returned, the node acts on it.
+type Announcer interface {
+	// Announce takes in the state of an instance.
+	Announce(a announce.Announcement) announce.Verdict
+	// Leave takes in that an instance leaves.
+	Leave(id string)
+}
