placement by the probability of being in time; membership groups find each other through contacts

Cause: nodes entered the directory and read it at the same time, joined each other in two groups, and read contacts no more once they were not alone. TestGroupsFindEachOtherThroughContacts fails without that.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -88,9 +88,9 @@
 	a.scheduler.close(a.now())
 }
 
-// Load returns the present load.
-func (a *Admission) Load() Load {
+// Load returns the present load, as callers of a class may weigh it.
+func (a *Admission) Load(class string) Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.scheduler.load(a.now())
+	return a.scheduler.load(a.now(), class)
 }
--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -58,6 +58,8 @@
 type Load struct {
 	Running, Queued, Limit int
 	SlotTime               time.Duration // mean time that a call holds a slot; 0: unknown
+	ClassTime              time.Duration // the same for calls of one class; 0: unknown
+	ClassSpread            time.Duration // mean deviation from ClassTime
 }
 
 const (
@@ -362,8 +364,12 @@
 	}
 }
 
-func (s *scheduler) load(now time.Time) Load {
+// load describes the backend server to callers of a class.
+func (s *scheduler) load(now time.Time, class string) Load {
 	l := Load{Running: s.running, Queued: len(s.queue), Limit: s.limit(now), SlotTime: s.slotTime.value(0)}
+	if m := s.classes[class]; m != nil {
+		l.ClassTime, l.ClassSpread = m.average, m.spread
+	}
 	if s.closed {
 		l.Limit = 0
 	}
@@ -374,6 +380,7 @@
 type mean struct {
 	samples int
 	average time.Duration
+	spread  time.Duration // mean deviation
 }
 
 func (m *mean) add(sample time.Duration) {
@@ -382,7 +389,11 @@
 	if m.samples <= fastSamples {
 		weight = max(fastWeight, 1/float64(m.samples))
 	}
+	deviation := (sample - m.average).Abs()
 	m.average += time.Duration(float64(sample-m.average) * weight)
+	if m.samples > 1 {
+		m.spread += time.Duration(float64(deviation-m.spread) * weight)
+	}
 }
 
 func (m *mean) value(unknown time.Duration) time.Duration {
--- a/pkg/membership/joiner.go
+++ b/pkg/membership/joiner.go
@@ -9,10 +9,7 @@
 	"go.uber.org/zap"
 )
 
-const (
-	joinCallTimeout = 3 * time.Second
-	contactTimeout  = 5 * time.Second // for reading contacts from the presence stream
-)
+const contactTimeout = 5 * time.Second // for reading contacts
 
 // keepJoined joins through seeds and contacts until other members are known, and again whenever this node is alone or a
 // seed is not among the members, as after a start during a partition.
@@ -81,7 +78,7 @@
 }
 
 func (s *Service) askToJoin(ctx context.Context, address string) (joinResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, joinCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.timing.JoinTimeout)
 	defer cancel()
 	s.mu.Lock()
 	request := s.system.joinRequest(time.Now())
@@ -99,7 +96,8 @@
 	s.options.Logger.Info("joined", zap.String("through", address), zap.Int("members", len(response.Members)))
 }
 
-// joinAddresses returns the seeds that are not members, and the contacts while this node is alone, in random order.
+// joinAddresses returns the seeds that are not members, and the contacts while this node is alone or always, as the options say, in
+// random order.
 func (s *Service) joinAddresses(ctx context.Context) []string {
 	s.mu.Lock()
 	known := s.system.controlAddresses()
@@ -109,7 +107,7 @@
 		return nil
 	}
 	candidates := slices.Clone(s.options.Seeds)
-	if s.isAlone() {
+	if s.isAlone() || s.options.RereadContacts {
 		candidates = append(candidates, s.readContacts(ctx)...)
 	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
@@ -128,7 +126,7 @@
 		s.options.Logger.Warn("contacts_unavailable", zap.Error(err))
 		return nil
 	}
-	const maxContacts = 16 // each may take joinCallTimeout
+	const maxContacts = 16 // each may take Timing.JoinTimeout
 	rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
 	return contacts[:min(len(contacts), maxContacts)]
 }
--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -32,6 +32,11 @@
 }
 
 func startNode(t *testing.T, id, seed string, incarnation uint64, superseded func(uint64)) *testNode {
+	t.Helper()
+	return startNodeWith(t, id, seed, incarnation, func(o *Options) { o.OnSuperseded = superseded })
+}
+
+func startNodeWith(t *testing.T, id, seed string, incarnation uint64, adjust func(*Options)) *testNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -41,11 +46,13 @@
 	}
 	traffic := &rpc.Bytes{}
 	client, server := rpc.NewClient(traffic, nil), rpc.NewServer(traffic)
-	service := New(Options{
+	options := Options{
 		Self:  Member{ID: id, DataCentre: "seeb", ControlAddress: address, Incarnation: incarnation},
-		Seeds: []string{seed}, Client: client, Server: server, OnSuperseded: superseded,
+		Seeds: []string{seed}, Client: client, Server: server,
 		Beat: func() Beat { return Beat{Version: 7, Digest: "d"} },
-	})
+	}
+	adjust(&options)
+	service := New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener, nil) })
@@ -124,3 +131,37 @@
 		return false
 	}))
 }
+
+// Nodes that start together read the contacts before most of them are entered, and find each other in two groups.
+func TestGroupsFindEachOtherThroughContacts(t *testing.T) {
+	var mu sync.Mutex
+	var contacts []string
+	adjust := func(o *Options) {
+		o.RereadContacts = true
+		o.Timing = Timing{ReconnectInterval: 200 * time.Millisecond}
+		o.Contacts = func(context.Context) ([]string, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			return append([]string(nil), contacts...), nil
+		}
+	}
+	var nodes []*testNode
+	for i := range 2 {
+		first := startNodeWith(t, fmt.Sprintf("vm-%d-a", i), "", 1, adjust)
+		nodes = append(nodes, first, startNodeWith(t, fmt.Sprintf("vm-%d-b", i), first.Self().ControlAddress, 1, adjust))
+	}
+	waitFor(t, "two groups", func() bool { return len(nodes[0].Members()) == 2 && len(nodes[2].Members()) == 2 })
+	mu.Lock()
+	for _, n := range nodes {
+		contacts = append(contacts, n.Self().ControlAddress)
+	}
+	mu.Unlock()
+	waitFor(t, "one group", func() bool {
+		for _, n := range nodes {
+			if len(n.Members()) != len(nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -1,12 +1,14 @@
 // Package placement chooses the endpoint that a call is sent to, from what earlier calls showed: load reports that come
 // back with each response, calls under way, failures. Health and load that backend servers claim are not asked.
 //
-// An endpoint in the caller's own data centre is preferred as long as the call is expected to be in time there, because bytes
-// between data centres are dear. Otherwise the endpoint with the shortest expected time is chosen. Of many endpoints only a
-// few are compared, chosen at random, so that callers with the same reports do not all go to the same one.
+// An endpoint is worth the probability that the call is in time there, less a little for a busy one, and less what bytes
+// between data centres cost. The probability follows from the endpoint's queue and from how long calls of the same class take
+// there, which differs between backend servers. Of many endpoints only a few are compared, chosen at random, so that callers
+// with the same reports do not all go to the same one.
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -27,11 +29,14 @@
 type Load struct {
 	Running, Queued, Limit int
 	SlotTime               time.Duration // mean time that a call holds a slot; 0: unknown
+	ClassTime              time.Duration // the same for calls of the class that the report answers; 0: unknown
+	ClassSpread            time.Duration // mean deviation from ClassTime
 	Answered               float64       // part of the recent calls that its backend server answered, 0 to 1
 }
 
 // Need is what a call asks for.
 type Need struct {
+	Class string                 // calls of one class have similar service times
 	Left  time.Duration          // until its target
 	Tried func(e *Endpoint) bool // endpoints that are not to be chosen again; may be nil
 }
@@ -49,20 +54,21 @@
 const (
 	reportMemory     = time.Second // a report loses its weight over this time
 	unknownSlotTime  = 50 * time.Millisecond
-	warmingFactor    = 2.0  // slot time of a backend server in its cold start, relative to later
-	comfortable      = 0.6  // of the time until the target: an own data centre is preferred while the call is expected within it
-	busy             = 0.9  // of the slots of an endpoint of the own data centre, above which others are compared too
-	remotePenalty    = 0.1  // of the time until the target, added for another data centre
-	minAnswered      = 0.05 // bounds the expected number of tries
+	unknownSpread    = 0.5 // of the slot time
+	minSpread        = 5 * time.Millisecond
+	warmingFactor    = 2.0  // slot time of a backend server in its cold start, where no call has shown it
+	busyCost         = 0.1  // of the worth of a call, at an endpoint whose slots are all in use
+	remoteCost       = 0.05 // of the worth of a call: what its bytes between data centres cost, a few KB
+	suspectFactor    = 0.2  // of the probability, for an endpoint that did not answer lately
 	sampled          = 3    // endpoints compared in the own data centre, and as many elsewhere
 	failuresToEject  = 3    // in a row
 	firstEjection    = time.Second
 	longestEjection  = 8 * time.Second
+	maxEjectionShift = 3
 	unusableFor      = 300 * time.Millisecond // until membership usually shows why
 	forgetUnusedFor  = time.Minute
 	forgetEvery      = 10 * time.Second
-	suspectPenalty   = 1.0 // of the time until the target
-	maxEjectionShift = 3
+	maxClasses       = 64 // remembered for each endpoint
 )
 
 type key struct {
@@ -76,6 +82,7 @@
 	report      Load
 	reportedAt  time.Time
 	ownAtReport int
+	classes     map[string]classTimes
 
 	failures     int // in a row
 	ejections    int // in a row
@@ -84,6 +91,11 @@
 	used         time.Time
 }
 
+// classTimes is how long calls of a class hold a slot.
+type classTimes struct {
+	mean, spread time.Duration
+}
+
 // Chooser is safe for concurrent use.
 type Chooser struct {
 	dataCentre string
@@ -105,8 +117,10 @@
 	*Endpoint
 	chooser *Chooser
 	state   *state
-	// Expected is how long the call is expected to take.
-	Expected time.Duration
+	class   string
+	// InTime is the probability that the call is in time.
+	InTime float64
+	value  float64 // InTime less costs
 }
 
 // Pick chooses among the endpoints, or returns nil if none is left.
@@ -127,20 +141,14 @@
 
 func (c *Chooser) pick(now time.Time, endpoints []Endpoint, need Need, healthy bool) *Choice {
 	near, far := c.candidates(now, endpoints, need, healthy)
-	local := c.best(now, near, need)
-	if local != nil && local.Expected <= time.Duration(comfortable*float64(need.Left)) && !c.isBusy(now, local) {
-		return local
-	}
-	remote := c.best(now, far, need)
+	local, remote := c.best(now, near, need), c.best(now, far, need)
 	switch {
 	case local == nil:
 		return remote
-	case remote == nil:
+	case remote == nil || local.value >= remote.value-remoteCost:
 		return local
-	case remote.Expected+time.Duration(remotePenalty*float64(need.Left)) < local.Expected:
-		return remote
 	}
-	return local
+	return remote
 }
 
 // candidates separates the endpoints of the own data centre from the others.
@@ -164,7 +172,7 @@
 	return near, far
 }
 
-// best compares a few endpoints and returns the one with the shortest expected time.
+// best compares a few endpoints and returns the one that is worth most.
 func (c *Chooser) best(now time.Time, endpoints []*Endpoint, need Need) *Choice {
 	for i := 0; i < len(endpoints) && i < sampled; i++ {
 		j := i + c.random(len(endpoints)-i)
@@ -172,18 +180,51 @@
 	}
 	var best *Choice
 	for _, e := range endpoints[:min(sampled, len(endpoints))] {
-		s := c.state(e)
-		choice := &Choice{Endpoint: e, chooser: c, state: s, Expected: s.expected(now, e, need)}
-		if best == nil || choice.Expected < best.Expected {
+		choice := c.rate(now, e, need)
+		if best == nil || choice.value > best.value {
 			best = choice
 		}
 	}
 	return best
 }
 
-func (c *Chooser) isBusy(now time.Time, choice *Choice) bool {
-	calls, limit := choice.state.load(now, choice.Endpoint)
-	return calls+1 > busy*limit
+// rate works out what an endpoint is worth to a call.
+func (c *Chooser) rate(now time.Time, e *Endpoint, need Need) *Choice {
+	s := c.state(e)
+	calls, limit := s.load(now, e)
+	slot := s.report.SlotTime
+	if slot == 0 {
+		slot = unknownSlotTime
+	}
+	times := s.times(e, need.Class, slot)
+	wait := max(0, calls+1-limit) / limit * float64(slot)
+	inTime := probability(float64(need.Left)-wait-float64(times.mean), float64(times.spread))
+	if !s.reportedAt.IsZero() {
+		inTime *= s.report.Answered
+	}
+	if e.Suspect {
+		inTime *= suspectFactor
+	}
+	// An overloaded endpoint is not worth more than a slightly less overloaded one only because both are hopeless.
+	return &Choice{Endpoint: e, chooser: c, state: s, class: need.Class, InTime: inTime, value: inTime - busyCost*calls/limit}
+}
+
+// times is how long a call of the class holds a slot of the endpoint.
+func (s *state) times(e *Endpoint, class string, slot time.Duration) classTimes {
+	if known, ok := s.classes[class]; ok {
+		return known
+	}
+	if e.Warming {
+		slot = time.Duration(float64(slot) * warmingFactor)
+	}
+	return classTimes{slot, time.Duration(unknownSpread * float64(slot))}
+}
+
+// probability is that of a value which deviates by spread on average being at most slack above its mean.
+func probability(slack, spread float64) float64 {
+	const deviations = 1.25 // standard deviations in a mean deviation, of a normal distribution
+	const steepness = 1.702 // of the logistic function that is closest to the normal distribution
+	return 1 / (1 + math.Exp(-steepness*slack/(deviations*max(spread, float64(minSpread)))))
 }
 
 // load estimates the calls at the endpoint and how many it takes at once.
@@ -201,31 +242,6 @@
 	return max(own, weight*reported+(1-weight)*own), limit
 }
 
-// expected is how long a call is expected to take, tries that the backend server fails included.
-func (s *state) expected(now time.Time, e *Endpoint, need Need) time.Duration {
-	calls, limit := s.load(now, e)
-	slot := s.report.SlotTime
-	if slot == 0 {
-		slot = unknownSlotTime
-	}
-	run := float64(slot)
-	if e.Warming {
-		run *= warmingFactor
-	}
-	wait := max(0, calls+1-limit) / limit * run
-	// Slightly longer for a busier endpoint, so that idle ones are preferred among equals.
-	run *= 1 + 0.2*min(1, calls/limit)
-	tries := 1.0
-	if !s.reportedAt.IsZero() {
-		tries = 1 / max(minAnswered, s.report.Answered)
-	}
-	expected := (wait + run) * tries
-	if e.Suspect {
-		expected += suspectPenalty * float64(need.Left)
-	}
-	return time.Duration(expected)
-}
-
 func (c *Chooser) state(e *Endpoint) *state {
 	k := key{e.ID, e.Incarnation}
 	s := c.states[k]
@@ -245,7 +261,7 @@
 	s := ch.state
 	s.outstanding--
 	if load != nil {
-		s.report, s.reportedAt, s.ownAtReport = *load, now, s.outstanding
+		s.observe(now, ch.class, *load)
 	}
 	switch o {
 	case Good:
@@ -260,6 +276,18 @@
 	}
 }
 
+// observe takes in a report that answered a call of the class.
+func (s *state) observe(now time.Time, class string, l Load) {
+	s.report, s.reportedAt, s.ownAtReport = l, now, s.outstanding
+	if l.ClassTime == 0 {
+		return
+	}
+	if s.classes == nil || len(s.classes) >= maxClasses {
+		s.classes = make(map[string]classTimes)
+	}
+	s.classes[class] = classTimes{l.ClassTime, l.ClassSpread}
+}
+
 // eject takes the endpoint out of use for a while. One failure after its return is enough for the next time.
 func (s *state) eject(now time.Time) {
 	s.ejectedUntil = now.Add(min(firstEjection<<min(s.ejections, maxEjectionShift), longestEjection))
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -148,7 +148,8 @@
 	}
 	if r.hasLoad {
 		fields = append(fields, strconv.Itoa(r.load.Running), strconv.Itoa(r.load.Queued), strconv.Itoa(r.load.Limit),
-			strconv.FormatInt(r.load.SlotTime.Milliseconds(), 10), strconv.Itoa(int(r.load.Answered*100)))
+			strconv.FormatInt(r.load.SlotTime.Milliseconds(), 10), strconv.FormatInt(r.load.ClassTime.Milliseconds(), 10),
+			strconv.FormatInt(r.load.ClassSpread.Milliseconds(), 10), strconv.Itoa(int(r.load.Answered*100)))
 	}
 	return strings.Join(fields, fieldSeparator)
 }
@@ -156,7 +157,7 @@
 // Numbers of fields of an encoded ruling, without and with a load.
 const (
 	rulingFields     = 4
-	rulingLoadFields = 9
+	rulingLoadFields = 11
 )
 
 // decodeRuling reads a ruling. It reports false if the header is not one: the response is then not that of a node.
@@ -181,7 +182,8 @@
 	if r.hasLoad = len(numbers) > 1; r.hasLoad {
 		r.load = placement.Load{
 			Running: numbers[1], Queued: numbers[2], Limit: numbers[3],
-			SlotTime: time.Duration(numbers[4]) * time.Millisecond, Answered: float64(numbers[5]) / 100,
+			SlotTime: time.Duration(numbers[4]) * time.Millisecond, ClassTime: time.Duration(numbers[5]) * time.Millisecond,
+			ClassSpread: time.Duration(numbers[6]) * time.Millisecond, Answered: float64(numbers[7]) / 100,
 		}
 	}
 	return r, true
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -107,11 +107,14 @@
 	i.answered += (value - i.answered) * answeredWeight
 }
 
-func (i *instance) load() placement.Load {
-	l := i.admission.Load()
+func (i *instance) load(class string) placement.Load {
+	l := i.admission.Load(class)
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return placement.Load{Running: l.Running, Queued: l.Queued, Limit: l.Limit, SlotTime: l.SlotTime, Answered: i.answered}
+	return placement.Load{
+		Running: l.Running, Queued: l.Queued, Limit: l.Limit, SlotTime: l.SlotTime,
+		ClassTime: l.ClassTime, ClassSpread: l.ClassSpread, Answered: i.answered,
+	}
 }
 
 // stop refuses new calls and those that wait.
@@ -130,18 +133,18 @@
 	now := time.Now()
 	i := in.instance.Load()
 	if why := in.refusal(i, c); why != "" {
-		return in.rule(i, &ruling{verdict: notRun, reason: why}), nil
+		return in.rule(i, c, &ruling{verdict: notRun, reason: why}), nil
 	}
 	grant, refused := i.admission.Acquire(ctx, admission.Call{
 		Class: c.class, Rank: c.rank, Target: now.Add(c.targetLeft), Deadline: now.Add(c.deadlineLeft),
 	})
 	if refused != nil {
-		return in.rule(i, refusedRuling(refused)), nil
+		return in.rule(i, c, refusedRuling(refused)), nil
 	}
 	// The slot may have come after a wait; what is decided by the instance is decided now, before the first byte is sent.
 	if in.instance.Load() != i || i.draining.Load() {
 		grant.Release(admission.Abandoned)
-		return in.rule(i, &ruling{verdict: notRun, reason: reasonDraining}), nil
+		return in.rule(i, c, &ruling{verdict: notRun, reason: reasonDraining}), nil
 	}
 	ruled, response, result := in.hand(ctx, i, c, r, now.Add(c.deadlineLeft))
 	if response != nil && response.Rest != nil {
@@ -149,7 +152,7 @@
 	} else {
 		grant.Release(result)
 	}
-	return in.rule(i, ruled), response
+	return in.rule(i, c, ruled), response
 }
 
 // refusal returns the reason for which a call cannot be handed to the instance.
@@ -183,9 +186,9 @@
 }
 
 // rule adds the load, and counts.
-func (in *inbound) rule(i *instance, r *ruling) *ruling {
+func (in *inbound) rule(i *instance, c *call, r *ruling) *ruling {
 	if i != nil {
-		r.load, r.hasLoad = i.load(), true
+		r.load, r.hasLoad = i.load(c.class), true
 	}
 	in.metrics.Inc("inbound", "verdict", string(r.verdict), "reason", string(r.reason))
 	return r
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -31,11 +31,13 @@
 	lapseIntervals = 3
 	lapseSlack     = time.Second
 	tickInterval   = 500 * time.Millisecond
-	directoryTries = 8
 	maxHeaderBytes = 1 << 20          // the configuration sets the limit for callers; this bounds the memory
 	nodeIdle       = 10 * time.Second // of connections between nodes; longer than their clients keep them
 )
 
+// membershipTiming differs from the defaults in what the distances within a region allow: round trips take a few milliseconds.
+var membershipTiming = membership.Timing{JoinTimeout: 600 * time.Millisecond, JoinBackoffMaximum: 2 * time.Second}
+
 // Node is one running sidecar.
 type Node struct {
 	settings *Settings
@@ -55,6 +57,7 @@
 	tracker announce.Tracker
 
 	stopping atomic.Bool
+	entered  atomic.Bool // in the platform's directory
 	view     atomic.Pointer[endpointView]
 
 	control net.Listener
@@ -73,7 +76,7 @@
 	n.follower = newFollower(p, n.rpcClient, n.rpcServer, n.metrics, n.logger)
 	n.inbound = newInbound(p.Headers(), n.metrics, n.logger, n.heardBackend)
 	n.membership = membership.New(membership.Options{
-		Self: n.self(), Contacts: n.contacts, Client: n.rpcClient, Server: n.rpcServer,
+		Self: n.self(), Contacts: n.contacts, RereadContacts: true, Timing: membershipTiming, Client: n.rpcClient, Server: n.rpcServer,
 		Beat: func() membership.Beat { return membership.Beat{Version: int64(n.follower.version())} },
 		OnBeat: func(from membership.Member, beat membership.Beat) {
 			n.follower.heard(context.Background(), uint64(beat.Version), from.ControlAddress)
@@ -142,8 +145,16 @@
 	}, true
 }
 
-// contacts reads the addresses of other nodes from the platform.
+// contacts enters this node in the platform's directory and then reads the addresses of other nodes. In that order, of any two
+// nodes at least one finds the other.
 func (n *Node) contacts(ctx context.Context) ([]string, error) {
+	if !n.entered.Load() {
+		if err := n.platform.Enter(ctx, Contact{ID: n.settings.ID, Control: n.settings.Listen.Control}); err != nil {
+			n.metrics.Inc("directory_failed")
+			return nil, err
+		}
+		n.entered.Store(true)
+	}
 	contacts, err := n.platform.Contacts(ctx)
 	if err != nil {
 		return nil, err
@@ -253,22 +264,6 @@
 	}
 }
 
-// enterDirectory leaves the address of this node at the platform.
-func (n *Node) enterDirectory(ctx context.Context) {
-	contact := Contact{ID: n.settings.ID, Control: n.settings.Listen.Control}
-	backoff := firstBackoff
-	for ctx.Err() == nil {
-		err := n.platform.Enter(ctx, contact)
-		if err == nil {
-			return
-		}
-		n.metrics.Inc("directory_failed")
-		n.logger.Info("directory_not_entered", zap.Error(err))
-		sleepFor(ctx, backoff)
-		backoff = min(2*backoff, lastBackoff)
-	}
-}
-
 // isReady reports whether clients may send requests to this node.
 func (n *Node) isReady() bool {
 	return !n.stopping.Load() && n.follower.Table() != nil
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -249,6 +249,7 @@
 
 func (o *outbound) choose(q *request, tried map[string]bool) *placement.Choice {
 	return o.chooser.Pick(o.endpoints(q.service), placement.Need{
+		Class: q.route.Name,
 		Left:  max(time.Until(q.target), time.Millisecond),
 		Tried: func(e *placement.Endpoint) bool { return tried[e.ID] },
 	})
