admission: inner calls first, room for callers that come back, starved ranks bounded; peers given up sooner

A dial to a data centre that was cut off took 500 ms of a call's time; now 120 ms, and its other endpoints are doubted for a moment.

--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -21,6 +21,7 @@
 	Rank     int       // 0 is the most urgent; Inner ranks before it
 	Target   time.Time // an answer until then counts as in time
 	Deadline time.Time // an answer after that is of no use
+	Returned bool      // its caller comes back after a refusal
 }
 
 // Inner is the rank of calls on behalf of admitted work.
@@ -66,6 +67,8 @@
 	queueFactor   = 4               // waiting calls of all ranks, relative to the slots
 	shedHold      = time.Second     // after the backend server shed a call, the limit stays below that level
 	minimumShare  = 0.4             // of the served part of more urgent ranks, which a rank with waiting calls keeps
+	starvedSlots  = 0.15            // of the slots, rounded up, which a starved rank gets before more urgent ones
+	firstSlack    = 0.75            // of the time that it could wait, which a call may wait that has not been refused yet
 	shareMemory   = 3 * time.Second // over which the served part of a rank is averaged
 	firstEstimate = 50 * time.Millisecond
 	sampleWeight  = 0.1 // of a new sample in the mean slot time
@@ -100,6 +103,7 @@
 
 // rankState is the account of one rank.
 type rankState struct {
+	running int
 	served  float64 // moving average: 1 for a grant, 0 for a refusal
 	decided time.Time
 }
@@ -144,14 +148,19 @@
 
 // check returns the reason to refuse a call that has so many calls before it, or "" if it may wait.
 func (s *scheduler) check(now time.Time, c *waiting, ahead int) Reason {
-	start := now.Add(s.wait(now, ahead))
-	end := start.Add(s.estimate(c.Class))
+	wait, takes := s.wait(now, ahead), s.estimate(c.Class)
+	end := now.Add(wait + takes)
+	slack := c.Target.Sub(now) - takes
+	if !c.Returned {
+		// It can still come back. The room is kept for those that cannot.
+		slack = time.Duration(firstSlack * float64(slack))
+	}
 	switch {
 	case end.After(c.Deadline):
 		return Hopeless
 	case len(s.queue) >= queueFactor*s.limit(now):
 		return Full
-	case end.After(c.Target) && !(c.Rank == Inner):
+	case wait > slack && c.Rank != Inner:
 		return Full
 	}
 	return ""
@@ -241,10 +250,11 @@
 	return 0
 }
 
-// starved reports whether the rank gets much less of its calls served than the more urgent ones do.
+// starved reports whether the rank gets much less of its calls served than the more urgent ones do. A rank that floods in is
+// served little because of its own calls; the slots that it holds bound what it gets before others.
 func (s *scheduler) starved(rank int) bool {
 	own := s.ranks[rank]
-	if own == nil || rank <= 0 {
+	if own == nil || rank <= 0 || float64(own.running) >= starvedSlots*float64(s.slots) {
 		return false
 	}
 	for other, state := range s.ranks {
@@ -288,6 +298,7 @@
 	c.granted = now
 	s.running++
 	s.account(now, c.Rank, 1)
+	s.ranks[c.Rank].running++
 	c.decided <- nil
 }
 
@@ -339,6 +350,7 @@
 		s.shedEnd = now.Add(shedHold)
 	}
 	s.running--
+	s.ranks[c.Rank].running--
 	s.dispatch(now)
 }
 
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -199,18 +199,25 @@
 }
 
 // retryDead probes one dead member at a time, since a partition of few members looks like their death. A member that
-// is alive after all answers with a higher counter.
+// is alive after all answers with a higher counter. So does the next process of a member that ended a moment ago: it may be back
+// while the contacts cannot be read, and then knows nobody.
 func (s *system) retryDead(now time.Time, out []message) []message {
 	if now.Before(s.nextRetry) || s.table.ended == 0 {
 		return out
 	}
-	s.nextRetry = now.Add(jitter(s.random, s.timing.ReconnectInterval))
+	interval := s.timing.ReconnectInterval
 	var dead []*entry
 	for _, id := range slices.Sorted(maps.Keys(s.table.entries)) {
-		if e := s.table.entries[id]; e.Status == Dead && e.ControlAddress != "" {
+		e := s.table.entries[id]
+		recent := e.Status.ended() && now.Sub(e.ended) < s.timing.ReturnWithin
+		if recent {
+			interval = s.timing.ReturnInterval
+		}
+		if (e.Status == Dead || recent) && e.ControlAddress != "" {
 			dead = append(dead, e)
 		}
 	}
+	s.nextRetry = now.Add(jitter(s.random, interval))
 	if len(dead) == 0 {
 		return out
 	}
--- a/pkg/membership/system_test.go
+++ b/pkg/membership/system_test.go
@@ -104,6 +104,35 @@
 	return s.probeMessage(now, s.table.entries[id]).packet
 }
 
+// A node is stopped and started again while the contacts cannot be read: its process knows nobody, and has to be found by the
+// others.
+func TestReturningMemberIsFound(t *testing.T) {
+	t.Parallel()
+	for _, expected := range []time.Duration{0, 20 * time.Second} {
+		x := newExchange(t, 12, 10)
+		x.timing.ReturnWithin = expected
+		for _, node := range x.nodes {
+			node.timing = x.timing
+		}
+		x.advance(time.Second)
+		leaving := x.nodes[nodeID(9)]
+		for _, m := range leaving.leave(x.now) {
+			x.send(leaving, m)
+		}
+		x.advance(time.Second)
+		leaving.up = false
+		x.advance(time.Second)
+		back := x.start(9, 2)
+		x.advance(3 * time.Second)
+		if expected == 0 {
+			require.LessOrEqual(t, x.knownBy(back.self, Alive), 1, "nobody looks for it")
+			continue
+		}
+		require.GreaterOrEqual(t, x.knownBy(back.self, Alive), 11)
+		require.Len(t, back.table.entries, 12, "it knows the others")
+	}
+}
+
 // Guards against a paused process that suspects the others for its own silence.
 func TestPauseSuspectsNobody(t *testing.T) {
 	t.Parallel()
--- a/pkg/membership/timing.go
+++ b/pkg/membership/timing.go
@@ -21,6 +21,8 @@
 	MaxDeltaBytes      int           // deltas in one message; default 1,400
 	SyncInterval       time.Duration // least time between two anti-entropy exchanges; default 5 s
 	ReconnectInterval  time.Duration // between probes of a dead member or unknown seed; default 10 s
+	ReturnWithin       time.Duration // how long a member that died or left is expected back; default 0
+	ReturnInterval     time.Duration // between probes of such members; default 1 s
 	JoinTimeout        time.Duration // for the answer to a join; default 3 s
 	JoinsPerSecond     int           // joins served; others are told when to retry; default 16
 	JoinBackoff        time.Duration // first pause after a failed join; default 500 ms
@@ -42,6 +44,7 @@
 	setInt(&t.MaxDeltaBytes, 1400)
 	setDuration(&t.SyncInterval, 5*time.Second)
 	setDuration(&t.ReconnectInterval, 10*time.Second)
+	setDuration(&t.ReturnInterval, time.Second)
 	setDuration(&t.JoinTimeout, 3*time.Second)
 	setInt(&t.JoinsPerSecond, 16)
 	setDuration(&t.JoinBackoff, 500*time.Millisecond)
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -49,6 +49,7 @@
 	Good     Outcome = iota // it answered, or refused for lack of room
 	Unusable                // it refuses calls of the service at present: leaving, or without a backend server
 	Failed                  // no usable response
+	Silent                  // no response in time, and no sign that the request arrived: the endpoint or the path to it is gone
 )
 
 const (
@@ -56,12 +57,14 @@
 	unknownSlotTime  = 50 * time.Millisecond
 	unknownSpread    = 0.5 // of the slot time
 	minSpread        = 5 * time.Millisecond
-	warmingFactor    = 2.0  // slot time of a backend server in its cold start, where no call has shown it
-	busyCost         = 0.1  // of the worth of a call, at an endpoint whose slots are all in use
-	remoteCost       = 0.05 // of the worth of a call: what its bytes between data centres cost, a few KB
-	suspectFactor    = 0.2  // of the probability, for an endpoint that did not answer lately
-	sampled          = 3    // endpoints compared in the own data centre, and as many elsewhere
-	failuresToEject  = 3    // in a row
+	warmingFactor    = 2.0             // slot time of a backend server in its cold start, where no call has shown it
+	busyCost         = 0.1             // of the worth of a call, at an endpoint whose slots are all in use
+	remoteCost       = 0.05            // of the worth of a call: what its bytes between data centres cost, a few KB
+	doubtFactor      = 0.3             // of the probability, for an endpoint in a data centre where a call was lost since it answered last
+	doubtFor         = 3 * time.Second // after the loss
+	suspectFactor    = 0.2             // of the probability, for an endpoint that did not answer lately
+	sampled          = 3               // endpoints compared in the own data centre, and as many elsewhere
+	failuresToEject  = 3               // in a row
 	firstEjection    = time.Second
 	longestEjection  = 8 * time.Second
 	maxEjectionShift = 3
@@ -84,6 +87,7 @@
 	ownAtReport int
 	classes     map[string]classTimes
 
+	answeredAt   time.Time
 	failures     int // in a row
 	ejections    int // in a row
 	ejectedUntil time.Time
@@ -104,12 +108,13 @@
 
 	mu     sync.Mutex
 	states map[key]*state
+	silent map[string]time.Time // data centre to the latest silent call
 	swept  time.Time
 }
 
 // New returns a chooser for a node in that data centre.
 func New(dataCentre string) *Chooser {
-	return &Chooser{dataCentre: dataCentre, now: time.Now, random: rand.IntN, states: make(map[key]*state)}
+	return &Chooser{dataCentre: dataCentre, now: time.Now, random: rand.IntN, states: make(map[key]*state), silent: make(map[string]time.Time)}
 }
 
 // Choice is a chosen endpoint. Its holder must call Done once.
@@ -205,6 +210,9 @@
 	if e.Suspect {
 		inTime *= suspectFactor
 	}
+	if lost, ok := c.silent[e.DataCentre]; ok && e.DataCentre != c.dataCentre && now.Sub(lost) < doubtFor && s.answeredAt.Before(lost) {
+		inTime *= doubtFactor
+	}
 	// An overloaded endpoint is not worth more than a slightly less overloaded one only because both are hopeless.
 	return &Choice{Endpoint: e, chooser: c, state: s, class: need.Class, InTime: inTime, value: inTime - busyCost*calls/limit}
 }
@@ -266,6 +274,7 @@
 	switch o {
 	case Good:
 		s.failures, s.ejections = 0, 0
+		s.answeredAt = now
 	case Unusable:
 		s.unusableTill = now.Add(unusableFor)
 	case Failed:
@@ -273,6 +282,9 @@
 		if s.failures >= failuresToEject {
 			s.eject(now)
 		}
+	case Silent:
+		c.silent[ch.DataCentre] = now
+		s.eject(now)
 	}
 }
 
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -37,6 +37,7 @@
 	node         string // id of the node that is to take it
 	rank         int
 	idempotent   bool
+	returned     bool          // the caller comes back after a refusal
 	targetLeft   time.Duration // until it counts as late; may be negative
 	deadlineLeft time.Duration
 }
@@ -47,7 +48,7 @@
 func (c *call) encode() string {
 	return strings.Join([]string{
 		url.QueryEscape(c.service), url.QueryEscape(c.class), url.QueryEscape(c.caller), url.QueryEscape(c.node),
-		strconv.Itoa(c.rank), formatBool(c.idempotent),
+		strconv.Itoa(c.rank), formatBool(c.idempotent), formatBool(c.returned),
 		strconv.FormatInt(c.targetLeft.Milliseconds(), 10), strconv.FormatInt(c.deadlineLeft.Milliseconds(), 10),
 	}, fieldSeparator)
 }
@@ -60,12 +61,12 @@
 }
 
 // callFields is the number of fields of an encoded call.
-const callFields = 8
+const callFields = 9
 
 func decodeCall(text string) (*call, error) {
 	fields := strings.Split(text, fieldSeparator)
 	if len(fields) != callFields {
-		return nil, apierror.InvalidField(headerCall, "does not have 8 fields", "run the same version on all nodes")
+		return nil, apierror.InvalidField(headerCall, "does not have 9 fields", "run the same version on all nodes")
 	}
 	names := [4]string{}
 	for i := range names {
@@ -75,7 +76,7 @@
 		}
 		names[i] = name
 	}
-	numbers := [4]int64{}
+	numbers := [5]int64{}
 	for i := range numbers {
 		n, err := strconv.ParseInt(fields[4+i], 10, 32)
 		if err != nil {
@@ -85,8 +86,8 @@
 	}
 	return &call{
 		service: names[0], class: names[1], caller: names[2], node: names[3],
-		rank: int(numbers[0]), idempotent: numbers[1] == 1,
-		targetLeft: time.Duration(numbers[2]) * time.Millisecond, deadlineLeft: time.Duration(numbers[3]) * time.Millisecond,
+		rank: int(numbers[0]), idempotent: numbers[1] == 1, returned: numbers[2] == 1,
+		targetLeft: time.Duration(numbers[3]) * time.Millisecond, deadlineLeft: time.Duration(numbers[4]) * time.Millisecond,
 	}, nil
 }
 
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -40,6 +40,7 @@
 	logger  *zap.Logger
 	heard   func() // the backend server answered
 
+	origins  *admission.Origins
 	instance atomic.Pointer[instance]
 	stopping atomic.Bool
 }
@@ -56,7 +57,7 @@
 
 func newInbound(h Headers, m *metrics.Registry, logger *zap.Logger, heard func()) *inbound {
 	return &inbound{
-		headers: h, metrics: m, logger: logger, heard: heard,
+		headers: h, metrics: m, logger: logger, heard: heard, origins: admission.NewOrigins(),
 		client: hop.New(hop.Options{EchoHeader: h.RequestID, IdleFor: backendIdle}),
 	}
 }
@@ -132,8 +133,13 @@
 	if why := in.refusal(i, c); why != "" {
 		return in.rule(i, c, &ruling{verdict: notRun, reason: why}), nil
 	}
+	rank := c.rank
+	if in.origins.Observe(c.class, c.caller) {
+		rank = admission.Inner
+	}
 	grant, refused := i.admission.Acquire(ctx, admission.Call{
-		Class: c.class, Rank: c.rank, Target: now.Add(c.targetLeft), Deadline: now.Add(c.deadlineLeft),
+		Class: c.class, Rank: rank, Target: now.Add(c.targetLeft), Deadline: now.Add(c.deadlineLeft),
+		Returned: c.returned,
 	})
 	if refused != nil {
 		return in.rule(i, c, refusedRuling(refused)), nil
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -39,7 +39,10 @@
 )
 
 // membershipTiming differs from the defaults in what the distances within a region allow: round trips take a few milliseconds.
-var membershipTiming = membership.Timing{JoinTimeout: 600 * time.Millisecond, JoinBackoffMaximum: 2 * time.Second}
+var membershipTiming = membership.Timing{
+	JoinTimeout: 600 * time.Millisecond, JoinBackoffMaximum: 2 * time.Second,
+	ReturnWithin: 30 * time.Second, ReturnInterval: time.Second,
+}
 
 // Node is one running sidecar.
 type Node struct {
@@ -108,7 +111,7 @@
 		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(n.settings.DataCentre),
 		budget:  retry.New(terms, func() int { return len(n.membership.Members()) }),
 		local:   n.inbound,
-		client:  hop.New(hop.Options{EchoHeader: n.platform.Headers().RequestID, UserTimeout: peerUserTimeout}),
+		client:  hop.New(hop.Options{EchoHeader: n.platform.Headers().RequestID, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout}),
 		metrics: n.metrics, logger: n.logger,
 	}
 }
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -28,12 +28,17 @@
 	maxTries = 4
 	// maxFullTries bounds the refusals for lack of room after which the others are taken to be full as well.
 	maxFullTries = 2
-	// peerUserTimeout ends a connection to another node that does not acknowledge. Round trips take a few milliseconds.
-	peerUserTimeout = 600 * time.Millisecond
+	// peerUserTimeout ends a connection to another node that does not acknowledge. Round trips take a few milliseconds, and the
+	// first retransmission of a lost packet comes after 200 ms.
+	peerUserTimeout = 350 * time.Millisecond
+	// peerDialTimeout leaves a call time to go elsewhere. A lost packet of a handshake is sent again only after a second.
+	peerDialTimeout = 120 * time.Millisecond
 	// notReadyRetry tells callers when to come back to a node that has no configuration yet.
 	notReadyRetry = 500 * time.Millisecond
 	// defaultRetryAfter is used if no inbound node said when to come back.
 	defaultRetryAfter = 100 * time.Millisecond
+	// firstJitter is how much first attempts of a route's callers differ in the time that they wait.
+	firstJitter = 15 * time.Millisecond
 	// nextHopTime is what one more try needs beside the service time.
 	nextHopTime = 5 * time.Millisecond
 )
@@ -61,6 +66,7 @@
 	started  time.Time
 	deadline time.Time // the earlier of the caller's and the route's
 	target   time.Time // until which an answer counts as in time
+	returned bool      // the caller comes back after a refusal
 	route    *routing.Entry
 	service  string // destination
 	out      *hop.Request
@@ -141,7 +147,9 @@
 		waits = time.Duration(min(ms, float64(time.Hour/time.Millisecond)) * float64(time.Millisecond))
 	}
 	q.deadline = q.started.Add(min(waits, timeout))
-	q.target = q.started.Add(q.route.Target() - o.firsts.elapsed(q.route.Name, waits))
+	elapsed := o.firsts.elapsed(q.route.Name, waits)
+	q.target = q.started.Add(q.route.Target() - elapsed)
+	q.returned = elapsed > firstJitter
 	return true
 }
 
@@ -255,7 +263,7 @@
 func (o *outbound) try(ctx context.Context, q *request, choice *placement.Choice) *result {
 	c := &call{
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.route.Priority,
-		idempotent: q.route.Idempotent, targetLeft: time.Until(q.target), deadlineLeft: time.Until(q.deadline),
+		idempotent: q.route.Idempotent, returned: q.returned, targetLeft: time.Until(q.target), deadlineLeft: time.Until(q.deadline),
 	}
 	res := &result{node: choice.ID}
 	out := *q.out
@@ -320,7 +328,9 @@
 // outcomeOf says what a try means for its endpoint.
 func outcomeOf(res *result) placement.Outcome {
 	switch res.reason {
-	case reasonNodeLost, reasonGarbled:
+	case reasonNodeLost:
+		return placement.Silent
+	case reasonGarbled:
 		return placement.Failed
 	case reasonDraining, reasonNoBackend, reasonService, reasonNode, reasonStopping, reasonUnreachable, reasonInstance:
 		return placement.Unusable
--- a/pkg/sidecar/run.go
+++ b/pkg/sidecar/run.go
@@ -50,7 +50,7 @@
 }
 
 // shutdown performs a planned stop. The node first says that it is not ready, and serves on until its clients have turned to
-// others. Then the others turn away from its backend server, and what is under way ends.
+// others and are answered. Only then the others turn away from its backend server, which may go on while this process is replaced.
 func (n *Node) shutdown() {
 	begun := time.Now()
 	n.logger.Info("node_stopping")
@@ -58,9 +58,8 @@
 	end, cancel := context.WithDeadline(context.Background(), begun.Add(time.Duration(n.settings.Bounds.GracePeriod)-stopMargin))
 	defer cancel()
 	time.Sleep(missesUntilOut * time.Duration(n.settings.Bounds.ReadyCheckedIn))
-	n.callers.server.CloseAfterAnswers()
-	n.leave(end)
 	n.stopServer(end, n.callers, "callers")
+	n.leave(end)
 	n.inbound.stop()
 	n.stopServer(end, n.nodes, "nodes")
 	for _, server := range n.others {
