--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 test: fmt-check vet lint build model unit
 
 fmt-check:
-	@out=$$(gofmt -l cmd cli pkg standin test 2>/dev/null); if [ -n "$$out" ]; then echo "not formatted, run gofmt -w:"; echo "$$out"; exit 1; fi
+	@out=$$(gofmt -l cmd cli pkg platform standin test 2>/dev/null); if [ -n "$$out" ]; then echo "not formatted, run gofmt -w:"; echo "$$out"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
--- a/pkg/distribution/checkpoint.go
+++ b/pkg/distribution/checkpoint.go
@@ -11,7 +11,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 )
 
 const (
@@ -82,13 +82,13 @@
 
 // checkpoints loads the latest valid checkpoints, latest first. Bad ones are counted and skipped.
 func (d *Distributor) checkpoints(ctx context.Context) ([]checkpoint, error) {
-	bounds, err := d.options.Log.Read(ctx, platform.StreamCheckpoints, beyondTail, 1, 0)
+	bounds, err := d.options.Log.Read(ctx, logstore.StreamCheckpoints, beyondTail, 1, 0)
 	if err != nil {
 		return nil, err
 	}
 	var found []checkpoint
 	for offset := bounds.Next - 1; offset >= max(bounds.First, bounds.Next-checkpointTries); offset-- {
-		batch, err := d.options.Log.Read(ctx, platform.StreamCheckpoints, offset, 1, 0)
+		batch, err := d.options.Log.Read(ctx, logstore.StreamCheckpoints, offset, 1, 0)
 		if err != nil {
 			return nil, err
 		}
@@ -147,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := d.options.Log.Append(ctx, platform.StreamCheckpoints, data); err != nil {
+	if _, err := d.options.Log.Append(ctx, logstore.StreamCheckpoints, data); err != nil {
 		d.count("config_checkpoints", "result", "failed")
 		return err
 	}
--- a/pkg/distribution/distribution.go
+++ b/pkg/distribution/distribution.go
@@ -16,16 +16,16 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
 )
 
 // Options connects a Distributor to its node.
 type Options struct {
 	Self    membership.Member
-	Log     platform.Log
+	Log     logstore.Log
 	Members func() []membership.Member // the node's own view, including itself
 	// MembersVersion changes with each change of Members. Nil: roles are computed at each RoleInterval.
 	MembersVersion func() uint64
--- a/pkg/distribution/divergence.go
+++ b/pkg/distribution/divergence.go
@@ -9,7 +9,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 )
 
 // explainDiverged is the decision to check the state because a peer holds another one at the same position.
@@ -102,7 +102,7 @@
 		return nil, err
 	}
 	for base.Offset < upTo {
-		batch, err := d.options.Log.Read(ctx, platform.StreamConfig, base.Offset+1, readLimit, 0)
+		batch, err := d.options.Log.Read(ctx, logstore.StreamConfig, base.Offset+1, readLimit, 0)
 		if err != nil {
 			return nil, err
 		}
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	bounds, err := d.options.Log.Read(ctx, platform.StreamConfig, beyondTail, 1, 0)
+	bounds, err := d.options.Log.Read(ctx, logstore.StreamConfig, beyondTail, 1, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/distribution/failure_test.go
+++ b/pkg/distribution/failure_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
 	"github.com/laburnumcleat/laburnumcleat/standin/logservice"
 )
 
@@ -78,9 +78,9 @@
 		f.publish(n, template(fmt.Sprintf("t%d", i)))
 	}
 	digest := n.State().Digest()
-	old := platform.Entry{Offset: 2, Data: encode(t, template("other"))}
-	beyond := platform.Entry{Offset: 5, Data: encode(t, template("beyond"))}
-	content, err := packEntries([]platform.Entry{old, beyond})
+	old := logstore.Entry{Offset: 2, Data: encode(t, template("other"))}
+	beyond := logstore.Entry{Offset: 5, Data: encode(t, template("beyond"))}
+	content, err := packEntries([]logstore.Entry{old, beyond})
 	require.NoError(t, err)
 	params, err := json.Marshal(pushRequest{speaker: speaker{ID: "x"}, Address: "127.0.0.1:1", Entries: content})
 	require.NoError(t, err)
@@ -274,7 +274,7 @@
 	f.startAll(3, "a")
 	f.ready()
 	for _, data := range []string{"not JSON \xff", `{"id":1}`, `[]`, `{"id":"x","verb":"publish","entity":{"kind":"template","name":"t"},"base":0,"payload":{"body":{"routes":[{"name":"r"}]}},"author":"a"}`} {
-		_, err := f.log.Append(context.Background(), platform.StreamConfig, json.RawMessage(data))
+		_, err := f.log.Append(context.Background(), logstore.StreamConfig, json.RawMessage(data))
 		require.NoError(t, err)
 	}
 	last := f.put(template("good"))
@@ -297,7 +297,7 @@
 		text[i] = '<'
 	}
 	data := fmt.Sprintf(`{"id":"%s","verb":"publish","entity":{"kind":"template","name":"big"},"base":0,"payload":{"description":"%s","body":{}},"author":"a"}`, r.ID, text)
-	_, err := f.log.Append(context.Background(), platform.StreamConfig, json.RawMessage(data))
+	_, err := f.log.Append(context.Background(), logstore.StreamConfig, json.RawMessage(data))
 	require.NoError(t, err)
 	last := f.put(template("next"))
 	f.converged(last)
@@ -341,12 +341,12 @@
 	second, err := encodeCheckpoint(f.node("a2").State())
 	require.NoError(t, err)
 	require.Equal(t, string(first), string(second))
-	_, err = f.log.Append(context.Background(), platform.StreamCheckpoints, first)
+	_, err = f.log.Append(context.Background(), logstore.StreamCheckpoints, first)
 	require.NoError(t, err)
 	damaged := []byte(string(first))
 	damaged[len(damaged)/2] ^= 1
 	for _, bad := range [][]byte{damaged, []byte(`"text"`), []byte(`{"offset":7,"digest":"x","state":{}}`)} {
-		_, err = f.log.Append(context.Background(), platform.StreamCheckpoints, bad)
+		_, err = f.log.Append(context.Background(), logstore.StreamCheckpoints, bad)
 		require.NoError(t, err)
 	}
 	loaded, err := f.node("a1").checkpoints(context.Background())
@@ -367,14 +367,14 @@
 }
 
 func (f *fleet) checkpointCount() int64 {
-	batch, err := f.log.Read(context.Background(), platform.StreamCheckpoints, beyondTail, 1, 0)
+	batch, err := f.log.Read(context.Background(), logstore.StreamCheckpoints, beyondTail, 1, 0)
 	require.NoError(f.t, err)
 	return batch.Next - 1
 }
 
 // checkpointOffset returns the position of the latest checkpoint, or 0.
 func (f *fleet) checkpointOffset() int64 {
-	batch, err := f.log.Read(context.Background(), platform.StreamCheckpoints, f.checkpointCount(), 1, 0)
+	batch, err := f.log.Read(context.Background(), logstore.StreamCheckpoints, f.checkpointCount(), 1, 0)
 	require.NoError(f.t, err)
 	if len(batch.Entries) == 0 {
 		return 0
--- a/pkg/distribution/fleet_test.go
+++ b/pkg/distribution/fleet_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
 	"github.com/laburnumcleat/laburnumcleat/standin/logservice"
 )
@@ -52,7 +52,7 @@
 
 // nodeLog is a node's path to the log service, which a test can cut.
 type nodeLog struct {
-	platform.Log
+	logstore.Log
 	mu    sync.Mutex
 	cut   bool
 	reads int // of stream config
@@ -70,23 +70,23 @@
 	return l.cut
 }
 
-func (l *nodeLog) Append(ctx context.Context, stream string, data json.RawMessage) (platform.Entry, error) {
+func (l *nodeLog) Append(ctx context.Context, stream string, data json.RawMessage) (logstore.Entry, error) {
 	if l.isCut() {
-		return platform.Entry{}, errCut
+		return logstore.Entry{}, errCut
 	}
 	return l.Log.Append(ctx, stream, data)
 }
 
 // Read polls in short steps, so that a cut is noticed.
-func (l *nodeLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *nodeLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (logstore.Batch, error) {
 	l.mu.Lock()
-	if stream == platform.StreamConfig {
+	if stream == logstore.StreamConfig {
 		l.reads++
 	}
 	l.mu.Unlock()
 	for {
 		if l.isCut() {
-			return platform.Batch{}, errCut
+			return logstore.Batch{}, errCut
 		}
 		step := min(wait, 20*time.Millisecond)
 		batch, err := l.Log.Read(ctx, stream, from, limit, step)
@@ -355,7 +355,7 @@
 
 // put appends a record directly to the log.
 func (f *fleet) put(r *config.Record) int64 {
-	entry, err := f.log.Append(context.Background(), platform.StreamConfig, encode(f.t, r))
+	entry, err := f.log.Append(context.Background(), logstore.StreamConfig, encode(f.t, r))
 	require.NoError(f.t, err)
 	return entry.Offset
 }
--- a/pkg/distribution/packing.go
+++ b/pkg/distribution/packing.go
@@ -8,7 +8,7 @@
 	"sync"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
 )
 
@@ -51,7 +51,7 @@
 	return data, nil
 }
 
-func packEntries(entries []platform.Entry) (packed, error) {
+func packEntries(entries []logstore.Entry) (packed, error) {
 	if len(entries) == 0 {
 		return nil, nil
 	}
@@ -62,7 +62,7 @@
 	return pack(data), nil
 }
 
-func (p packed) entries() ([]platform.Entry, error) {
+func (p packed) entries() ([]logstore.Entry, error) {
 	if len(p) == 0 {
 		return nil, nil
 	}
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var entries []platform.Entry
+	var entries []logstore.Entry
 	if err := json.Unmarshal(data, &entries); err != nil {
 		return nil, apierror.New(apierror.Invalid, "entries: "+err.Error(), "run the same version on all nodes")
 	}
--- a/pkg/distribution/publish.go
+++ b/pkg/distribution/publish.go
@@ -10,7 +10,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 )
 
 const (
@@ -108,7 +108,7 @@
 // appendOnce appends the record. An error means that the append may have taken effect only if p.maybe is set.
 func (d *Distributor) appendOnce(ctx context.Context, p *publishing) error {
 	p.appends++
-	entry, err := d.options.Log.Append(ctx, platform.StreamConfig, p.data)
+	entry, err := d.options.Log.Append(ctx, logstore.StreamConfig, p.data)
 	if err == nil {
 		p.maybe = true
 		p.offset = entry.Offset
@@ -183,7 +183,7 @@
 	}
 	state := config.NewState()
 	for {
-		batch, err := d.options.Log.Read(ctx, platform.StreamConfig, state.Offset+1, readLimit, 0)
+		batch, err := d.options.Log.Read(ctx, logstore.StreamConfig, state.Offset+1, readLimit, 0)
 		if err != nil {
 			return config.Result{}, err
 		}
--- a/pkg/distribution/publish_test.go
+++ b/pkg/distribution/publish_test.go
@@ -12,21 +12,21 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/standin/logservice"
 )
 
 // appendLog counts appends and lets a test act before or instead of them.
 type appendLog struct {
-	platform.Log
+	logstore.Log
 	mu      sync.Mutex
 	appends int
-	hook    func(try int, do func() (platform.Entry, error)) (platform.Entry, error)
+	hook    func(try int, do func() (logstore.Entry, error)) (logstore.Entry, error)
 }
 
-func (l *appendLog) Append(ctx context.Context, stream string, data json.RawMessage) (platform.Entry, error) {
-	do := func() (platform.Entry, error) { return l.Log.Append(ctx, stream, data) }
-	if stream != platform.StreamConfig {
+func (l *appendLog) Append(ctx context.Context, stream string, data json.RawMessage) (logstore.Entry, error) {
+	do := func() (logstore.Entry, error) { return l.Log.Append(ctx, stream, data) }
+	if stream != logstore.StreamConfig {
 		return do()
 	}
 	l.mu.Lock()
@@ -39,7 +39,7 @@
 var errLost = apierror.New(apierror.Unknown, "answer lost", "")
 
 // publisher starts one node whose appends pass through the hook.
-func publisher(t *testing.T, hook func(try int, do func() (platform.Entry, error)) (platform.Entry, error)) (*fleet, *node, *appendLog) {
+func publisher(t *testing.T, hook func(try int, do func() (logstore.Entry, error)) (logstore.Entry, error)) (*fleet, *node, *appendLog) {
 	f := newFleet(t, logservice.Options{})
 	f.timing.PublishTimeout = 2 * time.Second
 	m, listener := f.prepare("a1", "a")
@@ -54,9 +54,9 @@
 
 // Guards against a lost answer being reported as a failure or leading to a second effect.
 func TestPublishAnswerLost(t *testing.T) {
-	f, n, log := publisher(t, func(_ int, do func() (platform.Entry, error)) (platform.Entry, error) {
+	f, n, log := publisher(t, func(_ int, do func() (logstore.Entry, error)) (logstore.Entry, error) {
 		_, _ = do()
-		return platform.Entry{}, errLost
+		return logstore.Entry{}, errLost
 	})
 	result := f.publish(n, template("one"))
 	require.Equal(t, config.Result{Offset: 1, RecordID: "id-one", Outcome: config.Accepted}, result)
@@ -67,9 +67,9 @@
 
 // Guards against giving up when the append was lost on its way: it is repeated with the same id.
 func TestPublishRequestLost(t *testing.T) {
-	f, n, log := publisher(t, func(try int, do func() (platform.Entry, error)) (platform.Entry, error) {
+	f, n, log := publisher(t, func(try int, do func() (logstore.Entry, error)) (logstore.Entry, error) {
 		if try == 1 {
-			return platform.Entry{}, errLost
+			return logstore.Entry{}, errLost
 		}
 		return do()
 	})
@@ -79,9 +79,9 @@
 
 // Guards against a late first append taking effect a second time, or changing the reported outcome.
 func TestPublishLateAppend(t *testing.T) {
-	f, n, _ := publisher(t, func(try int, do func() (platform.Entry, error)) (platform.Entry, error) {
+	f, n, _ := publisher(t, func(try int, do func() (logstore.Entry, error)) (logstore.Entry, error) {
 		if try == 1 {
-			return platform.Entry{}, errLost
+			return logstore.Entry{}, errLost
 		}
 		return do()
 	})
@@ -96,21 +96,21 @@
 func TestPublishErrorKinds(t *testing.T) {
 	tests := []struct {
 		name string
-		hook func(n *node, do func() (platform.Entry, error)) (platform.Entry, error)
+		hook func(n *node, do func() (logstore.Entry, error)) (logstore.Entry, error)
 		want apierror.Kind
 	}{
-		{"refused before anything was appended", func(*node, func() (platform.Entry, error)) (platform.Entry, error) {
-			return platform.Entry{}, errCut
+		{"refused before anything was appended", func(*node, func() (logstore.Entry, error)) (logstore.Entry, error) {
+			return logstore.Entry{}, errCut
 		}, apierror.Unavailable},
-		{"answer lost, then cut off", func(n *node, do func() (platform.Entry, error)) (platform.Entry, error) {
+		{"answer lost, then cut off", func(n *node, do func() (logstore.Entry, error)) (logstore.Entry, error) {
 			_, _ = do()
 			n.log.setCut(true)
-			return platform.Entry{}, errLost
+			return logstore.Entry{}, errLost
 		}, apierror.Unknown},
-		{"request lost each time", func(*node, func() (platform.Entry, error)) (platform.Entry, error) {
-			return platform.Entry{}, errLost
+		{"request lost each time", func(*node, func() (logstore.Entry, error)) (logstore.Entry, error) {
+			return logstore.Entry{}, errLost
 		}, apierror.Unknown},
-		{"answered, then cut off", func(n *node, do func() (platform.Entry, error)) (platform.Entry, error) {
+		{"answered, then cut off", func(n *node, do func() (logstore.Entry, error)) (logstore.Entry, error) {
 			entry, err := do()
 			n.log.setCut(true)
 			return entry, err
@@ -119,7 +119,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var n *node
-			f, started, _ := publisher(t, func(_ int, do func() (platform.Entry, error)) (platform.Entry, error) { return test.hook(n, do) })
+			f, started, _ := publisher(t, func(_ int, do func() (logstore.Entry, error)) (logstore.Entry, error) { return test.hook(n, do) })
 			n = started
 			_, err := n.Publish(context.Background(), template("one"))
 			require.Equal(t, test.want, apierror.KindOf(err), "%v", err)
@@ -226,7 +226,7 @@
 }
 
 func (f *fleet) tail() int64 {
-	batch, err := f.log.Read(context.Background(), platform.StreamConfig, beyondTail, 1, 0)
+	batch, err := f.log.Read(context.Background(), logstore.StreamConfig, beyondTail, 1, 0)
 	require.NoError(f.t, err)
 	return batch.Next - 1
 }
--- a/pkg/distribution/reader.go
+++ b/pkg/distribution/reader.go
@@ -8,7 +8,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 )
 
 const readLimit = 500 // entries in one read of the log
@@ -21,7 +21,7 @@
 			return nil
 		}
 		from := d.State().Offset + 1
-		batch, err := d.options.Log.Read(ctx, platform.StreamConfig, from, readLimit, d.timing.PollWait)
+		batch, err := d.options.Log.Read(ctx, logstore.StreamConfig, from, readLimit, d.timing.PollWait)
 		if err == nil {
 			err = d.acceptBatch(ctx, fromLog, from, batch)
 		}
@@ -54,7 +54,7 @@
 	tail := int64(-1)
 	for {
 		from := d.State().Offset + 1
-		batch, err := d.options.Log.Read(ctx, platform.StreamConfig, from, readLimit, 0)
+		batch, err := d.options.Log.Read(ctx, logstore.StreamConfig, from, readLimit, 0)
 		if err != nil {
 			return err
 		}
@@ -76,7 +76,7 @@
 
 // acceptBatch replays a batch that was read from an offset. If the records at that offset have expired it loads a
 // checkpoint or the state of a peer.
-func (d *Distributor) acceptBatch(ctx context.Context, by source, from int64, batch platform.Batch) error {
+func (d *Distributor) acceptBatch(ctx context.Context, by source, from int64, batch logstore.Batch) error {
 	if batch.Next < from {
 		d.count("config_log_behind")
 		return apierror.New(apierror.Unavailable, fmt.Sprintf("the log ends at offset %d, before this node's position %d", batch.Next-1, from-1), "check that platform.urls names the right log service")
--- a/pkg/distribution/relay.go
+++ b/pkg/distribution/relay.go
@@ -11,8 +11,8 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
 )
 
 // outgoing is the push to one child. At most one message to a child is under way; entries that arrive meanwhile go
@@ -33,7 +33,7 @@
 )
 
 // accept replays entries, relays what is new and activates the result.
-func (d *Distributor) accept(from source, entries []platform.Entry) applied {
+func (d *Distributor) accept(from source, entries []logstore.Entry) applied {
 	out := d.store.apply(entries)
 	d.options.Metrics.Counter("config_entries", "from", string(from), "outcome", "applied").Inc(int64(len(out.results)))
 	d.options.Metrics.Counter("config_entries", "from", string(from), "outcome", "stale").Inc(int64(out.stale))
--- a/pkg/distribution/scale_test.go
+++ b/pkg/distribution/scale_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/standin/logservice"
 )
 
@@ -59,10 +59,10 @@
 	return h
 }
 
-func (h *httpFleet) client(peer string) *platform.HTTPLog {
+func (h *httpFleet) client(peer string) *logstore.HTTPLog {
 	transport := &http.Transport{}
 	h.t.Cleanup(transport.CloseIdleConnections)
-	return platform.NewHTTPLog([]string{h.url}, peerTransport{transport, peer})
+	return logstore.NewHTTPLog([]string{h.url}, peerTransport{transport, peer})
 }
 
 func (h *httpFleet) platformBytes() (total int64) {
@@ -147,7 +147,7 @@
 		group.Go(func() {
 			client := h.client("poller-" + n.member.ID)
 			for offset := int64(1); offset <= sample; offset++ {
-				_, err := client.Read(context.Background(), platform.StreamConfig, offset, 1, 0)
+				_, err := client.Read(context.Background(), logstore.StreamConfig, offset, 1, 0)
 				if err != nil {
 					b.Error(err)
 				}
--- a/pkg/distribution/store.go
+++ b/pkg/distribution/store.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 )
 
 // keptResults is the number of replay results kept to answer repeated publishes.
@@ -15,7 +15,7 @@
 type store struct {
 	mu           sync.Mutex
 	state        *config.State
-	entries      []platform.Entry // contiguous, ending at state.Offset
+	entries      []logstore.Entry // contiguous, ending at state.Offset
 	entryBytes   int
 	maxEntries   int
 	maxBytes     int
@@ -59,7 +59,7 @@
 }
 
 // apply replays the entries that extend the state without a gap and ignores the others.
-func (s *store) apply(entries []platform.Entry) applied {
+func (s *store) apply(entries []logstore.Entry) applied {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out applied
@@ -139,7 +139,7 @@
 	s.advanced = make(chan struct{})
 }
 
-func (s *store) keep(entry platform.Entry) {
+func (s *store) keep(entry logstore.Entry) {
 	s.entries = append(s.entries, entry)
 	s.entryBytes += len(entry.Data)
 	for len(s.entries) > s.maxEntries || s.entryBytes > s.maxBytes && len(s.entries) > 1 {
@@ -171,7 +171,7 @@
 
 // after returns kept entries that extend an offset, within the limits of a message. ok is false if the first of them
 // is no longer kept.
-func (s *store) after(offset int64) (entries []platform.Entry, state *config.State, ok bool) {
+func (s *store) after(offset int64) (entries []logstore.Entry, state *config.State, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if offset >= s.state.Offset {
--- a/pkg/platform/httplog.go
+++ b/pkg/logstore/httplog.go
@@ -1,4 +1,4 @@
-package platform
+package logstore
 
 import (
 	"bytes"
--- a/pkg/platform/platform.go
+++ b/pkg/logstore/logstore.go
@@ -1,8 +1,8 @@
-// Package platform is the interface to the platform's log service.
+// Package logstore is the interface to the platform's log service.
 //
 // The log service keeps append-only streams. It has outages, keeps records for a limited time, and its answer to an
 // append can be lost after the append took effect. Everything that must outlive a process is kept in it.
-package platform
+package logstore
 
 import (
 	"context"
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -16,11 +16,11 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/distribution"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
 	"github.com/laburnumcleat/laburnumcleat/pkg/inbound"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 	"github.com/laburnumcleat/laburnumcleat/pkg/operator"
 	"github.com/laburnumcleat/laburnumcleat/pkg/outbound"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
 	"github.com/laburnumcleat/laburnumcleat/pkg/presence"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
 	"github.com/laburnumcleat/laburnumcleat/pkg/security"
@@ -103,7 +103,7 @@
 // build creates the parts. The order follows their dependencies: presence, membership, distribution, calls.
 func (n *Node) build() {
 	self := n.selfMember()
-	log := platform.NewHTTPLog(n.settings.Platform.URLs, n.platformTransport())
+	log := logstore.NewHTTPLog(n.settings.Platform.URLs, n.platformTransport())
 	n.server = rpc.NewServer(n.controlBytes)
 	n.client = rpc.NewClient(n.controlBytes, n.keys.Client())
 	n.client.OverrideAddresses(n.settings.DialOverrides)
--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -213,7 +213,7 @@
 func TestLimits(t *testing.T) {
 	f := start(t, Limits{Idle: 50 * time.Millisecond, Header: 50 * time.Millisecond, HeaderBytes: 6000}, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		io.WriteString(w, string(body))
+		w.Write(body)
 	})
 	f.dial().requireClosed() // idle
 	slow := f.dial()
--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,161 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+type fixture struct {
+	*Chooser
+	now time.Time
+}
+
+func newFixture() *fixture {
+	f := &fixture{Chooser: New("seeb"), now: time.Unix(1000, 0)}
+	f.Chooser.now = func() time.Time { return f.now }
+	return f
+}
+
+func endpoint(dataCentre string, number int) Endpoint {
+	return Endpoint{ID: fmt.Sprintf("%s-%d", dataCentre, number), DataCentre: dataCentre, Slots: 9}
+}
+
+// report makes an endpoint known by one call.
+func (f *fixture) report(e Endpoint, l Load) {
+	choice := f.Pick([]Endpoint{e}, Need{Class: "eta", Left: time.Second})
+	choice.Done(Good, &l)
+}
+
+func quick(running int) Load {
+	return Load{Running: running, Limit: 9, SlotTime: 100 * time.Millisecond, ClassTime: 100 * time.Millisecond, ClassSpread: 20 * time.Millisecond, Answered: 1}
+}
+
+// shares picks many times without an end of the calls in between being seen elsewhere.
+func (f *fixture) shares(endpoints []Endpoint, left time.Duration) map[string]float64 {
+	const picks = 400
+	counts := map[string]int{}
+	for range picks {
+		choice := f.Pick(endpoints, Need{Class: "eta", Left: left})
+		counts[choice.ID]++
+		choice.Done(Good, nil)
+	}
+	shares := map[string]float64{}
+	for id, n := range counts {
+		shares[id] = float64(n) / picks
+	}
+	return shares
+}
+
+// Pattern: every endpoint is in time. Bytes between data centres decide.
+func TestOwnDataCentreIsPreferred(t *testing.T) {
+	f := newFixture()
+	endpoints := []Endpoint{endpoint("nizwa", 1), endpoint("seeb", 1), endpoint("sohar", 1)}
+	for _, e := range endpoints {
+		f.report(e, quick(2))
+	}
+	assert.Equal(t, 1.0, f.shares(endpoints, 400*time.Millisecond)["seeb-1"])
+}
+
+// Pattern: the backend server of the own data centre is half as fast as the others, so that many calls are late there.
+func TestSlowBackendServerIsLeftForAnotherDataCentre(t *testing.T) {
+	f := newFixture()
+	slow, other := endpoint("seeb", 1), endpoint("nizwa", 1)
+	f.report(slow, Load{Running: 2, Limit: 9, SlotTime: 350 * time.Millisecond, ClassTime: 350 * time.Millisecond, ClassSpread: 100 * time.Millisecond, Answered: 1})
+	f.report(other, quick(2))
+	assert.Equal(t, 1.0, f.shares([]Endpoint{slow, other}, 400*time.Millisecond)["nizwa-1"])
+	assert.Equal(t, 1.0, f.shares([]Endpoint{slow, other}, 2*time.Second)["seeb-1"], "with enough time it is as good")
+}
+
+// Pattern: a surge in one data centre. What does not fit goes to the others.
+func TestFullEndpointSpillsOver(t *testing.T) {
+	f := newFixture()
+	full, other := endpoint("seeb", 1), endpoint("nizwa", 1)
+	f.report(full, Load{Running: 9, Queued: 12, Limit: 9, SlotTime: 200 * time.Millisecond, Answered: 1})
+	f.report(other, quick(3))
+	assert.Equal(t, 1.0, f.shares([]Endpoint{full, other}, 400*time.Millisecond)["nizwa-1"])
+}
+
+// Pattern: a burst between two reports. The calls under way count before the next report tells.
+func TestCallsUnderWayCount(t *testing.T) {
+	f := newFixture()
+	a, b := endpoint("seeb", 1), endpoint("seeb", 2)
+	f.report(a, quick(0))
+	f.report(b, quick(0))
+	counts := map[string]int{}
+	for range 18 {
+		counts[f.Pick([]Endpoint{a, b}, Need{Class: "eta", Left: 400 * time.Millisecond}).ID]++
+	}
+	assert.InDelta(t, 9, counts["seeb-1"], 1)
+}
+
+// Pattern: a grey backend server refuses or fails part of the calls while it is quick and idle.
+func TestFailingBackendServerIsAvoided(t *testing.T) {
+	f := newFixture()
+	grey, sound := endpoint("seeb", 1), endpoint("nizwa", 1)
+	load := quick(0)
+	load.Answered = 0.5
+	f.report(grey, load)
+	f.report(sound, quick(4))
+	assert.Equal(t, 1.0, f.shares([]Endpoint{grey, sound}, 400*time.Millisecond)["nizwa-1"])
+}
+
+// Pattern: backend servers join during the day. Each gets calls, also from machines that have never called it.
+func TestNewEndpointGetsCalls(t *testing.T) {
+	f := newFixture()
+	old, joined := endpoint("seeb", 1), endpoint("seeb", 2)
+	f.report(old, quick(6))
+	assert.Greater(t, f.shares([]Endpoint{old, joined}, 400*time.Millisecond)["seeb-2"], 0.2)
+}
+
+// Pattern: a data centre is cut off without a sound. One lost call is enough to doubt its other endpoints.
+func TestSilentDataCentreIsDoubted(t *testing.T) {
+	f := newFixture()
+	cut1, cut2, other := endpoint("nizwa", 1), endpoint("nizwa", 2), endpoint("sohar", 1)
+	for _, e := range []Endpoint{cut1, cut2, other} {
+		f.report(e, quick(4))
+	}
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.Pick([]Endpoint{cut1}, Need{Class: "eta", Left: 400 * time.Millisecond}).Done(Silent, nil)
+	assert.Equal(t, 1.0, f.shares([]Endpoint{cut1, cut2, other}, 400*time.Millisecond)["sohar-1"])
+	assert.Equal(t, 1, f.Ejected())
+
+	f.now = f.now.Add(doubtFor)
+	f.report(cut2, quick(0))
+	assert.Greater(t, f.shares([]Endpoint{cut2, other}, 400*time.Millisecond)["nizwa-2"], 0.0, "it answers again")
+}
+
+// Pattern: every endpoint has failed. One of them is still tried.
+func TestAllEjected(t *testing.T) {
+	f := newFixture()
+	only := endpoint("seeb", 1)
+	for range failuresToEject {
+		f.Pick([]Endpoint{only}, Need{Left: time.Second}).Done(Failed, nil)
+	}
+	require.Equal(t, 1, f.Ejected())
+	require.NotNil(t, f.Pick([]Endpoint{only}, Need{Left: time.Second}))
+	assert.Nil(t, f.Pick([]Endpoint{only}, Need{Left: time.Second, Tried: func(*Endpoint) bool { return true }}))
+	assert.Nil(t, f.Pick(nil, Need{Left: time.Second}))
+}
+
+func TestEjectionsGrowAndEnd(t *testing.T) {
+	s := &state{}
+	now := time.Unix(1000, 0)
+	var spans []time.Duration
+	for range 6 {
+		s.eject(now)
+		spans = append(spans, s.ejectedUntil.Sub(now))
+	}
+	assert.Equal(t, []time.Duration{1e9, 2e9, 4e9, 8e9, 8e9, 8e9}, spans)
+}
+
+func TestStatesOfFormerEndpointsAreForgotten(t *testing.T) {
+	f := newFixture()
+	f.report(endpoint("seeb", 1), quick(0))
+	f.now = f.now.Add(2 * forgetUnusedFor)
+	f.report(endpoint("seeb", 2), quick(0))
+	assert.Len(t, f.states, 1)
+}
--- a/pkg/presence/presence.go
+++ b/pkg/presence/presence.go
@@ -11,9 +11,9 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
 )
 
 const (
@@ -29,7 +29,7 @@
 
 // Options configure a Presence. Log and Self are required.
 type Options struct {
-	Log       platform.Log
+	Log       logstore.Log
 	Self      membership.Member // id, addresses, region, data centre and incarnation
 	Retention time.Duration     // how long the log keeps a record; default 24 h
 	Metrics   *metrics.Registry // nil: not counted
@@ -199,15 +199,15 @@
 }
 
 // append retries with full jitter until the log accepts the record or ctx ends.
-func (p *Presence) append(ctx context.Context, record Record) (platform.Entry, error) {
+func (p *Presence) append(ctx context.Context, record Record) (logstore.Entry, error) {
 	data, err := json.Marshal(record)
 	if err != nil {
-		return platform.Entry{}, apierror.New(apierror.Internal, "encoding a presence record: "+err.Error(), "")
+		return logstore.Entry{}, apierror.New(apierror.Internal, "encoding a presence record: "+err.Error(), "")
 	}
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval, pauses.MaxInterval, pauses.RandomizationFactor = minimumRetry, maximumRetry, 1
-	try := func() (platform.Entry, error) {
-		entry, err := p.options.Log.Append(ctx, platform.StreamPresence, data)
+	try := func() (logstore.Entry, error) {
+		entry, err := p.options.Log.Append(ctx, logstore.StreamPresence, data)
 		if err != nil {
 			p.options.Metrics.Inc("presence_append_failed")
 		}
--- a/pkg/presence/presence_test.go
+++ b/pkg/presence/presence_test.go
@@ -13,9 +13,9 @@
 	"go.uber.org/goleak"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
 )
 
 func TestMain(m *testing.M) {
@@ -27,7 +27,7 @@
 // fakeLog is a log whose clock the test sets and whose answers it can fail or lose.
 type fakeLog struct {
 	mu      sync.Mutex
-	entries []platform.Entry
+	entries []logstore.Entry
 	now     time.Time
 	fail    int // appends to refuse
 	lose    int // appends that take effect and whose answer is lost
@@ -39,29 +39,29 @@
 
 var errDown = errors.New("log is down")
 
-func (l *fakeLog) Append(_ context.Context, _ string, data json.RawMessage) (platform.Entry, error) {
+func (l *fakeLog) Append(_ context.Context, _ string, data json.RawMessage) (logstore.Entry, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down || l.fail > 0 {
 		l.fail--
-		return platform.Entry{}, errDown
+		return logstore.Entry{}, errDown
 	}
-	entry := platform.Entry{Offset: int64(len(l.entries) + 1), TimeMS: l.now.UnixMilli(), Data: data}
+	entry := logstore.Entry{Offset: int64(len(l.entries) + 1), TimeMS: l.now.UnixMilli(), Data: data}
 	l.entries = append(l.entries, entry)
 	if l.lose > 0 {
 		l.lose--
 		l.now = l.now.Add(time.Second)
-		return platform.Entry{}, errDown
+		return logstore.Entry{}, errDown
 	}
 	return entry, nil
 }
 
-func (l *fakeLog) Read(ctx context.Context, _ string, from int64, limit int, _ time.Duration) (platform.Batch, error) {
+func (l *fakeLog) Read(ctx context.Context, _ string, from int64, limit int, _ time.Duration) (logstore.Batch, error) {
 	if l.gate != nil {
 		select {
 		case <-l.gate:
 		case <-ctx.Done():
-			return platform.Batch{}, ctx.Err()
+			return logstore.Batch{}, ctx.Err()
 		}
 	}
 	l.mu.Lock()
@@ -69,12 +69,12 @@
 	l.reads++
 	l.now = l.now.Add(l.step)
 	if l.down {
-		return platform.Batch{}, errDown
+		return logstore.Batch{}, errDown
 	}
 	next := int64(len(l.entries) + 1)
 	first := min(max(from, 1), next)
 	entries := l.entries[first-1:]
-	return platform.Batch{Entries: entries[:min(len(entries), limit)], First: 1, Next: next, TimeMS: l.now.UnixMilli()}, nil
+	return logstore.Batch{Entries: entries[:min(len(entries), limit)], First: 1, Next: next, TimeMS: l.now.UnixMilli()}, nil
 }
 
 func (l *fakeLog) add(t *testing.T, at time.Time, r Record) {
@@ -87,7 +87,7 @@
 func (l *fakeLog) addRaw(at time.Time, data json.RawMessage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries = append(l.entries, platform.Entry{Offset: int64(len(l.entries) + 1), TimeMS: at.UnixMilli(), Data: data})
+	l.entries = append(l.entries, logstore.Entry{Offset: int64(len(l.entries) + 1), TimeMS: at.UnixMilli(), Data: data})
 	l.now = at
 }
 
@@ -95,7 +95,7 @@
 	return Record{Kind: KindAnnounce, ID: id, Incarnation: incarnation, Service: service, ControlAddress: id + ":1"}
 }
 
-func newPresence(log platform.Log, registry *metrics.Registry) *Presence {
+func newPresence(log logstore.Log, registry *metrics.Registry) *Presence {
 	self := membership.Member{ID: "vm-1", Incarnation: 5, ControlAddress: "vm-1:1"}
 	return New(Options{Log: log, Self: self, Retention: time.Hour, Metrics: registry})
 }
--- a/pkg/presence/read.go
+++ b/pkg/presence/read.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 )
 
 // readKey is the one key of the shared read.
@@ -95,7 +95,7 @@
 		p.mu.Lock()
 		next := p.roster.next
 		p.mu.Unlock()
-		batch, err := p.options.Log.Read(ctx, platform.StreamPresence, next, batchLimit, 0)
+		batch, err := p.options.Log.Read(ctx, logstore.StreamPresence, next, batchLimit, 0)
 		if err != nil {
 			p.options.Metrics.Inc("presence_read_failed")
 			return unavailable(err)
--- a/pkg/presence/roster.go
+++ b/pkg/presence/roster.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 )
 
 // roster is the state replayed from the stream. It is not safe for concurrent use.
@@ -34,7 +34,7 @@
 }
 
 // apply replays a batch and reports whether it reached the tail.
-func (r *roster) apply(batch platform.Batch) bool {
+func (r *roster) apply(batch logstore.Batch) bool {
 	if batch.Next < r.next {
 		r.next = batch.First // the stream was started anew
 	}
--- /dev/null
+++ b/pkg/retry/budget_test.go
@@ -0,0 +1,71 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var terms = Terms{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+
+// Pattern: everything fails, and the load is skewed: one node has most of the requests, others have none. In any window the
+// repeats of all nodes stay within the bound of the fleet.
+func TestPartsAddUpUnderSkew(t *testing.T) {
+	const nodes = 11
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	var budgets []*Budget
+	for range nodes {
+		b := New(terms, func() int { return nodes })
+		b.now = func() time.Time { return now }
+		budgets = append(budgets, b)
+	}
+	type step struct{ requests, repeats int }
+	var steps []step
+	const perWindow = 100
+	for range 6 * perWindow {
+		now = now.Add(terms.Window / perWindow)
+		var s step
+		for i, b := range budgets {
+			rate := 1.0 / float64(1+i*i)
+			for range 5 {
+				if random.Float64() < rate {
+					b.Request("dispatch")
+					s.requests++
+				}
+				if b.TakeRepeat("dispatch") { // also nodes without requests try
+					s.repeats++
+				}
+			}
+		}
+		steps = append(steps, s)
+	}
+	most := 0.0
+	for end := perWindow; end <= len(steps); end++ {
+		requests, repeats := 0, 0
+		for _, s := range steps[end-perWindow : end] {
+			requests += s.requests
+			repeats += s.repeats
+		}
+		allowed := terms.Ratio*float64(requests) + terms.Slack
+		assert.LessOrEqual(t, float64(repeats), allowed)
+		most = max(most, float64(repeats)/allowed)
+	}
+	assert.Greater(t, most, 0.3, "the budget is of use")
+}
+
+func TestServicesAreSeparateAndWindowsEnd(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Terms{Ratio: 0, Slack: 4, Window: time.Second}, func() int { return 1 })
+	b.now = func() time.Time { return now }
+	assert.True(t, b.TakeRepeat("a"))
+	assert.True(t, b.TakeRepeat("a"))
+	assert.False(t, b.TakeRepeat("a"))
+	assert.True(t, b.TakeRepeat("b"))
+	now = now.Add(2 * time.Second)
+	assert.True(t, b.TakeRepeat("a"))
+	now = now.Add(-time.Hour) // the clock was set back
+	assert.False(t, func() bool { b.TakeRepeat("a"); return b.TakeRepeat("a") }())
+}
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -27,8 +27,6 @@
 	// backendIdle is how long a connection to the backend server is kept unused, unless the backend server says less. Common
 	// servers keep idle connections for 5 s or longer.
 	backendIdle = 4 * time.Second
-	// spareConnections may be open to the backend server beyond its slots, for those that are just being closed.
-	spareConnections = 2
 )
 
 // inbound hands requests to the backend server on the same machine. Nothing else reaches it, so that what was admitted, what is
--- /dev/null
+++ b/pkg/sidecar/mesh_test.go
@@ -0,0 +1,321 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
+)
+
+const testLimit = 30 * time.Second // only reached when a test fails
+
+var testHeaders = Headers{
+	RequestID: "Test-Id", DeadlineMS: "Test-Deadline", Signature: "Test-Signature", ExpectedInstance: "Test-Expected",
+	NotExecuted: "Test-Not-Executed", Load: "Test-Load", Instance: "Test-Instance", Caller: "Test-Caller",
+}
+
+// fakePlatform is a store in memory that all nodes of a test share.
+type fakePlatform struct {
+	mu        sync.Mutex
+	document  *routing.Document
+	position  int64
+	contacts  map[string]Contact
+	refusing  map[string]bool // nodes that the store turns away
+	published chan struct{}
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{contacts: make(map[string]Contact), refusing: make(map[string]bool), published: make(chan struct{})}
+}
+
+func (p *fakePlatform) publish(d *routing.Document) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.document = d
+	p.position++
+	close(p.published)
+	p.published = make(chan struct{})
+}
+
+// forNode is the platform as one node sees it.
+type forNode struct {
+	*fakePlatform
+	id string
+}
+
+func (p *forNode) refused() error {
+	if p.refusing[p.id] {
+		return apierror.New(apierror.Unavailable, "store is down", "try again")
+	}
+	return nil
+}
+
+func (p *forNode) Headers() Headers { return testHeaders }
+
+func (p *forNode) Newest(context.Context) (Published, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Published{p.document, p.position}, p.refused()
+}
+
+func (p *forNode) Next(ctx context.Context, position int64, wait time.Duration) (Published, error) {
+	p.mu.Lock()
+	published, now, err := p.published, Published{p.document, p.position}, p.refused()
+	p.mu.Unlock()
+	if err != nil || now.Position > position {
+		return now, err
+	}
+	select {
+	case <-published:
+		return p.Newest(ctx)
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return Published{Position: position}, ctx.Err()
+}
+
+func (p *forNode) Enter(_ context.Context, c Contact) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.contacts[c.ID] = c
+	return p.refused()
+}
+
+func (p *forNode) Remove(_ context.Context, id string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.contacts, id)
+	return nil
+}
+
+func (p *forNode) Contacts(context.Context) ([]Contact, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []Contact
+	for _, c := range p.contacts {
+		all = append(all, c)
+	}
+	return all, p.refused()
+}
+
+func (p *forNode) AnnouncementHandler(Announcer) http.Handler { return http.NotFoundHandler() }
+
+func (p *forNode) ReadinessHandler(ready func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// backendServer runs requests as a handler says, and records them.
+type backendServer struct {
+	id      string
+	address string
+	mu      sync.Mutex
+	handle  func(w http.ResponseWriter, r *http.Request, body string)
+	seen    []string // request ids
+	headers http.Header
+	left    chan string // ids whose caller left while they ran
+}
+
+func newBackend(t *testing.T, id string) *backendServer {
+	b := &backendServer{id: id, left: make(chan string, 100)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b.address = listener.Addr().String()
+	server := &http.Server{Handler: b}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	return b
+}
+
+func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	id := r.Header.Get(testHeaders.RequestID)
+	w.Header().Set(testHeaders.RequestID, id)
+	if r.Header.Get(testHeaders.ExpectedInstance) != b.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	b.mu.Lock()
+	handle := b.handle
+	b.seen = append(b.seen, id)
+	b.headers = r.Header.Clone()
+	b.mu.Unlock()
+	w.Header().Set(testHeaders.Signature, "signed by "+b.id)
+	if handle != nil {
+		handle(w, r, string(body))
+		return
+	}
+	fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+}
+
+func (b *backendServer) on(handle func(w http.ResponseWriter, r *http.Request, body string)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.handle = handle
+}
+
+func (b *backendServer) requests() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.seen...)
+}
+
+// testNode is a node with its backend server.
+type testNode struct {
+	*Node
+	backend *backendServer
+	stop    context.CancelFunc
+	done    chan error
+	beats   int64
+}
+
+type mesh struct {
+	t        *testing.T
+	platform *fakePlatform
+	nodes    []*testNode
+	ids      atomic.Int64
+}
+
+// newMesh starts nodes of service "s" in data centres dc-0, dc-1, ... and waits until they know each other.
+func newMesh(t *testing.T, count int) *mesh {
+	m := &mesh{t: t, platform: newFakePlatform()}
+	m.platform.publish(testDocument(1))
+	for i := range count {
+		m.start(i)
+	}
+	m.settled()
+	return m
+}
+
+func testDocument(version uint64) *routing.Document {
+	route := func(name string, idempotent bool) routing.Route {
+		return routing.Route{
+			Name: name, Host: "h.example", PathPrefix: "/" + name + "/", Idempotent: idempotent, TargetMS: 1000, TimeoutMS: 5000,
+			MaxAttempts: 2, Destinations: []routing.Destination{{Service: "s", Weight: 1}},
+		}
+	}
+	short := route("short", true)
+	short.TimeoutMS, short.TargetMS = 200, 100
+	return &routing.Document{
+		Version: version, Limits: routing.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20},
+		Services: []routing.Service{{Name: "s"}}, Routes: []routing.Route{route("safe", true), route("unsafe", false), short},
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (m *mesh) settings(i int, b *backendServer) *Settings {
+	address := func() string { return freeAddress(m.t) }
+	return &Settings{
+		ID: "node-" + strconv.Itoa(i), Region: "r", DataCentre: "dc-" + strconv.Itoa(i),
+		Listen:  Listen{Callers: address(), Nodes: address(), Control: address(), Announcements: address(), Readiness: address(), Metrics: address()},
+		Backend: Backend{Service: "s", Address: b.address, AnnouncementInterval: Duration(time.Minute)},
+		Store:   Store{Address: "127.0.0.1:1"},
+		Bounds: Bounds{
+			GracePeriod: Duration(testLimit), Drain: Duration(2 * time.Second), ConfigApply: Duration(2 * time.Second),
+			RetryRatio: 0.2, RetrySlack: 100, RetryWindow: Duration(10 * time.Second), ReadyCheckedIn: Duration(10 * time.Millisecond),
+		},
+	}
+}
+
+func (m *mesh) start(i int) *testNode {
+	b := newBackend(m.t, "i-"+strconv.Itoa(i))
+	s := m.settings(i, b)
+	n, err := New(s, &forNode{m.platform, s.ID}, zap.NewNop())
+	require.NoError(m.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	node := &testNode{Node: n, backend: b, stop: cancel, done: make(chan error, 1)}
+	go func() { node.done <- n.Run(ctx) }()
+	m.t.Cleanup(func() {
+		cancel()
+		<-node.done
+	})
+	m.nodes = append(m.nodes, node)
+	node.announce(false)
+	return node
+}
+
+func (n *testNode) announce(draining bool) announce.Verdict {
+	n.beats++
+	return n.Announce(announce.Announcement{
+		ID: n.backend.id, Service: "s", Address: n.backend.address, Slots: 4, Draining: draining, Sequence: n.beats, Born: 1,
+	})
+}
+
+func (m *mesh) eventually(what string, condition func() bool) {
+	m.t.Helper()
+	require.Eventually(m.t, condition, testLimit, 5*time.Millisecond, what)
+}
+
+// settled waits until every node knows every endpoint and a configuration.
+func (m *mesh) settled() {
+	m.t.Helper()
+	m.eventually("all nodes know all", func() bool {
+		for _, n := range m.nodes {
+			if len(n.endpoints("s")) != len(m.nodes) || n.follower.Table() == nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func (m *mesh) newID() string { return "id-" + strconv.FormatInt(m.ids.Add(1), 10) }
+
+func (m *mesh) request(ctx context.Context, n *testNode, method, path, body string) (*http.Request, string) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.settings.Listen.Callers+path, strings.NewReader(body))
+	require.NoError(m.t, err)
+	id := m.newID()
+	r.Host = "h.example"
+	r.Header.Set(testHeaders.RequestID, id)
+	return r, id
+}
+
+func send(r *http.Request) answer {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, string(data), response.Header, err}
+}
+
+func (m *mesh) call(n *testNode, method, path, body string) (answer, string) {
+	m.t.Helper()
+	r, id := m.request(context.Background(), n, method, path, body)
+	a := send(r)
+	require.NoError(m.t, a.err)
+	return a, id
+}
--- a/standin/bench/config.go
+++ b/standin/bench/config.go
@@ -12,7 +12,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/standin/load"
 )
 
@@ -280,10 +280,10 @@
 func (r *run) poll(ctx context.Context) {
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
-	log := platform.NewHTTPLog([]string{r.fleet.LogURL}, transport)
+	log := logstore.NewHTTPLog([]string{r.fleet.LogURL}, transport)
 	from := int64(1)
 	for ctx.Err() == nil {
-		batch, err := log.Read(ctx, platform.StreamConfig, from, 1000, 0)
+		batch, err := log.Read(ctx, logstore.StreamConfig, from, 1000, 0)
 		if err == nil {
 			from = batch.Next
 		}
@@ -293,8 +293,8 @@
 
 // stateBytes returns the size of the full state, which every node would get at each change without deltas.
 func (r *run) stateBytes(ctx context.Context) (int, error) {
-	log := platform.NewHTTPLog([]string{r.fleet.LogURL}, http.DefaultTransport)
-	batch, err := log.Read(ctx, platform.StreamConfig, 1, 10_000, 0)
+	log := logstore.NewHTTPLog([]string{r.fleet.LogURL}, http.DefaultTransport)
+	batch, err := log.Read(ctx, logstore.StreamConfig, 1, 10_000, 0)
 	if err != nil {
 		return 0, err
 	}
--- a/standin/logservice/log.go
+++ b/standin/logservice/log.go
@@ -14,7 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 )
 
 // Defaults of Options.
@@ -33,7 +33,7 @@
 	Now              func() time.Time // clock of the log service; nil: time.Now
 }
 
-// Log is the core of the stand-in. It implements platform.Log and is safe for concurrent use.
+// Log is the core of the stand-in. It implements logstore.Log and is safe for concurrent use.
 type Log struct {
 	options Options
 	limiter *rate.Limiter
@@ -45,7 +45,7 @@
 
 // stream holds the retained records. entries[0] has offset first.
 type stream struct {
-	entries []platform.Entry
+	entries []logstore.Entry
 	first   int64
 	grown   chan struct{} // closed at each append
 }
@@ -71,39 +71,39 @@
 	}
 }
 
-// Append implements platform.Log. Data that is not JSON is kept as a JSON string. Errors are of kind Overloaded or
+// Append implements logstore.Log. Data that is not JSON is kept as a JSON string. Errors are of kind Overloaded or
 // Unavailable if nothing was appended and of kind Unknown if the answer was lost.
-func (l *Log) Append(ctx context.Context, name string, data json.RawMessage) (platform.Entry, error) {
+func (l *Log) Append(ctx context.Context, name string, data json.RawMessage) (logstore.Entry, error) {
 	fault := l.faults.current()
 	if fault.Mode == Down {
-		return platform.Entry{}, errDown()
+		return logstore.Entry{}, errDown()
 	}
 	if len(data) > maxRecordBytes {
-		return platform.Entry{}, apierror.New(apierror.TooLarge, "record exceeds 32 MiB", "split it")
+		return logstore.Entry{}, apierror.New(apierror.TooLarge, "record exceeds 32 MiB", "split it")
 	}
 	if !l.limiter.Allow() {
-		return platform.Entry{}, apierror.New(apierror.Overloaded, "more appends per second than allowed", "retry later")
+		return logstore.Entry{}, apierror.New(apierror.Overloaded, "more appends per second than allowed", "retry later")
 	}
 	if fault.Mode == Slow {
 		return l.appendLate(ctx, name, data, fault.delay())
 	}
 	entry := l.append(name, data)
 	if fault.Mode == LoseAppendAnswers {
-		return platform.Entry{}, errAnswerLost()
+		return logstore.Entry{}, errAnswerLost()
 	}
 	return entry, nil
 }
 
 // appendLate appends after the delay, also when the caller has given up by then.
-func (l *Log) appendLate(ctx context.Context, name string, data json.RawMessage, delay time.Duration) (platform.Entry, error) {
-	done := make(chan platform.Entry, 1)
+func (l *Log) appendLate(ctx context.Context, name string, data json.RawMessage, delay time.Duration) (logstore.Entry, error) {
+	done := make(chan logstore.Entry, 1)
 	kept := append(json.RawMessage(nil), data...)
 	time.AfterFunc(delay, func() { done <- l.append(name, kept) })
 	select {
 	case entry := <-done:
 		return entry, nil
 	case <-ctx.Done():
-		return platform.Entry{}, errAnswerLost()
+		return logstore.Entry{}, errAnswerLost()
 	}
 }
 
@@ -111,11 +111,11 @@
 	return apierror.New(apierror.Unknown, "log service: answer lost", "read the stream for the record id")
 }
 
-func (l *Log) append(name string, data json.RawMessage) platform.Entry {
+func (l *Log) append(name string, data json.RawMessage) logstore.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
-	entry := platform.Entry{Offset: s.next(), TimeMS: l.options.Now().UnixMilli(), Data: storedForm(data)}
+	entry := logstore.Entry{Offset: s.next(), TimeMS: l.options.Now().UnixMilli(), Data: storedForm(data)}
 	s.entries = append(s.entries, entry)
 	close(s.grown)
 	s.grown = make(chan struct{})
@@ -164,14 +164,14 @@
 	s.entries = s.entries[drop:]
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, name string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements logstore.Log.
+func (l *Log) Read(ctx context.Context, name string, from int64, limit int, wait time.Duration) (logstore.Batch, error) {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
 		fault := l.faults.current()
 		if err := fault.beforeRead(ctx); err != nil {
-			return platform.Batch{}, err
+			return logstore.Batch{}, err
 		}
 		batch, grown := l.read(name, from, limit)
 		if len(batch.Entries) > 0 || wait <= 0 || batch.First > from {
@@ -183,7 +183,7 @@
 		case <-deadline.C:
 			return batch, nil
 		case <-ctx.Done():
-			return platform.Batch{}, errCancelled(ctx)
+			return logstore.Batch{}, errCancelled(ctx)
 		}
 	}
 }
@@ -192,12 +192,12 @@
 	return apierror.New(apierror.Unavailable, "log service: "+ctx.Err().Error(), "retry")
 }
 
-func (l *Log) read(name string, from int64, limit int) (platform.Batch, <-chan struct{}) {
+func (l *Log) read(name string, from int64, limit int) (logstore.Batch, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	l.expire(s)
-	batch := platform.Batch{First: s.first, Next: s.next(), TimeMS: l.options.Now().UnixMilli(), Entries: []platform.Entry{}}
+	batch := logstore.Batch{First: s.first, Next: s.next(), TimeMS: l.options.Now().UnixMilli(), Entries: []logstore.Entry{}}
 	size := 0
 	for i := max(from-s.first, 0); i < int64(len(s.entries)); i++ {
 		if len(batch.Entries) >= min(limit, maxReadEntries) || size > DefaultMaxBatchBytes {
--- a/standin/logservice/logservice_test.go
+++ b/standin/logservice/logservice_test.go
@@ -14,7 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/standin/logservice"
 )
 
@@ -27,7 +27,7 @@
 	log    *logservice.Log
 	server *logservice.Server
 	url    string
-	client *platform.HTTPLog
+	client *logstore.HTTPLog
 }
 
 // named adds the peer header, as a node's transport may.
@@ -50,7 +50,7 @@
 	done := make(chan error, 1)
 	go func() { done <- s.server.Serve(ctx, listener) }()
 	transport := &http.Transport{}
-	s.client = platform.NewHTTPLog([]string{s.url}, named{transport, "n1"})
+	s.client = logstore.NewHTTPLog([]string{s.url}, named{transport, "n1"})
 	t.Cleanup(func() {
 		transport.CloseIdleConnections()
 		cancel()
@@ -72,7 +72,7 @@
 	return err
 }
 
-func (s *service) read(from int64, wait time.Duration) platform.Batch {
+func (s *service) read(from int64, wait time.Duration) logstore.Batch {
 	batch, err := s.client.Read(context.Background(), "config", from, 100, wait)
 	require.NoError(s.t, err)
 	return batch
@@ -81,7 +81,7 @@
 // Guards against offsets that do not start at 1 or have gaps, and against a long poll that misses an append.
 func TestAppendAndLongPoll(t *testing.T) {
 	s := serve(t, logservice.Options{})
-	polled := make(chan platform.Batch)
+	polled := make(chan logstore.Batch)
 	go func() { polled <- s.read(1, 30*time.Second) }()
 	require.NoError(t, s.append(`{"a":1}`))
 	require.Equal(t, int64(1), (<-polled).Entries[0].Offset)
@@ -185,7 +185,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, listener.Close())
-	client := platform.NewHTTPLog([]string{"http://" + listener.Addr().String()}, &http.Transport{})
+	client := logstore.NewHTTPLog([]string{"http://" + listener.Addr().String()}, &http.Transport{})
 	_, err = client.Append(context.Background(), "config", json.RawMessage(`1`))
 	require.Equal(t, apierror.Unavailable, apierror.KindOf(err))
 }
--- a/test/failures/config_test.go
+++ b/test/failures/config_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
-	"github.com/laburnumcleat/laburnumcleat/pkg/platform"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/standin/canary"
 	"github.com/laburnumcleat/laburnumcleat/standin/fleet"
 	"github.com/laburnumcleat/laburnumcleat/standin/logservice"
@@ -214,13 +214,13 @@
 func TestBadRecordsInTheLog(t *testing.T) {
 	c := startConfigured(t)
 	c.watch(c.Nodes)
-	log := platform.NewHTTPLog([]string{c.LogURL}, http.DefaultTransport)
+	log := logstore.NewHTTPLog([]string{c.LogURL}, http.DefaultTransport)
 	before, err := c.Nodes[0].Client().Snapshot(c.ctx)
 	require.NoError(t, err)
 	half := fmt.Sprintf(`{"id":"0190a2b4-0000-7000-8000-000000000001","verb":"publish","entity":{"kind":"template","name":"half"},"base":0,"payload":%s,"author":"x"}`,
 		`{"body":{"services":[{"name":"good"}],"routes":[{"name":"bad","path_prefix":"/bad/","service":"missing","rank":"none","timeout_ms":0}]}}`)
 	for _, data := range []string{`"not a record"`, `{}`, `[1,2]`, `null`, `{"id":1}`, half} {
-		_, err := log.Append(c.ctx, platform.StreamConfig, json.RawMessage(data))
+		_, err := log.Append(c.ctx, logstore.StreamConfig, json.RawMessage(data))
 		require.NoError(t, err)
 	}
 	version := c.amendCanary(c.Nodes[0], 2)
@@ -271,8 +271,8 @@
 	c.rejoin("sohar")
 	require.NoError(t, c.WaitVersion(c.ctx, settleLimit, base, c.Nodes))
 	c.eventually("a checkpoint is in the log", func() bool {
-		log := platform.NewHTTPLog([]string{c.LogURL}, http.DefaultTransport)
-		batch, err := log.Read(c.ctx, platform.StreamCheckpoints, 1, 1, 0)
+		log := logstore.NewHTTPLog([]string{c.LogURL}, http.DefaultTransport)
+		batch, err := log.Read(c.ctx, logstore.StreamCheckpoints, 1, 1, 0)
 		return err == nil && len(batch.Entries) > 0
 	})
 	var group sync.WaitGroup
