sidecar: changes of the configuration are relayed within a data centre

Two nodes of each data centre read now; the others get what changed, which stays small however many routes there are. After a read with several versions the newest one is read, not the next.

--- a/pkg/membership/joiner.go
+++ b/pkg/membership/joiner.go
@@ -107,17 +107,30 @@
 		return nil
 	}
 	candidates := slices.Clone(s.options.Seeds)
-	if s.isAlone() || s.options.RereadContacts {
+	if s.isAlone() || s.contactsDue(time.Now()) {
 		candidates = append(candidates, s.readContacts(ctx)...)
 	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	return slices.DeleteFunc(candidates, func(address string) bool { return known[address] })
 }
 
+// earlyContactReads are made before Options.ContactsInterval counts.
+const earlyContactReads = 2
+
+// contactsDue reports whether the contacts are to be read although other members are known.
+func (s *Service) contactsDue(now time.Time) bool {
+	if s.options.ContactsInterval == 0 {
+		return false
+	}
+	return s.contactReads < earlyContactReads || now.Sub(s.contactsRead) >= s.options.ContactsInterval
+}
+
 func (s *Service) readContacts(ctx context.Context) []string {
 	if s.options.Contacts == nil {
 		return nil
 	}
+	s.contactReads++
+	s.contactsRead = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
 	defer cancel()
 	contacts, err := s.options.Contacts(ctx)
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -23,19 +23,19 @@
 	Self     Member                                      // id, addresses, region, data centre and incarnation
 	Seeds    []string                                    // control addresses
 	Contacts func(ctx context.Context) ([]string, error) // control addresses from the presence stream; may be nil
-	// RereadContacts has the contacts read from time to time also while other members are known. Nodes that started together may
-	// have found each other in several groups, which nothing else would join.
-	RereadContacts bool
-	Client         *rpc.Client
-	Server         *rpc.Server                  // New registers its methods here
-	Beat           func() Beat                  // state to report; must not block
-	OnBeat         func(from Member, beat Beat) // called for each probe and ack
-	OnSuperseded   func(incarnation uint64)     // called once when this id appears with a higher incarnation
-	OnChange       func()                       // called after changes to the table; must not block
-	Metrics        *metrics.Registry            // nil: not counted
-	Logger         *zap.Logger                  // nil: no log
-	Explain        func(event explain.Event)    // nil: dropped
-	Timing         Timing                       // zero value: defaults
+	// ContactsInterval has the contacts read also while other members are known: once soon after the start, and then at this
+	// interval. Nodes that started together may have found each other in several groups, which nothing else would join. 0: never.
+	ContactsInterval time.Duration
+	Client           *rpc.Client
+	Server           *rpc.Server                  // New registers its methods here
+	Beat             func() Beat                  // state to report; must not block
+	OnBeat           func(from Member, beat Beat) // called for each probe and ack
+	OnSuperseded     func(incarnation uint64)     // called once when this id appears with a higher incarnation
+	OnChange         func()                       // called after changes to the table; must not block
+	Metrics          *metrics.Registry            // nil: not counted
+	Logger           *zap.Logger                  // nil: no log
+	Explain          func(event explain.Event)    // nil: dropped
+	Timing           Timing                       // zero value: defaults
 }
 
 // Service runs the membership protocol of one node. It is safe for concurrent use.
@@ -49,6 +49,9 @@
 
 	view atomic.Pointer[view]
 	sent sync.WaitGroup
+
+	contactReads int // of the joiner
+	contactsRead time.Time
 }
 
 // view is an immutable copy of the table for readers.
--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -137,7 +137,7 @@
 	var mu sync.Mutex
 	var contacts []string
 	adjust := func(o *Options) {
-		o.RereadContacts = true
+		o.ContactsInterval = 200 * time.Millisecond
 		o.Timing = Timing{ReconnectInterval: 200 * time.Millisecond}
 		o.Contacts = func(context.Context) ([]string, error) {
 			mu.Lock()
--- /dev/null
+++ b/pkg/routing/change_test.go
@@ -0,0 +1,75 @@
+package routing
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+)
+
+func drawDocument(t *rapid.T, version uint64) *Document {
+	d := &Document{Version: version, Services: []Service{{Name: "a"}, {Name: "b"}}, Limits: Limits{BodyBytes: int64(version)}}
+	if rapid.Bool().Draw(t, "more services") {
+		d.Services = append(d.Services, Service{Name: "c"})
+	}
+	for i := range 20 {
+		if !rapid.Bool().Draw(t, "present") {
+			continue
+		}
+		r := route(fmt.Sprintf("r%d", i), "H.example", fmt.Sprintf("/%d/", i), Destination{"a", rapid.IntRange(1, 3).Draw(t, "weight")})
+		r.TimeoutMS = int64(rapid.IntRange(1, 2).Draw(t, "timeout"))
+		d.Routes = append(d.Routes, r)
+	}
+	return d
+}
+
+func TestChangesLeadFromOneDocumentToAnother(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawDocument(t, 1), drawDocument(t, 2)
+		text, err := json.Marshal(Diff(from, to))
+		require.NoError(t, err)
+		var change Change
+		require.NoError(t, json.Unmarshal(text, &change))
+		got, err := change.Apply(from)
+		require.NoError(t, err)
+		assert.ElementsMatch(t, to.Routes, got.Routes)
+		assert.Equal(t, to.Services, got.Services)
+		assert.Equal(t, to.Limits, got.Limits)
+		assert.Equal(t, to.Version, got.Version)
+	})
+}
+
+// A configuration with many routes of which one changes: what is passed on does not grow with the rest.
+func TestChangeOfOneRouteIsSmall(t *testing.T) {
+	from := &Document{Version: 1, Services: []Service{{Name: "a"}}}
+	for i := range 2000 {
+		from.Routes = append(from.Routes, route(fmt.Sprintf("r%d", i), "h", fmt.Sprintf("/%d/", i), Destination{"a", 1}))
+	}
+	to := *from
+	to.Version = 2
+	to.Routes = append([]Route(nil), from.Routes...)
+	to.Routes[7].TimeoutMS = 5
+	text, err := json.Marshal(Diff(from, &to))
+	require.NoError(t, err)
+	assert.Less(t, len(text), 600)
+}
+
+func TestChangeThatDoesNotFit(t *testing.T) {
+	from, to := document(), document()
+	to.Version = 8
+	to.Routes[0].TimeoutMS = 5
+	change := Diff(from, to)
+	other := document()
+	other.Version = 6
+	_, err := change.Apply(other)
+	assert.Equal(t, apierror.Conflict, apierror.KindOf(err))
+	other = document()
+	other.Routes = other.Routes[:1]
+	_, err = change.Apply(other)
+	assert.Equal(t, apierror.Conflict, apierror.KindOf(err), "same version, other content")
+}
--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -17,13 +17,17 @@
 )
 
 const (
-	pollWait     = 25 * time.Second       // of a read that waits for the next configuration; the store allows 30 s
-	pollPause    = 600 * time.Millisecond // after a configuration, so that a quick succession of them costs few reads
-	firstBackoff = 100 * time.Millisecond
-	lastBackoff  = time.Second // the store is asked again so soon after its return
-	// peerDelay is how long a node that hears of a newer version waits for it to come from the store.
-	peerDelay   = 400 * time.Millisecond
-	pullTimeout = time.Second
+	pollWait         = 25 * time.Second       // of a read that waits for the next configuration; the store allows 30 s
+	pollPause        = 600 * time.Millisecond // after a configuration, so that a quick succession of them costs few reads
+	successionLength = 2                      // versions in one read, from which on the newest one is read next
+	readerCheck      = 500 * time.Millisecond // whether this node has become a reader
+	firstBackoff     = 100 * time.Millisecond
+	lastBackoff      = time.Second // the store is asked again so soon after its return
+	// peerDelay is how long a node that hears of a newer version in a probe waits for it to come from the store or through the
+	// relay.
+	peerDelay       = 400 * time.Millisecond
+	remotePeerDelay = time.Second // the same if the other node is in another data centre: bytes from there are dear
+	pullTimeout     = time.Second
 )
 
 // documentMethod is the RPC method with which a node asks another for its configuration.
@@ -45,10 +49,16 @@
 	mu      sync.Mutex // serialises activation
 	pulling atomic.Bool
 	storeUp atomic.Bool
+
+	isReader func() bool                         // whether this node reads the store
+	changed  func(before, now *routing.Document) // called after a version was read from the store
 }
 
 func newFollower(source Source, client *rpc.Client, server *rpc.Server, m *metrics.Registry, logger *zap.Logger) *follower {
-	f := &follower{source: source, client: client, metrics: m, logger: logger}
+	f := &follower{
+		source: source, client: client, metrics: m, logger: logger,
+		isReader: func() bool { return true }, changed: func(*routing.Document, *routing.Document) {},
+	}
 	server.Handle(documentMethod, f.serveDocument)
 	return f
 }
@@ -64,36 +74,42 @@
 	return 0
 }
 
-// offer activates a configuration if it is newer than the one in force and has no fault.
-func (f *follower) offer(d *routing.Document, from string) {
+// offer activates a configuration if it is newer than the one in force and has no fault. It reports whether it did.
+func (f *follower) offer(d *routing.Document, from string) bool {
 	if d == nil {
-		return
+		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.version()
 	if d.Version <= before {
-		return
+		return false
 	}
 	table, err := routing.Compile(d)
 	if err != nil {
 		f.metrics.Inc("configuration_rejected")
 		f.logger.Error("configuration_rejected", zap.Uint64("version", d.Version), zap.String("from", from), zap.Error(err),
 			zap.String("remedy", "publish a corrected configuration; the one in force stays"))
-		return
+		return false
 	}
 	f.table.Store(table)
 	f.metrics.Inc("configuration_activated", "from", from)
 	f.metrics.Gauge("configuration_version").Update(int64(d.Version))
 	f.logger.Info("configuration_activated", zap.Uint64("version", d.Version), zap.Uint64("before", before),
 		zap.String("from", from), zap.Int("routes", len(d.Routes)), zap.Int("services", len(d.Services)))
+	return true
 }
 
-// Run reads the source until ctx ends.
+// Run reads the source until ctx ends. A node that is no reader reads it only while it has no configuration.
 func (f *follower) Run(ctx context.Context) {
 	position, known := int64(0), false
 	backoff := firstBackoff
 	for ctx.Err() == nil {
+		if f.table.Load() != nil && !f.isReader() {
+			known = false
+			sleepFor(ctx, readerCheck)
+			continue
+		}
 		var p Published
 		var err error
 		if known {
@@ -110,11 +126,17 @@
 		}
 		f.reached()
 		backoff = firstBackoff
-		position, known = p.Position, true
-		f.offer(p.Document, "store")
-		if p.Document != nil {
-			sleepFor(ctx, pollPause)
+		// A quick succession of configurations is read by its newest, not one after the other.
+		known = p.Position-position < successionLength || !known
+		position = p.Position
+		if p.Document == nil {
+			continue
+		}
+		before := f.table.Load()
+		if f.offer(p.Document, "store") && before != nil {
+			f.changed(before.Document, p.Document)
 		}
+		sleepFor(ctx, pollPause)
 	}
 }
 
@@ -140,16 +162,16 @@
 	}
 }
 
-// heard takes in that another node has a version. If it is newer, and the store does not deliver it soon, it is asked of that
+// heard takes in that another node has a version. If it is newer, and has not come otherwise after a delay, it is asked of that
 // node.
-func (f *follower) heard(ctx context.Context, version uint64, address string) {
+func (f *follower) heard(ctx context.Context, version uint64, address string, delay time.Duration) {
 	if version <= f.version() || !f.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer f.pulling.Store(false)
 		if f.table.Load() != nil {
-			sleepFor(ctx, peerDelay)
+			sleepFor(ctx, delay)
 		}
 		if version <= f.version() || ctx.Err() != nil {
 			return
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -44,6 +44,9 @@
 	ReturnWithin: 30 * time.Second, ReturnInterval: time.Second,
 }
 
+// contactsInterval is the time between two looks into the platform's directory while other nodes are known.
+const contactsInterval = time.Minute
+
 // Node is one running sidecar.
 type Node struct {
 	settings *Settings
@@ -82,13 +85,18 @@
 	n.follower = newFollower(p, n.rpcClient, n.rpcServer, n.metrics, n.logger)
 	n.inbound = newInbound(p.Headers(), n.metrics, n.logger, n.heardBackend)
 	n.membership = membership.New(membership.Options{
-		Self: n.self(), Contacts: n.contacts, RereadContacts: true, Timing: membershipTiming, Client: n.rpcClient, Server: n.rpcServer,
+		Self: n.self(), Contacts: n.contacts, ContactsInterval: contactsInterval, Timing: membershipTiming, Client: n.rpcClient, Server: n.rpcServer,
 		Beat: func() membership.Beat { return membership.Beat{Version: int64(n.follower.version())} },
 		OnBeat: func(from membership.Member, beat membership.Beat) {
-			n.follower.heard(context.Background(), uint64(beat.Version), from.ControlAddress)
+			delay := peerDelay
+			if from.DataCentre != s.DataCentre {
+				delay = remotePeerDelay
+			}
+			n.follower.heard(context.Background(), uint64(beat.Version), from.ControlAddress, delay)
 		},
 		Metrics: n.metrics, Logger: n.logger,
 	})
+	n.relayChanges()
 	n.outbound = n.newOutbound()
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -96,6 +104,17 @@
 	return n, nil
 }
 
+// relayChanges has a few nodes of each data centre read the store and pass changes on to the others.
+func (n *Node) relayChanges() {
+	r := &relay{
+		self: n.settings.ID, address: n.settings.Listen.Control, members: n.membership.Members, client: n.rpcClient,
+		follower: n.follower, metrics: n.metrics, logger: n.logger,
+	}
+	n.rpcServer.Handle(changeMethod, r.serveChange)
+	n.follower.isReader = r.isReader
+	n.follower.changed = r.spread
+}
+
 func (n *Node) self() membership.Member {
 	return membership.Member{
 		ID: n.settings.ID, Region: n.settings.Region, DataCentre: n.settings.DataCentre,
--- /dev/null
+++ b/pkg/sidecar/relay.go
@@ -0,0 +1,145 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
+	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
+	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
+	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
+)
+
+const (
+	// readersPerDataCentre read the store; the others of their data centre get what has changed from them. One is enough; the
+	// second covers for its death, its freeze and a store that turns it away.
+	readersPerDataCentre = 2
+	// relayFanout bounds the nodes that one node passes a change on to. Each passes it on to its part of the rest.
+	relayFanout  = 8
+	relayTimeout = 600 * time.Millisecond
+)
+
+// changeMethod is the RPC method with which a change of the configuration is passed on.
+const changeMethod = "sidecar.change"
+
+// changeParams is a change on its way through the data centre.
+type changeParams struct {
+	Change *routing.Change `json:"change"`
+	From   string          `json:"from"`            // control address of a node that has the whole configuration
+	Cover  []string        `json:"cover,omitempty"` // control addresses that the receiver passes the change on to
+}
+
+// relay spreads changes of the configuration within a data centre, so that the store and thin links carry each version a few times
+// and not once for each node. A node that a change does not reach hears of the version in the probes of other members.
+type relay struct {
+	self     string // node id
+	address  string // control address of this node
+	members  func() []membership.Member
+	client   *rpc.Client
+	follower *follower
+	metrics  *metrics.Registry
+	logger   *zap.Logger
+}
+
+// isReader reports whether this node reads the store. All nodes of a data centre order themselves by the same hash.
+func (r *relay) isReader() bool {
+	own := xxhash.Sum64String(r.self)
+	before := 0
+	for _, m := range r.neighbours() {
+		if xxhash.Sum64String(m.ID) < own {
+			before++
+		}
+	}
+	return before < readersPerDataCentre
+}
+
+// neighbours returns the other nodes of the data centre that are alive.
+func (r *relay) neighbours() []membership.Member {
+	members := r.members()
+	dataCentre := ""
+	for i := range members {
+		if members[i].ID == r.self {
+			dataCentre = members[i].DataCentre
+		}
+	}
+	return slices.DeleteFunc(members, func(m membership.Member) bool {
+		return m.ID == r.self || m.DataCentre != dataCentre || m.Status != membership.Alive
+	})
+}
+
+// spread passes a change on to the other nodes of the data centre.
+func (r *relay) spread(before, now *routing.Document) {
+	neighbours := r.neighbours()
+	if before == nil || len(neighbours) == 0 {
+		return // those who start read the store, or ask another node
+	}
+	var addresses []string
+	for _, m := range neighbours {
+		addresses = append(addresses, m.ControlAddress)
+	}
+	r.passOn(&changeParams{Change: routing.Diff(before, now), From: r.address, Cover: addresses})
+}
+
+// passOn sends the change to some nodes of its cover, each with a part of the rest.
+func (r *relay) passOn(p *changeParams) {
+	heads := min(relayFanout, len(p.Cover))
+	var sending sync.WaitGroup
+	for i := range heads {
+		var cover []string
+		for j := heads + i; j < len(p.Cover); j += heads {
+			cover = append(cover, p.Cover[j])
+		}
+		sending.Go(func() { r.send(p.Cover[i], &changeParams{Change: p.Change, From: p.From, Cover: cover}) })
+	}
+	sending.Wait()
+}
+
+func (r *relay) send(address string, p *changeParams) {
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	var done bool
+	if err := r.client.Call(ctx, address, changeMethod, p, &done); err != nil {
+		r.metrics.Inc("configuration_relay_failed")
+		r.logger.Debug("configuration_relay_failed", zap.String("to", address), zap.Error(err))
+		if len(p.Cover) > 0 {
+			r.passOn(&changeParams{Change: p.Change, From: p.From, Cover: p.Cover}) // in its place
+		}
+	}
+}
+
+// serveChange takes in a change and passes it on.
+func (r *relay) serveChange(_ context.Context, params json.RawMessage) (any, error) {
+	var p changeParams
+	if err := json.Unmarshal(params, &p); err != nil || p.Change == nil {
+		return nil, apierror.InvalidField("params", "no change", "run the same version on all nodes")
+	}
+	if len(p.Cover) > 0 {
+		go r.passOn(&changeParams{Change: p.Change, From: p.From, Cover: p.Cover})
+	}
+	r.apply(p.Change, p.From)
+	return true, nil
+}
+
+func (r *relay) apply(c *routing.Change, from string) {
+	table := r.follower.Table()
+	if table != nil && c.To <= table.Document.Version {
+		return
+	}
+	if table != nil {
+		document, err := c.Apply(table.Document)
+		if err == nil {
+			r.follower.offer(document, "relay")
+			return
+		}
+		r.metrics.Inc("configuration_change_unfit")
+		r.logger.Info("configuration_change_unfit", zap.Uint64("to", c.To), zap.Uint64("version", table.Document.Version), zap.Error(err))
+	}
+	r.follower.heard(context.Background(), c.To, from, 0)
+}
