--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -1,13 +1,17 @@
 package sidecar
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
@@ -25,9 +29,8 @@
 	lastBackoff      = time.Second // the store is asked again so soon after its return
 	// peerDelay is how long a node that hears of a newer version in a probe waits for it to come from the store or through the
 	// relay.
-	peerDelay       = 400 * time.Millisecond
-	remotePeerDelay = time.Second // the same if the other node is in another data centre: bytes from there are dear
-	pullTimeout     = time.Second
+	peerDelay   = 300 * time.Millisecond
+	pullTimeout = time.Second
 )
 
 // documentMethod is the RPC method with which a node asks another for its configuration.
@@ -35,9 +38,22 @@
 
 // documentParams asks for a configuration that is newer than a version.
 type documentParams struct {
-	Newer uint64 `json:"newer"`
+	Newer uint64 `json:"newer"` // 0: none is known
 }
 
+// documentResult answers with what changed since that version, or with the whole configuration if that is not known any more.
+// Both are nil if there is nothing newer.
+type documentResult struct {
+	Change []byte `json:"change,omitempty"` // a packed routing.Change
+	Whole  []byte `json:"whole,omitempty"`  // a packed routing.Document
+}
+
+const (
+	keptDocuments = 8 // former versions from which a node can say what changed
+	maxWhole      = 2 // whole configurations that a node serves at a time
+	maxWholeBytes = 256 << 20
+)
+
 // follower keeps the node at the newest configuration. The version never falls while the process runs.
 type follower struct {
 	source  Source
@@ -46,7 +62,9 @@
 	logger  *zap.Logger
 
 	table   atomic.Pointer[routing.Table]
-	mu      sync.Mutex // serialises activation
+	mu      sync.Mutex          // serialises activation
+	former  []*routing.Document // versions in force before, the latest last; guarded by mu
+	whole   chan struct{}       // one element for each whole configuration being served
 	pulling atomic.Bool
 	storeUp atomic.Bool
 
@@ -57,6 +75,7 @@
 func newFollower(source Source, client *rpc.Client, server *rpc.Server, m *metrics.Registry, logger *zap.Logger) *follower {
 	f := &follower{
 		source: source, client: client, metrics: m, logger: logger,
+		whole:    make(chan struct{}, maxWhole),
 		isReader: func() bool { return true }, changed: func(*routing.Document, *routing.Document) {},
 	}
 	server.Handle(documentMethod, f.serveDocument)
@@ -92,6 +111,12 @@
 			zap.String("remedy", "publish a corrected configuration; the one in force stays"))
 		return false
 	}
+	if current := f.table.Load(); current != nil {
+		f.former = append(f.former, current.Document)
+		if len(f.former) > keptDocuments {
+			f.former = f.former[1:]
+		}
+	}
 	f.table.Store(table)
 	f.metrics.Inc("configuration_activated", "from", from)
 	f.metrics.Gauge("configuration_version").Update(int64(d.Version))
@@ -183,13 +208,36 @@
 func (f *follower) pull(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	var d *routing.Document
-	if err := f.client.Call(ctx, address, documentMethod, documentParams{Newer: f.version()}, &d); err != nil {
+	var result documentResult
+	err := f.client.Call(ctx, address, documentMethod, documentParams{Newer: f.version()}, &result)
+	var document *routing.Document
+	if err == nil {
+		document, err = f.documentIn(&result)
+	}
+	if err != nil {
 		f.metrics.Inc("configuration_pull_failed")
 		f.logger.Info("configuration_pull_failed", zap.String("from", address), zap.Error(err))
 		return
 	}
-	f.offer(d, "node")
+	before := f.table.Load()
+	if f.offer(document, "node") && before != nil {
+		f.changed(before.Document, document) // the readers of this data centre may be cut off from the store
+	}
+}
+
+// documentIn returns the document that a result leads to, or nil if there is nothing newer.
+func (f *follower) documentIn(r *documentResult) (*routing.Document, error) {
+	switch table := f.table.Load(); {
+	case r.Change != nil && table != nil:
+		change, err := unpack[routing.Change](r.Change)
+		if err != nil {
+			return nil, err
+		}
+		return change.Apply(table.Document)
+	case r.Whole != nil:
+		return unpack[routing.Document](r.Whole)
+	}
+	return nil, nil
 }
 
 func (f *follower) serveDocument(_ context.Context, params json.RawMessage) (any, error) {
@@ -199,7 +247,55 @@
 	}
 	t := f.table.Load()
 	if t == nil || t.Document.Version <= p.Newer {
-		return nil, nil
+		return documentResult{}, nil
+	}
+	if former := f.formerVersion(p.Newer); former != nil {
+		change, err := pack(routing.Diff(former, t.Document))
+		return documentResult{Change: change}, err
+	}
+	select {
+	case f.whole <- struct{}{}:
+		defer func() { <-f.whole }()
+	default:
+		return nil, apierror.New(apierror.Overloaded, "other nodes are being sent the configuration", "ask again, or another node")
+	}
+	whole, err := pack(t.Document)
+	return documentResult{Whole: whole}, err
+}
+
+func (f *follower) formerVersion(version uint64) *routing.Document {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range f.former {
+		if d.Version == version {
+			return d
+		}
+	}
+	return nil
+}
+
+// pack encodes what is passed between nodes as compressed JSON: a configuration that grows by hundreds of routes takes seconds on a
+// thin link otherwise.
+func pack(value any) ([]byte, error) {
+	var out bytes.Buffer
+	compressor, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "compressing a configuration")
+	}
+	if err := json.NewEncoder(compressor).Encode(value); err != nil {
+		return nil, eris.Wrap(err, "encoding a configuration")
+	}
+	if err := compressor.Close(); err != nil {
+		return nil, eris.Wrap(err, "compressing a configuration")
+	}
+	return out.Bytes(), nil
+}
+
+func unpack[T any](data []byte) (*T, error) {
+	value := new(T)
+	reader := io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxWholeBytes)
+	if err := json.NewDecoder(reader).Decode(value); err != nil {
+		return nil, eris.Wrap(err, "decoding a configuration from another node")
 	}
-	return t.Document, nil
+	return value, nil
 }
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -88,11 +88,7 @@
 		Self: n.self(), Contacts: n.contacts, ContactsInterval: contactsInterval, Timing: membershipTiming, Client: n.rpcClient, Server: n.rpcServer,
 		Beat: func() membership.Beat { return membership.Beat{Version: int64(n.follower.version())} },
 		OnBeat: func(from membership.Member, beat membership.Beat) {
-			delay := peerDelay
-			if from.DataCentre != s.DataCentre {
-				delay = remotePeerDelay
-			}
-			n.follower.heard(context.Background(), uint64(beat.Version), from.ControlAddress, delay)
+			n.follower.heard(context.Background(), uint64(beat.Version), from.ControlAddress, peerDelay)
 		},
 		Metrics: n.metrics, Logger: n.logger,
 	})
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -23,7 +23,7 @@
 	readersPerDataCentre = 2
 	// relayFanout bounds the nodes that one node passes a change on to. Each passes it on to its part of the rest.
 	relayFanout  = 8
-	relayTimeout = 600 * time.Millisecond
+	relayTimeout = 2 * time.Second // a change of many routes takes most of a second on a thin link
 )
 
 // changeMethod is the RPC method with which a change of the configuration is passed on.
@@ -31,9 +31,9 @@
 
 // changeParams is a change on its way through the data centre.
 type changeParams struct {
-	Change *routing.Change `json:"change"`
-	From   string          `json:"from"`            // control address of a node that has the whole configuration
-	Cover  []string        `json:"cover,omitempty"` // control addresses that the receiver passes the change on to
+	Change []byte   `json:"change"`          // a packed routing.Change
+	From   string   `json:"from"`            // control address of a node that has the whole configuration
+	Cover  []string `json:"cover,omitempty"` // control addresses that the receiver passes the change on to
 }
 
 // relay spreads changes of the configuration within a data centre, so that the store and thin links carry each version a few times
@@ -84,7 +84,12 @@
 	for _, m := range neighbours {
 		addresses = append(addresses, m.ControlAddress)
 	}
-	r.passOn(&changeParams{Change: routing.Diff(before, now), From: r.address, Cover: addresses})
+	change, err := pack(routing.Diff(before, now))
+	if err != nil {
+		r.logger.Error("configuration_not_relayed", zap.Error(err))
+		return
+	}
+	r.passOn(&changeParams{Change: change, From: r.address, Cover: addresses})
 }
 
 // passOn sends the change to some nodes of its cover, each with a part of the rest.
@@ -117,13 +122,18 @@
 // serveChange takes in a change and passes it on.
 func (r *relay) serveChange(_ context.Context, params json.RawMessage) (any, error) {
 	var p changeParams
-	if err := json.Unmarshal(params, &p); err != nil || p.Change == nil {
-		return nil, apierror.InvalidField("params", "no change", "run the same version on all nodes")
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, apierror.InvalidField("params", err.Error(), "run the same version on all nodes")
+	}
+	change, err := unpack[routing.Change](p.Change)
+	if err != nil {
+		return nil, apierror.InvalidField("params.change", err.Error(), "run the same version on all nodes")
 	}
-	if len(p.Cover) > 0 {
+	if len(p.Cover) > 0 && change.To > r.follower.version() {
+		// Otherwise it has come this way before.
 		go r.passOn(&changeParams{Change: p.Change, From: p.From, Cover: p.Cover})
 	}
-	r.apply(p.Change, p.From)
+	r.apply(change, p.From)
 	return true, nil
 }
 
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
+	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -235,6 +236,19 @@
 		}
 		return true
 	})
+	// What is passed between nodes is the change, or the whole for a node that is too far behind.
+	for newer, change := range map[uint64]bool{1: true, 0: false} {
+		answered, err := m.nodes[0].follower.serveDocument(context.Background(), []byte(`{"newer":`+strconv.FormatUint(newer, 10)+`}`))
+		require.NoError(t, err)
+		result := answered.(documentResult)
+		assert.Equal(t, change, result.Change != nil)
+		assert.Equal(t, !change, result.Whole != nil)
+		if !change {
+			whole, err := unpack[routing.Document](result.Whole)
+			require.NoError(t, err)
+			assert.Equal(t, testDocument(2), whole)
+		}
+	}
 	m.nodes[0].follower.offer(testDocument(1), "test")
 	assert.EqualValues(t, 2, m.nodes[0].follower.version())
 	faulty := testDocument(3)
