--- a/cmd/laburnum-sidecar/main.go
+++ b/cmd/laburnum-sidecar/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/integrii/flaggy"
 	"go.uber.org/zap"
@@ -28,6 +29,11 @@
 // gcPercent keeps the heap small: memory is dearer on these machines than the processor time of the collector.
 const gcPercent = 50
 
+const (
+	logLines   = 2000                   // buffered for a slow reader of the output; about 0.5 MB
+	flushLimit = 100 * time.Millisecond // for the last lines at the end
+)
+
 func main() {
 	var path string
 	var checkOnly bool
@@ -45,7 +51,7 @@
 		fmt.Println("settings are valid")
 		return
 	}
-	logger, err := logging.New(os.Stdout, loaded.LogLevel)
+	logger, output, err := logging.NewBounded(os.Stdout, loaded.LogLevel, logLines)
 	if err != nil {
 		exit(exitSettings, err)
 	}
@@ -57,7 +63,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go reloadOnHangup(ctx, path, logger)
-	if err := n.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+	err = n.Run(ctx)
+	output.Flush(flushLimit)
+	if err != nil && !errors.Is(err, context.Canceled) {
 		exit(exitFailure, err)
 	}
 }
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -12,6 +12,8 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 )
 
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
 // New returns a logger that writes to out. Level is "debug", "info", "warn" or "error".
 func New(out io.Writer, level string) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
@@ -22,7 +24,7 @@
 	encoding.TimeKey = "time"
 	encoding.MessageKey = "event"
 	encoding.EncodeTime = func(t time.Time, enc zapcore.PrimitiveArrayEncoder) {
-		enc.AppendString(t.UTC().Format("2006-01-02T15:04:05.000Z"))
+		enc.AppendString(t.UTC().Format(timeFormat))
 	}
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(zapcore.AddSync(out)), parsed)
 	return zap.New(core), nil
--- a/pkg/membership/joiner.go
+++ b/pkg/membership/joiner.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -110,26 +111,23 @@
 	if s.isAlone() || s.contactsDue(time.Now()) {
 		candidates = append(candidates, s.readContacts(ctx)...)
 	}
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	if s.options.SameContactFirst {
+		slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(hashID(a), hashID(b)) })
+	} else {
+		rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	}
 	return slices.DeleteFunc(candidates, func(address string) bool { return known[address] })
 }
 
-// earlyContactReads are made before Options.ContactsInterval counts.
-const earlyContactReads = 2
-
 // contactsDue reports whether the contacts are to be read although other members are known.
 func (s *Service) contactsDue(now time.Time) bool {
-	if s.options.ContactsInterval == 0 {
-		return false
-	}
-	return s.contactReads < earlyContactReads || now.Sub(s.contactsRead) >= s.options.ContactsInterval
+	return s.options.ContactsInterval > 0 && now.Sub(s.contactsRead) >= s.options.ContactsInterval
 }
 
 func (s *Service) readContacts(ctx context.Context) []string {
 	if s.options.Contacts == nil {
 		return nil
 	}
-	s.contactReads++
 	s.contactsRead = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
 	defer cancel()
@@ -139,6 +137,9 @@
 		s.options.Logger.Warn("contacts_unavailable", zap.Error(err))
 		return nil
 	}
+	if s.options.SameContactFirst {
+		return contacts
+	}
 	const maxContacts = 16 // each may take Timing.JoinTimeout
 	rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
 	return contacts[:min(len(contacts), maxContacts)]
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -23,9 +23,12 @@
 	Self     Member                                      // id, addresses, region, data centre and incarnation
 	Seeds    []string                                    // control addresses
 	Contacts func(ctx context.Context) ([]string, error) // control addresses from the presence stream; may be nil
-	// ContactsInterval has the contacts read also while other members are known: once soon after the start, and then at this
-	// interval. Nodes that started together may have found each other in several groups, which nothing else would join. 0: never.
+	// ContactsInterval has the contacts read also while other members are known. Nodes that started together may have found each
+	// other in several groups, which nothing else would join. 0: never.
 	ContactsInterval time.Duration
+	// SameContactFirst has all nodes ask the contacts in the same order, so that those which start together join through the same
+	// one and form one group at once. Otherwise the order is random, which spreads the joins of a large fleet.
+	SameContactFirst bool
 	Client           *rpc.Client
 	Server           *rpc.Server                  // New registers its methods here
 	Beat             func() Beat                  // state to report; must not block
@@ -50,8 +53,7 @@
 	view atomic.Pointer[view]
 	sent sync.WaitGroup
 
-	contactReads int // of the joiner
-	contactsRead time.Time
+	contactsRead time.Time // by the joiner
 }
 
 // view is an immutable copy of the table for readers.
--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -132,6 +132,46 @@
 	}))
 }
 
+// Nodes that start together have all been entered when they read the contacts. In a random order they would pair off now and then.
+func TestNodesThatStartTogetherFormOneGroup(t *testing.T) {
+	const count = 6
+	var entered sync.WaitGroup
+	entered.Add(count)
+	var mu sync.Mutex
+	var contacts []string
+	var nodes []*testNode
+	for i := range count {
+		var own string
+		var once sync.Once
+		n := startNodeWith(t, fmt.Sprintf("vm-%d", i), "", 1, func(o *Options) {
+			own = o.Self.ControlAddress
+			o.Seeds = nil
+			o.SameContactFirst = true
+			o.Contacts = func(context.Context) ([]string, error) {
+				once.Do(func() {
+					mu.Lock()
+					contacts = append(contacts, own)
+					mu.Unlock()
+					entered.Done()
+				})
+				entered.Wait()
+				mu.Lock()
+				defer mu.Unlock()
+				return append([]string(nil), contacts...), nil
+			}
+		})
+		nodes = append(nodes, n)
+	}
+	waitFor(t, "one group", func() bool {
+		for _, n := range nodes {
+			if len(n.Members()) != count {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // Nodes that start together read the contacts before most of them are entered, and find each other in two groups.
 func TestGroupsFindEachOtherThroughContacts(t *testing.T) {
 	var mu sync.Mutex
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 )
@@ -48,7 +49,22 @@
 	r.Counter(base, labels...).Inc(1)
 }
 
-// Values returns all counters and gauges by name.
+// samples kept of each histogram. 256 give the 99th percentile of the recent values and take 2 KB.
+const samples = 256
+
+// Observe adds a duration to the histogram of that name, in milliseconds.
+func (r *Registry) Observe(d time.Duration, base string, labels ...string) {
+	name := Name(base, labels...)
+	histogram := r.registry.GetOrRegister(name, func() gometrics.Histogram {
+		return gometrics.NewHistogram(gometrics.NewExpDecaySample(samples, sampleDecay))
+	}).(gometrics.Histogram)
+	histogram.Update(d.Milliseconds())
+}
+
+// sampleDecay favours values of about the last 5 minutes, as the library's documentation recommends.
+const sampleDecay = 0.015
+
+// Values returns all counters and gauges by name, and of each histogram its count, median and 99th percentile.
 func (r *Registry) Values() map[string]int64 {
 	values := make(map[string]int64)
 	r.registry.Each(func(name string, metric any) {
@@ -57,6 +73,16 @@
 			values[name] = m.Count()
 		case gometrics.Gauge:
 			values[name] = m.Value()
+		case gometrics.Histogram:
+			base, labels, _ := strings.Cut(name, "{")
+			if labels != "" {
+				labels = "{" + labels
+			}
+			snapshot := m.Snapshot()
+			values[base+"_count"+labels] = snapshot.Count()
+			for suffix, quantile := range map[string]float64{"_p50_ms": 0.5, "_p99_ms": 0.99} {
+				values[base+suffix+labels] = int64(snapshot.Percentile(quantile))
+			}
 		}
 	})
 	return values
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -4,6 +4,7 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -27,6 +28,17 @@
 	require.Equal(t, "laburnum_bytes 7\nlaburnum_calls 20\nlaburnum_refused{reason=\"draining\"} 20\n", response.Body.String())
 }
 
+func TestHistogramsShowCountAndPercentiles(t *testing.T) {
+	r := New()
+	for i := range 100 {
+		r.Observe(time.Duration(i+1)*time.Millisecond, "latency", "rank", "0")
+	}
+	values := r.Values()
+	require.EqualValues(t, 100, values[`latency_count{rank="0"}`])
+	require.InDelta(t, 50, values[`latency_p50_ms{rank="0"}`], 1)
+	require.InDelta(t, 99, values[`latency_p99_ms{rank="0"}`], 1)
+}
+
 // Guards against label values that break the line format.
 func TestNameQuotesLabels(t *testing.T) {
 	require.Equal(t, "a", Name("a"))
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/admission"
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
@@ -38,6 +39,8 @@
 	logger  *zap.Logger
 	heard   func() // the backend server answered
 
+	logLimit *rate.Limiter
+
 	origins  *admission.Origins
 	instance atomic.Pointer[instance]
 	stopping atomic.Bool
@@ -55,7 +58,7 @@
 
 func newInbound(h Headers, m *metrics.Registry, logger *zap.Logger, heard func()) *inbound {
 	return &inbound{
-		headers: h, metrics: m, logger: logger, heard: heard, origins: admission.NewOrigins(),
+		headers: h, metrics: m, logger: logger, heard: heard, logLimit: rate.NewLimiter(logPerSecond, logBurst), origins: admission.NewOrigins(),
 		client: hop.New(hop.Options{EchoHeader: h.RequestID, IdleFor: backendIdle}),
 	}
 }
@@ -129,7 +132,7 @@
 	now := time.Now()
 	i := in.instance.Load()
 	if why := in.refusal(i, c); why != "" {
-		return in.rule(i, c, &ruling{verdict: notRun, reason: why}), nil
+		return in.rule(i, c, r, &ruling{verdict: notRun, reason: why}), nil
 	}
 	rank := c.rank
 	if in.origins.Observe(c.class, c.caller) {
@@ -140,12 +143,12 @@
 		Returned: c.returned,
 	})
 	if refused != nil {
-		return in.rule(i, c, refusedRuling(refused)), nil
+		return in.rule(i, c, r, refusedRuling(refused)), nil
 	}
 	// The slot may have come after a wait; what is decided by the instance is decided now, before the first byte is sent.
 	if in.instance.Load() != i || i.draining.Load() {
 		grant.Release(admission.Abandoned)
-		return in.rule(i, c, &ruling{verdict: notRun, reason: reasonDraining}), nil
+		return in.rule(i, c, r, &ruling{verdict: notRun, reason: reasonDraining}), nil
 	}
 	ruled, response, result := in.hand(ctx, i, c, r, now.Add(c.deadlineLeft))
 	if response != nil && response.Rest != nil {
@@ -153,7 +156,7 @@
 	} else {
 		grant.Release(result)
 	}
-	return in.rule(i, c, ruled), response
+	return in.rule(i, c, r, ruled), response
 }
 
 // refusal returns the reason for which a call cannot be handed to the instance.
@@ -187,14 +190,34 @@
 }
 
 // rule adds the load, and counts.
-func (in *inbound) rule(i *instance, c *call, r *ruling) *ruling {
+func (in *inbound) rule(i *instance, c *call, request *hop.Request, r *ruling) *ruling {
 	if i != nil {
 		r.load, r.hasLoad = i.load(c.class), true
 	}
 	in.metrics.Inc("inbound", "verdict", string(r.verdict), "reason", string(r.reason))
+	in.log(i, c, request, r)
 	return r
 }
 
+// log writes one line for each call that the backend server did not answer, with what decided it.
+func (in *inbound) log(i *instance, c *call, request *hop.Request, r *ruling) {
+	if r.verdict == answered {
+		return
+	}
+	if !in.logLimit.Allow() {
+		in.metrics.Inc("log_limited", "event", "inbound")
+		return
+	}
+	id := ""
+	if i != nil {
+		id = i.ID
+	}
+	in.logger.Info("inbound", zap.String("id", request.ID), zap.String("class", c.class), zap.String("service", c.service), zap.String("instance", id),
+		zap.String("verdict", string(r.verdict)), zap.String("reason", string(r.reason)), zap.Bool("arrived", r.arrived), zap.Int("rank", c.rank),
+		zap.Int("running", r.load.Running), zap.Int("queued", r.load.Queued), zap.Int("limit", r.load.Limit), zap.Duration("slot_time", r.load.SlotTime),
+		zap.Duration("target_left", c.targetLeft), zap.Duration("deadline_left", c.deadlineLeft), zap.Duration("retry_after", r.retryAfter))
+}
+
 // hand sends the request to the backend server.
 func (in *inbound) hand(ctx context.Context, i *instance, c *call, r *hop.Request, deadline time.Time) (*ruling, *hop.Response, admission.Result) {
 	left := time.Until(deadline).Milliseconds()
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
 	"github.com/laburnumcleat/laburnumcleat/pkg/graceful"
@@ -41,7 +42,8 @@
 // membershipTiming differs from the defaults in what the distances within a region allow: round trips take a few milliseconds.
 var membershipTiming = membership.Timing{
 	JoinTimeout: 600 * time.Millisecond, JoinBackoffMaximum: 2 * time.Second,
-	ReturnWithin: 30 * time.Second, ReturnInterval: time.Second,
+	JoinsPerSecond: 200,
+	ReturnWithin:   30 * time.Second, ReturnInterval: time.Second,
 }
 
 // contactsInterval is the time between two looks into the platform's directory while other nodes are known.
@@ -85,7 +87,7 @@
 	n.follower = newFollower(p, n.rpcClient, n.rpcServer, n.metrics, n.logger)
 	n.inbound = newInbound(p.Headers(), n.metrics, n.logger, n.heardBackend)
 	n.membership = membership.New(membership.Options{
-		Self: n.self(), Contacts: n.contacts, ContactsInterval: contactsInterval, Timing: membershipTiming, Client: n.rpcClient, Server: n.rpcServer,
+		Self: n.self(), Contacts: n.contacts, ContactsInterval: contactsInterval, SameContactFirst: true, Timing: membershipTiming, Client: n.rpcClient, Server: n.rpcServer,
 		Beat: func() membership.Beat { return membership.Beat{Version: int64(n.follower.version())} },
 		OnBeat: func(from membership.Member, beat membership.Beat) {
 			n.follower.heard(context.Background(), uint64(beat.Version), from.ControlAddress, peerDelay)
@@ -127,7 +129,7 @@
 		budget:  retry.New(terms, func() int { return len(n.membership.Members()) }),
 		local:   n.inbound,
 		client:  hop.New(hop.Options{EchoHeader: n.platform.Headers().RequestID, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout}),
-		metrics: n.metrics, logger: n.logger,
+		metrics: n.metrics, logger: n.logger, logLimit: rate.NewLimiter(logPerSecond, logBurst),
 	}
 }
 
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
@@ -39,6 +40,10 @@
 	defaultRetryAfter = 100 * time.Millisecond
 	// firstJitter is how much first attempts of a route's callers differ in the time that they wait.
 	firstJitter = 15 * time.Millisecond
+	// logPerSecond and logBurst bound the lines about requests that were not answered at the first try, so that an overload does not
+	// cost a tenth of the processor for its description. What is left out is counted.
+	logPerSecond = 50
+	logBurst     = 200
 	// nextHopTime is what one more try needs beside the service time.
 	nextHopTime = 5 * time.Millisecond
 )
@@ -57,6 +62,7 @@
 	metrics   *metrics.Registry
 	logger    *zap.Logger
 	firsts    firstDeadlines
+	logLimit  *rate.Limiter
 }
 
 // request is one request of a caller on its way.
@@ -67,17 +73,28 @@
 	deadline time.Time // the earlier of the caller's and the route's
 	target   time.Time // until which an answer counts as in time
 	returned bool      // the caller comes back after a refusal
+	version  uint64    // of the configuration
 	route    *routing.Entry
 	service  string // destination
 	out      *hop.Request
 }
 
+// rank is the label of the route's priority in metrics.
+func (q *request) rank() string {
+	const ranks = 10 // a bound for the number of metrics; configurations use a few
+	if q.route == nil || q.route.Priority >= ranks {
+		return "other"
+	}
+	return strconv.Itoa(q.route.Priority)
+}
+
 // result is the final answer to a caller.
 type result struct {
 	ruling
 	status   int // 0: follows from the verdict
 	response *hop.Response
 	node     string // that gave the ruling
+	version  uint64 // of the configuration that decided
 	tries    int
 	arrivals int // backend servers that got the request
 }
@@ -86,6 +103,8 @@
 func (o *outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Request: r, id: r.Header.Get(o.headers.RequestID), started: time.Now()}
 	res := o.serve(w, q)
+	res.version = q.version
+	o.metrics.Observe(time.Since(q.started), "outbound_latency", "rank", q.rank(), "verdict", string(res.verdict))
 	o.metrics.Inc("outbound", "verdict", string(res.verdict), "reason", string(res.reason))
 	o.log(q, res)
 	if !o.deliver(w, q, res) {
@@ -105,6 +124,7 @@
 		res.retryAfter = notReadyRetry
 		return res
 	}
+	q.version = table.Document.Version
 	if limit := table.Document.Limits.HeaderBytes; limit > 0 && headerBytes(q.Request) > limit {
 		return refuse(http.StatusRequestHeaderFieldsTooLarge, reasonHeaderSize)
 	}
@@ -403,12 +423,16 @@
 	if res.verdict == answered && res.tries <= 1 {
 		return
 	}
+	if !o.logLimit.Allow() {
+		o.metrics.Inc("log_limited", "event", "request")
+		return
+	}
 	route := ""
 	if q.route != nil {
 		route = q.route.Name
 	}
 	o.logger.Info("request", zap.String("id", q.id), zap.String("route", route), zap.String("service", q.service),
-		zap.String("verdict", string(res.verdict)), zap.String("reason", string(res.reason)), zap.String("node", res.node),
+		zap.String("verdict", string(res.verdict)), zap.String("reason", string(res.reason)), zap.String("to", res.node), zap.Uint64("version", res.version),
 		zap.Int("tries", res.tries), zap.Int("arrivals", res.arrivals), zap.Int64("ms", time.Since(q.started).Milliseconds()),
 		zap.Int64("left_ms", time.Until(q.deadline).Milliseconds()))
 }
