--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -23,6 +23,7 @@
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.TimeKey = "time"
 	encoding.MessageKey = "event"
+	encoding.EncodeDuration = zapcore.StringDurationEncoder
 	encoding.EncodeTime = func(t time.Time, enc zapcore.PrimitiveArrayEncoder) {
 		enc.AppendString(t.UTC().Format(timeFormat))
 	}
