--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -38,6 +38,7 @@
 type Need struct {
 	Class string                 // calls of one class have similar service times
 	Left  time.Duration          // until its target
+	Bytes int                    // of the request and its answer, as far as is known
 	Tried func(e *Endpoint) bool // endpoints that are not to be chosen again; may be nil
 }
 
@@ -57,9 +58,11 @@
 	unknownSlotTime  = 50 * time.Millisecond
 	unknownSpread    = 0.5 // of the slot time
 	minSpread        = 5 * time.Millisecond
-	warmingFactor    = 2.0             // slot time of a backend server in its cold start, where no call has shown it
-	busyCost         = 0.1             // of the worth of a call, at an endpoint whose slots are all in use
-	remoteCost       = 0.05            // of the worth of a call: what its bytes between data centres cost, a few KB
+	warmingFactor    = 2.0  // slot time of a backend server in its cold start, where no call has shown it
+	busyCost         = 0.1  // of the worth of a call, at an endpoint whose slots are all in use
+	remoteCostPerKB  = 0.04 // of the worth of a call: what a KB between data centres costs; the users' price list has 0.02 to 0.1
+	minRemoteCost    = 0.04
+	maxRemoteCost    = 0.25            // a call that is late is worth less than its bytes, whatever their number
 	doubtFactor      = 0.3             // of the probability, for an endpoint in a data centre where a call was lost since it answered last
 	doubtFor         = 3 * time.Second // after the loss
 	suspectFactor    = 0.2             // of the probability, for an endpoint that did not answer lately
@@ -150,12 +153,18 @@
 	switch {
 	case local == nil:
 		return remote
-	case remote == nil || local.value >= remote.value-remoteCost:
+	case remote == nil || local.value >= remote.value-need.remoteCost():
 		return local
 	}
 	return remote
 }
 
+// remoteCost is what it costs to send the call to another data centre, as a part of its worth.
+func (n *Need) remoteCost() float64 {
+	const bytesPerKB = 1000
+	return max(minRemoteCost, min(maxRemoteCost, remoteCostPerKB*float64(n.Bytes)/bytesPerKB))
+}
+
 // candidates separates the endpoints of the own data centre from the others.
 func (c *Chooser) candidates(now time.Time, endpoints []Endpoint, need Need, healthy bool) (near, far []*Endpoint) {
 	for i := range endpoints {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -70,6 +70,17 @@
 	assert.Equal(t, 1.0, f.shares([]Endpoint{slow, other}, 2*time.Second)["seeb-1"], "with enough time it is as good")
 }
 
+// Pattern: the own backend server is a little less likely in time. A small call goes elsewhere, a large one is not worth its bytes.
+func TestBytesBetweenDataCentresAreWeighed(t *testing.T) {
+	for bytes, want := range map[int]string{500: "nizwa-1", 6000: "seeb-1"} {
+		f := newFixture()
+		near, far := endpoint("seeb", 1), endpoint("nizwa", 1)
+		f.report(near, Load{Running: 1, Limit: 9, SlotTime: 200 * time.Millisecond, ClassTime: 200 * time.Millisecond, ClassSpread: 120 * time.Millisecond, Answered: 1})
+		f.report(far, quick(1))
+		assert.Equal(t, want, f.Pick([]Endpoint{near, far}, Need{Class: "eta", Left: 400 * time.Millisecond, Bytes: bytes}).ID)
+	}
+}
+
 // Pattern: a surge in one data centre. What does not fit goes to the others.
 func TestFullEndpointSpillsOver(t *testing.T) {
 	f := newFixture()
