membership: nodes join through the contact that was entered first; changes go to one node of each data centre

Cause: with an order by name the two nodes that had read the directory first joined each other, and the later ones joined the lowest names, each other again. The earliest entry is seen by all who read after it, so that every node but that one joins it. Relay: each reader also sends what changed to one node of every other data centre, whose own readers may be cut off; pause 0.8 s.

--- a/pkg/membership/joiner.go
+++ b/pkg/membership/joiner.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -111,9 +110,7 @@
 	if s.isAlone() || s.contactsDue(time.Now()) {
 		candidates = append(candidates, s.readContacts(ctx)...)
 	}
-	if s.options.SameContactFirst {
-		slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(hashID(a), hashID(b)) })
-	} else {
+	if !s.options.ContactsInOrder {
 		rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	}
 	return slices.DeleteFunc(candidates, func(address string) bool { return known[address] })
@@ -137,7 +134,7 @@
 		s.options.Logger.Warn("contacts_unavailable", zap.Error(err))
 		return nil
 	}
-	if s.options.SameContactFirst {
+	if s.options.ContactsInOrder {
 		return contacts
 	}
 	const maxContacts = 16 // each may take Timing.JoinTimeout
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -26,19 +26,20 @@
 	// ContactsInterval has the contacts read also while other members are known. Nodes that started together may have found each
 	// other in several groups, which nothing else would join. 0: never.
 	ContactsInterval time.Duration
-	// SameContactFirst has all nodes ask the contacts in the same order, so that those which start together join through the same
-	// one and form one group at once. Otherwise the order is random, which spreads the joins of a large fleet.
-	SameContactFirst bool
-	Client           *rpc.Client
-	Server           *rpc.Server                  // New registers its methods here
-	Beat             func() Beat                  // state to report; must not block
-	OnBeat           func(from Member, beat Beat) // called for each probe and ack
-	OnSuperseded     func(incarnation uint64)     // called once when this id appears with a higher incarnation
-	OnChange         func()                       // called after changes to the table; must not block
-	Metrics          *metrics.Registry            // nil: not counted
-	Logger           *zap.Logger                  // nil: no log
-	Explain          func(event explain.Event)    // nil: dropped
-	Timing           Timing                       // zero value: defaults
+	// ContactsInOrder says that Contacts returns the addresses in the order in which they were entered, this node's own before it was
+	// returned for the first time. All nodes then join through the earliest one, so that those which start together form one
+	// group at once. Otherwise they are asked in random order, which spreads the joins of a large fleet.
+	ContactsInOrder bool
+	Client          *rpc.Client
+	Server          *rpc.Server                  // New registers its methods here
+	Beat            func() Beat                  // state to report; must not block
+	OnBeat          func(from Member, beat Beat) // called for each probe and ack
+	OnSuperseded    func(incarnation uint64)     // called once when this id appears with a higher incarnation
+	OnChange        func()                       // called after changes to the table; must not block
+	Metrics         *metrics.Registry            // nil: not counted
+	Logger          *zap.Logger                  // nil: no log
+	Explain         func(event explain.Event)    // nil: dropped
+	Timing          Timing                       // zero value: defaults
 }
 
 // Service runs the membership protocol of one node. It is safe for concurrent use.
--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -132,35 +133,50 @@
 	}))
 }
 
-// Nodes that start together have all been entered when they read the contacts. In a random order they would pair off now and then.
+// Nodes start together: two find only each other in the directory, the others find all. Whatever their names, one group comes about.
+// With a random order, and with one by name, the two were now and then left alone: others joined each other.
 func TestNodesThatStartTogetherFormOneGroup(t *testing.T) {
-	const count = 6
-	var entered sync.WaitGroup
-	entered.Add(count)
+	const early, count = 2, 6
 	var mu sync.Mutex
 	var contacts []string
+	var earlyEntered, allEntered sync.WaitGroup
+	earlyEntered.Add(early)
+	allEntered.Add(count)
 	var nodes []*testNode
 	for i := range count {
 		var own string
 		var once sync.Once
-		n := startNodeWith(t, fmt.Sprintf("vm-%d", i), "", 1, func(o *Options) {
+		nodes = append(nodes, startNodeWith(t, fmt.Sprintf("vm-%d", i), "", 1, func(o *Options) {
 			own = o.Self.ControlAddress
 			o.Seeds = nil
-			o.SameContactFirst = true
+			o.ContactsInOrder = true
 			o.Contacts = func(context.Context) ([]string, error) {
+				if i >= early {
+					earlyEntered.Wait()
+				}
 				once.Do(func() {
 					mu.Lock()
 					contacts = append(contacts, own)
 					mu.Unlock()
-					entered.Done()
+					allEntered.Done()
+					if i < early {
+						earlyEntered.Done()
+					}
 				})
-				entered.Wait()
+				if i < early {
+					earlyEntered.Wait()
+				} else {
+					allEntered.Wait()
+				}
 				mu.Lock()
 				defer mu.Unlock()
-				return append([]string(nil), contacts...), nil
+				entered := contacts
+				if i < early {
+					entered = contacts[:early]
+				}
+				return slices.DeleteFunc(slices.Clone(entered), func(address string) bool { return address == own }), nil
 			}
-		})
-		nodes = append(nodes, n)
+		}))
 	}
 	waitFor(t, "one group", func() bool {
 		for _, n := range nodes {
--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -22,7 +22,7 @@
 
 const (
 	pollWait         = 25 * time.Second       // of a read that waits for the next configuration; the store allows 30 s
-	pollPause        = 600 * time.Millisecond // after a configuration, so that a quick succession of them costs few reads
+	pollPause        = 800 * time.Millisecond // after a configuration, so that a quick succession of them costs few reads
 	successionLength = 2                      // versions in one read, from which on the newest one is read next
 	readerCheck      = 500 * time.Millisecond // whether this node has become a reader
 	firstBackoff     = 100 * time.Millisecond
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,13 +34,13 @@
 	mu        sync.Mutex
 	document  *routing.Document
 	position  int64
-	contacts  map[string]Contact
+	contacts  []Contact
 	refusing  map[string]bool // nodes that the store turns away
 	published chan struct{}
 }
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{contacts: make(map[string]Contact), refusing: make(map[string]bool), published: make(chan struct{})}
+	return &fakePlatform{refusing: make(map[string]bool), published: make(chan struct{})}
 }
 
 func (p *fakePlatform) publish(d *routing.Document) {
@@ -91,25 +92,21 @@
 func (p *forNode) Enter(_ context.Context, c Contact) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.contacts[c.ID] = c
+	p.contacts = append(p.contacts, c)
 	return p.refused()
 }
 
 func (p *forNode) Remove(_ context.Context, id string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.contacts, id)
+	p.contacts = slices.DeleteFunc(p.contacts, func(c Contact) bool { return c.ID == id })
 	return nil
 }
 
 func (p *forNode) Contacts(context.Context) ([]Contact, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var all []Contact
-	for _, c := range p.contacts {
-		all = append(all, c)
-	}
-	return all, p.refused()
+	return slices.Clone(p.contacts), p.refused()
 }
 
 func (p *forNode) AnnouncementHandler(Announcer) http.Handler { return http.NotFoundHandler() }
--- a/pkg/sidecar/platform.go
+++ b/pkg/sidecar/platform.go
@@ -50,7 +50,7 @@
 	Enter(ctx context.Context, c Contact) error
 	// Remove removes a contact.
 	Remove(ctx context.Context, id string) error
-	// Contacts returns all contacts.
+	// Contacts returns all contacts in the order in which they were entered. A contact that was entered again counts as later.
 	Contacts(ctx context.Context) ([]Contact, error)
 }
 
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -36,23 +36,24 @@
 	Cover  []string `json:"cover,omitempty"` // control addresses that the receiver passes the change on to
 }
 
-// relay spreads changes of the configuration within a data centre, so that the store and thin links carry each version a few times
+// relay spreads changes of the configuration, so that the store and thin links carry each version a few times
 // and not once for each node. A node that a change does not reach hears of the version in the probes of other members.
 type relay struct {
-	self     string // node id
-	address  string // control address of this node
-	members  func() []membership.Member
-	client   *rpc.Client
-	follower *follower
-	metrics  *metrics.Registry
-	logger   *zap.Logger
+	self       string // node id
+	address    string // control address of this node
+	dataCentre string
+	members    func() []membership.Member
+	client     *rpc.Client
+	follower   *follower
+	metrics    *metrics.Registry
+	logger     *zap.Logger
 }
 
 // isReader reports whether this node reads the store. All nodes of a data centre order themselves by the same hash.
 func (r *relay) isReader() bool {
 	own := xxhash.Sum64String(r.self)
 	before := 0
-	for _, m := range r.neighbours() {
+	for _, m := range r.groups()[r.dataCentre] {
 		if xxhash.Sum64String(m.ID) < own {
 			before++
 		}
@@ -60,36 +61,45 @@
 	return before < readersPerDataCentre
 }
 
-// neighbours returns the other nodes of the data centre that are alive.
-func (r *relay) neighbours() []membership.Member {
-	members := r.members()
-	dataCentre := ""
-	for i := range members {
-		if members[i].ID == r.self {
-			dataCentre = members[i].DataCentre
+// groups returns the other nodes that are alive, by data centre.
+func (r *relay) groups() map[string][]membership.Member {
+	groups := make(map[string][]membership.Member)
+	for _, m := range r.members() {
+		if m.ID != r.self && m.Status == membership.Alive {
+			groups[m.DataCentre] = append(groups[m.DataCentre], m)
 		}
 	}
-	return slices.DeleteFunc(members, func(m membership.Member) bool {
-		return m.ID == r.self || m.DataCentre != dataCentre || m.Status != membership.Alive
-	})
+	return groups
 }
 
-// spread passes a change on to the other nodes of the data centre.
+// spread passes a change on: to the nodes of the own data centre, and to one of each other, which passes it on there. Its readers may
+// be cut off from the store.
 func (r *relay) spread(before, now *routing.Document) {
-	neighbours := r.neighbours()
-	if before == nil || len(neighbours) == 0 {
+	groups := r.groups()
+	if before == nil || len(groups) == 0 {
 		return // those who start read the store, or ask another node
 	}
-	var addresses []string
-	for _, m := range neighbours {
-		addresses = append(addresses, m.ControlAddress)
-	}
 	change, err := pack(routing.Diff(before, now))
 	if err != nil {
 		r.logger.Error("configuration_not_relayed", zap.Error(err))
 		return
 	}
-	r.passOn(&changeParams{Change: change, From: r.address, Cover: addresses})
+	var sending sync.WaitGroup
+	for dataCentre, members := range groups {
+		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+		var addresses []string
+		for _, m := range members {
+			addresses = append(addresses, m.ControlAddress)
+		}
+		p := &changeParams{Change: change, From: r.address, Cover: addresses}
+		if dataCentre == r.dataCentre {
+			sending.Go(func() { r.passOn(p) })
+			continue
+		}
+		p.Cover = addresses[1:]
+		sending.Go(func() { r.send(addresses[0], p) })
+	}
+	sending.Wait()
 }
 
 // passOn sends the change to some nodes of its cover, each with a part of the rest.
