--- /dev/null
+++ b/pkg/sidecar/history.go
@@ -0,0 +1,69 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// headerBytesOfCall is what the headers of a request and its answer take between two nodes.
+	headerBytesOfCall = 700
+	// answerMemory is the number of answers over which their length is averaged.
+	answerMemory = 8
+	// maxHistory bounds the routes that are remembered; configurations come and go.
+	maxHistory = 4096
+)
+
+// history is what this node saw of the callers and the answers of each route. It is safe for concurrent use.
+type history struct {
+	mu     sync.Mutex
+	routes map[string]*seen
+}
+
+// seen is the record of one route.
+type seen struct {
+	longestWait time.Duration // that a caller stated
+	answerBytes int           // moving average; 0: no answer yet
+}
+
+// of returns the record of a route. The caller holds mu.
+func (h *history) of(route string) *seen {
+	s := h.routes[route]
+	if s == nil {
+		if h.routes == nil || len(h.routes) >= maxHistory {
+			h.routes = make(map[string]*seen)
+		}
+		s = &seen{}
+		h.routes[route] = s
+	}
+	return s
+}
+
+// elapsed estimates how long ago the caller's first attempt was: callers of a route wait equally long at first, and one that
+// waits for less has waited or tried before.
+func (h *history) elapsed(route string, waits time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.of(route)
+	s.longestWait = max(s.longestWait, waits)
+	return s.longestWait - waits
+}
+
+// answered notes the length of an answer.
+func (h *history) answered(route string, bytes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.of(route)
+	if s.answerBytes == 0 {
+		s.answerBytes = bytes
+		return
+	}
+	s.answerBytes += (bytes - s.answerBytes) / answerMemory
+}
+
+// bytes returns what a call takes between two nodes, without the body of the request.
+func (h *history) bytes(route string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return headerBytesOfCall + h.of(route).answerBytes
+}
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -61,8 +59,7 @@
 	client    *hop.Client
 	metrics   *metrics.Registry
 	logger    *zap.Logger
-	firsts    firstDeadlines
-	sizes     answerSizes
+	history   history
 	logLimit  *rate.Limiter
 }
 
@@ -168,7 +165,7 @@
 		waits = time.Duration(min(ms, float64(time.Hour/time.Millisecond)) * float64(time.Millisecond))
 	}
 	q.deadline = q.started.Add(min(waits, timeout))
-	elapsed := o.firsts.elapsed(q.route.Name, waits)
+	elapsed := o.history.elapsed(q.route.Name, waits)
 	q.target = q.started.Add(q.route.Target() - elapsed)
 	q.returned = elapsed > firstJitter
 	return true
@@ -240,7 +237,7 @@
 		}
 		open = open || last.verdict == unknown
 		if last.verdict == answered {
-			o.sizes.observe(q.route.Name, len(last.response.Body))
+			o.history.answered(q.route.Name, len(last.response.Body))
 			if last.response.Rest != nil {
 				last.response.Rest = &cancelOnClose{ReadCloser: last.response.Rest, cancel: cancel}
 				cancel = func() {}
@@ -276,7 +273,7 @@
 func (o *outbound) choose(q *request, tried map[string]bool) *placement.Choice {
 	return o.chooser.Pick(o.endpoints(q.service), placement.Need{
 		Class: q.route.Name,
-		Bytes: o.sizes.of(q.route.Name) + len(q.out.Body),
+		Bytes: o.history.bytes(q.route.Name) + len(q.out.Body),
 		Left:  max(time.Until(q.target), time.Millisecond),
 		Tried: func(e *placement.Endpoint) bool { return tried[e.ID] },
 	})
@@ -439,53 +436,3 @@
 		zap.Int("tries", res.tries), zap.Int("arrivals", res.arrivals), zap.Int64("ms", time.Since(q.started).Milliseconds()),
 		zap.Int64("left_ms", time.Until(q.deadline).Milliseconds()))
 }
-
-// headerBytesOfCall is what the headers of a request and its answer take between two nodes.
-const headerBytesOfCall = 700
-
-// answerSizes remembers how long the answers of each route are.
-type answerSizes struct {
-	byRoute sync.Map // route name to *atomic.Int64, moving average in bytes
-}
-
-// of returns the bytes of a call besides its body.
-func (a *answerSizes) of(route string) int {
-	if value, ok := a.byRoute.Load(route); ok {
-		return headerBytesOfCall + int(value.(*atomic.Int64).Load())
-	}
-	return headerBytesOfCall
-}
-
-func (a *answerSizes) observe(route string, bytes int) {
-	const memory = 8 // answers over which the average is taken
-	value, known := a.byRoute.LoadOrStore(route, &atomic.Int64{})
-	average := value.(*atomic.Int64)
-	if !known {
-		average.Store(int64(bytes))
-		return
-	}
-	average.Add((int64(bytes) - average.Load()) / memory) // a lost update does no harm
-}
-
-// firstDeadlines remembers how long callers of each route wait at first. A caller that waits for less has tried before.
-type firstDeadlines struct {
-	byRoute sync.Map // route name to *atomic.Int64, milliseconds
-}
-
-// elapsed estimates how long ago the caller's first attempt was.
-func (f *firstDeadlines) elapsed(route string, waits time.Duration) time.Duration {
-	value, ok := f.byRoute.Load(route)
-	if !ok {
-		value, _ = f.byRoute.LoadOrStore(route, &atomic.Int64{})
-	}
-	longest := value.(*atomic.Int64)
-	for {
-		seen := longest.Load()
-		if waits.Milliseconds() <= seen {
-			return time.Duration(seen)*time.Millisecond - waits
-		}
-		if longest.CompareAndSwap(seen, waits.Milliseconds()) {
-			return 0
-		}
-	}
-}
