membership: a node whose clock was set back between two starts takes the next incarnation

Cause: incarnations are start times; after a step back the others take a new process for an old one, and it gives way to its own predecessor. TestClockSetBackBetweenTwoStarts fails without the change.

--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -34,12 +34,15 @@
 	Server          *rpc.Server                  // New registers its methods here
 	Beat            func() Beat                  // state to report; must not block
 	OnBeat          func(from Member, beat Beat) // called for each probe and ack
-	OnSuperseded    func(incarnation uint64)     // called once when this id appears with a higher incarnation
-	OnChange        func()                       // called after changes to the table; must not block
-	Metrics         *metrics.Registry            // nil: not counted
-	Logger          *zap.Logger                  // nil: no log
-	Explain         func(event explain.Event)    // nil: dropped
-	Timing          Timing                       // zero value: defaults
+	// Exclusive says that no other process can run under this id at the same time, because it holds the same sockets. A higher
+	// incarnation of this id then belongs to an earlier process, and this one takes the next instead of giving way.
+	Exclusive    bool
+	OnSuperseded func(incarnation uint64)  // called once when this id appears with a higher incarnation
+	OnChange     func()                    // called after changes to the table; must not block
+	Metrics      *metrics.Registry         // nil: not counted
+	Logger       *zap.Logger               // nil: no log
+	Explain      func(event explain.Event) // nil: dropped
+	Timing       Timing                    // zero value: defaults
 }
 
 // Service runs the membership protocol of one node. It is safe for concurrent use.
@@ -73,6 +76,7 @@
 	s.system = newSystem(s.timing, o.Self, o.Beat, random, notices{
 		explain: s.decided, count: o.Metrics.Inc, superseded: s.superseded,
 	})
+	s.system.exclusive = o.Exclusive
 	s.publish()
 	o.Server.Handle(methodProbe, s.serveProbe)
 	o.Server.Handle(methodIndirect, s.serveIndirect)
--- a/pkg/membership/system.go
+++ b/pkg/membership/system.go
@@ -42,6 +42,7 @@
 	strain     int // how much this member seems to be slow itself; see strain.go
 	leaving    bool
 	superseded bool
+	exclusive  bool // no other process can run under this id at the same time
 }
 
 // notices are the outputs of the system other than messages. All of them must return without blocking.
@@ -196,6 +197,10 @@
 func (s *system) applyAboutSelf(now time.Time, m Member) {
 	me := s.me()
 	if m.Incarnation > me.Incarnation {
+		if s.exclusive && !s.leaving {
+			s.outrank(now, m.Incarnation)
+			return
+		}
 		s.supersede(m.Incarnation)
 		return
 	}
@@ -212,6 +217,17 @@
 	s.explainEvent(now, explain.Refuted, s.self, "this member was "+string(m.Status)+" to others and raised its counter")
 }
 
+// outrank raises the incarnation of this member above one that only a process before it can have had: the clock was set back between
+// the two starts.
+func (s *system) outrank(now time.Time, incarnation uint64) {
+	raised := s.me().Member
+	raised.Incarnation = incarnation + 1
+	s.table.merge(now, raised, 0)
+	s.enqueue(s.self)
+	s.notice.count("membership_outranked_predecessor")
+	s.explainEvent(now, explain.Refuted, s.self, "an earlier process had a higher incarnation; this one took the next")
+}
+
 func (s *system) supersede(incarnation uint64) {
 	if s.superseded {
 		return
--- a/pkg/membership/system_test.go
+++ b/pkg/membership/system_test.go
@@ -100,6 +100,30 @@
 	require.Empty(t, old.tick(x.now.Add(time.Second)), "it sends nothing more")
 }
 
+// A node is restarted twice while its clock is set back: its third process has a lower incarnation than its second.
+func TestClockSetBackBetweenTwoStarts(t *testing.T) {
+	t.Parallel()
+	x := newExchange(t, 12, 11)
+	x.advance(time.Second)
+	x.nodes[nodeID(3)].up = false
+	second := x.start(3, 9)
+	x.join(second, x.nodes[nodeID(0)])
+	x.advance(2 * time.Second)
+	second.up = false
+	third := x.start(3, 5)
+	third.exclusive = true
+	x.join(third, x.nodes[nodeID(0)])
+	require.True(t, third.setEndpoint(x.now, Endpoint{Service: "tracker", State: EndpointReady}))
+	x.advance(3 * time.Second)
+	require.False(t, third.superseded)
+	for id, node := range x.nodes {
+		e := node.table.entries[nodeID(3)]
+		require.Equal(t, uint64(10), e.Incarnation, id)
+		require.Equal(t, Alive, e.Status, id)
+		require.NotNil(t, e.Endpoint, id)
+	}
+}
+
 func (s *system) packetTo(now time.Time, id string) packet {
 	return s.probeMessage(now, s.table.entries[id]).packet
 }
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -87,7 +87,7 @@
 	n.follower = newFollower(p, n.rpcClient, n.rpcServer, n.metrics, n.logger)
 	n.inbound = newInbound(p.Headers(), n.metrics, n.logger, n.heardBackend)
 	n.membership = membership.New(membership.Options{
-		Self: n.self(), Contacts: n.contacts, ContactsInterval: contactsInterval, ContactsInOrder: true, Timing: membershipTiming, Client: n.rpcClient, Server: n.rpcServer,
+		Self: n.self(), Contacts: n.contacts, ContactsInterval: contactsInterval, ContactsInOrder: true, Exclusive: true, Timing: membershipTiming, Client: n.rpcClient, Server: n.rpcServer,
 		Beat: func() membership.Beat { return membership.Beat{Version: int64(n.follower.version())} },
 		OnBeat: func(from membership.Member, beat membership.Beat) {
 			n.follower.heard(context.Background(), uint64(beat.Version), from.ControlAddress, peerDelay)
