--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -21,7 +21,9 @@
 )
 
 const (
-	pollWait         = 25 * time.Second       // of a read that waits for the next configuration; the store allows 30 s
+	// pollWait bounds a read that waits for the next configuration. A store that turns a node away silently leaves it without an
+	// answer, also after it is back; the wait and the time limit of the call together are how long that goes unnoticed.
+	pollWait         = 2 * time.Second
 	pollPause        = 800 * time.Millisecond // after a configuration, so that a quick succession of them costs few reads
 	successionLength = 2                      // versions in one read, from which on the newest one is read next
 	readerCheck      = 500 * time.Millisecond // whether this node has become a reader
