--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -161,7 +161,7 @@
 		}
 		before := f.table.Load()
 		if f.offer(p.Document, "store") && before != nil {
-			f.changed(before.Document, p.Document)
+			go f.changed(before.Document, p.Document) // a data centre that is cut off must not hold up the next read
 		}
 		sleepFor(ctx, pollPause)
 	}
@@ -223,7 +223,7 @@
 	}
 	before := f.table.Load()
 	if f.offer(document, "node") && before != nil {
-		f.changed(before.Document, document) // the readers of this data centre may be cut off from the store
+		go f.changed(before.Document, document) // the readers of this data centre may be cut off from the store
 	}
 }
 
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -188,6 +188,7 @@
 	platform *fakePlatform
 	nodes    []*testNode
 	ids      atomic.Int64
+	adjust   func(*Node) // before a node runs; may be nil
 }
 
 // newMesh starts nodes of service "s" in data centres dc-0, dc-1, ... and waits until they know each other.
@@ -242,6 +243,9 @@
 	s := m.settings(i, b)
 	n, err := New(s, &forNode{m.platform, s.ID}, zap.NewNop())
 	require.NoError(m.t, err)
+	if m.adjust != nil {
+		m.adjust(n)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	node := &testNode{Node: n, backend: b, stop: cancel, done: make(chan error, 1)}
 	go func() { node.done <- n.Run(ctx) }()
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -257,6 +257,27 @@
 	assert.EqualValues(t, 2, m.nodes[0].follower.version(), "whole or not at all")
 }
 
+// A data centre is cut off, so that passing a change on takes as long as its time limit. The next version is read meanwhile.
+func TestReadingGoesOnWhileAChangeIsPassedOn(t *testing.T) {
+	m := &mesh{t: t, platform: newFakePlatform()}
+	m.platform.publish(testDocument(1))
+	passing, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	m.adjust = func(n *Node) {
+		n.follower.changed = func(*routing.Document, *routing.Document) {
+			once.Do(func() { close(passing) })
+			<-release
+		}
+	}
+	defer close(release)
+	n := m.start(0)
+	m.eventually("the first version", func() bool { return n.follower.version() == 1 })
+	m.platform.publish(testDocument(2))
+	<-passing
+	m.platform.publish(testDocument(3))
+	m.eventually("the next version", func() bool { return n.follower.version() == 3 })
+}
+
 // A planned stop under load: every request that was sent gets an answer, and none is cut at its backend server.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	m := newMesh(t, 2)
