--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -14,12 +15,11 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-	"go.uber.org/zap"
-
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/logging"
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
+	"github.com/stretchr/testify/require"
 )
 
 const testLimit = 30 * time.Second // only reached when a test fails
@@ -130,7 +130,7 @@
 	left    chan string // ids whose caller left while they ran
 }
 
-func newBackend(t *testing.T, id string) *backendServer {
+func newBackend(t testing.TB, id string) *backendServer {
 	b := &backendServer{id: id, left: make(chan string, 100)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -184,15 +184,35 @@
 }
 
 type mesh struct {
-	t        *testing.T
+	t        testing.TB
 	platform *fakePlatform
 	nodes    []*testNode
 	ids      atomic.Int64
 	adjust   func(*Node) // before a node runs; may be nil
+	log      logBuffer   // of all nodes
+}
+
+// logBuffer keeps log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// String returns what was logged so far.
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 // newMesh starts nodes of service "s" in data centres dc-0, dc-1, ... and waits until they know each other.
-func newMesh(t *testing.T, count int) *mesh {
+func newMesh(t testing.TB, count int) *mesh {
 	m := &mesh{t: t, platform: newFakePlatform()}
 	m.platform.publish(testDocument(1))
 	for i := range count {
@@ -217,7 +237,7 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer listener.Close()
@@ -241,7 +261,9 @@
 func (m *mesh) start(i int) *testNode {
 	b := newBackend(m.t, "i-"+strconv.Itoa(i))
 	s := m.settings(i, b)
-	n, err := New(s, &forNode{m.platform, s.ID}, zap.NewNop())
+	logger, err := logging.New(&m.log, "info")
+	require.NoError(m.t, err)
+	n, err := New(s, &forNode{m.platform, s.ID}, logger)
 	require.NoError(m.t, err)
 	if m.adjust != nil {
 		m.adjust(n)
