sidecar: a caller with much time does not make the others of its route look late

Found in review: the longest stated wait of a route counted as that of every first attempt, so that one caller with an hour made each other one an hour late: refused whenever a slot was not free at once. TestHistory fails without the bound.

--- a/pkg/sidecar/history.go
+++ b/pkg/sidecar/history.go
@@ -39,14 +39,18 @@
 	return s
 }
 
-// elapsed estimates how long ago the caller's first attempt was: callers of a route wait equally long at first, and one that
-// waits for less has waited or tried before.
+// elapsed estimates how long ago the caller's first attempt was: callers of a route wait equally long at first, and one that waits
+// for somewhat less has waited or tried before. One that waits for less than half is another kind of caller: somebody with an hour
+// to spare must not make all others look late.
 func (h *history) elapsed(route string, waits time.Duration) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.of(route)
 	s.longestWait = max(s.longestWait, waits)
-	return s.longestWait - waits
+	if elapsed := s.longestWait - waits; elapsed <= waits {
+		return elapsed
+	}
+	return 0
 }
 
 // answered notes the length of an answer.
--- a/pkg/sidecar/history_test.go
+++ b/pkg/sidecar/history_test.go
@@ -14,6 +14,8 @@
 	assert.Equal(t, 300*time.Millisecond, h.elapsed("a", 700*time.Millisecond))
 	assert.Zero(t, h.elapsed("a", 2*time.Second))
 	assert.Zero(t, h.elapsed("b", time.Millisecond))
+	h.elapsed("a", time.Hour)
+	assert.Zero(t, h.elapsed("a", time.Second), "a caller with more time does not make others late")
 	assert.Equal(t, headerBytesOfCall, h.bytes("a"))
 	h.answered("a", 1000)
 	h.answered("a", 1800)
