sidecar: TestPlannedStopCutsNothing takes every failure to connect for the end of the node

The error is that of connect, when the socket closes during the handshake: there was no connection, so that no request can have been sent. The test knew only 'refused' and now goes by the operation that failed, as the type of the error says. Errors on a connection count as before.

--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -300,8 +302,9 @@
 			for {
 				r, _ := m.request(context.Background(), stopping, "POST", "/unsafe/", "order")
 				a := send(r)
-				if a.err != nil && strings.Contains(a.err.Error(), "refused") {
-					return // the socket is closed: nothing was sent
+				var dialed *net.OpError
+				if errors.As(a.err, &dialed) && dialed.Op == "dial" {
+					return // the socket is closed: there was no connection to send anything on
 				}
 				mu.Lock()
 				sent++
