sidecar: the limit of a body holds when its length is not stated

A body sent in chunks that ended within the first 256 KiB was never compared with limits.body_bytes: 1,001 bytes passed a limit of 1,000. The test fails without the check (200 and 502 in place of 413). Tests of failures keep the logs of a failed test and log when a node does not list its members.

--- a/pkg/sidecar/nodeserver.go
+++ b/pkg/sidecar/nodeserver.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if limit > 0 && int64(len(body)) > limit {
+		return nil, errBodyTooLarge
+	}
 	out.Body = body
 	if len(body) < bufferedBody {
 		return out, nil
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -63,6 +63,24 @@
 	assert.Empty(t, n.backend.requests())
 }
 
+// A body that is sent in chunks states no length, so that its size is only known once it was read.
+func TestLimitHoldsForBodiesOfUnstatedLength(t *testing.T) {
+	m := newMesh(t, 1)
+	document := testDocument(2)
+	document.Limits.BodyBytes = 1000
+	m.platform.publish(document)
+	n := m.nodes[0]
+	m.eventually("the limit is in force", func() bool { return n.follower.Table().Document.Version == 2 })
+	for size, status := range map[int]int{1000: http.StatusOK, 1001: http.StatusRequestEntityTooLarge, bufferedBody + 1: http.StatusRequestEntityTooLarge} {
+		r, _ := m.request(context.Background(), n, "POST", "/unsafe/", strings.Repeat("x", size))
+		r.ContentLength = -1
+		a := send(r)
+		require.NoError(t, a.err)
+		assert.Equal(t, status, a.status, "%d bytes", size)
+	}
+	assert.Len(t, n.backend.requests(), 1)
+}
+
 func TestNoConfigurationIsNotNotFound(t *testing.T) {
 	m := &mesh{t: t, platform: newFakePlatform()}
 	n := m.start(0)
--- a/test/failures/harness_test.go
+++ b/test/failures/harness_test.go
@@ -98,6 +98,9 @@
 
 func (c *cluster) stop() {
 	c.Kill()
+	if c.t.Failed() {
+		c.keepLogs()
+	}
 	for _, proxies := range c.proxies {
 		for _, proxy := range proxies {
 			proxy.Stop()
@@ -108,6 +111,15 @@
 	}
 }
 
+// keepLogs copies the work folder of a failed test, which the test framework removes.
+func (c *cluster) keepLogs() {
+	kept, err := os.MkdirTemp("", "laburnum-failed-")
+	if err == nil {
+		err = os.CopyFS(kept, os.DirFS(c.Options.WorkDir))
+	}
+	c.t.Logf("the logs of the processes are kept in %s (error: %v)", kept, err)
+}
+
 func (c *cluster) newProxy(name, upstream string) *toxiproxy.Proxy {
 	proxy := toxiproxy.NewProxy(c.server, name, "127.0.0.1:0", upstream)
 	require.NoError(c.t, proxy.Start())
--- a/test/failures/load_test.go
+++ b/test/failures/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"os"
@@ -208,10 +209,13 @@
 }
 
 // statusOf returns the status of a member as a node sees it, and the state of its endpoint. Both are empty if the node
-// does not answer.
+// does not answer, which the test log then shows, or does not know the member.
 func (c *cluster) statusOf(from, member *fleet.Node) (status, endpoint string) {
-	list, err := from.Client().Members(c.ctx)
+	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+	defer cancel()
+	list, err := from.Client().Members(ctx)
 	if err != nil {
+		c.t.Logf("%s does not list its members: %v", from.ID, err)
 		return "", ""
 	}
 	for _, m := range list.Members {
