--- a/pkg/dial/dial.go
+++ b/pkg/dial/dial.go
@@ -11,6 +11,7 @@
 type Dialer struct {
 	Timeout   time.Duration     // 0: none beyond that of the context
 	Overrides map[string]string // "ip:port" of a node to the "ip:port" to connect to instead
+	Silence   *Silence          // nil: the system's defaults
 }
 
 // DialContext has the signature that net/http and the RPC client use.
@@ -19,5 +20,8 @@
 		address = other
 	}
 	dialer := net.Dialer{Timeout: d.Timeout}
+	if d.Silence != nil {
+		d.Silence.apply(&dialer)
+	}
 	return dialer.DialContext(ctx, network, address)
 }
--- a/pkg/dial/silence.go
+++ b/pkg/dial/silence.go
@@ -15,17 +15,14 @@
 	Probe          time.Duration // between keep-alive probes while nothing is sent; two without an answer end the connection
 }
 
-// Dialer returns a dialer of connections that end by themselves when the other side, or the path to it, is gone without a reset.
-func (s Silence) Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: s.Probe, Interval: s.Probe, Count: 2},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failed error
-			err := raw.Control(func(fd uintptr) {
-				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(s.Unacknowledged.Milliseconds()))
-			})
-			return errors.Join(err, failed)
-		},
+// apply makes the connections of a dialer end by themselves when the other side, or the path to it, is gone without a reset.
+func (s *Silence) apply(d *net.Dialer) {
+	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: s.Probe, Interval: s.Probe, Count: 2}
+	d.Control = func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(s.Unacknowledged.Milliseconds()))
+		})
+		return errors.Join(err, failed)
 	}
 }
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -88,10 +88,12 @@
 	// UserTimeout ends a connection whose data the other side does not acknowledge for so long (TCP_USER_TIMEOUT), as
 	// behind a partition. Default 1 s.
 	UserTimeout time.Duration
-	IdleFor     time.Duration // a connection that was idle for longer is not used again; default 4 s
-	FreshFor    time.Duration // the same for requests with FreshOnly; default 1 s
-	IdlePerHost int           // kept connections to one address; default 16
-	MaxBuffered int64         // longer response bodies are streamed; default 256 KiB
+	// DialOverrides maps "ip:port" of a node to the "ip:port" to connect to instead.
+	DialOverrides map[string]string
+	IdleFor       time.Duration // a connection that was idle for longer is not used again; default 4 s
+	FreshFor      time.Duration // the same for requests with FreshOnly; default 1 s
+	IdlePerHost   int           // kept connections to one address; default 16
+	MaxBuffered   int64         // longer response bodies are streamed; default 256 KiB
 }
 
 const (
@@ -129,8 +131,10 @@
 // New returns a client.
 func New(o Options) *Client {
 	o = o.withDefaults()
-	silence := dial.Silence{Unacknowledged: o.UserTimeout, Probe: keepAliveProbe}
-	return &Client{options: o, pool: pool{options: o, dialer: silence.Dialer(o.DialTimeout), idle: make(map[string][]*conn)}}
+	dialer := &dial.Dialer{
+		Timeout: o.DialTimeout, Overrides: o.DialOverrides, Silence: &dial.Silence{Unacknowledged: o.UserTimeout, Probe: keepAliveProbe},
+	}
+	return &Client{options: o, pool: pool{options: o, dialer: dialer, idle: make(map[string][]*conn)}}
 }
 
 // Close closes the connections that are not in use. Later requests open new ones.
--- a/pkg/hop/pool.go
+++ b/pkg/hop/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/dial"
 )
 
 // conn is a connection that carries one request at a time.
@@ -27,7 +29,7 @@
 // pool keeps unused connections by address.
 type pool struct {
 	options Options
-	dialer  *net.Dialer
+	dialer  *dial.Dialer
 	mu      sync.Mutex
 	idle    map[string][]*conn // the latest used last
 	swept   time.Time
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -82,6 +82,7 @@
 	bytes := &rpc.Bytes{}
 	n.rpcServer = rpc.NewServer(bytes)
 	n.rpcClient = rpc.NewClient(bytes, nil)
+	n.rpcClient.OverrideAddresses(s.DialOverrides)
 	n.follower = newFollower(p, n.rpcClient, n.rpcServer, n.metrics, n.logger)
 	n.inbound = newInbound(p.Headers(), n.metrics, n.logger, n.heardBackend)
 	n.membership = membership.New(membership.Options{
@@ -124,9 +125,11 @@
 	return &outbound{
 		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(),
 		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(n.settings.DataCentre),
-		budget:  retry.New(terms, func() int { return len(n.membership.Members()) }),
-		local:   n.inbound,
-		client:  hop.New(hop.Options{EchoHeader: n.platform.Headers().RequestID, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout}),
+		budget: retry.New(terms, func() int { return len(n.membership.Members()) }),
+		local:  n.inbound,
+		client: hop.New(hop.Options{
+			EchoHeader: n.platform.Headers().RequestID, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, DialOverrides: n.settings.DialOverrides,
+		}),
 		metrics: n.metrics, logger: n.logger, logLimit: rate.NewLimiter(logPerSecond, logBurst),
 	}
 }
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -23,6 +23,9 @@
 	Store      Store   `json:"store"`
 	Bounds     Bounds  `json:"bounds"`
 	LogLevel   string  `json:"log_level"` // debug, info, warn or error; default info
+	// DialOverrides maps addresses of other nodes ("ip:port") to the addresses to connect to instead, for address translation
+	// between data centres.
+	DialOverrides map[string]string `json:"dial_overrides"`
 }
 
 // Listen holds the listening addresses, each "ip:port".
@@ -122,6 +125,10 @@
 			errs = append(errs, apierror.InvalidField(field, message, remedy))
 		}
 	}
+	requireAddress := func(field, value string) {
+		address, err := netip.ParseAddrPort(value)
+		require(err == nil && address.Port() != 0, field, fmt.Sprintf("missing or invalid address %q", value), `use "ip:port" with a fixed port`)
+	}
 	for _, f := range []struct{ field, value string }{
 		{"id", s.ID}, {"region", s.Region}, {"data_centre", s.DataCentre}, {"backend.service", s.Backend.Service},
 	} {
@@ -132,8 +139,11 @@
 		{"listen.announcements", s.Listen.Announcements}, {"listen.readiness", s.Listen.Readiness}, {"listen.metrics", s.Listen.Metrics},
 		{"backend.address", s.Backend.Address}, {"store.address", s.Store.Address},
 	} {
-		address, err := netip.ParseAddrPort(f.value)
-		require(err == nil && address.Port() != 0, f.field, fmt.Sprintf("missing or invalid address %q", f.value), `use "ip:port" with a fixed port`)
+		requireAddress(f.field, f.value)
+	}
+	for from, to := range s.DialOverrides {
+		requireAddress("dial_overrides", from)
+		requireAddress("dial_overrides."+from, to)
 	}
 	for _, f := range []struct {
 		field string
