hop: a process could crash on a request with a body whose answer came before the body was sent

The header is now read before the response is handed over. The new test fails under the race detector without the change.

--- a/pkg/hop/exchange.go
+++ b/pkg/hop/exchange.go
@@ -218,11 +218,13 @@
 
 // finish reads the body, or its beginning if it is long.
 func (c *Client) finish(in *http.Response, cn *conn, stop func() bool, body *bodyWriter) (*Response, *Failure) {
+	idleFor := keepAliveTimeout(in.Header.Get("Keep-Alive")) // now, since the caller may change the header later
 	release := func(complete bool) {
-		if !stop() || !complete || in.Close || !cn.reusable(in, body) {
+		if !stop() || !complete || in.Close || idleFor < 0 || !cn.reusable(in, body) {
 			cn.Close()
 			return
 		}
+		cn.idleFor = idleFor
 		c.pool.put(cn)
 	}
 	out := &Response{Status: in.StatusCode, Header: in.Header, Length: in.ContentLength}
@@ -293,11 +295,7 @@
 			return false
 		}
 	}
-	if cn.reader.Buffered() > 0 {
-		return false
-	}
-	cn.idleFor = keepAliveTimeout(in.Header.Get("Keep-Alive"))
-	return cn.idleFor >= 0
+	return cn.reader.Buffered() == 0
 }
 
 // keepAliveTimeout returns how long a connection may be idle according to a Keep-Alive header: half of what the header
--- a/pkg/hop/hop_test.go
+++ b/pkg/hop/hop_test.go
@@ -268,6 +268,28 @@
 	}
 }
 
+// The response belongs to the caller, who may change its header while the rest of the request's body is still being sent. Fails with
+// the race detector.
+func TestResponseIsTheCallersWhileItsBodyIsStillSent(t *testing.T) {
+	p := newPeer(t, func(c *net.TCPConn, r *bufio.Reader, _ int32) {
+		for {
+			id, ok := readRequest(r)
+			if !ok {
+				return
+			}
+			io.WriteString(c, answer(id, "done"))
+		}
+	})
+	c := newClient(t)
+	for range 50 {
+		r := request("a")
+		r.Method, r.Body = "POST", make([]byte, 100<<10)
+		response, failed := c.Do(within(t), p.address, r)
+		require.Nil(t, failed)
+		response.Header.Set("Changed", "by the caller")
+	}
+}
+
 // A caller that breaks off while its body is passed on: the other side must not take the part for the whole.
 func TestBodySourceFails(t *testing.T) {
 	for _, length := range []int64{-1, 100} {
