Wall clocks that step back no longer keep counters and pauses from ending

The retry budget counted in windows of the wall clock: after a step back of an hour it stopped to slide for an hour, and allowed what an hour of requests allows. A node that the client avoids was avoided for as long, and suspects behind a partition were held for as long. pkg/clock gives such times; its test lists where the time of day is meant, and failed for these places before.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -39,6 +39,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/transport"
 )
 
@@ -68,7 +69,7 @@
 	transport *transport.Transport
 	scheme    string
 	next      atomic.Uint64
-	downUntil []atomic.Int64 // Unix ns, for each node
+	downUntil []atomic.Int64 // clock.Now, for each node
 	budget    budget
 
 	random func() float64                                      // 0 to 1
@@ -188,7 +189,7 @@
 
 // chooseNode returns the index of the next node in turn that is not known to be down, other than except.
 func (c *Client) chooseNode(except int) int {
-	now := time.Now().UnixNano()
+	now := int64(clock.Now())
 	n := len(c.options.Nodes)
 	first := int(c.next.Add(1) % uint64(n))
 	fallback := first
@@ -207,7 +208,7 @@
 
 // markDown makes calls prefer other nodes for that long.
 func (c *Client) markDown(node int, duration time.Duration) {
-	c.downUntil[node].Store(time.Now().Add(duration).UnixNano())
+	c.downUntil[node].Store(int64(clock.Now() + duration))
 }
 
 // result is what one request led to.
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 )
 
 // script is a node that handles its requests with one function after another; the last one repeats.
@@ -150,10 +151,10 @@
 		leaving := newScript(t, refuse(callctx.NotRun, reason))
 		other := newScript(t, answer)
 		c, _ := newClient(t, leaving.address(), other.address())
-		before := time.Now()
+		before := clock.Now()
 		_, err := c.Do(context.Background(), Request{Path: "/"})
 		require.NoError(t, err)
-		avoided := time.Unix(0, c.downUntil[0].Load()).Sub(before)
+		avoided := time.Duration(c.downUntil[0].Load()) - before
 		require.Greater(t, avoided, least, "reason %s", reason)
 		require.Equal(t, reason == callctx.Draining, avoided > callctx.DrainLinger, "a node that is not ready is tried again soon")
 	}
--- /dev/null
+++ b/pkg/clock/clock_test.go
@@ -0,0 +1,46 @@
+package clock
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// wallClock is where times of day are meant: they leave the process, and none is compared with a later time of the same process.
+var wallClock = map[string]string{
+	"node/node.go":         "incarnation, which is to grow from one process to the next",
+	"sidecar/node.go":      "the same",
+	"announce/announce.go": "stands for the start of a backend server that does not state one",
+	"callctx/context.go":   "deadline between nodes, within the stated bound of clock errors",
+	"execution/ballot.go":  "order between nodes, with the node's name as a tie-break",
+	"hop/exchange.go":      "a fixed time in the past",
+	"membership/join.go":   "only compared for being the same second",
+	"membership/probe.go":  "round that all members share; a wrong clock makes the choice of the target random",
+}
+
+// A wall clock that steps back by an hour must not keep a counter, a pause or a time limit from ending for an hour.
+func TestTimesOfDayAreReadOnlyWhereTheyAreMeant(t *testing.T) {
+	reads := regexp.MustCompile(`\.Unix(Nano|Micro|Milli)?\(\)|\.Truncate\(|time\.Unix\(`)
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || filepath.Ext(path) != ".go" || regexp.MustCompile(`_test\.go$`).MatchString(path) {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		name, err := filepath.Rel("..", path)
+		if err != nil {
+			return err
+		}
+		if found := reads.Find(source); found != nil && wallClock[filepath.ToSlash(name)] == "" {
+			t.Errorf("pkg/%s holds %s: use package clock, or say here why the time of day is meant", name, found)
+		}
+		return nil
+	})
+	require.NoError(t, err)
+}
--- a/pkg/membership/suspicion.go
+++ b/pkg/membership/suspicion.go
@@ -188,8 +188,8 @@
 	}
 	waiting.since = now
 	usual := s.timing.suspicion(s.size())
-	waiting.deadline = now.Truncate(usual).Add(2 * usual) // all that are held are looked at in the same tick
-	waiting.checked = true                                // the usual probes reach the data centre often enough
+	waiting.deadline = now.Add(2*usual - now.Sub(s.begun)%usual) // all that are held are looked at in the same tick
+	waiting.checked = true                                       // the usual probes reach the data centre often enough
 	if !partitioned {
 		waiting.held = time.Time{}
 		return true
--- a/pkg/membership/system.go
+++ b/pkg/membership/system.go
@@ -21,6 +21,7 @@
 	ringChanges uint64   // table.changes when the ring was built
 	position    int      // of self in the ring
 
+	begun         time.Time // first tick
 	lastTick      time.Time
 	slot          probeSlot
 	probes        map[uint64]*probe
@@ -72,6 +73,9 @@
 	if s.superseded || s.leaving {
 		return nil
 	}
+	if s.begun.IsZero() {
+		s.begun = now
+	}
 	s.forgivePause(now)
 	s.forget(now)
 	s.rebuildRing()
--- a/pkg/outbound/endpoint.go
+++ b/pkg/outbound/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 )
 
@@ -63,13 +64,19 @@
 
 // instant is a point in time that can be read and written concurrently. The zero value is long ago.
 type instant struct {
-	ns atomic.Int64
+	at atomic.Pointer[time.Duration] // clock.Of
 }
 
-func (i *instant) set(t time.Time) { i.ns.Store(t.UnixNano()) }
+func (i *instant) set(t time.Time) {
+	at := clock.Of(t)
+	i.at.Store(&at)
+}
 
 // after reports whether the instant is later than t.
-func (i *instant) after(t time.Time) bool { return i.ns.Load() > t.UnixNano() }
+func (i *instant) after(t time.Time) bool {
+	at := i.at.Load()
+	return at != nil && *at > clock.Of(t)
+}
 
 // load returns the estimated calls at the endpoint and how many it can run at once.
 func (e *endpoint) load(now time.Time, slots int) (calls, limit float64) {
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -31,6 +31,7 @@
 	now   func() time.Time
 
 	mu       sync.Mutex
+	began    time.Time // when the first window did
 	services map[string]*window
 }
 
@@ -78,7 +79,11 @@
 		w = &window{}
 		b.services[service] = w
 	}
-	number := b.now().UnixNano() / int64(b.terms.Window/buckets)
+	now := b.now()
+	if b.began.IsZero() {
+		b.began = now
+	}
+	number := int64(now.Sub(b.began) / (b.terms.Window / buckets))
 	steps := min(number-w.newest, buckets)
 	for s := int64(1); s <= steps; s++ {
 		i := (w.newest + s) % buckets
--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/dial"
 )
 
@@ -95,7 +96,7 @@
 // when the VM behind the address was replaced, TCP would keep sending on it for much longer.
 func (c *Client) closeIfSilent(address string, conn *peer, begun time.Time) {
 	quiet := time.Since(begun)
-	if quiet >= silenceLimit && conn.socket.lastRead.Load() < begun.UnixNano() {
+	if quiet >= silenceLimit && conn.socket.lastRead.Load() < int64(clock.Of(begun)) {
 		c.forget(address, conn)
 		conn.Close()
 	}
--- a/pkg/rpc/socket.go
+++ b/pkg/rpc/socket.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 )
 
 // Bytes counts what passed the sockets of one node, TLS included.
@@ -20,8 +22,8 @@
 type timedConn struct {
 	net.Conn
 	idle     time.Duration
-	lastRead atomic.Int64 // Unix ns of the latest bytes
-	frameEnd atomic.Int64 // Unix ns until which the message being read must have arrived; 0 between messages
+	lastRead atomic.Int64 // clock.Now of the latest bytes
+	frameEnd atomic.Int64 // clock.Now until which the message being read must have arrived; 0 between messages
 }
 
 func (c *timedConn) Read(p []byte) (int, error) {
@@ -30,20 +32,20 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+		c.lastRead.Store(int64(clock.Now()))
 	}
 	return n, err
 }
 
 func (c *timedConn) readDeadline() time.Time {
 	if end := c.frameEnd.Load(); end != 0 {
-		return time.Unix(0, end)
+		return time.Now().Add(time.Duration(end) - clock.Now())
 	}
 	return time.Now().Add(c.idle)
 }
 
 func (c *timedConn) beginFrame() {
-	c.frameEnd.Store(time.Now().Add(frameTimeout).UnixNano())
+	c.frameEnd.Store(int64(clock.Now() + frameTimeout))
 }
 
 func (c *timedConn) endFrame() {
--- a/test/soak/backend_test.go
+++ b/test/soak/backend_test.go
@@ -55,11 +55,10 @@
 	judge   *judge
 	node    *node
 	address string
-	random  *rand.Rand // of the answers' faults; not part of the schedule
 	starts  atomic.Int64
+	fault   atomic.Value // misbehaviour
 
-	mu       sync.Mutex // guards what follows, and the life of the instance
-	fault    misbehaviour
+	mu       sync.Mutex // held while an instance starts or ends
 	instance *instance
 }
 
@@ -79,7 +78,9 @@
 }
 
 func newBackend(j *judge, n *node, address string) *backend {
-	return &backend{judge: j, node: n, address: address}
+	b := &backend{judge: j, node: n, address: address}
+	b.misbehave(behaves)
+	return b
 }
 
 // start starts an instance of a service. The listening address may still be in use by connections of the former one.
@@ -147,11 +148,7 @@
 }
 
 // misbehave changes what the backend server does wrong.
-func (b *backend) misbehave(m misbehaviour) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.fault = m
-}
+func (b *backend) misbehave(m misbehaviour) { b.fault.Store(m) }
 
 // announce says every now and then that the instance is there.
 func (i *instance) announce(ctx context.Context) {
@@ -238,9 +235,7 @@
 }
 
 func (i *instance) run(w http.ResponseWriter, r *http.Request, v *arrival) {
-	i.backend.mu.Lock()
-	fault := i.backend.fault
-	i.backend.mu.Unlock()
+	fault := i.backend.fault.Load().(misbehaviour)
 	if fault != isSlow && rand.Float64() >= misbehavingAnswer {
 		fault = behaves
 	}
