--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -63,6 +64,46 @@
 	assert.Empty(t, n.backend.requests())
 }
 
+// A body that is sent in chunks states no length, so that its size is only known once it was read.
+func TestLimitHoldsForBodiesOfUnstatedLength(t *testing.T) {
+	m := newMesh(t, 1)
+	document := testDocument(2)
+	document.Limits.BodyBytes = 1000
+	m.platform.publish(document)
+	n := m.nodes[0]
+	m.eventually("the limit is in force", func() bool { return n.follower.Table().Document.Version == 2 })
+	for size, status := range map[int]int{1000: http.StatusOK, 1001: http.StatusRequestEntityTooLarge, bufferedBody + 1: http.StatusRequestEntityTooLarge} {
+		r, _ := m.request(context.Background(), n, "POST", "/unsafe/", strings.Repeat("x", size))
+		r.ContentLength = -1
+		a := send(r)
+		require.NoError(t, a.err)
+		assert.Equal(t, status, a.status, "%d bytes", size)
+	}
+	assert.Len(t, n.backend.requests(), 1)
+}
+
+// Pattern: a caller sends a request behind one that takes long. What the backend server may still take is what the caller has left.
+func TestWaitBehindAnotherRequestIsTakenOffTheDeadline(t *testing.T) {
+	const work, patience = 300 * time.Millisecond, 1000
+	m := newMesh(t, 1)
+	n := m.nodes[0]
+	n.backend.on(func(http.ResponseWriter, *http.Request, string) { time.Sleep(work) })
+	conn, err := net.Dial("tcp", n.settings.Listen.Callers)
+	require.NoError(t, err)
+	defer conn.Close()
+	for range 2 {
+		_, err = fmt.Fprintf(conn, "POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\nContent-Length: 0\r\n\r\n",
+			testHeaders.RequestID, m.newID(), testHeaders.DeadlineMS, patience)
+		require.NoError(t, err)
+	}
+	m.eventually("both ran", func() bool { return len(n.backend.requests()) == 2 })
+	n.backend.mu.Lock()
+	defer n.backend.mu.Unlock()
+	left, err := strconv.Atoi(n.backend.headers.Get(testHeaders.DeadlineMS))
+	require.NoError(t, err)
+	assert.LessOrEqual(t, left, patience-int(work.Milliseconds()))
+}
+
 func TestNoConfigurationIsNotNotFound(t *testing.T) {
 	m := &mesh{t: t, platform: newFakePlatform()}
 	n := m.start(0)
