--- a/cmd/laburnum-sidecar/main.go
+++ b/cmd/laburnum-sidecar/main.go
@@ -35,6 +35,12 @@
 )
 
 func main() {
+	// First of all: a signal that nobody has asked for ends the process, also one that comes while it starts.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+
 	var path string
 	var checkOnly bool
 	flaggy.SetName("laburnum-sidecar")
@@ -60,9 +66,7 @@
 	if err != nil {
 		exit(exitFailure, err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go reloadOnHangup(ctx, path, logger)
+	go reloadOnHangup(ctx, hangup, path, logger)
 	err = n.Run(ctx)
 	output.Flush(flushLimit)
 	if err != nil && !errors.Is(err, context.Canceled) {
@@ -71,9 +75,7 @@
 }
 
 // reloadOnHangup checks the settings on SIGHUP and says that they take effect at the next start.
-func reloadOnHangup(ctx context.Context, path string, logger *zap.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
+func reloadOnHangup(ctx context.Context, hangup <-chan os.Signal, path string, logger *zap.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
