--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -186,6 +186,26 @@
 	}
 }
 
+// Seeds that failed once, and why.
+var regressions = []struct {
+	seed  uint64
+	size  int
+	cause string
+}{
+	{6, 9, "a process ended: the header of an answer was read and changed at the same time (pkg/hop)"},
+	{32, 9, "a process ended: SIGHUP came before it was handled (cmd/laburnum-sidecar)"},
+}
+
+func TestRegressions(t *testing.T) {
+	for _, r := range regressions {
+		t.Run(fmt.Sprintf("seed-%d", r.seed), func(t *testing.T) {
+			t.Parallel()
+			t.Log(r.cause)
+			judged(t, soak(t, program, r.seed, r.size))
+		})
+	}
+}
+
 func TestScheduleDependsOnTheSeedAlone(t *testing.T) {
 	assert.Equal(t, schedule(7, 9), schedule(7, 9))
 	assert.NotEqual(t, schedule(7, 9), schedule(8, 9))
