membership: nodes that start together know each other from the directory

After all nodes of a grown site were killed, they refused for 2.5 to 5 s after configurations and backend servers were known again: reason=no_endpoint until 'joined'. All joined through the contacts in their order, one at a time, and each machine that was gone cost the time limit of 600 ms. Ruled out: the store (reached within 0.5 s), the announcements (within 1 s).

Now the directory holds what others need to know of a node (address, incarnation, data centre), so that gossip works from the first moment; the table of any member adds the rest. Members are asked 150 ms apart, those of the own data centre first. Contacts of dead nodes are removed by one node.

--- a/pkg/membership/exchange_test.go
+++ b/pkg/membership/exchange_test.go
@@ -167,7 +167,16 @@
 func (x *exchange) send(node *virtualNode, m message) {
 	switch m.method {
 	case methodProbe:
-		x.request(node, m, m.packet, func(reply packet, size int) { x.ack(node, m, reply) })
+		answered := false
+		x.request(node, m, m.packet, func(reply packet, size int) {
+			answered = true
+			x.ack(node, m, reply)
+		})
+		x.after(m.timeout, func() {
+			if !answered && node.up {
+				node.undelivered(m.packet.Deltas)
+			}
+		})
 	case methodIndirect:
 		x.sendIndirect(node, m)
 	case methodSync:
@@ -228,7 +237,7 @@
 func (x *exchange) join(node, seed *virtualNode) joinResponse {
 	response := seed.handleJoin(x.clock(seed), node.joinRequest(x.clock(node)))
 	if response.RetryAfterMS == 0 {
-		node.handleJoined(x.clock(node), response)
+		node.handleJoined(x.clock(node), response, node.alone())
 	}
 	return response
 }
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -83,3 +84,64 @@
 		suspicions, float64(x.sentBytes())/600/fleetSize)
 	require.Empty(t, x.deaths())
 }
+
+// Pattern: all nodes of a deployment are killed and start again within half a second, a fifth of the machines in the directory are gone,
+// and the backend servers announce themselves within the next second, as they do once a second. Every node is to know every endpoint
+// soon after the last announcement, with a part of the thinnest link.
+func TestMassRestartWithADirectory(t *testing.T) {
+	t.Parallel()
+	const count, gone = 71, 17
+	const starts, announcements, spread = 500 * time.Millisecond, time.Second, time.Second
+	const thinLink = 7_000_000 / 8 // bytes a second
+	for seed := range uint64(3) {
+		x := &exchange{
+			t: t, now: epoch, random: rand.New(rand.NewPCG(seed, 3)), nodes: make(map[string]*virtualNode),
+			timing: Regional.withDefaults(), blocked: func(string, string) bool { return false }, bytes: make(map[string]int),
+		}
+		var directory []Member
+		for i := range count + gone {
+			node := x.start(i, 2)
+			entry := node.me().copyMember()
+			if i >= count {
+				node.up = false
+			} else if i%2 == 0 {
+				entry.Incarnation = 1 // it has not entered itself again yet when the others read
+			}
+			directory = append(directory, entry)
+		}
+		for i := range count {
+			node := x.nodes[nodeID(i)]
+			node.up = false
+			at := time.Duration(x.random.Int64N(int64(starts)))
+			x.after(at, func() {
+				node.up = true
+				node.adopt(x.now, directory)
+				x.tick(node)
+			})
+			x.after(at+time.Duration(x.random.Int64N(int64(announcements))), func() {
+				node.setEndpoint(x.now, Endpoint{Service: "tracker", Address: "10.0.0.1:8080", Slots: 9, State: EndpointReady})
+			})
+		}
+		known := func() int {
+			n := 0
+			for i := range count {
+				for _, e := range x.nodes[nodeID(i)].table.entries {
+					if e.Endpoint != nil {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		x.advance(starts + announcements)
+		after := time.Duration(0)
+		for ; known() < count*count; after += 50 * time.Millisecond {
+			require.Less(t, after, 10*time.Second)
+			x.advance(50 * time.Millisecond)
+		}
+		perNode := float64(x.sentBytes()) / (starts + announcements + after).Seconds() / count
+		t.Logf("seed %d: all know all endpoints %v after the last announcement; %.0f bytes sent per node and second", seed, after, perNode)
+		require.LessOrEqual(t, after, spread)
+		require.Less(t, perNode, thinLink/4.0)
+	}
+}
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -73,6 +73,24 @@
 	}
 }
 
+// undelivered takes back the transmissions in a message that was not answered. Otherwise, while many members are down, as after a
+// restart of all, a change could use up its transmissions on them and reach some members only with an anti-entropy exchange.
+func (s *system) undelivered(deltas []update) {
+	limit := s.timing.retransmissions(s.size())
+	for _, u := range deltas {
+		e := s.table.entries[u.ID]
+		if e == nil || !sameChange(e, u) {
+			continue
+		}
+		b := s.queue[u.ID]
+		if b == nil {
+			b = &broadcast{id: u.ID, sent: limit}
+			s.queue[u.ID] = b
+		}
+		b.sent = max(0, b.sent-1)
+	}
+}
+
 // sameChange reports whether the update carries what the entry still is.
 func sameChange(e *entry, u update) bool {
 	sequence := func(m Member) uint64 {
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -44,18 +44,41 @@
 	return response
 }
 
-// handleJoined takes in the full table.
-func (s *system) handleJoined(now time.Time, response joinResponse) {
-	starting := s.alone()
+// handleJoined takes in the full table, the first one or a further one.
+func (s *system) handleJoined(now time.Time, response joinResponse, first bool) {
+	before := maps.Clone(s.queue)
 	s.apply(now, response.Members)
-	if starting {
-		clear(s.queue) // the others have these members already; only this member is news
+	if first {
+		s.queue = before // the others have these members already
 	}
 	s.rebuildRing()
 	s.enqueue(s.self)
 	s.nextGossip = now
 }
 
+// adopt takes in the members of a directory, which are alive for all it knows. They are not spread, since the others read it too.
+func (s *system) adopt(now time.Time, members []Member) {
+	for _, m := range members {
+		if m.ID == s.self {
+			continue
+		}
+		m.Status, m.Endpoint, m.Counter = Alive, nil, 0
+		s.table.merge(now, m, 0)
+	}
+	s.rebuildRing()
+}
+
+// others returns the other members that take part.
+func (s *system) others() []Member {
+	var out []Member
+	for _, id := range slices.Sorted(maps.Keys(s.table.entries)) {
+		if e := s.table.entries[id]; id != s.self && !e.Status.ended() && e.ControlAddress != "" {
+			out = append(out, e.copyMember())
+		}
+	}
+	return out
+}
+
 func (s *system) joinRequest(now time.Time) joinRequest {
 	return joinRequest{Member: s.me().fullUpdate(now)}
 }
--- a/pkg/membership/joiner.go
+++ b/pkg/membership/joiner.go
@@ -9,7 +9,10 @@
 	"go.uber.org/zap"
 )
 
-const contactTimeout = 5 * time.Second // for reading contacts
+const (
+	contactTimeout = 5 * time.Second // for reading contacts
+	maxContacts    = 16              // asked in one round; each may take Timing.JoinTimeout
+)
 
 // keepJoined joins through seeds and contacts until other members are known, and again whenever this node is alone or a
 // seed is not among the members, as after a start during a partition.
@@ -25,7 +28,7 @@
 		switch {
 		case pause > 0: // told when to retry
 			backoff = s.timing.JoinBackoff
-		case s.isAlone():
+		case s.lacksTable():
 			pause = time.Duration(rand.Int64N(int64(backoff) + 1)) // full jitter
 			backoff = min(2*backoff, s.timing.JoinBackoffMaximum)
 		default:
@@ -54,22 +57,42 @@
 
 func (globalRandom) Int64N(n int64) int64 { return rand.Int64N(n) }
 
-// joinOnce asks the addresses that are not members yet, in random order, until one answers with its table. It returns
-// the time to wait if one of them said so.
+// joinOnce asks the addresses that are not members yet until one answers with its table. One that is silent does not hold up the
+// next. It returns the time to wait if all that answered said so.
 func (s *Service) joinOnce(ctx context.Context) time.Duration {
+	addresses := s.joinAddresses(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan joinAnswer, len(addresses))
+	next := time.NewTimer(0)
+	defer next.Stop()
 	var told time.Duration
-	for _, address := range s.joinAddresses(ctx) {
-		response, err := s.askToJoin(ctx, address)
-		if err != nil {
-			s.options.Metrics.Inc("membership_join_failed")
-			s.options.Logger.Debug("join_failed", zap.String("address", address), zap.Error(err))
-			continue
-		}
-		if response.RetryAfterMS == 0 {
-			s.acceptJoin(response, address)
-			return 0
+	asked, open := 0, 0
+	for asked < len(addresses) || open > 0 {
+		select {
+		case <-next.C:
+			if asked == len(addresses) {
+				continue
+			}
+			address := addresses[asked]
+			asked++
+			open++
+			s.sent.Go(func() { answers <- s.askToJoin(ctx, address) })
+			next.Reset(s.timing.JoinStagger)
+		case a := <-answers:
+			open--
+			if a.err == nil && a.response.RetryAfterMS == 0 {
+				s.acceptJoin(a.response, a.address)
+				return 0
+			}
+			if a.err != nil {
+				s.options.Metrics.Inc("membership_join_failed")
+				s.options.Logger.Debug("join_failed", zap.String("address", a.address), zap.Error(a.err))
+			} else {
+				told = time.Duration(a.response.RetryAfterMS) * time.Millisecond
+			}
+			next.Reset(0)
 		}
-		told = time.Duration(response.RetryAfterMS) * time.Millisecond
 	}
 	if told == 0 {
 		return 0
@@ -77,27 +100,35 @@
 	return jitter(globalRandom{}, told)
 }
 
-func (s *Service) askToJoin(ctx context.Context, address string) (joinResponse, error) {
+// joinAnswer is what a member said to a join.
+type joinAnswer struct {
+	address  string
+	response joinResponse
+	err      error
+}
+
+func (s *Service) askToJoin(ctx context.Context, address string) joinAnswer {
 	ctx, cancel := context.WithTimeout(ctx, s.timing.JoinTimeout)
 	defer cancel()
 	s.mu.Lock()
 	request := s.system.joinRequest(time.Now())
 	s.mu.Unlock()
-	var response joinResponse
-	err := s.options.Client.Call(ctx, address, methodJoin, request, &response)
-	return response, err
+	answer := joinAnswer{address: address}
+	answer.err = s.options.Client.Call(ctx, address, methodJoin, request, &answer.response)
+	return answer
 }
 
 func (s *Service) acceptJoin(response joinResponse, address string) {
 	s.mu.Lock()
-	s.system.handleJoined(time.Now(), response)
+	s.system.handleJoined(time.Now(), response, !s.joined || s.system.alone())
 	s.publish()
 	s.mu.Unlock()
+	s.joined = true
 	s.options.Logger.Info("joined", zap.String("through", address), zap.Int("members", len(response.Members)))
 }
 
-// joinAddresses returns the seeds that are not members, and the contacts while this node is alone or always, as the options say, in
-// random order.
+// joinAddresses returns the addresses to join through: the seeds that are not members, and the contacts while this node is alone or
+// always, as the options say, in random order. With a directory they are those of the members in it, until one has answered.
 func (s *Service) joinAddresses(ctx context.Context) []string {
 	s.mu.Lock()
 	known := s.system.controlAddresses()
@@ -106,16 +137,61 @@
 	if stopped {
 		return nil
 	}
+	if s.options.Directory != nil {
+		return s.directoryAddresses(ctx)
+	}
 	candidates := slices.Clone(s.options.Seeds)
 	if s.isAlone() || s.contactsDue(time.Now()) {
 		candidates = append(candidates, s.readContacts(ctx)...)
 	}
-	if !s.options.ContactsInOrder {
-		rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	}
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	return slices.DeleteFunc(candidates, func(address string) bool { return known[address] })
 }
 
+// lacksTable reports whether no member has answered with its table yet, although there is a directory, or whether all are gone.
+func (s *Service) lacksTable() bool {
+	return s.isAlone() || s.options.Directory != nil && !s.joined
+}
+
+// directoryAddresses takes in the members of the directory. While this node lacks a table, it returns addresses of some that take
+// part, those of its own data centre first and otherwise in random order, so that joins are spread over the fleet.
+func (s *Service) directoryAddresses(ctx context.Context) []string {
+	if !s.lacksTable() && !s.contactsDue(time.Now()) {
+		return nil
+	}
+	s.contactsRead = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
+	defer cancel()
+	members, err := s.options.Directory(ctx)
+	if err != nil {
+		s.options.Metrics.Inc("membership_contacts_failed")
+		s.options.Logger.Warn("contacts_unavailable", zap.Error(err))
+	}
+	s.mu.Lock()
+	s.system.adopt(time.Now(), members)
+	s.publish()
+	others := s.system.others()
+	s.mu.Unlock()
+	if !s.lacksTable() {
+		return nil
+	}
+	near := s.options.Self.DataCentre
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	slices.SortStableFunc(others, func(a, b Member) int { return rankOf(b.DataCentre == near) - rankOf(a.DataCentre == near) })
+	var addresses []string
+	for _, m := range others[:min(len(others), maxContacts)] {
+		addresses = append(addresses, m.ControlAddress)
+	}
+	return addresses
+}
+
+func rankOf(first bool) int {
+	if first {
+		return 1
+	}
+	return 0
+}
+
 // contactsDue reports whether the contacts are to be read although other members are known.
 func (s *Service) contactsDue(now time.Time) bool {
 	return s.options.ContactsInterval > 0 && now.Sub(s.contactsRead) >= s.options.ContactsInterval
@@ -134,10 +210,6 @@
 		s.options.Logger.Warn("contacts_unavailable", zap.Error(err))
 		return nil
 	}
-	if s.options.ContactsInOrder {
-		return contacts
-	}
-	const maxContacts = 16 // each may take Timing.JoinTimeout
 	rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
 	return contacts[:min(len(contacts), maxContacts)]
 }
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -26,14 +26,14 @@
 	// ContactsInterval has the contacts read also while other members are known. Nodes that started together may have found each
 	// other in several groups, which nothing else would join. 0: never.
 	ContactsInterval time.Duration
-	// ContactsInOrder says that Contacts returns the addresses in the order in which they were entered, this node's own before it was
-	// returned for the first time. All nodes then join through the earliest one, so that those which start together form one
-	// group at once. Otherwise they are asked in random order, which spreads the joins of a large fleet.
-	ContactsInOrder bool
-	Client          *rpc.Client
-	Server          *rpc.Server                  // New registers its methods here
-	Beat            func() Beat                  // state to report; must not block
-	OnBeat          func(from Member, beat Beat) // called for each probe and ack
+	// Directory returns all members that entered a common directory, this one first of all, with their addresses and incarnations. They
+	// are taken for alive until they turn out not to be, so that nodes which start together know each other at once, and the
+	// table of any of them adds what the directory does not say. Read when Contacts would be; may be nil.
+	Directory func(ctx context.Context) ([]Member, error)
+	Client    *rpc.Client
+	Server    *rpc.Server                  // New registers its methods here
+	Beat      func() Beat                  // state to report; must not block
+	OnBeat    func(from Member, beat Beat) // called for each probe and ack
 	// Exclusive says that no other process can run under this id at the same time, because it holds the same sockets. A higher
 	// incarnation of this id then belongs to an earlier process, and this one takes the next instead of giving way.
 	Exclusive    bool
@@ -58,6 +58,7 @@
 	sent sync.WaitGroup
 
 	contactsRead time.Time // by the joiner
+	joined       bool      // the joiner has got a table
 }
 
 // view is an immutable copy of the table for readers.
@@ -141,7 +142,7 @@
 	}
 }
 
-// send delivers one message and takes in its answer. A failure needs no handling: the probe times out.
+// send delivers one message and takes in its answer. After a failure the probe times out, and what it carried is sent to others.
 func (s *Service) send(ctx context.Context, m message) {
 	if m.method == methodSync {
 		s.runSync(ctx, m)
@@ -150,6 +151,9 @@
 	var reply packet
 	if err := s.call(ctx, m, m.packet, &reply); err != nil {
 		s.options.Metrics.Inc("membership_send_failed", "method", m.method)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.system.undelivered(m.packet.Deltas)
 		return
 	}
 	s.mu.Lock()
--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -133,31 +133,48 @@
 	}))
 }
 
+// directory is one that all nodes of a test share.
+type directory struct {
+	mu      sync.Mutex
+	entered []Member
+}
+
+// enter adds a member, unless it is there already, and returns all that are.
+func (d *directory) enter(m Member) []Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !slices.ContainsFunc(d.entered, func(other Member) bool { return other.ID == m.ID }) {
+		d.entered = append(d.entered, m)
+	}
+	return slices.Clone(d.entered)
+}
+
+func allKnow(nodes []*testNode, count int) func() bool {
+	return func() bool {
+		return !slices.ContainsFunc(nodes, func(n *testNode) bool { return len(n.Members()) != count })
+	}
+}
+
 // Nodes start together: two find only each other in the directory, the others find all. Whatever their names, one group comes about.
-// With a random order, and with one by name, the two were now and then left alone: others joined each other.
 func TestNodesThatStartTogetherFormOneGroup(t *testing.T) {
 	const early, count = 2, 6
-	var mu sync.Mutex
-	var contacts []string
+	var d directory
 	var earlyEntered, allEntered sync.WaitGroup
 	earlyEntered.Add(early)
 	allEntered.Add(count)
 	var nodes []*testNode
 	for i := range count {
-		var own string
 		var once sync.Once
 		nodes = append(nodes, startNodeWith(t, fmt.Sprintf("vm-%d", i), "", 1, func(o *Options) {
-			own = o.Self.ControlAddress
+			self := o.Self
 			o.Seeds = nil
-			o.ContactsInOrder = true
-			o.Contacts = func(context.Context) ([]string, error) {
+			o.Directory = func(context.Context) ([]Member, error) {
 				if i >= early {
 					earlyEntered.Wait()
 				}
+				var found []Member
 				once.Do(func() {
-					mu.Lock()
-					contacts = append(contacts, own)
-					mu.Unlock()
+					found = d.enter(self)
 					allEntered.Done()
 					if i < early {
 						earlyEntered.Done()
@@ -165,27 +182,41 @@
 				})
 				if i < early {
 					earlyEntered.Wait()
+					found = d.enter(self)[:early]
 				} else {
 					allEntered.Wait()
+					found = d.enter(self)
 				}
-				mu.Lock()
-				defer mu.Unlock()
-				entered := contacts
-				if i < early {
-					entered = contacts[:early]
-				}
-				return slices.DeleteFunc(slices.Clone(entered), func(address string) bool { return address == own }), nil
+				return found, nil
 			}
 		}))
 	}
-	waitFor(t, "one group", func() bool {
-		for _, n := range nodes {
-			if len(n.Members()) != count {
-				return false
-			}
-		}
-		return true
-	})
+	waitFor(t, "one group", allKnow(nodes, count))
+}
+
+// Pattern: everything restarts, and a part of the machines in the directory is gone without a trace: nothing answers there, not even with
+// a refusal. Each of them costs a node that starts one stagger, not one time limit.
+func TestJoinIsNotHeldUpByMachinesThatAreGone(t *testing.T) {
+	const gone, timeout, stagger = 5, 30 * time.Second, 20 * time.Millisecond
+	var d directory
+	for i := range gone {
+		listener, err := net.Listen("tcp", "127.0.0.1:0") // never accepts
+		require.NoError(t, err)
+		defer listener.Close()
+		d.enter(Member{ID: fmt.Sprintf("gone-%d", i), DataCentre: "seeb", ControlAddress: listener.Addr().String(), Incarnation: 1})
+	}
+	adjust := func(o *Options) {
+		self := o.Self
+		o.Seeds = nil
+		o.Timing = Timing{JoinTimeout: timeout, JoinStagger: stagger}
+		o.Directory = func(context.Context) ([]Member, error) { return d.enter(self), nil }
+	}
+	first := startNodeWith(t, "vm-0", "", 1, adjust)
+	first.SetEndpoint(Endpoint{Service: "tracker", Slots: 10, State: EndpointReady})
+	begun := time.Now()
+	second := startNodeWith(t, "vm-1", "", 1, adjust)
+	waitFor(t, "the endpoint is known", func() bool { return len(second.Endpoints("tracker")) == 1 })
+	require.Less(t, time.Since(begun), timeout)
 }
 
 // Nodes that start together read the contacts before most of them are entered, and find each other in two groups.
--- a/pkg/membership/timing.go
+++ b/pkg/membership/timing.go
@@ -24,11 +24,20 @@
 	ReturnWithin       time.Duration // how long a member that died or left is expected back; default 0
 	ReturnInterval     time.Duration // between probes of such members; default 1 s
 	JoinTimeout        time.Duration // for the answer to a join; default 3 s
+	JoinStagger        time.Duration // without an answer, until another member is asked as well; default JoinTimeout
 	JoinsPerSecond     int           // joins served; others are told when to retry; default 16
 	JoinBackoff        time.Duration // first pause after a failed join; default 500 ms
 	JoinBackoffMaximum time.Duration // default 10 s
 }
 
+// Regional is for fleets of one region, whose round trips take a few milliseconds, and whose machines can all start at once. Changes are
+// spread with more and larger messages than by default, so that such a start is over in a fraction of a second.
+var Regional = Timing{
+	JoinTimeout: 600 * time.Millisecond, JoinStagger: 150 * time.Millisecond, JoinBackoffMaximum: 2 * time.Second, JoinsPerSecond: 200,
+	ReturnWithin: 30 * time.Second, ReturnInterval: time.Second,
+	MaxDeltaBytes: 2800, RetransmitFactor: 6,
+}
+
 func (t Timing) withDefaults() Timing {
 	setDuration(&t.Tick, 50*time.Millisecond)
 	setDuration(&t.ProbeInterval, time.Second)
@@ -46,6 +55,7 @@
 	setDuration(&t.ReconnectInterval, 10*time.Second)
 	setDuration(&t.ReturnInterval, time.Second)
 	setDuration(&t.JoinTimeout, 3*time.Second)
+	setDuration(&t.JoinStagger, t.JoinTimeout)
 	setInt(&t.JoinsPerSecond, 16)
 	setDuration(&t.JoinBackoff, 500*time.Millisecond)
 	setDuration(&t.JoinBackoffMaximum, 10*time.Second)
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,13 +38,6 @@
 	nodeIdle       = 10 * time.Second // of connections between nodes; longer than their clients keep them
 )
 
-// membershipTiming differs from the defaults in what the distances within a region allow: round trips take a few milliseconds.
-var membershipTiming = membership.Timing{
-	JoinTimeout: 600 * time.Millisecond, JoinBackoffMaximum: 2 * time.Second,
-	JoinsPerSecond: 200,
-	ReturnWithin:   30 * time.Second, ReturnInterval: time.Second,
-}
-
 // contactsInterval is the time between two looks into the platform's directory while other nodes are known.
 const contactsInterval = time.Minute
 
@@ -66,7 +60,7 @@
 	tracker announce.Tracker
 
 	stopping atomic.Bool
-	entered  atomic.Bool // in the platform's directory
+	entered  bool // in the platform's directory; of the membership's joiner
 	view     atomic.Pointer[endpointView]
 
 	control net.Listener
@@ -86,7 +80,7 @@
 	n.follower = newFollower(p, n.rpcClient, n.rpcServer, n.metrics, n.logger)
 	n.inbound = newInbound(p.Headers(), n.metrics, n.logger, n.heardBackend)
 	n.membership = membership.New(membership.Options{
-		Self: n.self(), Contacts: n.contacts, ContactsInterval: contactsInterval, ContactsInOrder: true, Exclusive: true, Timing: membershipTiming, Client: n.rpcClient, Server: n.rpcServer,
+		Self: n.self(), Directory: n.directory, ContactsInterval: contactsInterval, Exclusive: true, Timing: membership.Regional, Client: n.rpcClient, Server: n.rpcServer,
 		Beat: func() membership.Beat { return membership.Beat{Version: int64(n.follower.version())} },
 		OnBeat: func(from membership.Member, beat membership.Beat) {
 			n.follower.heard(context.Background(), uint64(beat.Version), from.ControlAddress, peerDelay)
@@ -169,27 +163,72 @@
 	}, true
 }
 
-// contacts enters this node in the platform's directory and then reads the addresses of other nodes. In that order, of any two
-// nodes at least one finds the other.
-func (n *Node) contacts(ctx context.Context) ([]string, error) {
-	if !n.entered.Load() {
-		if err := n.platform.Enter(ctx, Contact{ID: n.settings.ID, Control: n.settings.Listen.Control}); err != nil {
-			n.metrics.Inc("directory_failed")
+// directory enters this node in the platform's directory and then reads who is in it. In that order, of any two nodes at least one
+// finds the other.
+func (n *Node) directory(ctx context.Context) ([]membership.Member, error) {
+	if !n.entered {
+		if err := n.enter(ctx); err != nil {
 			return nil, err
 		}
-		n.entered.Store(true)
 	}
 	contacts, err := n.platform.Contacts(ctx)
 	if err != nil {
 		return nil, err
 	}
-	var addresses []string
+	var members []membership.Member
+	entered := false
 	for _, c := range contacts {
-		if c.ID != n.settings.ID {
-			addresses = append(addresses, c.Control)
+		entered = entered || c.ID == n.settings.ID
+		members = append(members, membership.Member{
+			ID: c.ID, Region: c.Region, DataCentre: c.DataCentre, ControlAddress: c.Control, CallAddress: c.Nodes, Incarnation: c.Incarnation,
+		})
+	}
+	if !entered {
+		n.logger.Warn("contact_was_removed", zap.String("remedy", "others took this node for dead; it is entered again"))
+		if err := n.enter(ctx); err != nil {
+			return members, err
+		}
+	}
+	n.removeLost(ctx, contacts)
+	return members, nil
+}
+
+func (n *Node) enter(ctx context.Context) error {
+	self := n.membership.Self()
+	err := n.platform.Enter(ctx, Contact{
+		ID: self.ID, Region: self.Region, DataCentre: self.DataCentre, Control: self.ControlAddress, Nodes: self.CallAddress, Incarnation: self.Incarnation,
+	})
+	if err != nil {
+		n.metrics.Inc("directory_failed")
+	}
+	n.entered = err == nil
+	return err
+}
+
+// removeLost removes the contacts of nodes that are dead: a machine that is lost for good does it for nobody, and those that start
+// later would wait for it. One node does it for all, the first that is alive.
+func (n *Node) removeLost(ctx context.Context, contacts []Contact) {
+	members := n.membership.Members()
+	first := slices.IndexFunc(members, func(m membership.Member) bool { return m.Status == membership.Alive })
+	if first < 0 || members[first].ID != n.settings.ID {
+		return
+	}
+	dead := make(map[string]uint64)
+	for _, m := range members {
+		if m.Status == membership.Dead {
+			dead[m.ID] = m.Incarnation
+		}
+	}
+	for _, c := range contacts {
+		if incarnation, ok := dead[c.ID]; !ok || incarnation < c.Incarnation {
+			continue
+		}
+		if err := n.platform.Remove(ctx, c.ID); err != nil {
+			n.logger.Info("contact_not_removed", zap.String("of", c.ID), zap.Error(err))
+			return // it is tried again at the next reading
 		}
+		n.logger.Info("contact_removed", zap.String("of", c.ID), zap.String("cause", "the node is dead"))
 	}
-	return addresses, nil
 }
 
 // isReady reports whether clients may send requests to this node.
--- a/pkg/sidecar/platform.go
+++ b/pkg/sidecar/platform.go
@@ -38,10 +38,14 @@
 	Next(ctx context.Context, position int64, wait time.Duration) (Published, error)
 }
 
-// Contact is the address of a node.
+// Contact is what a node leaves in the directory about itself.
 type Contact struct {
-	ID      string `json:"id"`
-	Control string `json:"control"` // "ip:port" of the JSON-RPC interface
+	ID          string `json:"id"`
+	Region      string `json:"region"`
+	DataCentre  string `json:"data_centre"`
+	Control     string `json:"control"`     // "ip:port" of the JSON-RPC interface
+	Nodes       string `json:"nodes"`       // "ip:port" for forwarded requests
+	Incarnation uint64 `json:"incarnation"` // start of the process, Unix ms
 }
 
 // Directory is where nodes leave their addresses for those that start later.
@@ -50,7 +54,7 @@
 	Enter(ctx context.Context, c Contact) error
 	// Remove removes a contact.
 	Remove(ctx context.Context, id string) error
-	// Contacts returns all contacts in the order in which they were entered. A contact that was entered again counts as later.
+	// Contacts returns all contacts.
 	Contacts(ctx context.Context) ([]Contact, error)
 }
 
