sidecar: nodes start with a compressed copy of the configuration

On the links of 7 Mbit/s of the grown sites the operators' configuration of 1,100 to 1,400 routes (400 KB) took 0.45 s of each start, and the joins waited behind it. One node of each data centre keeps a compressed copy in the store; a node that starts reads that, and the readers find out about a newer one.

--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -67,10 +67,12 @@
 	mu      sync.Mutex          // serialises activation
 	former  []*routing.Document // versions in force before, the latest last; guarded by mu
 	whole   chan struct{}       // one element for each whole configuration being served
+	copied  uint64              // version of the copy that this node has read or written; of Run
 	pulling atomic.Bool
 	storeUp atomic.Bool
 
 	isReader func() bool                         // whether this node reads the store
+	isWriter func() bool                         // whether it also keeps the copy in the store
 	changed  func(before, now *routing.Document) // called after a version was read from the store
 }
 
@@ -78,7 +80,7 @@
 	f := &follower{
 		source: source, client: client, metrics: m, logger: logger,
 		whole:    make(chan struct{}, maxWhole),
-		isReader: func() bool { return true }, changed: func(*routing.Document, *routing.Document) {},
+		isReader: func() bool { return true }, isWriter: func() bool { return true }, changed: func(*routing.Document, *routing.Document) {},
 	}
 	server.Handle(documentMethod, f.serveDocument)
 	return f
@@ -129,6 +131,9 @@
 
 // Run reads the source until ctx ends. A node that is no reader reads it only while it has no configuration.
 func (f *follower) Run(ctx context.Context) {
+	if f.readCopy(ctx) {
+		sleepFor(ctx, readerCheck) // by then the other members are known, and with them who reads
+	}
 	position, known := int64(0), false
 	backoff := firstBackoff
 	for ctx.Err() == nil {
@@ -156,17 +161,54 @@
 		// A quick succession of configurations is read by its newest, not one after the other.
 		known = p.Position-position < successionLength || !known
 		position = p.Position
-		if p.Document == nil {
-			continue
-		}
 		before := f.table.Load()
 		if f.offer(p.Document, "store") && before != nil {
 			go f.changed(before.Document, p.Document) // a data centre that is cut off must not hold up the next read
 		}
+		f.keepCopy(ctx)
+		if p.Document == nil {
+			continue
+		}
 		sleepFor(ctx, pollPause)
 	}
 }
 
+// readCopy starts with the copy of the newest configuration that a node has left in the store. It may be a little older than the
+// operators' own; the readers find that out within a second and pass the newer one on. It reports whether there was a copy.
+func (f *follower) readCopy(ctx context.Context) bool {
+	data, err := f.source.Copy(ctx)
+	if err != nil || data == nil {
+		return false // the operators' own is read in any case
+	}
+	document, err := unpack[routing.Document](data)
+	if err != nil {
+		f.metrics.Inc("configuration_copy_unreadable")
+		f.logger.Warn("configuration_copy_unreadable", zap.Error(err), zap.String("remedy", "it is replaced with the next configuration"))
+		return false
+	}
+	f.copied = document.Version
+	f.offer(document, "copy")
+	return f.table.Load() != nil
+}
+
+// keepCopy replaces the copy for nodes that start later, if it is older than the configuration in force.
+func (f *follower) keepCopy(ctx context.Context) {
+	t := f.table.Load()
+	if t == nil || t.Document.Version <= f.copied || !f.isWriter() {
+		return
+	}
+	data, err := pack(t.Document)
+	if err == nil {
+		err = f.source.PutCopy(ctx, data)
+	}
+	if err != nil {
+		f.metrics.Inc("configuration_copy_failed")
+		f.logger.Info("configuration_copy_failed", zap.Uint64("version", t.Document.Version), zap.Error(err))
+		return // it is tried again after the next read
+	}
+	f.copied = t.Document.Version
+}
+
 func (f *follower) failed(err error) {
 	f.metrics.Inc("store_failed")
 	if f.storeUp.Swap(false) {
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -35,6 +35,7 @@
 	document  *routing.Document
 	position  int64
 	contacts  []Contact
+	copied    []byte
 	refusing  map[string]bool // nodes that the store turns away
 	published chan struct{}
 }
@@ -89,6 +90,22 @@
 	return Published{Position: position}, ctx.Err()
 }
 
+func (p *forNode) Copy(context.Context) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.copied, p.refused()
+}
+
+func (p *forNode) PutCopy(_ context.Context, data []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.refused(); err != nil {
+		return err
+	}
+	p.copied = data
+	return nil
+}
+
 func (p *forNode) Enter(_ context.Context, c Contact) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -102,7 +102,7 @@
 		follower: n.follower, metrics: n.metrics, logger: n.logger,
 	}
 	n.rpcServer.Handle(changeMethod, r.serveChange)
-	n.follower.isReader = r.isReader
+	n.follower.isReader, n.follower.isWriter = r.isReader, r.isWriter
 	n.follower.changed = r.spread
 }
 
--- a/pkg/sidecar/platform.go
+++ b/pkg/sidecar/platform.go
@@ -29,13 +29,19 @@
 	Position int64             // to read on from
 }
 
-// Source is where operators publish whole configurations. Errors are of type *apierror.Error.
+// Source is where operators publish whole configurations, and where nodes keep a compressed copy of the newest for those that start:
+// on a thin link the operators' own takes half a second. Errors are of type *apierror.Error.
 type Source interface {
 	// Newest returns the newest configuration.
 	Newest(ctx context.Context) (Published, error)
 	// Next waits up to wait for configurations published from position on and returns the newest of them. Its Document is
 	// nil if there is none. An error of kind NotFound means that the position is no longer kept: read Newest.
 	Next(ctx context.Context, position int64, wait time.Duration) (Published, error)
+
+	// Copy returns what was last passed to PutCopy by any node, or nil.
+	Copy(ctx context.Context) ([]byte, error)
+	// PutCopy replaces the copy. An error does not mean that it was not replaced.
+	PutCopy(ctx context.Context, data []byte) error
 }
 
 // Contact is what a node leaves in the directory about itself.
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -49,8 +49,15 @@
 	logger     *zap.Logger
 }
 
-// isReader reports whether this node reads the store. All nodes of a data centre order themselves by the same hash.
-func (r *relay) isReader() bool {
+// isReader reports whether this node reads the store.
+func (r *relay) isReader() bool { return r.before() < readersPerDataCentre }
+
+// isWriter reports whether this node keeps the copy of the configuration in the store: one node of each data centre does, once it knows
+// others.
+func (r *relay) isWriter() bool { return len(r.groups()) > 0 && r.before() == 0 }
+
+// before is the number of nodes of the data centre that come before this one. All of them order themselves by the same hash.
+func (r *relay) before() int {
 	own := xxhash.Sum64String(r.self)
 	before := 0
 	for _, m := range r.groups()[r.dataCentre] {
@@ -58,7 +65,7 @@
 			before++
 		}
 	}
-	return before < readersPerDataCentre
+	return before
 }
 
 // groups returns the other nodes that are alive, by data centre.
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -104,6 +105,37 @@
 	assert.LessOrEqual(t, left, patience-int(work.Milliseconds()))
 }
 
+// Pattern: everything restarts, and the operators' configuration takes long on thin links. Nodes start with the copy; where it is older
+// than the operators' own, the readers find out and all come to the newer one.
+func TestStartWithTheCopyOfTheConfiguration(t *testing.T) {
+	m := newMesh(t, 2)
+	m.eventually("a copy is left", func() bool {
+		m.platform.mu.Lock()
+		defer m.platform.mu.Unlock()
+		return m.platform.copied != nil
+	})
+	old := m.platform.copied
+	m.platform.publish(testDocument(2))
+	m.eventually("the copy is renewed", func() bool {
+		m.platform.mu.Lock()
+		defer m.platform.mu.Unlock()
+		return !bytes.Equal(m.platform.copied, old)
+	})
+	m.platform.mu.Lock()
+	m.platform.copied = old
+	m.platform.mu.Unlock()
+	n := m.start(2)
+	m.eventually("starts with a configuration", func() bool { return n.follower.Table() != nil })
+	assert.Contains(t, m.log.String(), "before=0 from=copy")
+	m.eventually("comes to the newer one", func() bool { return n.follower.Table().Document.Version == 2 })
+
+	m.platform.mu.Lock()
+	m.platform.copied = []byte("not a copy")
+	m.platform.mu.Unlock()
+	n = m.start(3)
+	m.eventually("a copy that cannot be read does no harm", func() bool { return n.follower.Table() != nil })
+}
+
 func TestNoConfigurationIsNotNotFound(t *testing.T) {
 	m := &mesh{t: t, platform: newFakePlatform()}
 	n := m.start(0)
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -39,7 +39,7 @@
 	settleWindow    = 3 * time.Second // after a fault, in which bounds on time do not hold
 	budgetWindow    = 10 * time.Second
 	budgetRatio     = 0.2
-	budgetSlack     = 50
+	budgetSlack     = 10
 	stallLimit      = 100 * time.Millisecond // the judge itself was not scheduled for longer: nothing is timed around that
 	shownViolations = 20
 )
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -27,6 +27,8 @@
 	{"does not compare echoed ids", []promise{promiseWhole}, []replacement{
 		{"pkg/hop/exchange.go", `if echo == "" || echo == r.ID {`, `if echo != "-" {`},
 		{"pkg/hop/exchange.go", "return cn.reader.Buffered() == 0", "return true"},
+		{"pkg/hop/pool.go", "if cn.reader.Buffered() > 0 {", "if cn.reader.Buffered() > 1<<20 {"},
+		{"pkg/hop/pool.go", "quiet = errors.Is(err, unix.EAGAIN)", "quiet = err == nil || errors.Is(err, unix.EAGAIN)"},
 	}},
 	{"takes unsigned answers", []promise{promiseWhole}, []replacement{
 		{"pkg/sidecar/inbound.go", `case response.Header.Get(in.headers.Signature) == "":`, "case false:"},
