--- a/pkg/sidecar/backend.go
+++ b/pkg/sidecar/backend.go
@@ -102,6 +102,7 @@
 				n.adopt(before, "silent for "+after.String())
 			}
 			n.mu.Unlock()
+			n.metrics.Gauge("endpoints_ejected").Update(int64(n.outbound.chooser.Ejected()))
 		}
 	}
 }
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -31,6 +31,7 @@
 
 // changeParams is a change on its way through the data centre.
 type changeParams struct {
+	To     uint64   `json:"to"`              // version that the change leads to
 	Change []byte   `json:"change"`          // a packed routing.Change
 	From   string   `json:"from"`            // control address of a node that has the whole configuration
 	Cover  []string `json:"cover,omitempty"` // control addresses that the receiver passes the change on to
@@ -98,7 +99,7 @@
 		for _, m := range members {
 			addresses = append(addresses, m.ControlAddress)
 		}
-		p := &changeParams{Change: change, From: r.address, Cover: addresses}
+		p := &changeParams{To: now.Version, Change: change, From: r.address, Cover: addresses}
 		if dataCentre == r.dataCentre {
 			sending.Go(func() { r.passOn(p) })
 			continue
@@ -118,7 +119,7 @@
 		for j := heads + i; j < len(p.Cover); j += heads {
 			cover = append(cover, p.Cover[j])
 		}
-		sending.Go(func() { r.send(p.Cover[i], &changeParams{Change: p.Change, From: p.From, Cover: cover}) })
+		sending.Go(func() { r.send(p.Cover[i], &changeParams{To: p.To, Change: p.Change, From: p.From, Cover: cover}) })
 	}
 	sending.Wait()
 }
@@ -131,7 +132,7 @@
 		r.metrics.Inc("configuration_relay_failed")
 		r.logger.Debug("configuration_relay_failed", zap.String("to", address), zap.Error(err))
 		if len(p.Cover) > 0 {
-			r.passOn(&changeParams{Change: p.Change, From: p.From, Cover: p.Cover}) // in its place
+			r.passOn(p) // in its place
 		}
 	}
 }
@@ -142,14 +143,16 @@
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, apierror.InvalidField("params", err.Error(), "run the same version on all nodes")
 	}
+	if p.To <= r.follower.version() {
+		return true, nil // it has come this way before
+	}
+	if len(p.Cover) > 0 {
+		go r.passOn(&p)
+	}
 	change, err := unpack[routing.Change](p.Change)
 	if err != nil {
 		return nil, apierror.InvalidField("params.change", err.Error(), "run the same version on all nodes")
 	}
-	if len(p.Cover) > 0 && change.To > r.follower.version() {
-		// Otherwise it has come this way before.
-		go r.passOn(&changeParams{Change: p.Change, From: p.From, Cover: p.Cover})
-	}
 	r.apply(change, p.From)
 	return true, nil
 }
