--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 )
 
 // promise is what the system owes its callers or its backend servers whatever fails.
@@ -28,7 +30,8 @@
 	promiseRecovery promise = "all nodes serve all routes again soon after the last fault"
 )
 
-// Bounds of the promises. They are those that the platform states for its deployments.
+// Bounds of the promises. They are those that the platform states for its deployments; the budget is a tighter one, which the nodes get
+// with their settings, so that the few callers here can exceed it.
 const (
 	drainBound      = 2500 * time.Millisecond
 	configApply     = 2500 * time.Millisecond
@@ -38,8 +41,8 @@
 	recoveryBound   = 15 * time.Second
 	settleWindow    = 3 * time.Second // after a fault, in which bounds on time do not hold
 	budgetWindow    = 10 * time.Second
-	budgetRatio     = 0.2
-	budgetSlack     = 10
+	budgetRatio     = 0.05
+	budgetSlack     = 5
 	stallLimit      = 100 * time.Millisecond // the judge itself was not scheduled for longer: nothing is timed around that
 	shownViolations = 20
 )
@@ -82,6 +85,8 @@
 	attempts   map[string]*attempt
 	violations []violation
 	allowed    map[string]map[string]bool // services by route, in any configuration so far
+	current    map[string]map[string]bool // the same, in the two newest ones
+	former     map[string]map[string]bool // the same, in the newest but one
 	requests   map[string][]time.Time     // by service
 	repeats    map[string][]time.Time     // by service
 	faults     []span                     // unplanned ones
@@ -152,16 +157,32 @@
 	}
 }
 
-// allow notes where a route may lead from now on.
-func (j *judge) allow(route string, services ...string) {
+// allow notes where the routes of a configuration lead, before it is published.
+func (j *judge) allow(d *routing.Document) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.allowed[route] == nil {
-		j.allowed[route] = make(map[string]bool)
+	newest := make(map[string]map[string]bool)
+	add := func(to map[string]map[string]bool, route, service string) {
+		if to[route] == nil {
+			to[route] = make(map[string]bool)
+		}
+		to[route][service] = true
+	}
+	for _, r := range d.Routes {
+		for _, destination := range r.Destinations {
+			add(newest, r.Name, destination.Service)
+			add(j.allowed, r.Name, destination.Service)
+		}
 	}
-	for _, s := range services {
-		j.allowed[route][s] = true
+	j.current = make(map[string]map[string]bool)
+	for _, version := range []map[string]map[string]bool{j.former, newest} {
+		for route, services := range version {
+			for service := range services {
+				add(j.current, route, service)
+			}
+		}
 	}
+	j.former = newest
 }
 
 // sending notes a request before its first byte is sent.
@@ -170,7 +191,7 @@
 	defer j.mu.Unlock()
 	a.sent = time.Now()
 	j.attempts[a.id] = a
-	for s := range j.allowed[a.route] {
+	for s := range j.current[a.route] {
 		j.requests[s] = append(j.requests[s], a.sent)
 	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -186,7 +186,7 @@
 	}
 }
 
-// Seeds that failed once, and why.
+// Seeds that failed once, and why. Both failed with an earlier list of kinds, which made other schedules of them.
 var regressions = []struct {
 	seed  uint64
 	size  int
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -207,11 +207,7 @@
 		}
 	}
 	change(d)
-	for _, r := range d.Routes {
-		for _, to := range r.Destinations {
-			w.judge.allow(r.Name, to.Service)
-		}
-	}
+	w.judge.allow(d)
 	w.document = d
 	require.NoError(w.t, w.store.Publish(d))
 }
