--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -31,6 +31,7 @@
 
 // changeParams is a change on its way through the data centre.
 type changeParams struct {
+	To     uint64   `json:"to"`              // version that the change leads to
 	Change []byte   `json:"change"`          // a packed routing.Change
 	From   string   `json:"from"`            // control address of a node that has the whole configuration
 	Cover  []string `json:"cover,omitempty"` // control addresses that the receiver passes the change on to
@@ -49,8 +50,15 @@
 	logger     *zap.Logger
 }
 
-// isReader reports whether this node reads the store. All nodes of a data centre order themselves by the same hash.
-func (r *relay) isReader() bool {
+// isReader reports whether this node reads the store.
+func (r *relay) isReader() bool { return r.before() < readersPerDataCentre }
+
+// isWriter reports whether this node keeps the copy of the configuration in the store: one node of each data centre does, once it knows
+// others.
+func (r *relay) isWriter() bool { return len(r.groups()) > 0 && r.before() == 0 }
+
+// before is the number of nodes of the data centre that come before this one. All of them order themselves by the same hash.
+func (r *relay) before() int {
 	own := xxhash.Sum64String(r.self)
 	before := 0
 	for _, m := range r.groups()[r.dataCentre] {
@@ -58,7 +66,7 @@
 			before++
 		}
 	}
-	return before < readersPerDataCentre
+	return before
 }
 
 // groups returns the other nodes that are alive, by data centre.
@@ -91,7 +99,7 @@
 		for _, m := range members {
 			addresses = append(addresses, m.ControlAddress)
 		}
-		p := &changeParams{Change: change, From: r.address, Cover: addresses}
+		p := &changeParams{To: now.Version, Change: change, From: r.address, Cover: addresses}
 		if dataCentre == r.dataCentre {
 			sending.Go(func() { r.passOn(p) })
 			continue
@@ -111,7 +119,7 @@
 		for j := heads + i; j < len(p.Cover); j += heads {
 			cover = append(cover, p.Cover[j])
 		}
-		sending.Go(func() { r.send(p.Cover[i], &changeParams{Change: p.Change, From: p.From, Cover: cover}) })
+		sending.Go(func() { r.send(p.Cover[i], &changeParams{To: p.To, Change: p.Change, From: p.From, Cover: cover}) })
 	}
 	sending.Wait()
 }
@@ -124,7 +132,7 @@
 		r.metrics.Inc("configuration_relay_failed")
 		r.logger.Debug("configuration_relay_failed", zap.String("to", address), zap.Error(err))
 		if len(p.Cover) > 0 {
-			r.passOn(&changeParams{Change: p.Change, From: p.From, Cover: p.Cover}) // in its place
+			r.passOn(p) // in its place
 		}
 	}
 }
@@ -135,14 +143,16 @@
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, apierror.InvalidField("params", err.Error(), "run the same version on all nodes")
 	}
+	if p.To <= r.follower.version() {
+		return true, nil // it has come this way before
+	}
+	if len(p.Cover) > 0 {
+		go r.passOn(&p)
+	}
 	change, err := unpack[routing.Change](p.Change)
 	if err != nil {
 		return nil, apierror.InvalidField("params.change", err.Error(), "run the same version on all nodes")
 	}
-	if len(p.Cover) > 0 && change.To > r.follower.version() {
-		// Otherwise it has come this way before.
-		go r.passOn(&changeParams{Change: p.Change, From: p.From, Cover: p.Cover})
-	}
 	r.apply(change, p.From)
 	return true, nil
 }
