--- a/pkg/membership/joiner.go
+++ b/pkg/membership/joiner.go
@@ -175,21 +175,17 @@
 	if !s.lacksTable() {
 		return nil
 	}
-	near := s.options.Self.DataCentre
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	slices.SortStableFunc(others, func(a, b Member) int { return rankOf(b.DataCentre == near) - rankOf(a.DataCentre == near) })
-	var addresses []string
-	for _, m := range others[:min(len(others), maxContacts)] {
-		addresses = append(addresses, m.ControlAddress)
-	}
-	return addresses
-}
-
-func rankOf(first bool) int {
-	if first {
-		return 1
+	var near, far []string
+	for _, m := range others {
+		if m.DataCentre == s.options.Self.DataCentre {
+			near = append(near, m.ControlAddress)
+		} else {
+			far = append(far, m.ControlAddress)
+		}
 	}
-	return 0
+	addresses := append(near, far...)
+	return addresses[:min(len(addresses), maxContacts)]
 }
 
 // contactsDue reports whether the contacts are to be read although other members are known.
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -104,8 +104,16 @@
 
 func (n *node) heldUp() bool { return time.Now().UnixNano() < n.held.Load() }
 
-// hold has the node count as held up until so long after now.
-func (n *node) hold(d time.Duration) { n.held.Store(time.Now().Add(d).UnixNano()) }
+// hold has the node count as held up until so long after now, or longer if it does already.
+func (n *node) hold(d time.Duration) {
+	until := time.Now().Add(d).UnixNano()
+	for {
+		held := n.held.Load()
+		if held >= until || n.held.CompareAndSwap(held, until) {
+			return
+		}
+	}
+}
 
 // newWorld starts a system and waits until every node serves every route.
 func newWorld(t *testing.T, program string, size int) *world {
