--- a/pkg/distribution/failure_test.go
+++ b/pkg/distribution/failure_test.go
@@ -117,6 +117,7 @@
 	f.kill("a4")
 	restarted := f.start("a4", "a")
 	f.ready()
+	f.converged(1, restarted)
 	require.Equal(t, []int64{1}, restarted.activatedVersions())
 }
 
--- a/pkg/distribution/fleet_test.go
+++ b/pkg/distribution/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -321,7 +322,8 @@
 	for _, n := range nodes {
 		f.eventually(fmt.Sprintf("%s activates version %d", n.member.ID, version), func() bool {
 			s := n.Snapshot()
-			return s != nil && s.Version == version
+			// The activation is recorded just after the snapshot is in force.
+			return s != nil && s.Version == version && slices.Contains(n.activatedVersions(), version)
 		})
 	}
 }
