daemon: one frame for both programs; laburnumd handles signals from the beginning, too

The sidecar's mend of a SIGHUP that comes while the process starts was made in its main only. laburnumd has the same frame and had the same fault. Flags, signals and exit codes now stand once, in pkg/daemon.

--- a/cmd/laburnum-sidecar/main.go
+++ b/cmd/laburnum-sidecar/main.go
@@ -1,5 +1,5 @@
 // Command laburnum-sidecar is the node beside each backend server on the users' platform. It reads its settings, serves, and stops
-// gracefully on SIGTERM.
+// gracefully on SIGTERM. SIGHUP checks the settings, which take effect at the next start.
 package main
 
 import (
@@ -7,24 +7,18 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
-	"github.com/integrii/flaggy"
 	"go.uber.org/zap"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/daemon"
 	"github.com/laburnumcleat/laburnumcleat/pkg/logging"
 	"github.com/laburnumcleat/laburnumcleat/pkg/sidecar"
 	"github.com/laburnumcleat/laburnumcleat/platform"
 )
 
-// Exit codes.
-const (
-	exitSettings = 2 // the settings are wrong
-	exitFailure  = 1 // the node failed while it ran
-)
+const name = "laburnum-sidecar"
 
 // gcPercent keeps the heap small: memory is dearer on these machines than the processor time of the collector.
 const gcPercent = 50
@@ -35,23 +29,11 @@
 )
 
 func main() {
-	// First of all: a signal that nobody has asked for ends the process, also one that comes while it starts.
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-
-	var path string
-	var checkOnly bool
-	flaggy.SetName("laburnum-sidecar")
-	flaggy.SetDescription("node of laburnumcleat beside a backend server on the users' platform")
-	flaggy.String(&path, "s", "settings", "path of the JSON settings file; fields are in docs/platform.md")
-	flaggy.Bool(&checkOnly, "", "check", "check the settings and exit")
-	flaggy.Parse()
-
+	signals := daemon.Handle()
+	path, checkOnly := daemon.ParseFlags(name, "node of laburnumcleat beside a backend server on the users' platform", "docs/platform.md")
 	loaded, err := sidecar.LoadSettings(path)
 	if err != nil {
-		exit(exitSettings, err)
+		daemon.Exit(name, daemon.ExitSettings, err)
 	}
 	if checkOnly {
 		fmt.Println("settings are valid")
@@ -59,38 +41,23 @@
 	}
 	logger, output, err := logging.NewBounded(os.Stdout, loaded.LogLevel, logLines)
 	if err != nil {
-		exit(exitSettings, err)
+		daemon.Exit(name, daemon.ExitSettings, err)
 	}
 	debug.SetGCPercent(gcPercent)
 	n, err := sidecar.New(loaded, platform.New(loaded.Store.Address, logger), logger)
 	if err != nil {
-		exit(exitFailure, err)
-	}
-	go reloadOnHangup(ctx, hangup, path, logger)
-	err = n.Run(ctx)
-	output.Flush(flushLimit)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		exit(exitFailure, err)
+		daemon.Exit(name, daemon.ExitFailure, err)
 	}
-}
-
-// reloadOnHangup checks the settings on SIGHUP and says that they take effect at the next start.
-func reloadOnHangup(ctx context.Context, hangup <-chan os.Signal, path string, logger *zap.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
+	signals.OnHangup(func() {
+		if _, err := sidecar.LoadSettings(path); err != nil {
+			logger.Error("settings_not_valid", zap.Error(err))
 			return
-		case <-hangup:
-			if _, err := sidecar.LoadSettings(path); err != nil {
-				logger.Error("settings_not_valid", zap.Error(err))
-				continue
-			}
-			logger.Info("settings_checked")
 		}
+		logger.Info("settings_checked")
+	})
+	err = n.Run(signals.Stop)
+	output.Flush(flushLimit)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		daemon.Exit(name, daemon.ExitFailure, err)
 	}
 }
-
-func exit(code int, err error) {
-	fmt.Fprintln(os.Stderr, "laburnum-sidecar:", err)
-	os.Exit(code)
-}
--- a/cmd/laburnumd/main.go
+++ b/cmd/laburnumd/main.go
@@ -3,37 +3,23 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/integrii/flaggy"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/daemon"
 	"github.com/laburnumcleat/laburnumcleat/pkg/logging"
 	"github.com/laburnumcleat/laburnumcleat/pkg/node"
 	"github.com/laburnumcleat/laburnumcleat/pkg/settings"
 )
 
-// Exit codes.
-const (
-	exitSettings = 2 // the settings are wrong
-	exitFailure  = 1 // the node failed while it ran
-)
+const name = "laburnumd"
 
 func main() {
-	var path string
-	var checkOnly bool
-	flaggy.SetName("laburnumd")
-	flaggy.SetDescription("node of laburnumcleat, one beside each backend server")
-	flaggy.String(&path, "s", "settings", "path of the JSON settings file; fields are in docs/settings.md")
-	flaggy.Bool(&checkOnly, "", "check", "check the settings and exit")
-	flaggy.Parse()
-
+	signals := daemon.Handle()
+	path, checkOnly := daemon.ParseFlags(name, "node of laburnumcleat, one beside each backend server", "docs/settings.md")
 	loaded, err := settings.Load(path)
 	if err != nil {
-		exit(exitSettings, err)
+		daemon.Exit(name, daemon.ExitSettings, err)
 	}
 	if checkOnly {
 		fmt.Println("settings are valid")
@@ -41,35 +27,14 @@
 	}
 	logger, err := logging.New(os.Stderr, loaded.LogLevel)
 	if err != nil {
-		exit(exitSettings, err)
+		daemon.Exit(name, daemon.ExitSettings, err)
 	}
 	n, err := node.New(loaded, logger)
 	if err != nil {
-		exit(exitFailure, err)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go reloadOnHangup(ctx, n)
-	if err := n.Run(ctx); err != nil {
-		exit(exitFailure, err)
+		daemon.Exit(name, daemon.ExitFailure, err)
 	}
-}
-
-// reloadOnHangup reloads the keys on SIGHUP. The node logs the result.
-func reloadOnHangup(ctx context.Context, n *node.Node) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-			_ = n.ReloadKeys()
-		}
+	signals.OnHangup(func() { _ = n.ReloadKeys() }) // the node logs the result
+	if err := n.Run(signals.Stop); err != nil {
+		daemon.Exit(name, daemon.ExitFailure, err)
 	}
 }
-
-func exit(code int, err error) {
-	fmt.Fprintln(os.Stderr, "laburnumd:", err)
-	os.Exit(code)
-}
