soak: simpler link faults, one replacement of backend servers, and a check that mutants find their guards

Toxics are named by their event, so that nothing has to remember which were added; isolations that overlap both last their time. The mutant of SIGTERM follows its guard to pkg/daemon, and a test that needs no build fails when a guard moves away from its mutant.

--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -127,29 +127,23 @@
 	}
 	// A connection that does not allow deadlines fails on use.
 	_ = c.conn.SetDeadline(time.Now().Add(longest + giveUpAfter))
-	conn := c.conn
-	_, failed := io.WriteString(conn, text.String())
+	_, failed := io.WriteString(c.conn, text.String())
 	written := time.Now()
 	var answers []*answer
 	for k, a := range attempts {
-		got := &answer{err: failed}
-		closes := false
+		got, closes := &answer{err: failed}, true
 		if failed == nil {
 			got, closes = c.answer()
 		}
 		answers = append(answers, got)
-		if k > 0 && (got.err != nil || failed != nil) {
-			break // what was sent behind an answer that closes the connection counts as not read
+		if k == 0 || got.err == nil { // what was sent behind an answer that closes the connection counts as not read
+			c.world.judge.answered(a, got, written)
 		}
-		c.world.judge.answered(a, got, written)
-		if got.err != nil || closes {
+		if closes {
 			c.hangUp()
 			break
 		}
 	}
-	if failed != nil || answers[len(answers)-1].err != nil {
-		c.hangUp()
-	}
 	return answers
 }
 
@@ -190,7 +184,7 @@
 	return &answer{
 		status: response.StatusCode, id: response.Header.Get(wire.Headers.RequestID), signature: response.Header.Get(wire.Headers.Signature),
 		body: string(body), err: err,
-	}, response.Close
+	}, response.Close || err != nil
 }
 
 // serves sends one request and reports whether it succeeds.
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -136,10 +136,7 @@
 	case moveRoutes, growRoutes, shrinkRoutes:
 		w.publish(func(d *routing.Document) { changeRoutes(d, e.kind) })
 	case retireBackend:
-		service := n.service()
-		n.backend.retire()
-		time.Sleep(e.lasts % longestPause)
-		w.startBackend(n, service)
+		w.replaceBackend(n, n.backend.retire, e.lasts%longestPause, n.service())
 	case killNode:
 		w.restart(n, syscall.SIGKILL, e.lasts%longestPause)
 	case clockNode:
@@ -152,14 +149,9 @@
 	case storeFaults:
 		w.storeFault(e)
 	case crashBackend:
-		service := n.service()
-		n.backend.crash()
-		time.Sleep(e.lasts % longestPause)
-		w.startBackend(n, service)
+		w.replaceBackend(n, n.backend.crash, e.lasts%longestPause, n.service())
 	case otherService:
-		n.backend.crash()
-		time.Sleep(addressReuse)
-		w.startBackend(n, otherThan(n.service(), e.which))
+		w.replaceBackend(n, n.backend.crash, addressReuse, otherThan(n.service(), e.which))
 	case misbehaving:
 		w.misbehave(e, func(other *node) bool { return other.dataCentre == n.dataCentre })
 	case serviceFails:
@@ -172,6 +164,14 @@
 	}
 }
 
+// replaceBackend ends a backend server and starts one of a service after a pause.
+func (w *world) replaceBackend(n *node, end func(), pause time.Duration, service string) {
+	end()
+	time.Sleep(pause)
+	w.startBackend(n, service)
+}
+
+// startBackend starts a backend server, unless one runs.
 func (w *world) startBackend(n *node, service string) {
 	if err := n.backend.start(service); err != nil {
 		w.judge.broken(promiseRecovery, "the backend server of %s does not start: %v", n.id, err)
@@ -261,7 +261,7 @@
 	for _, other := range dataCentres {
 		if other != e.link.from {
 			for _, l := range []link{{e.link.from, other}, {other, e.link.from}} {
-				group.Go(func() { w.harm(l, event{kind: silenceLink, lasts: e.lasts}) })
+				group.Go(func() { w.harm(l, event{kind: silenceLink, at: e.at, lasts: e.lasts}) })
 			}
 		}
 	}
@@ -277,36 +277,30 @@
 	set(standin.Fault{})
 }
 
-// toxics by kind of a link fault. A delay of more than the slack of a deadline would have the judge blame the system for it.
+// toxics by kind of a link fault, without their names. A delay of more than the slack of a deadline would have the judge blame the
+// system for it.
 var toxics = map[kind][]string{
-	delayLink:   {`{"name":"n","type":"latency","stream":"upstream","attributes":{"latency":60,"jitter":60}}`, `{"name":"m","type":"latency","stream":"downstream","attributes":{"latency":60,"jitter":60}}`},
-	resetLink:   {`{"name":"n","type":"reset_peer","stream":"downstream","attributes":{"timeout":0}}`},
-	oneWayLink:  {`{"name":"n","type":"timeout","stream":"downstream","attributes":{"timeout":0}}`},
-	silenceLink: {`{"name":"n","type":"timeout","stream":"upstream","attributes":{"timeout":0}}`, `{"name":"m","type":"timeout","stream":"downstream","attributes":{"timeout":0}}`},
+	delayLink:   {`"type":"latency","stream":"upstream","attributes":{"latency":60,"jitter":60}`, `"type":"latency","stream":"downstream","attributes":{"latency":60,"jitter":60}`},
+	resetLink:   {`"type":"reset_peer","stream":"downstream","attributes":{"timeout":0}`},
+	oneWayLink:  {`"type":"timeout","stream":"downstream","attributes":{"timeout":0}`},
+	silenceLink: {`"type":"timeout","stream":"upstream","attributes":{"timeout":0}`, `"type":"timeout","stream":"downstream","attributes":{"timeout":0}`},
 }
 
 // harm disturbs the connections from one data centre to another for a while.
 func (w *world) harm(l link, e event) {
-	var added sync.Map
+	name := func(i int) string { return fmt.Sprintf("%s-%d-%d", e.kind, e.at, i) }
 	w.eachProxy(l, func(p *toxiproxy.Proxy) {
-		for i, text := range toxics[e.kind] {
-			name := fmt.Sprintf(`"name":"%s-%d-%d"`, e.kind, e.at, i)
-			text = strings.Replace(strings.Replace(text, `"name":"n"`, name, 1), `"name":"m"`, name, 1)
-			toxic, err := p.Toxics.AddToxicJson(strings.NewReader(text))
-			if err != nil {
-				continue // the same event again, which changes nothing
+		for i, toxic := range toxics[e.kind] {
+			if _, err := p.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(`{"name":%q,%s}`, name(i), toxic))); err != nil {
+				w.t.Errorf("the fault %s cannot be made: %v", e, err)
 			}
-			list, _ := added.LoadOrStore(p, &[]string{})
-			names := list.(*[]string)
-			*names = append(*names, toxic.Name)
 		}
 	})
 	time.Sleep(e.lasts)
-	added.Range(func(p, names any) bool {
-		for _, name := range *names.(*[]string) {
+	w.eachProxy(l, func(p *toxiproxy.Proxy) {
+		for i := range toxics[e.kind] {
 			// It is gone if everything was healed meanwhile.
-			_ = p.(*toxiproxy.Proxy).Toxics.RemoveToxic(context.Background(), name)
+			_ = p.Toxics.RemoveToxic(context.Background(), name(i))
 		}
-		return true
 	})
 }
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -68,7 +71,7 @@
 		{"pkg/sidecar/run.go", "\tn.stopServer(end, n.callers, \"callers\")\n", ""},
 	}},
 	{"does not handle SIGTERM", []promise{promiseRuns, promiseStop}, []replacement{
-		{"cmd/laburnum-sidecar/main.go", "syscall.SIGTERM, syscall.SIGINT", "syscall.SIGINT"},
+		{"pkg/daemon/daemon.go", "syscall.SIGTERM, syscall.SIGINT", "syscall.SIGINT"},
 	}},
 	{"keeps to the first instance", []promise{promiseRecovery}, []replacement{
 		{"pkg/sidecar/inbound.go", "if old == nil || old.ID != a.ID || old.Born != a.Born {", "if old == nil {"},
@@ -99,6 +102,17 @@
 	}
 }
 
+// The mutants are built on request only; that their guards still stand where they look for them is checked each time.
+func TestMutantsFindTheirGuards(t *testing.T) {
+	for _, m := range allMutants {
+		for _, c := range m.changes {
+			source, err := os.ReadFile(filepath.Join("../..", c.file))
+			require.NoError(t, err)
+			require.Equal(t, 1, strings.Count(string(source), c.old), "%s: %s holds %q", m.name, c.file, c.old)
+		}
+	}
+}
+
 func TestEachPromiseHasAMutant(t *testing.T) {
 	for _, p := range []promise{
 		promiseOnce, promiseNotRun, promiseWhole, promiseAsked, promiseService, promiseAllowed, promiseVersion, promiseApplied, promiseDrain,
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -338,9 +338,7 @@
 		// It may run already.
 		_ = n.process.Signal(syscall.SIGCONT)
 		n.life.Unlock()
-		if err := n.backend.start(n.service()); err != nil {
-			w.judge.broken(promiseRecovery, "the backend server of %s does not start: %v", n.id, err)
-		}
+		w.startBackend(n, n.service())
 	}
 }
 
