--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -46,9 +46,9 @@
 func (a *Admission) Acquire(ctx context.Context, call Call) (*Grant, *Refusal) {
 	c := &waiting{Call: call, decided: make(chan *Refusal, 1)}
 	a.mu.Lock()
-	c.arrived = a.now()
-	a.scheduler.offer(c.arrived, c)
-	latest := c.Deadline.Sub(c.arrived) - a.scheduler.estimate(c.Class)
+	now := a.now()
+	a.scheduler.offer(now, c)
+	latest := c.Deadline.Sub(now) - a.scheduler.estimate(c.Class)
 	a.mu.Unlock()
 	select {
 	case refused := <-c.decided:
--- a/pkg/admission/load_test.go
+++ b/pkg/admission/load_test.go
@@ -108,7 +108,7 @@
 	call := &simulated{class: c, first: first, returned: returned}
 	call.waiting = &waiting{
 		Call:    Call{Class: c.name, Rank: c.rank, Target: s.time(first + c.target), Deadline: s.time(first + c.deadline), Returned: returned},
-		arrived: s.time(s.now), decided: make(chan *Refusal, 1),
+		decided: make(chan *Refusal, 1),
 	}
 	if t := s.tally(call); t != nil {
 		if returned {
@@ -271,7 +271,7 @@
 	now := time.Unix(1000, 0)
 	var calls []*waiting
 	for range 4 {
-		c := &waiting{Call: Call{Target: now.Add(time.Second), Deadline: now.Add(time.Second)}, arrived: now, decided: make(chan *Refusal, 1)}
+		c := &waiting{Call: Call{Target: now.Add(time.Second), Deadline: now.Add(time.Second)}, decided: make(chan *Refusal, 1)}
 		s.offer(now, c)
 		calls = append(calls, c)
 	}
--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -42,7 +42,6 @@
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration // when the same call is expected to be accepted; 0: not within its deadline
-	Waited     time.Duration // from its arrival
 }
 
 // Result is what a call showed about the backend server.
@@ -81,7 +80,6 @@
 // waiting is a call from its arrival to its end.
 type waiting struct {
 	Call
-	arrived time.Time
 	granted time.Time
 	queued  bool
 	decided chan *Refusal // receives exactly one decision, nil for a grant; capacity 1
@@ -284,14 +282,12 @@
 	s.queue = slices.Delete(s.queue, i, i+1)
 }
 
-// withdraw removes a waiting call. It reports false if the call was decided already.
-func (s *scheduler) withdraw(now time.Time, c *waiting, reason Reason) bool {
-	if !c.queued {
-		return false
+// withdraw refuses a waiting call, unless it was decided already.
+func (s *scheduler) withdraw(now time.Time, c *waiting, reason Reason) {
+	if c.queued {
+		s.remove(slices.Index(s.queue, c))
+		s.refuse(now, c, reason)
 	}
-	s.remove(slices.Index(s.queue, c))
-	s.refuse(now, c, reason)
-	return true
 }
 
 func (s *scheduler) grant(now time.Time, c *waiting) {
@@ -303,7 +299,7 @@
 }
 
 func (s *scheduler) refuse(now time.Time, c *waiting, reason Reason) {
-	r := &Refusal{Reason: reason, Waited: now.Sub(c.arrived)}
+	r := &Refusal{Reason: reason}
 	if reason == Full || reason == Hopeless {
 		s.account(now, c.Rank, 0)
 		r.RetryAfter = s.retryAfter(now, c)
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -102,7 +102,7 @@
 	c.downUntil = make([]atomic.Int64, len(o.Nodes))
 	c.budget.tokens = budgetFloor
 	c.random = rand.Float64
-	c.sleep = sleep
+	c.sleep = clock.Sleep
 	c.next.Store(rand.Uint64())
 	return c, nil
 }
@@ -324,14 +324,3 @@
 		return result{outcome: callctx.Unknown, reason: callctx.ResponseUnchecked, lost: true, remedy: "check that the address is that of a node"}
 	}
 }
-
-func sleep(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -1,8 +1,11 @@
-// Package clock tells times as durations, for counters and atomics that cannot hold a time.Time. Unlike Unix times these do not
-// change when the wall clock is set.
+// Package clock waits, and tells times as durations for counters and atomics that cannot hold a time.Time. Unlike Unix times these do
+// not change when the wall clock is set.
 package clock
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // begun has a monotonic reading.
 var begun = time.Now()
@@ -10,5 +13,17 @@
 // Now is the time since the process started.
 func Now() time.Duration { return time.Since(begun) }
 
+// Sleep waits for d, or returns the error of ctx if that ends first.
+func Sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Of is the time between the start of the process and t, which comes from time.Now.
 func Of(t time.Time) time.Duration { return t.Sub(begun) }
--- a/pkg/config/property_test.go
+++ b/pkg/config/property_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/laburnumcleat/laburnumcleat/pkg/internal/fixedseed"
 )
 
 var (
--- a/pkg/distribution/fleet_test.go
+++ b/pkg/distribution/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -17,6 +16,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
+	_ "github.com/laburnumcleat/laburnumcleat/pkg/internal/fixedseed"
 	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
@@ -27,12 +27,7 @@
 // patience bounds waits for something that must happen. It is far above what a slow machine needs.
 const patience = 60 * time.Second
 
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil { // a failure must be the same in each run
-		panic(err)
-	}
-	goleak.VerifyTestMain(m)
-}
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // node is one in-process node with a real RPC server on loopback.
 type node struct {
--- a/pkg/distribution/packing.go
+++ b/pkg/distribution/packing.go
@@ -1,14 +1,11 @@
 package distribution
 
 import (
-	"bytes"
-	"compress/flate"
 	"encoding/json"
-	"io"
-	"sync"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
+	"github.com/laburnumcleat/laburnumcleat/pkg/packing"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
 )
 
@@ -20,36 +17,9 @@
 // same bytes on every node.
 type packed []byte
 
-var compressors = sync.Pool{New: func() any {
-	w, err := flate.NewWriter(nil, flate.BestSpeed)
-	if err != nil {
-		panic("flate: " + err.Error()) // the level is a constant in range
-	}
-	return w
-}}
-
-func pack(data []byte) packed {
-	var buffer bytes.Buffer
-	w := compressors.Get().(*flate.Writer)
-	defer compressors.Put(w)
-	w.Reset(&buffer)
-	_, _ = w.Write(data) // a bytes.Buffer takes everything
-	_ = w.Close()
-	return buffer.Bytes()
-}
+func pack(data []byte) packed { return packing.Pack(data) }
 
-func (p packed) unpack() ([]byte, error) {
-	r := flate.NewReader(bytes.NewReader(p))
-	defer r.Close()
-	data, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes+1))
-	if err != nil {
-		return nil, apierror.New(apierror.Invalid, "compressed data: "+err.Error(), "run the same version on all nodes")
-	}
-	if len(data) > maxUnpackedBytes {
-		return nil, apierror.New(apierror.TooLarge, "compressed data expands beyond its limit", "run the same version on all nodes")
-	}
-	return data, nil
-}
+func (p packed) unpack() ([]byte, error) { return packing.Unpack(p, maxUnpackedBytes) }
 
 func packEntries(entries []logstore.Entry) (packed, error) {
 	if len(entries) == 0 {
--- a/pkg/distribution/publish.go
+++ b/pkg/distribution/publish.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 )
@@ -132,14 +133,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < delay+minPublishing {
 		return false
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, delay) == nil
 }
 
 // failure is the error of a publish whose outcome could not be read from the log.
--- a/pkg/distribution/timing.go
+++ b/pkg/distribution/timing.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -35,36 +36,30 @@
 }
 
 func (t Timing) withDefaults() Timing {
-	setDefault(&t.Tick, 100*time.Millisecond)
-	setDefault(&t.RoleInterval, 500*time.Millisecond)
-	setDefault(&t.PollWait, 20*time.Second)
-	setDefault(&t.RetryBase, 100*time.Millisecond)
-	setDefault(&t.RetryMax, 5*time.Second)
-	setDefault(&t.PullDelay, 150*time.Millisecond)
-	setDefault(&t.CallTimeout, 2*time.Second)
-	setDefault(&t.StartAlone, time.Second)
-	setDefault(&t.StartPeers, 3*time.Second)
-	setDefault(&t.CheckInterval, 2*time.Second)
-	setDefault(&t.CheckpointRecords, 500)
-	setDefault(&t.Retention, 24*time.Hour)
-	setDefault(&t.CheckpointInterval, t.Retention/4)
-	setDefault(&t.PublishTimeout, 10*time.Second)
-	setDefault(&t.KeptEntries, 1024)
-	setDefault(&t.KeptBytes, 4<<20)
-	setDefault(&t.CatchUps, 16)
-	setDefault(&t.StatesPerSec, 8)
-	setDefault(&t.WaitingPulls, 32)
-	setDefault(&t.CatchUpRetryMS, 1000)
-	setDefault(&t.Seed, rand.Uint64())
+	t.Tick = cmp.Or(t.Tick, 100*time.Millisecond)
+	t.RoleInterval = cmp.Or(t.RoleInterval, 500*time.Millisecond)
+	t.PollWait = cmp.Or(t.PollWait, 20*time.Second)
+	t.RetryBase = cmp.Or(t.RetryBase, 100*time.Millisecond)
+	t.RetryMax = cmp.Or(t.RetryMax, 5*time.Second)
+	t.PullDelay = cmp.Or(t.PullDelay, 150*time.Millisecond)
+	t.CallTimeout = cmp.Or(t.CallTimeout, 2*time.Second)
+	t.StartAlone = cmp.Or(t.StartAlone, time.Second)
+	t.StartPeers = cmp.Or(t.StartPeers, 3*time.Second)
+	t.CheckInterval = cmp.Or(t.CheckInterval, 2*time.Second)
+	t.CheckpointRecords = cmp.Or(t.CheckpointRecords, 500)
+	t.Retention = cmp.Or(t.Retention, 24*time.Hour)
+	t.CheckpointInterval = cmp.Or(t.CheckpointInterval, t.Retention/4)
+	t.PublishTimeout = cmp.Or(t.PublishTimeout, 10*time.Second)
+	t.KeptEntries = cmp.Or(t.KeptEntries, 1024)
+	t.KeptBytes = cmp.Or(t.KeptBytes, 4<<20)
+	t.CatchUps = cmp.Or(t.CatchUps, 16)
+	t.StatesPerSec = cmp.Or(t.StatesPerSec, 8)
+	t.WaitingPulls = cmp.Or(t.WaitingPulls, 32)
+	t.CatchUpRetryMS = cmp.Or(t.CatchUpRetryMS, 1000)
+	t.Seed = cmp.Or(t.Seed, rand.Uint64())
 	return t
 }
 
-func setDefault[T ~int | ~int64 | ~uint64](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // jitter returns a uniform duration in [0, limit).
 func jitter(rng *rand.Rand, limit time.Duration) time.Duration {
 	if limit <= 0 {
--- a/pkg/execution/table_test.go
+++ b/pkg/execution/table_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	_ "github.com/laburnumcleat/laburnumcleat/pkg/internal/fixedseed"
 )
 
 const testIncarnation = 1_800_000_000_000 // Unix ms
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -7,6 +7,7 @@
 package hop
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -106,22 +107,15 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.DialTimeout, defaultDialTimeout)
-	setDefault(&o.UserTimeout, defaultUserTimeout)
-	setDefault(&o.IdleFor, defaultIdleFor)
-	setDefault(&o.FreshFor, defaultFreshFor)
-	setDefault(&o.IdlePerHost, defaultIdlePerHost)
-	setDefault(&o.MaxBuffered, defaultMaxBuffered)
+	o.DialTimeout = cmp.Or(o.DialTimeout, defaultDialTimeout)
+	o.UserTimeout = cmp.Or(o.UserTimeout, defaultUserTimeout)
+	o.IdleFor = cmp.Or(o.IdleFor, defaultIdleFor)
+	o.FreshFor = cmp.Or(o.FreshFor, defaultFreshFor)
+	o.IdlePerHost = cmp.Or(o.IdlePerHost, defaultIdlePerHost)
+	o.MaxBuffered = cmp.Or(o.MaxBuffered, defaultMaxBuffered)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Client sends requests and keeps connections. It is safe for concurrent use.
 type Client struct {
 	options Options
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -68,17 +68,6 @@
 	s.rebuildRing()
 }
 
-// others returns the other members that take part.
-func (s *system) others() []Member {
-	var out []Member
-	for _, id := range slices.Sorted(maps.Keys(s.table.entries)) {
-		if e := s.table.entries[id]; id != s.self && !e.Status.ended() && e.ControlAddress != "" {
-			out = append(out, e.copyMember())
-		}
-	}
-	return out
-}
-
 func (s *system) joinRequest(now time.Time) joinRequest {
 	return joinRequest{Member: s.me().fullUpdate(now)}
 }
--- a/pkg/membership/joiner.go
+++ b/pkg/membership/joiner.go
@@ -131,7 +131,6 @@
 // always, as the options say, in random order. With a directory they are those of the members in it, until one has answered.
 func (s *Service) joinAddresses(ctx context.Context) []string {
 	s.mu.Lock()
-	known := s.system.controlAddresses()
 	stopped := s.system.superseded || s.system.leaving
 	s.mu.Unlock()
 	if stopped {
@@ -140,9 +139,14 @@
 	if s.options.Directory != nil {
 		return s.directoryAddresses(ctx)
 	}
+	s.mu.Lock()
+	known := s.system.controlAddresses()
+	s.mu.Unlock()
 	candidates := slices.Clone(s.options.Seeds)
 	if s.isAlone() || s.contactsDue(time.Now()) {
-		candidates = append(candidates, s.readContacts(ctx)...)
+		contacts := readContacts(ctx, s, s.options.Contacts)
+		rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
+		candidates = append(candidates, contacts[:min(len(contacts), maxContacts)]...)
 	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	return slices.DeleteFunc(candidates, func(address string) bool { return known[address] })
@@ -159,22 +163,15 @@
 	if !s.lacksTable() && !s.contactsDue(time.Now()) {
 		return nil
 	}
-	s.contactsRead = time.Now()
-	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
-	defer cancel()
-	members, err := s.options.Directory(ctx)
-	if err != nil {
-		s.options.Metrics.Inc("membership_contacts_failed")
-		s.options.Logger.Warn("contacts_unavailable", zap.Error(err))
-	}
+	members := readContacts(ctx, s, s.options.Directory)
 	s.mu.Lock()
 	s.system.adopt(time.Now(), members)
 	s.publish()
-	others := s.system.others()
 	s.mu.Unlock()
 	if !s.lacksTable() {
 		return nil
 	}
+	others := slices.DeleteFunc(s.Members(), func(m Member) bool { return m.ID == s.options.Self.ID || m.Status.ended() })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	var near, far []string
 	for _, m := range others {
@@ -193,21 +190,20 @@
 	return s.options.ContactsInterval > 0 && now.Sub(s.contactsRead) >= s.options.ContactsInterval
 }
 
-func (s *Service) readContacts(ctx context.Context) []string {
-	if s.options.Contacts == nil {
+// readContacts reads contacts or the directory. A failure is counted and logged, and leads to what was read before it.
+func readContacts[T any](ctx context.Context, s *Service, read func(context.Context) ([]T, error)) []T {
+	if read == nil {
 		return nil
 	}
 	s.contactsRead = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
 	defer cancel()
-	contacts, err := s.options.Contacts(ctx)
+	found, err := read(ctx)
 	if err != nil {
 		s.options.Metrics.Inc("membership_contacts_failed")
 		s.options.Logger.Warn("contacts_unavailable", zap.Error(err))
-		return nil
 	}
-	rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
-	return contacts[:min(len(contacts), maxContacts)]
+	return found
 }
 
 func (s *Service) isAlone() bool {
--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"net"
 	"slices"
@@ -13,16 +12,11 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	_ "github.com/laburnumcleat/laburnumcleat/pkg/internal/fixedseed"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil { // a failure must be the same in each run
-		panic(err)
-	}
-	goleak.VerifyTestMain(m)
-}
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // eventually bounds waiting only to end a run that hangs; no verdict depends on how long a step takes.
 const eventually = 2 * time.Minute
--- a/pkg/membership/timing.go
+++ b/pkg/membership/timing.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -39,41 +40,29 @@
 }
 
 func (t Timing) withDefaults() Timing {
-	setDuration(&t.Tick, 50*time.Millisecond)
-	setDuration(&t.ProbeInterval, time.Second)
-	setDuration(&t.ProbeTimeout, 300*time.Millisecond)
-	setInt(&t.IndirectProbes, 3)
-	setDuration(&t.SuspicionFactor, 800*time.Millisecond)
-	setDuration(&t.SuspicionMinimum, time.Second)
-	setDuration(&t.PartitionHold, 10*time.Minute)
-	setDuration(&t.Retention, 10*time.Minute)
-	setDuration(&t.GossipInterval, 100*time.Millisecond)
-	setInt(&t.GossipFanout, 3)
-	setInt(&t.RetransmitFactor, 4)
-	setInt(&t.MaxDeltaBytes, 1400)
-	setDuration(&t.SyncInterval, 5*time.Second)
-	setDuration(&t.ReconnectInterval, 10*time.Second)
-	setDuration(&t.ReturnInterval, time.Second)
-	setDuration(&t.JoinTimeout, 3*time.Second)
-	setDuration(&t.JoinStagger, t.JoinTimeout)
-	setInt(&t.JoinsPerSecond, 16)
-	setDuration(&t.JoinBackoff, 500*time.Millisecond)
-	setDuration(&t.JoinBackoffMaximum, 10*time.Second)
+	t.Tick = cmp.Or(t.Tick, 50*time.Millisecond)
+	t.ProbeInterval = cmp.Or(t.ProbeInterval, time.Second)
+	t.ProbeTimeout = cmp.Or(t.ProbeTimeout, 300*time.Millisecond)
+	t.IndirectProbes = cmp.Or(t.IndirectProbes, 3)
+	t.SuspicionFactor = cmp.Or(t.SuspicionFactor, 800*time.Millisecond)
+	t.SuspicionMinimum = cmp.Or(t.SuspicionMinimum, time.Second)
+	t.PartitionHold = cmp.Or(t.PartitionHold, 10*time.Minute)
+	t.Retention = cmp.Or(t.Retention, 10*time.Minute)
+	t.GossipInterval = cmp.Or(t.GossipInterval, 100*time.Millisecond)
+	t.GossipFanout = cmp.Or(t.GossipFanout, 3)
+	t.RetransmitFactor = cmp.Or(t.RetransmitFactor, 4)
+	t.MaxDeltaBytes = cmp.Or(t.MaxDeltaBytes, 1400)
+	t.SyncInterval = cmp.Or(t.SyncInterval, 5*time.Second)
+	t.ReconnectInterval = cmp.Or(t.ReconnectInterval, 10*time.Second)
+	t.ReturnInterval = cmp.Or(t.ReturnInterval, time.Second)
+	t.JoinTimeout = cmp.Or(t.JoinTimeout, 3*time.Second)
+	t.JoinStagger = cmp.Or(t.JoinStagger, t.JoinTimeout)
+	t.JoinsPerSecond = cmp.Or(t.JoinsPerSecond, 16)
+	t.JoinBackoff = cmp.Or(t.JoinBackoff, 500*time.Millisecond)
+	t.JoinBackoffMaximum = cmp.Or(t.JoinBackoffMaximum, 10*time.Second)
 	return t
 }
 
-func setDuration(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
-func setInt(field *int, value int) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // suspicion is how long a member stays suspect in a fleet of n before it is declared dead. It grows with log n because
 // the spreading of the suspicion and of its refutation does.
 func (t Timing) suspicion(n int) time.Duration {
--- a/pkg/outbound/resolve.go
+++ b/pkg/outbound/resolve.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/execution"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
 	"github.com/laburnumcleat/laburnumcleat/pkg/inbound"
@@ -132,17 +133,13 @@
 		return r
 	}
 	s.end()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		if !s.begin() {
-			return s.overLimit()
-		}
-		return nil
-	case <-ctx.Done():
+	if clock.Sleep(ctx, wait) != nil {
 		return &reply{outcome: callctx.Unknown, reason: callctx.CancelledRunning}
 	}
+	if !s.begin() {
+		return s.overLimit()
+	}
+	return nil
 }
 
 // readRoster returns the incarnations that were not asked yet. Lost names a node that ended too late for the id: what it
--- /dev/null
+++ b/pkg/packing/packing.go
@@ -0,0 +1,45 @@
+// Package packing compresses what is passed between nodes: a configuration that grows by hundreds of routes takes seconds on a thin
+// link otherwise.
+package packing
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+)
+
+var compressors = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic("flate: " + err.Error()) // the level is a constant in range
+	}
+	return w
+}}
+
+// Pack compresses data.
+func Pack(data []byte) []byte {
+	var buffer bytes.Buffer
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(&buffer)
+	_, _ = w.Write(data) // a bytes.Buffer takes everything
+	_ = w.Close()
+	return buffer.Bytes()
+}
+
+// Unpack returns what was packed. It fails with kind Invalid for other data, and with kind TooLarge if there is more than limit bytes.
+func Unpack(data []byte, limit int64) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	defer r.Close()
+	out, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, apierror.New(apierror.Invalid, "compressed data: "+err.Error(), "run the same version on all nodes")
+	}
+	if int64(len(out)) > limit {
+		return nil, apierror.New(apierror.TooLarge, "compressed data expands beyond its limit", "run the same version on all nodes")
+	}
+	return out, nil
+}
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -29,6 +29,8 @@
 	broken  bool // nothing more can be written
 	waiting bool // for the first byte of a request
 	alone   bool // the latest request is to be served alone
+
+	received time.Time // first byte of the latest request; of the conn's own goroutine
 }
 
 // headerLimit bounds what is read for one header.
@@ -86,7 +88,7 @@
 	if !c.awaitFirstByte() {
 		return nil, 0
 	}
-	received := c.source.readAt
+	c.received = c.source.readAt
 	limits := c.server.limits()
 	c.source.left = limits.HeaderBytes
 	if limits.HeaderBytes <= 0 {
@@ -110,7 +112,7 @@
 	}
 	_ = c.socket.SetReadDeadline(time.Time{})
 	request.RemoteAddr = c.socket.RemoteAddr().String()
-	return request.WithContext(context.WithValue(c.ctx, receivedKey{}, received)), 0
+	return request, 0
 }
 
 func deadlineAfter(d time.Duration) time.Time {
@@ -205,14 +207,14 @@
 	} else {
 		close(body)
 	}
-	go c.handle(w, r)
+	go c.handle(w, r, c.received)
 	<-body // the next request, or the client's close, follows the body
 	return more
 }
 
 // handle serves one request.
-func (c *conn) handle(w *writer, r *http.Request) {
-	ctx, cancel := context.WithCancel(r.Context())
+func (c *conn) handle(w *writer, r *http.Request, received time.Time) {
+	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, receivedKey{}, received))
 	defer cancel()
 	completed := false
 	defer func() {
--- a/pkg/presence/read.go
+++ b/pkg/presence/read.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
 )
 
@@ -49,14 +50,10 @@
 	if missing <= 0 {
 		return nil
 	}
-	timer := time.NewTimer(missing)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return unavailable(ctx.Err())
+	if err := clock.Sleep(ctx, missing); err != nil {
+		return unavailable(err)
 	}
+	return nil
 }
 
 // Contacts returns the control addresses of the incarnations that last, as of a new read to the tail.
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -8,6 +8,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 )
 
 // Terms are the bound of the fleet.
@@ -27,17 +29,16 @@
 // Budget counts requests and repeats for each service over a sliding window. It is safe for concurrent use.
 type Budget struct {
 	terms Terms
-	nodes func() int // in the fleet, this one included
-	now   func() time.Time
+	nodes func() int           // in the fleet, this one included
+	now   func() time.Duration // since a fixed moment
 
 	mu       sync.Mutex
-	began    time.Time // when the first window did
 	services map[string]*window
 }
 
 // New returns a budget. nodes returns the size of the fleet.
 func New(terms Terms, nodes func() int) *Budget {
-	return &Budget{terms: terms, nodes: nodes, now: time.Now, services: make(map[string]*window)}
+	return &Budget{terms: terms, nodes: nodes, now: clock.Now, services: make(map[string]*window)}
 }
 
 // window counts in buckets that cover Terms.Window.
@@ -79,11 +80,7 @@
 		w = &window{}
 		b.services[service] = w
 	}
-	now := b.now()
-	if b.began.IsZero() {
-		b.began = now
-	}
-	number := int64(now.Sub(b.began) / (b.terms.Window / buckets))
+	number := int64(b.now() / (b.terms.Window / buckets))
 	steps := min(number-w.newest, buckets)
 	for s := int64(1); s <= steps; s++ {
 		i := (w.newest + s) % buckets
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -14,19 +14,19 @@
 // repeats of all nodes stay within the bound of the fleet.
 func TestPartsAddUpUnderSkew(t *testing.T) {
 	const nodes = 11
-	now := time.Unix(1000, 0)
+	now := 1000 * time.Second
 	random := rand.New(rand.NewPCG(1, 1))
 	var budgets []*Budget
 	for range nodes {
 		b := New(terms, func() int { return nodes })
-		b.now = func() time.Time { return now }
+		b.now = func() time.Duration { return now }
 		budgets = append(budgets, b)
 	}
 	type step struct{ requests, repeats int }
 	var steps []step
 	const perWindow = 100
 	for range 6 * perWindow {
-		now = now.Add(terms.Window / perWindow)
+		now += terms.Window / perWindow
 		var s step
 		for i, b := range budgets {
 			rate := 1.0 / float64(1+i*i)
@@ -57,15 +57,15 @@
 }
 
 func TestServicesAreSeparateAndWindowsEnd(t *testing.T) {
-	now := time.Unix(1000, 0)
+	now := 1000 * time.Second
 	b := New(Terms{Ratio: 0, Slack: 4, Window: time.Second}, func() int { return 1 })
-	b.now = func() time.Time { return now }
+	b.now = func() time.Duration { return now }
 	assert.True(t, b.TakeRepeat("a"))
 	assert.True(t, b.TakeRepeat("a"))
 	assert.False(t, b.TakeRepeat("a"))
 	assert.True(t, b.TakeRepeat("b"))
-	now = now.Add(2 * time.Second)
+	now += 2 * time.Second
 	assert.True(t, b.TakeRepeat("a"))
-	now = now.Add(-time.Hour) // the clock was set back
+	now -= time.Hour // the clock was set back
 	assert.False(t, func() bool { b.TakeRepeat("a"); return b.TakeRepeat("a") }())
 }
--- a/pkg/routing/change.go
+++ b/pkg/routing/change.go
@@ -72,10 +72,8 @@
 }
 
 func (r *Route) equal(other *Route) bool {
-	a, b := *r, *other
-	a.Destinations, b.Destinations = nil, nil
-	return a.Name == b.Name && a.Host == b.Host && a.PathPrefix == b.PathPrefix && a.Idempotent == b.Idempotent &&
-		a.Priority == b.Priority && a.TargetMS == b.TargetMS && a.TimeoutMS == b.TimeoutMS && a.MaxAttempts == b.MaxAttempts &&
+	return r.Name == other.Name && r.Host == other.Host && r.PathPrefix == other.PathPrefix && r.Idempotent == other.Idempotent &&
+		r.Priority == other.Priority && r.TargetMS == other.TargetMS && r.TimeoutMS == other.TimeoutMS && r.MaxAttempts == other.MaxAttempts &&
 		slices.Equal(r.Destinations, other.Destinations)
 }
 
--- a/pkg/routing/document.go
+++ b/pkg/routing/document.go
@@ -88,12 +88,12 @@
 		}
 		services[s.Name] = true
 	}
-	places := make(map[place]string, len(d.Routes))
+	places := make(map[Place]string, len(d.Routes))
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		field := fmt.Sprintf("routes[%d]", i)
 		errs = append(errs, r.check(field, services)...)
-		at := place{strings.ToLower(r.Host), r.PathPrefix}
+		at := r.place()
 		if other, taken := places[at]; taken {
 			fault(field, fmt.Sprintf("route %q has the host and prefix of route %q", r.Name, other), "give each route its own place")
 		}
@@ -102,11 +102,6 @@
 	return errs
 }
 
-// place is where a route stands.
-type place struct {
-	host, prefix string
-}
-
 func (r *Route) check(field string, services map[string]bool) apierror.List {
 	var errs apierror.List
 	fault := func(name, message, remedy string) {
--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -1,11 +1,8 @@
 package sidecar
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -15,7 +12,9 @@
 	"go.uber.org/zap"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
+	"github.com/laburnumcleat/laburnumcleat/pkg/packing"
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
 )
@@ -132,14 +131,14 @@
 // Run reads the source until ctx ends. A node that is no reader reads it only while it has no configuration.
 func (f *follower) Run(ctx context.Context) {
 	if f.readCopy(ctx) {
-		sleepFor(ctx, readerCheck) // by then the other members are known, and with them who reads
+		_ = clock.Sleep(ctx, readerCheck) // by then the other members are known, and with them who reads
 	}
 	position, known := int64(0), false
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		if f.table.Load() != nil && !f.isReader() {
 			known = false
-			sleepFor(ctx, readerCheck)
+			_ = clock.Sleep(ctx, readerCheck)
 			continue
 		}
 		var p Published
@@ -152,7 +151,7 @@
 		if err != nil {
 			known = known && apierror.KindOf(err) != apierror.NotFound
 			f.failed(err)
-			sleepFor(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
+			_ = clock.Sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
 			backoff = min(2*backoff, lastBackoff)
 			continue
 		}
@@ -169,7 +168,7 @@
 		if p.Document == nil {
 			continue
 		}
-		sleepFor(ctx, pollPause)
+		_ = clock.Sleep(ctx, pollPause)
 	}
 }
 
@@ -177,8 +176,11 @@
 // operators' own; the readers find that out within a second and pass the newer one on. It reports whether there was a copy.
 func (f *follower) readCopy(ctx context.Context) bool {
 	data, err := f.source.Copy(ctx)
+	if err != nil {
+		f.failed(err) // the operators' own is read in any case
+	}
 	if err != nil || data == nil {
-		return false // the operators' own is read in any case
+		return false
 	}
 	document, err := unpack[routing.Document](data)
 	if err != nil {
@@ -222,15 +224,6 @@
 	}
 }
 
-func sleepFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // heard takes in that another node has a version. If it is newer, and has not come otherwise after a delay, it is asked of that
 // node.
 func (f *follower) heard(ctx context.Context, version uint64, address string, delay time.Duration) {
@@ -240,7 +233,7 @@
 	go func() {
 		defer f.pulling.Store(false)
 		if f.table.Load() != nil {
-			sleepFor(ctx, delay)
+			_ = clock.Sleep(ctx, delay)
 		}
 		if version <= f.version() || ctx.Err() != nil {
 			return
@@ -318,27 +311,22 @@
 	return nil
 }
 
-// pack encodes what is passed between nodes as compressed JSON: a configuration that grows by hundreds of routes takes seconds on a
-// thin link otherwise.
+// pack encodes what is passed between nodes as compressed JSON.
 func pack(value any) ([]byte, error) {
-	var out bytes.Buffer
-	compressor, err := flate.NewWriter(&out, flate.BestSpeed)
+	data, err := json.Marshal(value)
 	if err != nil {
-		return nil, eris.Wrap(err, "compressing a configuration")
-	}
-	if err := json.NewEncoder(compressor).Encode(value); err != nil {
 		return nil, eris.Wrap(err, "encoding a configuration")
 	}
-	if err := compressor.Close(); err != nil {
-		return nil, eris.Wrap(err, "compressing a configuration")
-	}
-	return out.Bytes(), nil
+	return packing.Pack(data), nil
 }
 
-func unpack[T any](data []byte) (*T, error) {
+func unpack[T any](packed []byte) (*T, error) {
+	data, err := packing.Unpack(packed, maxWholeBytes)
+	if err != nil {
+		return nil, err
+	}
 	value := new(T)
-	reader := io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxWholeBytes)
-	if err := json.NewDecoder(reader).Decode(value); err != nil {
+	if err := json.Unmarshal(data, value); err != nil {
 		return nil, eris.Wrap(err, "decoding a configuration from another node")
 	}
 	return value, nil
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -50,12 +51,12 @@
 
 // New returns a transport.
 func New(o Options) *Transport {
-	dialer := &dial.Dialer{Timeout: orDefault(o.DialTimeout, defaultDialTimeout), Overrides: o.DialOverrides}
+	dialer := &dial.Dialer{Timeout: cmp.Or(o.DialTimeout, defaultDialTimeout), Overrides: o.DialOverrides}
 	t := &http.Transport{
-		MaxIdleConnsPerHost:    orDefault(o.IdlePerHost, defaultIdlePerHost),
-		MaxIdleConns:           orDefault(o.IdleTotal, defaultIdleTotal),
-		IdleConnTimeout:        orDefault(o.IdleConnTimeout, callctx.ConnectionIdleTimeout),
-		MaxResponseHeaderBytes: orDefault(o.MaxHeaderBytes, defaultMaxHeaderBytes),
+		MaxIdleConnsPerHost:    cmp.Or(o.IdlePerHost, defaultIdlePerHost),
+		MaxIdleConns:           cmp.Or(o.IdleTotal, defaultIdleTotal),
+		IdleConnTimeout:        cmp.Or(o.IdleConnTimeout, callctx.ConnectionIdleTimeout),
+		MaxResponseHeaderBytes: cmp.Or(o.MaxHeaderBytes, defaultMaxHeaderBytes),
 		DisableCompression:     true,
 	}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -82,14 +83,6 @@
 	return secure, nil
 }
 
-func orDefault[T comparable](value, standard T) T {
-	var zero T
-	if value == zero {
-		return standard
-	}
-	return value
-}
-
 // Close closes idle connections.
 func (t *Transport) Close() {
 	t.http.CloseIdleConnections()
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 )
 
 // Announcement is the body of POST /v1/backend at the API address of the node.
@@ -144,7 +146,7 @@
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
 	defer cancel()
 	s.announce(drain, "draining")
-	sleep(drain, s.options.DrainHold)
+	_ = clock.Sleep(drain, s.options.DrainHold)
 	s.waitIdle(drain)
 	s.announce(drain, "gone")
 	err := s.http.Shutdown(drain)
--- a/standin/backend/serve.go
+++ b/standin/backend/serve.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 )
 
 // Reply is the JSON body of a served request.
@@ -131,7 +131,7 @@
 		Execution:  s.record(id),
 	}
 	fault := s.pickFault()
-	if !sleep(r.Context(), s.serviceTime()+fault.delay) {
+	if clock.Sleep(r.Context(), s.serviceTime()+fault.delay) != nil {
 		s.countCancelled()
 		return
 	}
@@ -200,18 +200,6 @@
 	return time.Duration(base * (1 + s.options.Jitter*(2*s.random.float()-1)))
 }
 
-// sleep reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func padding(size int) string {
 	text := make([]byte, size)
 	for i := range text {
--- a/standin/bench/bench.go
+++ b/standin/bench/bench.go
@@ -229,12 +229,3 @@
 	}
 	return (numbers[0] + numbers[1]) / clockTicks, numbers[2] * float64(os.Getpagesize()), nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
--- a/standin/bench/config.go
+++ b/standin/bench/config.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
 	"github.com/laburnumcleat/laburnumcleat/pkg/logstore"
@@ -45,7 +46,7 @@
 		return err
 	}
 	defer r.close()
-	idle, err := r.measure(func() error { return sleep(ctx, idleWindow) })
+	idle, err := r.measure(func() error { return clock.Sleep(ctx, idleWindow) })
 	if err != nil {
 		return err
 	}
@@ -97,14 +98,14 @@
 			return nil, err
 		}
 		acceptedAt[target.revision] = time.Now()
-		if err := sleep(ctx, changeInterval); err != nil {
+		if err := clock.Sleep(ctx, changeInterval); err != nil {
 			return nil, err
 		}
 	}
 	if err := r.fleet.WaitVersion(ctx, readyLimit, target.revision, r.fleet.Nodes); err != nil {
 		return nil, err
 	}
-	if err := sleep(ctx, settleWindow); err != nil {
+	if err := clock.Sleep(ctx, settleWindow); err != nil {
 		return nil, err
 	}
 	return r.activations(ctx, acceptedAt)
@@ -234,7 +235,7 @@
 		return 0, herdResult{}, err
 	}
 	seconds := time.Since(begin).Seconds()
-	window, err := r.measure(func() error { return sleep(ctx, settleWindow) })
+	window, err := r.measure(func() error { return clock.Sleep(ctx, settleWindow) })
 	if err != nil {
 		return 0, herdResult{}, err
 	}
@@ -247,7 +248,7 @@
 // pollingBaseline lets one client for each node poll the log every second and returns the bytes a second at the log
 // service, the fleet's own share deducted.
 func (r *run) pollingBaseline(ctx context.Context) (float64, error) {
-	own, err := r.platformRate(ctx, func() error { return sleep(ctx, pollBaseline) })
+	own, err := r.platformRate(ctx, func() error { return clock.Sleep(ctx, pollBaseline) })
 	if err != nil {
 		return 0, err
 	}
@@ -287,7 +288,7 @@
 		if err == nil {
 			from = batch.Next
 		}
-		_ = sleep(ctx, pollInterval)
+		_ = clock.Sleep(ctx, pollInterval)
 	}
 }
 
--- a/standin/bench/fleet.go
+++ b/standin/bench/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
 	"github.com/laburnumcleat/laburnumcleat/standin/fleet"
 	"github.com/laburnumcleat/laburnumcleat/standin/load"
@@ -80,7 +81,7 @@
 		return err
 	}
 	defer r.close()
-	if err := sleep(ctx, calmPause); err != nil {
+	if err := clock.Sleep(ctx, calmPause); err != nil {
 		return err
 	}
 	m := &meter{run: r, samples: s, size: float64(size)}
@@ -153,7 +154,7 @@
 func (m *meter) idle(ctx context.Context) error {
 	nodes := m.run.fleet.Nodes
 	var err error
-	if m.calm, err = m.costOf(nodes, func() error { return sleep(ctx, restDuration) }); err != nil {
+	if m.calm, err = m.costOf(nodes, func() error { return clock.Sleep(ctx, restDuration) }); err != nil {
 		return err
 	}
 	var memory []float64
@@ -195,7 +196,7 @@
 				return err
 			}
 		}
-		return sleep(ctx, returnSettle)
+		return clock.Sleep(ctx, returnSettle)
 	})
 	if err != nil {
 		return err
@@ -218,11 +219,11 @@
 		n.Kill()
 	}
 	for waited := deathSettle; ; waited += time.Second {
-		if err := sleep(ctx, time.Second); err != nil {
+		if err := clock.Sleep(ctx, time.Second); err != nil {
 			return nil, err
 		}
 		if waited == deathSettle {
-			if err := sleep(ctx, deathSettle-time.Second); err != nil {
+			if err := clock.Sleep(ctx, deathSettle-time.Second); err != nil {
 				return nil, err
 			}
 		}
@@ -323,7 +324,7 @@
 		return highest
 	}
 	at := time.Now()
-	for sleep(ctx, herdSample) == nil {
+	for clock.Sleep(ctx, herdSample) == nil {
 		after, err := m.run.fleet.LogStats(ctx)
 		if err != nil {
 			break
--- a/standin/bench/surge.go
+++ b/standin/bench/surge.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/standin/fleet"
 	"github.com/laburnumcleat/laburnumcleat/standin/load"
@@ -94,7 +95,7 @@
 }
 
 func (b *callBench) surge(ctx context.Context, s surge) error {
-	if err := sleep(ctx, surgePause); err != nil {
+	if err := clock.Sleep(ctx, surgePause); err != nil {
 		return err
 	}
 	service := b.service(s.most)
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/config"
 	"github.com/laburnumcleat/laburnumcleat/standin/canary"
 	"github.com/laburnumcleat/laburnumcleat/standin/fleet"
@@ -79,7 +80,7 @@
 		return err
 	}
 	// Nodes take non-idempotent calls only with ids that are newer than their presence records by the clock bound.
-	sleepUntil(ctx, time.Now().Add(callctx.ClockError+presenceSlack))
+	_ = clock.Sleep(ctx, callctx.ClockError+presenceSlack)
 
 	loadDone := make(chan loadResult, 1)
 	go func() { loadDone <- r.load(ctx) }()
@@ -124,21 +125,21 @@
 		if err := r.amendCanary(ctx, generation); err != nil {
 			return err
 		}
-		sleepUntil(ctx, begin.Add(time.Duration(generation)*amendEvery))
+		_ = clock.Sleep(ctx, time.Until(begin.Add(time.Duration(generation)*amendEvery)))
 	}
 	killed := r.fleet.Nodes[0]
-	sleepUntil(ctx, begin.Add(killAfter))
+	_ = clock.Sleep(ctx, time.Until(begin.Add(killAfter)))
 	killed.KillVM()
 	fmt.Fprintf(r.options.Out, "event=vm_killed node=%s\n", killed.ID)
 
-	sleepUntil(ctx, begin.Add(drainAfter))
+	_ = clock.Sleep(ctx, time.Until(begin.Add(drainAfter)))
 	drained := r.fleet.Nodes[len(r.fleet.Nodes)-1]
 	if err := drained.StopBackend(); err != nil {
 		return err
 	}
 	fmt.Fprintf(r.options.Out, "event=backend_server_drained node=%s\n", drained.ID)
 
-	sleepUntil(ctx, begin.Add(restartAfter))
+	_ = clock.Sleep(ctx, time.Until(begin.Add(restartAfter)))
 	if err := killed.RestartVM(); err != nil {
 		return err
 	}
@@ -146,13 +147,6 @@
 	return r.amendCanary(ctx, amendments+1)
 }
 
-func sleepUntil(ctx context.Context, t time.Time) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(time.Until(t)):
-	}
-}
-
 // ctl runs laburnumctl against the first three nodes that run.
 func (r *run) ctl(ctx context.Context, args ...string) error {
 	addresses := make([]string, 0, len(r.fleet.Nodes))
