--- a/pkg/distribution/packing.go
+++ b/pkg/distribution/packing.go
@@ -17,7 +17,9 @@
 // same bytes on every node.
 type packed []byte
 
-func pack(data []byte) packed { return packing.Pack(data) }
+var packer packing.Packer
+
+func pack(data []byte) packed { return packer.Pack(data) }
 
 func (p packed) unpack() ([]byte, error) { return packing.Unpack(p, maxUnpackedBytes) }
 
--- a/pkg/packing/packing.go
+++ b/pkg/packing/packing.go
@@ -11,19 +11,34 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 )
 
-var compressors = sync.Pool{New: func() any {
+// Pack compresses data. A compressor takes about a megabyte, which is free again afterwards.
+func Pack(data []byte) []byte { return compress(newCompressor(), data) }
+
+// Packer keeps its compressors, for senders of many messages. The zero value is ready for use, also by several goroutines.
+type Packer struct {
+	idle sync.Pool
+}
+
+// Pack compresses data.
+func (p *Packer) Pack(data []byte) []byte {
+	w, ok := p.idle.Get().(*flate.Writer)
+	if !ok {
+		w = newCompressor()
+	}
+	defer p.idle.Put(w)
+	return compress(w, data)
+}
+
+func newCompressor() *flate.Writer {
 	w, err := flate.NewWriter(nil, flate.BestSpeed)
 	if err != nil {
 		panic("flate: " + err.Error()) // the level is a constant in range
 	}
 	return w
-}}
+}
 
-// Pack compresses data.
-func Pack(data []byte) []byte {
+func compress(w *flate.Writer, data []byte) []byte {
 	var buffer bytes.Buffer
-	w := compressors.Get().(*flate.Writer)
-	defer compressors.Put(w)
 	w.Reset(&buffer)
 	_, _ = w.Write(data) // a bytes.Buffer takes everything
 	_ = w.Close()
