admission, placement: what backend servers say about load and speed is used

Cause: the load header was not read at all. Ruled out: overload of records (9 slots, 25 ms of work, 1.3 times the mean at the busiest).

Change: the adapter decodes the header (tables of good and bad values); a refusal with free slots leaves the limit alone; the fourth figure scales the estimates of service time for 400 ms, and travels with the reports between nodes, where placement uses it as long.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -26,6 +26,14 @@
 	a.scheduler.dispatch(a.now())
 }
 
+// ObserveSlowness takes in how long work takes at the backend server now, relative to usual: above 0. It is to be called before the
+// Release of the call whose answer says it.
+func (a *Admission) ObserveSlowness(slowness float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.observe(a.now(), slowness)
+}
+
 // Grant is a slot. Its holder must call Release once.
 type Grant struct {
 	admission *Admission
@@ -48,7 +56,7 @@
 	a.mu.Lock()
 	now := a.now()
 	a.scheduler.offer(now, c)
-	latest := c.Deadline.Sub(now) - a.scheduler.estimate(c.Class)
+	latest := c.Deadline.Sub(now) - a.scheduler.estimate(now, c.Class)
 	a.mu.Unlock()
 	select {
 	case refused := <-c.decided:
--- a/pkg/admission/load_test.go
+++ b/pkg/admission/load_test.go
@@ -17,7 +17,8 @@
 	service  time.Duration                  // mean
 	target   time.Duration
 	deadline time.Duration
-	retries  bool // callers come back once after a refusal
+	tail     float64 // part of the calls that take tailFactor as long
+	retries  bool    // callers come back once after a refusal
 }
 
 // tally counts what became of the calls of a class.
@@ -59,6 +60,7 @@
 	speed     func(at time.Duration) float64
 	tallies   map[string]*tally
 	from      time.Duration // calls that arrive earlier are not counted
+	tells     bool          // the backend server states its slowness with each answer
 	waiting   []*simulated
 }
 
@@ -71,10 +73,17 @@
 }
 
 func simulate(slots int, length time.Duration, speed func(time.Duration) float64, from time.Duration, classes ...class) map[string]*tally {
-	s := &simulation{
+	return newSimulation(slots, speed, from).run(length, classes...)
+}
+
+func newSimulation(slots int, speed func(time.Duration) float64, from time.Duration) *simulation {
+	return &simulation{
 		scheduler: newScheduler(slots), random: rand.New(rand.NewPCG(7, 7)), speed: speed,
 		tallies: make(map[string]*tally), from: from,
 	}
+}
+
+func (s *simulation) run(length time.Duration, classes ...class) map[string]*tally {
 	for i := range classes {
 		c := &classes[i]
 		s.tallies[c.name] = &tally{}
@@ -150,11 +159,17 @@
 	t := s.tally(c)
 	if refused == nil {
 		spread := 0.5 + s.random.Float64()
+		if s.random.Float64() < c.class.tail {
+			spread = tailFactor
+		}
 		took := time.Duration(float64(c.class.service) * spread / s.speed(s.now))
 		s.at(s.now+took, func() {
 			if t != nil {
 				s.count(t, c)
 			}
+			if s.tells {
+				s.scheduler.observe(s.time(s.now), 1/s.speed(s.now))
+			}
 			s.scheduler.finish(s.time(s.now), c.waiting, Answered)
 		})
 		return
@@ -201,6 +216,37 @@
 
 func normal(time.Duration) float64 { return 1 }
 
+const tailFactor = 7
+
+// neighbours share the machine: in some spans of 600 ms work takes 2.5 times as long.
+func neighbours(at time.Duration) float64 {
+	const span = 600 * time.Millisecond
+	if rand.New(rand.NewPCG(uint64(at/span), 3)).Float64() < 0.15 {
+		return 1 / 2.5
+	}
+	return 1
+}
+
+// Pattern: a surge at a backend server whose machine others use, too, with a few very long calls. Slots go to calls that end in
+// time, not to those that will be late.
+func TestSurgeBesideNeighbours(t *testing.T) {
+	reads := class{name: "reads", rank: 2, rate: steady(70), service: 100 * time.Millisecond, target: 500 * time.Millisecond, deadline: 1200 * time.Millisecond, tail: 0.03, retries: true}
+	pays := class{name: "pays", rank: 1, rate: steady(30), service: 140 * time.Millisecond, target: 600 * time.Millisecond, deadline: 1500 * time.Millisecond, tail: 0.03, retries: true}
+	play := func(tells bool) (inTime, late int) {
+		s := newSimulation(6, neighbours, 5*time.Second)
+		s.tells = tells
+		for name, got := range s.run(125*time.Second, reads, pays) {
+			t.Logf("told %v: %s in time %.3f, late %d of %d", tells, name, got.inTimeShare(), got.late, got.offered)
+			inTime, late = inTime+got.inTime, late+got.late
+		}
+		return inTime, late
+	}
+	inTimeUntold, lateUntold := play(false)
+	inTime, late := play(true)
+	assert.Less(t, late, lateUntold)
+	assert.GreaterOrEqual(t, inTime, inTimeUntold)
+}
+
 // Nine slots take 45 calls of 200 ms a second.
 const testSlots = 9
 
--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -50,8 +50,8 @@
 // The results of granted calls.
 const (
 	Answered  Result = iota // the slot time is a valid sample
-	Shed                    // the backend server said that it has no room
-	Abandoned               // no answer; the slot time says nothing
+	Shed                    // the backend server did not run it, for all that is known because it has no room
+	Abandoned               // no answer, or none that says something about room or slot time
 )
 
 // Load describes the backend server as its callers may weigh it.
@@ -60,6 +60,7 @@
 	SlotTime               time.Duration // mean time that a call holds a slot; 0: unknown
 	ClassTime              time.Duration // the same for calls of one class; 0: unknown
 	ClassSpread            time.Duration // mean deviation from ClassTime
+	Slowness               float64       // of the backend server's machine now, relative to usual; times are as usual
 }
 
 const (
@@ -74,15 +75,17 @@
 	fastWeight    = 0.3 // of the first samples
 	fastSamples   = 5
 	minRetryAfter = 20 * time.Millisecond
-	retryShare    = 3 // callers honour Retry-After up to this part of the time that they have left
+	slownessFor   = 400 * time.Millisecond // over which a stated slowness loses its weight; neighbours come and go many times a second
+	retryShare    = 3                      // callers honour Retry-After up to this part of the time that they have left
 )
 
 // waiting is a call from its arrival to its end.
 type waiting struct {
 	Call
-	granted time.Time
-	queued  bool
-	decided chan *Refusal // receives exactly one decision, nil for a grant; capacity 1
+	granted  time.Time
+	slowness float64 // when it was granted
+	queued   bool
+	decided  chan *Refusal // receives exactly one decision, nil for a grant; capacity 1
 }
 
 // scheduler is a pure function of its calls and the times passed to it. It is not safe for concurrent use.
@@ -94,9 +97,12 @@
 	running  int
 	queue    []*waiting // in the order of service
 	ranks    map[int]*rankState
-	classes  map[string]*mean
-	slotTime mean
+	classes  map[string]*mean // at usual speed
+	slotTime mean             // at usual speed
 	closed   bool
+
+	stated   float64 // slowness that the backend server stated last
+	statedAt time.Time
 }
 
 // rankState is the account of one rank.
@@ -121,6 +127,20 @@
 	return max(1, s.slots)
 }
 
+// observe takes in how long work takes at the backend server now, relative to usual.
+func (s *scheduler) observe(now time.Time, slowness float64) {
+	s.stated, s.statedAt = slowness, now
+}
+
+// slowness is how long work takes now, relative to usual. What was stated longer ago counts less.
+func (s *scheduler) slowness(now time.Time) float64 {
+	if s.statedAt.IsZero() {
+		return 1
+	}
+	weight := max(0, 1-now.Sub(s.statedAt).Seconds()/slownessFor.Seconds())
+	return 1 + (s.stated-1)*weight
+}
+
 // offer grants, queues or refuses a new call.
 func (s *scheduler) offer(now time.Time, c *waiting) {
 	switch {
@@ -146,7 +166,7 @@
 
 // check returns the reason to refuse a call that has so many calls before it, or "" if it may wait.
 func (s *scheduler) check(now time.Time, c *waiting, ahead int) Reason {
-	wait, takes := s.wait(now, ahead), s.estimate(c.Class)
+	wait, takes := s.wait(now, ahead), s.estimate(now, c.Class)
 	end := now.Add(wait + takes)
 	slack := c.Target.Sub(now) - takes
 	if !c.Returned {
@@ -170,17 +190,20 @@
 	if free := limit - s.running; ahead < free {
 		return 0
 	}
-	interval := s.slotTime.value(firstEstimate) / time.Duration(limit)
+	interval := scale(s.slotTime.value(firstEstimate), s.slowness(now)) / time.Duration(limit)
 	return time.Duration(ahead+1)*interval - interval/2
 }
 
-func (s *scheduler) estimate(class string) time.Duration {
+// estimate is how long a call of the class takes if it begins now.
+func (s *scheduler) estimate(now time.Time, class string) time.Duration {
 	if m := s.classes[class]; m != nil {
-		return m.value(0)
+		return scale(m.value(0), s.slowness(now))
 	}
 	return 0
 }
 
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
 // before reports whether a goes before b when both wait.
 func (s *scheduler) before(a, b *waiting) bool {
 	if a.Rank != b.Rank {
@@ -221,7 +244,7 @@
 		i := s.next()
 		c := s.queue[i]
 		s.remove(i)
-		end := now.Add(s.estimate(c.Class))
+		end := now.Add(s.estimate(now, c.Class))
 		switch {
 		case !now.Before(c.Deadline) || end.After(c.Deadline) && len(s.queue) > 0:
 			s.refuse(now, c, Hopeless)
@@ -291,7 +314,7 @@
 }
 
 func (s *scheduler) grant(now time.Time, c *waiting) {
-	c.granted = now
+	c.granted, c.slowness = now, s.slowness(now)
 	s.running++
 	s.account(now, c.Rank, 1)
 	s.ranks[c.Rank].running++
@@ -310,7 +333,7 @@
 // retryAfter is when the call is expected to be accepted: when those before it have started. It leaves time to be served
 // before the target if that is possible, and else before the deadline.
 func (s *scheduler) retryAfter(now time.Time, c *waiting) time.Duration {
-	need := s.estimate(c.Class)
+	need := s.estimate(now, c.Class)
 	latest := c.Target.Sub(now) - need
 	if latest < minRetryAfter {
 		latest = c.Deadline.Sub(now) - need
@@ -338,7 +361,7 @@
 func (s *scheduler) finish(now time.Time, c *waiting, r Result) {
 	switch r {
 	case Answered:
-		held := now.Sub(c.granted)
+		held := scale(now.Sub(c.granted), 2/(c.slowness+s.slowness(now)))
 		s.slotTime.add(held)
 		s.class(c.Class).add(held)
 	case Shed:
@@ -374,7 +397,7 @@
 
 // load describes the backend server to callers of a class.
 func (s *scheduler) load(now time.Time, class string) Load {
-	l := Load{Running: s.running, Queued: len(s.queue), Limit: s.limit(now), SlotTime: s.slotTime.value(0)}
+	l := Load{Running: s.running, Queued: len(s.queue), Limit: s.limit(now), SlotTime: s.slotTime.value(0), Slowness: s.slowness(now)}
 	if m := s.classes[class]; m != nil {
 		l.ClassTime, l.ClassSpread = m.average, m.spread
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -31,6 +31,7 @@
 	SlotTime               time.Duration // mean time that a call holds a slot; 0: unknown
 	ClassTime              time.Duration // the same for calls of the class that the report answers; 0: unknown
 	ClassSpread            time.Duration // mean deviation from ClassTime
+	Slowness               float64       // of its machine now, relative to usual, which the times stand for; 0: unknown
 	Answered               float64       // part of the recent calls that its backend server answered, 0 to 1
 }
 
@@ -54,7 +55,8 @@
 )
 
 const (
-	reportMemory     = time.Second // a report loses its weight over this time
+	slownessFor      = 400 * time.Millisecond // over which a reported slowness loses its weight; neighbours on a machine come and go
+	reportMemory     = time.Second            // a report loses its weight over this time
 	unknownSlotTime  = 50 * time.Millisecond
 	unknownSpread    = 0.5 // of the slot time
 	minSpread        = 5 * time.Millisecond
@@ -210,9 +212,9 @@
 	if slot == 0 {
 		slot = unknownSlotTime
 	}
-	times := s.times(e, need.Class, slot)
+	times, slowness := s.times(e, need.Class, slot), s.slowness(now)
 	wait := max(0, calls+1-limit) / limit * float64(slot)
-	inTime := probability(float64(need.Left)-wait-float64(times.mean), float64(times.spread))
+	inTime := probability(float64(need.Left)-slowness*(wait+float64(times.mean)), slowness*float64(times.spread))
 	if !s.reportedAt.IsZero() {
 		inTime *= s.report.Answered
 	}
@@ -226,6 +228,15 @@
 	return &Choice{Endpoint: e, chooser: c, state: s, class: need.Class, InTime: inTime, value: inTime - busyCost*calls/limit}
 }
 
+// slowness is how long work takes at the endpoint now, relative to usual. What was reported longer ago counts less.
+func (s *state) slowness(now time.Time) float64 {
+	if s.report.Slowness == 0 {
+		return 1
+	}
+	weight := max(0, 1-now.Sub(s.reportedAt).Seconds()/slownessFor.Seconds())
+	return 1 + (s.report.Slowness-1)*weight
+}
+
 // times is how long a call of the class holds a slot of the endpoint.
 func (s *state) times(e *Endpoint, class string, slot time.Duration) classTimes {
 	if known, ok := s.classes[class]; ok {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -50,6 +50,23 @@
 	return shares
 }
 
+// Pattern: neighbours take the processor of one machine for some hundred milliseconds. Calls go elsewhere for that time.
+func TestSlowMachineIsAvoidedForAMoment(t *testing.T) {
+	f := newFixture()
+	endpoints := []Endpoint{endpoint("seeb", 1), endpoint("seeb", 2), endpoint("seeb", 3)}
+	for i, e := range endpoints {
+		l := quick(2)
+		l.Slowness = 1
+		if i == 0 {
+			l.Slowness = 2.5
+		}
+		f.report(e, l)
+	}
+	assert.Zero(t, f.shares(endpoints, 250*time.Millisecond)["seeb-1"])
+	f.now = f.now.Add(slownessFor)
+	assert.Greater(t, f.shares(endpoints, 250*time.Millisecond)["seeb-1"], 0.2)
+}
+
 // Pattern: every endpoint is in time. Bytes between data centres decide.
 func TestOwnDataCentreIsPreferred(t *testing.T) {
 	f := newFixture()
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -19,7 +19,6 @@
 	Signature        string // of a backend server's own response
 	ExpectedInstance string // id of the only instance that may run the request
 	NotExecuted      string // in a response: the request has not run
-	Load             string // in a response: running, waiting and slots, separated by commas
 	Instance         string // in a response: id of the instance
 	Caller           string // service of the machine where the request began
 }
@@ -168,6 +167,9 @@
 	hasLoad    bool
 }
 
+// percent is the unit in which parts of 1 are written.
+const percent = 100
+
 // encode writes the ruling as one header value.
 func (r *ruling) encode() string {
 	fields := []string{
@@ -176,7 +178,8 @@
 	if r.hasLoad {
 		fields = append(fields, strconv.Itoa(r.load.Running), strconv.Itoa(r.load.Queued), strconv.Itoa(r.load.Limit),
 			strconv.FormatInt(r.load.SlotTime.Milliseconds(), 10), strconv.FormatInt(r.load.ClassTime.Milliseconds(), 10),
-			strconv.FormatInt(r.load.ClassSpread.Milliseconds(), 10), strconv.Itoa(int(r.load.Answered*100)))
+			strconv.FormatInt(r.load.ClassSpread.Milliseconds(), 10), strconv.Itoa(int(r.load.Answered*percent)),
+			strconv.Itoa(int(r.load.Slowness*percent)))
 	}
 	return strings.Join(fields, fieldSeparator)
 }
@@ -184,7 +187,7 @@
 // Numbers of fields of an encoded ruling, without and with a load.
 const (
 	rulingFields     = 4
-	rulingLoadFields = 11
+	rulingLoadFields = 12
 )
 
 // decodeRuling reads a ruling. It reports false if the header is not one: the response is then not that of a node.
@@ -210,7 +213,7 @@
 		r.load = placement.Load{
 			Running: numbers[1], Queued: numbers[2], Limit: numbers[3],
 			SlotTime: time.Duration(numbers[4]) * time.Millisecond, ClassTime: time.Duration(numbers[5]) * time.Millisecond,
-			ClassSpread: time.Duration(numbers[6]) * time.Millisecond, Answered: float64(numbers[7]) / 100,
+			ClassSpread: time.Duration(numbers[6]) * time.Millisecond, Answered: float64(numbers[7]) / percent, Slowness: float64(numbers[8]) / percent,
 		}
 	}
 	return r, true
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -37,6 +37,7 @@
 	metrics *metrics.Registry
 	logger  *zap.Logger
 	heard   func() // the backend server answered
+	report  func(http.Header) (LoadReport, bool, error)
 
 	logLimit *rate.Limiter
 
@@ -55,9 +56,10 @@
 	answered float64 // moving average of the part of calls that it answered
 }
 
-func newInbound(h Headers, m *metrics.Registry, logger *zap.Logger, heard func()) *inbound {
+func newInbound(p Platform, m *metrics.Registry, logger *zap.Logger, heard func()) *inbound {
+	h := p.Headers()
 	return &inbound{
-		headers: h, metrics: m, logger: logger, heard: heard, logLimit: rate.NewLimiter(logPerSecond, logBurst), origins: admission.NewOrigins(),
+		headers: h, metrics: m, logger: logger, heard: heard, report: p.Report, logLimit: rate.NewLimiter(logPerSecond, logBurst), origins: admission.NewOrigins(),
 		client: hop.New(hop.Options{EchoHeader: h.RequestID, IdleFor: backendIdle}),
 	}
 }
@@ -113,7 +115,7 @@
 	defer i.mu.Unlock()
 	return placement.Load{
 		Running: l.Running, Queued: l.Queued, Limit: l.Limit, SlotTime: l.SlotTime,
-		ClassTime: l.ClassTime, ClassSpread: l.ClassSpread, Answered: i.answered,
+		ClassTime: l.ClassTime, ClassSpread: l.ClassSpread, Answered: i.answered, Slowness: l.Slowness,
 	}
 }
 
@@ -259,6 +261,7 @@
 // answer tells the backend server's own answers from its refusals to run the request.
 func (in *inbound) answer(i *instance, response *hop.Response) (*ruling, *hop.Response, admission.Result) {
 	in.heard()
+	report := in.observe(i, response.Header)
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
 		drop(response)
@@ -266,7 +269,11 @@
 	case response.Header.Get(in.headers.NotExecuted) != "":
 		drop(response)
 		i.observe(false)
-		return &ruling{verdict: notRun, reason: reasonShed, arrived: true}, nil, admission.Shed
+		result := admission.Shed
+		if report.hasRoom() {
+			result = admission.Abandoned // it has another reason; fewer calls at once would not help
+		}
+		return &ruling{verdict: notRun, reason: reasonShed, arrived: true}, nil, result
 	case response.Header.Get(in.headers.Signature) == "":
 		drop(response)
 		i.observe(false)
@@ -280,6 +287,22 @@
 	return &ruling{verdict: answered, arrived: true}, response, result
 }
 
+// observe takes in what the backend server says about its load. A report that cannot be read is ignored and counted; the response
+// is passed on.
+func (in *inbound) observe(i *instance, header http.Header) LoadReport {
+	report, ok, err := in.report(header)
+	if err != nil {
+		in.metrics.Inc("load_report_unreadable")
+		if in.logLimit.Allow() {
+			in.logger.Warn("load_report_unreadable", zap.String("instance", i.ID), zap.Error(err), zap.String("remedy", "correct the backend server"))
+		}
+	}
+	if ok && report.Slowness > 0 {
+		i.admission.ObserveSlowness(report.Slowness)
+	}
+	return report
+}
+
 func drop(response *hop.Response) {
 	if response.Rest != nil {
 		response.Rest.Close()
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -26,7 +26,7 @@
 
 var testHeaders = Headers{
 	RequestID: "Test-Id", DeadlineMS: "Test-Deadline", Signature: "Test-Signature", ExpectedInstance: "Test-Expected",
-	NotExecuted: "Test-Not-Executed", Load: "Test-Load", Instance: "Test-Instance", Caller: "Test-Caller",
+	NotExecuted: "Test-Not-Executed", Instance: "Test-Instance", Caller: "Test-Caller",
 }
 
 // fakePlatform is a store in memory that all nodes of a test share.
@@ -68,6 +68,18 @@
 
 func (p *forNode) Headers() Headers { return testHeaders }
 
+const testLoadHeader = "Test-Load"
+
+// Report reads "running waiting slots slowness".
+func (p *forNode) Report(header http.Header) (r LoadReport, ok bool, err error) {
+	text := header.Get(testLoadHeader)
+	if text == "" {
+		return r, false, nil
+	}
+	_, err = fmt.Sscan(text, &r.Running, &r.Waiting, &r.Slots, &r.Slowness)
+	return r, err == nil, err
+}
+
 func (p *forNode) Newest(context.Context) (Published, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -78,7 +78,7 @@
 	n.rpcClient = rpc.NewClient(bytes, nil)
 	n.rpcClient.OverrideAddresses(s.DialOverrides)
 	n.follower = newFollower(p, n.rpcClient, n.rpcServer, n.metrics, n.logger)
-	n.inbound = newInbound(p.Headers(), n.metrics, n.logger, n.heardBackend)
+	n.inbound = newInbound(p, n.metrics, n.logger, n.heardBackend)
 	n.membership = membership.New(membership.Options{
 		Self: n.self(), Directory: n.directory, ContactsInterval: contactsInterval, Exclusive: true, Timing: membership.Regional, Client: n.rpcClient, Server: n.rpcServer,
 		Beat: func() membership.Beat { return membership.Beat{Version: int64(n.follower.version())} },
--- a/pkg/sidecar/platform.go
+++ b/pkg/sidecar/platform.go
@@ -17,12 +17,24 @@
 
 	// Headers returns the names of the header fields that callers and backend servers use.
 	Headers() Headers
+	// Report reads what a backend server says about its load in the header of a response. The error of a header that cannot be read
+	// says why; ok is false if there is none.
+	Report(header http.Header) (report LoadReport, ok bool, err error)
 	// AnnouncementHandler serves what the backend server says about itself.
 	AnnouncementHandler(Announcer) http.Handler
 	// ReadinessHandler serves the question whether clients may send requests to this node.
 	ReadinessHandler(ready func() bool) http.Handler
 }
 
+// LoadReport is what a backend server says about its load.
+type LoadReport struct {
+	Running, Waiting, Slots int
+	Slowness                float64 // how long work takes there now, relative to usual; 0: not said
+}
+
+// hasRoom reports whether the backend server could have begun one more call.
+func (r LoadReport) hasRoom() bool { return r.Waiting == 0 && r.Running < r.Slots }
+
 // Published is a configuration and where it was read.
 type Published struct {
 	Document *routing.Document // nil: the operators have not published anything, or what they published cannot be read
