link, hop: long answers take turns on a thin link, and do not hold slots or memory without bound

Change: pkg/link gives long answers turns on the sending side of the machine (link_mbps of the settings), in pieces, behind short ones; a call whose long answer could not be in time is refused at once with Retry-After; placement sees the wait. Answers up to 1 MiB are taken whole from the backend server, within an eighth of the process's memory, so that a slow reader holds no slot; between nodes and to callers they are passed on as they arrive. The head of a response is bounded. A slowness is stated relative to an average machine: estimates use it relative to the machine's own mean (machines of 0.7 and 1.6 showed).

--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -60,15 +60,16 @@
 	SlotTime               time.Duration // mean time that a call holds a slot; 0: unknown
 	ClassTime              time.Duration // the same for calls of one class; 0: unknown
 	ClassSpread            time.Duration // mean deviation from ClassTime
-	Slowness               float64       // of the backend server's machine now, relative to usual; times are as usual
+	Slowness               float64       // of the machine now, relative to what is usual there, for which the times stand
 }
 
 const (
-	queueFactor   = 4               // waiting calls of all ranks, relative to the slots
-	shedHold      = time.Second     // after the backend server shed a call, the limit stays below that level
-	minimumShare  = 0.4             // of the served part of more urgent ranks, which a rank with waiting calls keeps
-	starvedSlots  = 0.15            // of the slots, rounded up, which a starved rank gets before more urgent ones
-	firstSlack    = 0.75            // of the time that it could wait, which a call may wait that has not been refused yet
+	queueFactor   = 4           // waiting calls of all ranks, relative to the slots
+	shedHold      = time.Second // after the backend server shed a call, the limit stays below that level
+	minimumShare  = 0.4         // of the served part of more urgent ranks, which a rank with waiting calls keeps
+	starvedSlots  = 0.15        // of the slots, rounded up, which a starved rank gets before more urgent ones
+	firstSlack    = 0.5         // of the time that it could wait, which a call may wait that has not been refused yet
+	marginSpreads = 0.5
 	shareMemory   = 3 * time.Second // over which the served part of a rank is averaged
 	firstEstimate = 50 * time.Millisecond
 	sampleWeight  = 0.1 // of a new sample in the mean slot time
@@ -76,6 +77,7 @@
 	fastSamples   = 5
 	minRetryAfter = 20 * time.Millisecond
 	slownessFor   = 400 * time.Millisecond // over which a stated slowness loses its weight; neighbours come and go many times a second
+	usualWeight   = 0.005                  // of a new report in the usual slowness
 	retryShare    = 3                      // callers honour Retry-After up to this part of the time that they have left
 )
 
@@ -101,8 +103,10 @@
 	slotTime mean             // at usual speed
 	closed   bool
 
-	stated   float64 // slowness that the backend server stated last
+	stated   float64 // slowness that the backend server stated last, relative to its usual one
 	statedAt time.Time
+	usual    float64 // mean of the slowness that it stated; machines differ
+	reports  int
 }
 
 // rankState is the account of one rank.
@@ -127,12 +131,14 @@
 	return max(1, s.slots)
 }
 
-// observe takes in how long work takes at the backend server now, relative to usual.
+// observe takes in how long work takes at the backend server now, relative to an average machine.
 func (s *scheduler) observe(now time.Time, slowness float64) {
-	s.stated, s.statedAt = slowness, now
+	s.reports++
+	s.usual += (slowness - s.usual) * max(usualWeight, 1/float64(s.reports))
+	s.stated, s.statedAt = slowness/s.usual, now
 }
 
-// slowness is how long work takes now, relative to usual. What was stated longer ago counts less.
+// slowness is how long work takes now, relative to what is usual on this machine. What was stated longer ago counts less.
 func (s *scheduler) slowness(now time.Time) float64 {
 	if s.statedAt.IsZero() {
 		return 1
@@ -168,7 +174,7 @@
 func (s *scheduler) check(now time.Time, c *waiting, ahead int) Reason {
 	wait, takes := s.wait(now, ahead), s.estimate(now, c.Class)
 	end := now.Add(wait + takes)
-	slack := c.Target.Sub(now) - takes
+	slack := c.Target.Sub(now) - takes - s.margin(now, c.Class)
 	if !c.Returned {
 		// It can still come back. The room is kept for those that cannot.
 		slack = time.Duration(firstSlack * float64(slack))
@@ -202,6 +208,14 @@
 	return 0
 }
 
+// margin is how much longer than the estimate a call of the class may well take.
+func (s *scheduler) margin(now time.Time, class string) time.Duration {
+	if m := s.classes[class]; m != nil {
+		return scale(m.spread, marginSpreads*s.slowness(now))
+	}
+	return 0
+}
+
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
 // before reports whether a goes before b when both wait.
--- a/pkg/hop/exchange.go
+++ b/pkg/hop/exchange.go
@@ -17,6 +17,11 @@
 	// inlineBodyBytes is the longest body that is written before the response is awaited. A backend server may answer before it
 	// reads a longer one, and the windows of a connection may be too small to hold it.
 	inlineBodyBytes = 4 << 10
+	// shortBodyBytes is the longest response body that does not count against Options.Buffers.
+	shortBodyBytes = 16 << 10
+	// maxHeadBytes bounds what is read for the head of a response, those before the final one included. Servers send a few hundred
+	// bytes; one in trouble may never end.
+	maxHeadBytes = 64 << 10
 	// maxForeign bounds the responses to other requests that are skipped.
 	maxForeign = 4
 	// maxForeignBytes bounds the body of a response that is skipped.
@@ -186,6 +191,8 @@
 
 // readHead reads the header of the next final response.
 func (c *Client) readHead(ctx context.Context, cn *conn, r *Request) (*http.Response, *Failure) {
+	cn.source.left = maxHeadBytes
+	defer func() { cn.source.left = unbounded }()
 	for {
 		if _, err := cn.reader.Peek(1); err != nil {
 			return nil, &Failure{Sent: true, Cause: causeOf(ctx, err, Lost), Err: err}
@@ -232,22 +239,30 @@
 		release(true)
 		return out, nil
 	}
-	data, whole, err := c.readBody(in)
+	data, whole, held, err := c.readBody(in)
 	if err != nil {
+		c.options.Buffers.giveBack(held)
 		release(false)
 		return nil, &Failure{Sent: true, Cause: bodyCause(err), Err: err}
 	}
 	out.Body = data
-	if whole {
-		out.Length = int64(len(data))
-		if body == nil {
-			release(true)
-		} else {
-			go release(true) // waits for the rest of the request's body, which the response need not wait for
-		}
+	if !whole {
+		out.Rest = &rest{body: in.Body, release: func(complete bool) {
+			c.options.Buffers.giveBack(held)
+			release(complete)
+		}}
 		return out, nil
 	}
-	out.Rest = &rest{body: in.Body, release: release}
+	out.Length = int64(len(data))
+	if body == nil {
+		release(true)
+	} else {
+		go release(true) // waits for the rest of the request's body, which the response need not wait for
+	}
+	if held > 0 {
+		out.Body, out.Arrived = nil, true
+		out.Rest = &rest{body: io.NopCloser(bytes.NewReader(data)), release: func(bool) { c.options.Buffers.giveBack(held) }}
+	}
 	return out, nil
 }
 
@@ -258,26 +273,46 @@
 	return Truncated
 }
 
-// readBody reads up to Options.MaxBuffered bytes.
-func (c *Client) readBody(in *http.Response) (data []byte, whole bool, err error) {
+// readBody reads a body that fits into Options.MaxBuffered and the memory for long ones. Of another it reads the beginning at most.
+// held is what was taken from Options.Buffers.
+func (c *Client) readBody(in *http.Response) (data []byte, whole bool, held int64, err error) {
 	limit := c.options.MaxBuffered
-	if in.ContentLength >= 0 && in.ContentLength <= limit {
-		data = make([]byte, in.ContentLength)
-		if _, err = io.ReadFull(in.Body, data); err != nil {
-			return nil, false, err
-		}
-		// Reaches the end of the body, which net/http reports separately.
-		_, err = in.Body.Read(make([]byte, 1))
-		if err != nil && err != io.EOF {
-			return nil, false, err
+	if in.ContentLength < 0 {
+		return c.readUnknown(in, limit)
+	}
+	if in.ContentLength > limit {
+		return nil, false, 0, nil
+	}
+	if in.ContentLength > shortBodyBytes {
+		if !c.options.Buffers.take(in.ContentLength) {
+			return nil, false, 0, nil
 		}
-		return data, true, nil
+		held = in.ContentLength
 	}
-	data, err = io.ReadAll(io.LimitReader(in.Body, limit+1))
-	if err != nil {
-		return nil, false, err
+	data = make([]byte, in.ContentLength)
+	if _, err = io.ReadFull(in.Body, data); err != nil {
+		return nil, false, held, err
+	}
+	// Reaches the end of the body, which net/http reports separately.
+	if _, err = in.Body.Read(make([]byte, 1)); err != nil && err != io.EOF {
+		return nil, false, held, err
+	}
+	return data, true, held, nil
+}
+
+// readUnknown is readBody for a body whose length was not stated.
+func (c *Client) readUnknown(in *http.Response, limit int64) (data []byte, whole bool, held int64, err error) {
+	first := min(limit, shortBodyBytes)
+	data, err = io.ReadAll(io.LimitReader(in.Body, first+1))
+	if err != nil || int64(len(data)) <= first {
+		return data, err == nil, 0, err
+	}
+	if limit == first || !c.options.Buffers.take(limit) {
+		return data, false, 0, nil
 	}
-	return data, int64(len(data)) <= limit, nil
+	more, err := io.ReadAll(io.LimitReader(in.Body, limit-int64(len(data))+1))
+	data = append(data, more...)
+	return data, int64(len(data)) <= limit, limit, err
 }
 
 // reusable reports whether the connection can carry another request after this response.
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -14,6 +14,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/dial"
@@ -44,8 +45,9 @@
 
 	// Rest is the remainder of a long body. The caller reads it to its end or closes it. An error other than io.EOF means
 	// that the body is incomplete.
-	Rest   io.ReadCloser
-	Length int64 // of the whole body; -1: unknown
+	Rest    io.ReadCloser
+	Length  int64 // of the whole body; -1: unknown
+	Arrived bool  // Rest only hands over what is in memory: nothing more is awaited from the other side
 }
 
 // Cause says why there is no response.
@@ -95,6 +97,7 @@
 	FreshFor      time.Duration // the same for requests with FreshOnly; default 1 s
 	IdlePerHost   int           // kept connections to one address; default 16
 	MaxBuffered   int64         // longer response bodies are streamed; default 256 KiB
+	Buffers       *Buffers      // bounds the memory of buffered response bodies, over all requests; nil: not bounded
 }
 
 const (
@@ -116,6 +119,37 @@
 	return o
 }
 
+// Buffers is the memory for long response bodies that have arrived and are not handed over yet. A body that finds none left is
+// streamed. It is safe for concurrent use.
+type Buffers struct{ left atomic.Int64 }
+
+// NewBuffers returns memory of that many bytes.
+func NewBuffers(bytes int64) *Buffers {
+	b := &Buffers{}
+	b.left.Store(bytes)
+	return b
+}
+
+// Left is how many bytes are not in use.
+func (b *Buffers) Left() int64 { return b.left.Load() }
+
+func (b *Buffers) take(bytes int64) bool {
+	if b == nil {
+		return true
+	}
+	if b.left.Add(-bytes) >= 0 {
+		return true
+	}
+	b.left.Add(bytes)
+	return false
+}
+
+func (b *Buffers) giveBack(bytes int64) {
+	if b != nil {
+		b.left.Add(bytes)
+	}
+}
+
 // Client sends requests and keeps connections. It is safe for concurrent use.
 type Client struct {
 	options Options
--- a/pkg/hop/pool.go
+++ b/pkg/hop/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -17,6 +18,7 @@
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
+	source  *boundedSource // under reader
 	reader  *bufio.Reader
 	address string
 	idleAt  time.Time     // since when it has been unused
@@ -146,7 +148,31 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), address: address}, nil
+	source := &boundedSource{Reader: socket, left: unbounded}
+	return &conn{Conn: socket, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), address: address}, nil
+}
+
+// unbounded is a boundedSource.left without effect.
+const unbounded = -1
+
+var errHeadTooLong = errors.New("the head of the response does not end")
+
+// boundedSource fails when more is read than is left.
+type boundedSource struct {
+	io.Reader
+	left int64
+}
+
+func (b *boundedSource) Read(p []byte) (int, error) {
+	if b.left < 0 {
+		return b.Reader.Read(p)
+	}
+	if b.left == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := b.Reader.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
 }
 
 // isUsable reports whether an unused connection is open and nothing has arrived on it. What has arrived is a late answer to an
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -104,7 +104,8 @@
 type reason string
 
 const (
-	reasonFull        reason = "full" // no slot in time
+	reasonFull        reason = "full"      // no slot in time
+	reasonLink        reason = "link_full" // other long answers go before on the machine's link
 	reasonHopeless    reason = "deadline_unreachable"
 	reasonDraining    reason = "draining"
 	reasonNoBackend   reason = "no_backend"    // no backend server is known
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -14,6 +14,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/admission"
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
+	"github.com/laburnumcleat/laburnumcleat/pkg/link"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
 )
@@ -22,11 +23,16 @@
 	// backendGrace is how long a backend server may take beyond the deadline that it was given, so that its own answer at the
 	// deadline still counts as its answer.
 	backendGrace = 60 * time.Millisecond
+	// retryShare is the part of the time left up to which callers honour Retry-After.
+	retryShare = 3
 	// answeredWeight is the weight of one call in the answered part that is reported.
 	answeredWeight = 0.1
 	// backendIdle is how long a connection to the backend server is kept unused, unless the backend server says less. Common
 	// servers keep idle connections for 5 s or longer.
 	backendIdle = 4 * time.Second
+	// maxBufferedAnswer is the longest answer, in bytes, that is taken from the backend server whole, so that it has the slot back however
+	// slowly the caller reads.
+	maxBufferedAnswer = 1 << 20
 )
 
 // inbound hands requests to the backend server on the same machine. Nothing else reaches it, so that what was admitted, what is
@@ -41,6 +47,9 @@
 
 	logLimit *rate.Limiter
 
+	link    *link.Link
+	history history // of the answers by class
+
 	origins  *admission.Origins
 	instance atomic.Pointer[instance]
 	stopping atomic.Bool
@@ -56,11 +65,11 @@
 	answered float64 // moving average of the part of calls that it answered
 }
 
-func newInbound(p Platform, m *metrics.Registry, logger *zap.Logger, heard func()) *inbound {
+func newInbound(p Platform, l *link.Link, buffers *hop.Buffers, m *metrics.Registry, logger *zap.Logger, heard func()) *inbound {
 	h := p.Headers()
 	return &inbound{
-		headers: h, metrics: m, logger: logger, heard: heard, report: p.Report, logLimit: rate.NewLimiter(logPerSecond, logBurst), origins: admission.NewOrigins(),
-		client: hop.New(hop.Options{EchoHeader: h.RequestID, IdleFor: backendIdle}),
+		headers: h, metrics: m, logger: logger, heard: heard, report: p.Report, link: l, logLimit: rate.NewLimiter(logPerSecond, logBurst), origins: admission.NewOrigins(),
+		client: hop.New(hop.Options{EchoHeader: h.RequestID, IdleFor: backendIdle, MaxBuffered: maxBufferedAnswer, Buffers: buffers}),
 	}
 }
 
@@ -139,8 +148,12 @@
 	if in.origins.Observe(c.class, c.caller) {
 		rank = admission.Inner
 	}
+	sending, refusedByLink := in.sendingTime(i, c, rank)
+	if refusedByLink != nil {
+		return in.rule(i, c, r, refusedByLink), nil
+	}
 	grant, refused := i.admission.Acquire(ctx, admission.Call{
-		Class: c.class, Rank: rank, Target: now.Add(c.targetLeft), Deadline: now.Add(c.deadlineLeft),
+		Class: c.class, Rank: rank, Target: now.Add(c.targetLeft - sending), Deadline: now.Add(c.deadlineLeft - sending),
 		Returned: c.returned,
 	})
 	if refused != nil {
@@ -151,8 +164,13 @@
 		grant.Release(admission.Abandoned)
 		return in.rule(i, c, r, &ruling{verdict: notRun, reason: reasonDraining}), nil
 	}
+	expected := in.link.Expect(in.history.answerLength(c.class))
 	ruled, response, result := in.hand(ctx, i, c, r, now.Add(c.deadlineLeft))
-	if response != nil && response.Rest != nil {
+	expected()
+	if response != nil {
+		in.history.answered(c.class, response.Length)
+	}
+	if response != nil && response.Rest != nil && !response.Arrived {
 		response.Rest = &heldSlot{ReadCloser: response.Rest, grant: grant, result: result}
 	} else {
 		grant.Release(result)
@@ -160,6 +178,27 @@
 	return in.rule(i, c, r, ruled), response
 }
 
+// sendingTime is how long after the backend server's work the answer is sent, where long answers queue for the link. A call whose
+// answer would miss its target only because of the others is refused: it can still come back, or be served elsewhere.
+func (in *inbound) sendingTime(i *instance, c *call, rank int) (time.Duration, *ruling) {
+	bytes := in.history.answerLength(c.class)
+	wait := in.link.Wait(bytes)
+	if wait == 0 {
+		return 0, nil
+	}
+	work := i.admission.Load(c.class).ClassTime
+	sending := max(0, wait-work) + in.link.Takes(bytes)
+	limit := c.targetLeft
+	if rank == admission.Inner {
+		limit = c.deadlineLeft
+	}
+	if work+sending <= limit {
+		return sending, nil
+	}
+	retry := min(wait/2, c.deadlineLeft/retryShare)
+	return 0, &ruling{verdict: notRun, reason: reasonLink, retryAfter: retry}
+}
+
 // refusal returns the reason for which a call cannot be handed to the instance.
 func (in *inbound) refusal(i *instance, c *call) reason {
 	switch {
@@ -194,6 +233,9 @@
 func (in *inbound) rule(i *instance, c *call, request *hop.Request, r *ruling) *ruling {
 	if i != nil {
 		r.load, r.hasLoad = i.load(c.class), true
+		if wait := in.link.Wait(in.history.answerLength(c.class)); wait > 0 && r.load.ClassTime > 0 {
+			r.load.ClassTime += wait // callers compare when answers arrive
+		}
 	}
 	in.metrics.Inc("inbound", "verdict", string(r.verdict), "reason", string(r.reason))
 	in.log(i, c, request, r)
--- a/pkg/sidecar/listeners.go
+++ b/pkg/sidecar/listeners.go
@@ -65,7 +65,7 @@
 		handler http.Handler
 		target  **graceful.Server
 	}{
-		{l.Nodes, &nodeHandler{id: n.settings.ID, inbound: n.inbound}, &n.nodes},
+		{l.Nodes, &nodeHandler{id: n.settings.ID, inbound: n.inbound, link: n.link}, &n.nodes},
 		{l.Announcements, n.platform.AnnouncementHandler(n), nil},
 		{l.Readiness, n.platform.ReadinessHandler(n.isReady), nil},
 		{l.Metrics, n.serveMetrics(), nil},
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -20,6 +20,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
 	"github.com/laburnumcleat/laburnumcleat/pkg/graceful"
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
+	"github.com/laburnumcleat/laburnumcleat/pkg/link"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
@@ -52,6 +53,8 @@
 	rpcClient  *rpc.Client
 	membership *membership.Service
 	follower   *follower
+	link       *link.Link
+	buffers    *hop.Buffers // for long answers of the backend server
 	inbound    *inbound
 	outbound   *outbound
 	service    atomic.Pointer[string] // of the backend server on this machine
@@ -78,7 +81,9 @@
 	n.rpcClient = rpc.NewClient(bytes, nil)
 	n.rpcClient.OverrideAddresses(s.DialOverrides)
 	n.follower = newFollower(p, n.rpcClient, n.rpcServer, n.metrics, n.logger)
-	n.inbound = newInbound(p, n.metrics, n.logger, n.heardBackend)
+	n.link = link.New(s.LinkMbps)
+	n.buffers = hop.NewBuffers(s.bufferBytes())
+	n.inbound = newInbound(p, n.link, n.buffers, n.metrics, n.logger, n.heardBackend)
 	n.membership = membership.New(membership.Options{
 		Self: n.self(), Directory: n.directory, ContactsInterval: contactsInterval, Exclusive: true, Timing: membership.Regional, Client: n.rpcClient, Server: n.rpcServer,
 		Beat: func() membership.Beat { return membership.Beat{Version: int64(n.follower.version())} },
@@ -120,9 +125,10 @@
 		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(),
 		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(n.settings.DataCentre),
 		budget: retry.New(terms, func() int { return len(n.membership.Members()) }),
-		local:  n.inbound,
+		local:  n.inbound, link: n.link,
 		client: hop.New(hop.Options{
 			EchoHeader: n.platform.Headers().RequestID, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, DialOverrides: n.settings.DialOverrides,
+			MaxBuffered: link.Short,
 		}),
 		metrics: n.metrics, logger: n.logger, logLimit: rate.NewLimiter(logPerSecond, logBurst),
 	}
--- a/pkg/sidecar/nodeserver.go
+++ b/pkg/sidecar/nodeserver.go
@@ -1,12 +1,15 @@
 package sidecar
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
+	"github.com/laburnumcleat/laburnumcleat/pkg/link"
 )
 
 // bufferedBody is the longest request body that is read before the request is sent on. A longer one is streamed, and such a request
@@ -76,6 +79,7 @@
 type nodeHandler struct {
 	id      string
 	inbound *inbound
+	link    *link.Link
 }
 
 // ServeHTTP hands a forwarded request to the backend server.
@@ -83,23 +87,23 @@
 	c, err := decodeCall(r.Header.Get(headerCall))
 	if err != nil {
 		h.inbound.logger.Warn("forwarded_request_not_readable")
-		h.write(w, &ruling{verdict: notRun, reason: reasonBadRequest}, nil)
+		h.write(r.Context(), w, &ruling{verdict: notRun, reason: reasonBadRequest}, nil)
 		return
 	}
 	if c.node != h.id {
-		h.write(w, &ruling{verdict: notRun, reason: reasonNode}, nil)
+		h.write(r.Context(), w, &ruling{verdict: notRun, reason: reasonNode}, nil)
 		return
 	}
 	request, err := newHopRequest(r, r.Header.Get(h.inbound.headers.RequestID), 0)
 	if err != nil {
-		h.write(w, &ruling{verdict: notRun, reason: reasonBody}, nil)
+		h.write(r.Context(), w, &ruling{verdict: notRun, reason: reasonBody}, nil)
 		return
 	}
 	ruled, response := h.inbound.serve(r.Context(), c, request)
-	h.write(w, ruled, response)
+	h.write(r.Context(), w, ruled, response)
 }
 
-func (h *nodeHandler) write(w http.ResponseWriter, ruled *ruling, response *hop.Response) {
+func (h *nodeHandler) write(ctx context.Context, w http.ResponseWriter, ruled *ruling, response *hop.Response) {
 	if response == nil {
 		w.Header().Set(headerReply, ruled.encode())
 		writeHead(w, http.StatusServiceUnavailable, 0)
@@ -107,7 +111,7 @@
 	}
 	copyHeader(w.Header(), response.Header)
 	w.Header().Set(headerReply, ruled.encode())
-	if !writeResponse(w, response) {
+	if !writeResponse(ctx, w, response, h.link) {
 		panic(http.ErrAbortHandler) // the other node must see that the response is incomplete
 	}
 }
@@ -132,28 +136,46 @@
 	w.WriteHeader(status)
 }
 
-// writeResponse sends a response. It reports false if the body broke off after its first bytes were sent.
-func writeResponse(w http.ResponseWriter, response *hop.Response) bool {
-	writeHead(w, response.Status, response.Length)
-	_, err := w.Write(response.Body)
+// writeResponse sends a response, a long one when its turn on the link comes. It reports false if the body broke off after its
+// first bytes were sent.
+func writeResponse(ctx context.Context, w http.ResponseWriter, response *hop.Response, l *link.Link) bool {
 	if response.Rest == nil {
-		return true // a failed write means that the caller is gone
+		writeHead(w, response.Status, response.Length)
+		l.SendShort(int64(len(response.Body)))
+		_, _ = w.Write(response.Body) // a failed write means that the caller is gone
+		return true
 	}
 	defer response.Rest.Close()
-	if err != nil {
-		return false
-	}
-	_, err = io.Copy(flushingWriter{w}, response.Rest)
+	turn := l.Join(response.Length)
+	defer turn.Leave()
+	writeHead(w, response.Status, response.Length)
+	body := io.MultiReader(bytes.NewReader(response.Body), response.Rest)
+	_, err := io.CopyBuffer(&pacedWriter{ctx, w, turn}, struct{ io.Reader }{body}, make([]byte, link.Short))
 	return err == nil
 }
 
-// flushingWriter passes pieces of a long response on as they arrive.
-type flushingWriter struct{ http.ResponseWriter }
+// pacedWriter passes the pieces of a long response on as they arrive and the link has room.
+type pacedWriter struct {
+	ctx context.Context
+	http.ResponseWriter
+	turn *link.Turn
+}
 
-func (f flushingWriter) Write(p []byte) (int, error) {
-	n, err := f.ResponseWriter.Write(p)
-	if flusher, ok := f.ResponseWriter.(http.Flusher); ok {
-		flusher.Flush()
+func (p *pacedWriter) Write(data []byte) (int, error) {
+	written := 0
+	for written < len(data) {
+		n, err := p.turn.Next(p.ctx, len(data)-written)
+		if err != nil {
+			return written, err
+		}
+		n, err = p.ResponseWriter.Write(data[written : written+n])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		if flusher, ok := p.ResponseWriter.(http.Flusher); ok {
+			flusher.Flush()
+		}
 	}
-	return n, err
+	return written, nil
 }
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
+	"github.com/laburnumcleat/laburnumcleat/pkg/link"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 	"github.com/laburnumcleat/laburnumcleat/pkg/pipeline"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
@@ -57,6 +58,7 @@
 	chooser   *placement.Chooser
 	budget    *retry.Budget
 	local     *inbound
+	link      *link.Link
 	client    *hop.Client
 	metrics   *metrics.Registry
 	logger    *zap.Logger
@@ -238,7 +240,7 @@
 		}
 		open = open || last.verdict == unknown
 		if last.verdict == answered {
-			o.history.answered(q.route.Name, len(last.response.Body))
+			o.history.answered(q.route.Name, last.response.Length)
 			if last.response.Rest != nil {
 				last.response.Rest = &cancelOnClose{ReadCloser: last.response.Rest, cancel: cancel}
 				cancel = func() {}
@@ -284,7 +286,8 @@
 func (o *outbound) try(ctx context.Context, q *request, choice *placement.Choice) *result {
 	c := &call{
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.route.Priority,
-		idempotent: q.route.Idempotent, returned: q.returned, targetLeft: time.Until(q.target), deadlineLeft: time.Until(q.deadline),
+		idempotent: q.route.Idempotent, returned: q.returned,
+		targetLeft: time.Until(q.target) - o.link.Wait(o.history.answerLength(q.route.Name)), deadlineLeft: time.Until(q.deadline),
 	}
 	res := &result{node: choice.ID}
 	out := *q.out
@@ -367,7 +370,7 @@
 			writeHead(w, res.response.Status, res.response.Length)
 			return true
 		}
-		return writeResponse(w, res.response)
+		return writeResponse(q.Context(), w, res.response, o.link)
 	}
 	body, err := json.Marshal(refusalBody{res.verdict, res.reason})
 	if err != nil {
--- a/pkg/sidecar/platform.go
+++ b/pkg/sidecar/platform.go
@@ -29,7 +29,7 @@
 // LoadReport is what a backend server says about its load.
 type LoadReport struct {
 	Running, Waiting, Slots int
-	Slowness                float64 // how long work takes there now, relative to usual; 0: not said
+	Slowness                float64 // how long work takes there now, relative to an average machine; 0: not said
 }
 
 // hasRoom reports whether the backend server could have begun one more call.
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -22,6 +22,8 @@
 	Backend    Backend `json:"backend"`
 	Store      Store   `json:"store"`
 	Bounds     Bounds  `json:"bounds"`
+	LinkMbps   float64 `json:"link_mbps"` // of the machine, megabits a second; 0: not known, long answers are not paced
+	MemoryMB   float64 `json:"memory_mb"` // that the process may use; 0: not known
 	LogLevel   string  `json:"log_level"` // debug, info, warn or error; default info
 	// DialOverrides maps addresses of other nodes ("ip:port") to the addresses to connect to instead, for address translation
 	// between data centres.
@@ -118,6 +120,20 @@
 	return s, nil
 }
 
+const (
+	bufferShare        = 0.125    // of the memory, for long answers
+	defaultBufferBytes = 16 << 20 // where the memory is not known
+)
+
+// bufferBytes is the memory for long answers of the backend server that wait for their callers.
+func (s *Settings) bufferBytes() int64 {
+	if s.MemoryMB == 0 {
+		return defaultBufferBytes
+	}
+	const bytesPerMB = 1e6
+	return int64(s.MemoryMB * bytesPerMB * bufferShare)
+}
+
 func (s *Settings) check() apierror.List {
 	var errs apierror.List
 	require := func(ok bool, field, message, remedy string) {
@@ -155,6 +171,8 @@
 	} {
 		require(f.value > 0, f.field, "missing or 0", "give a duration, as \"2s\"")
 	}
+	require(s.LinkMbps >= 0, "link_mbps", "negative", "give megabits a second, or 0 if it is not known")
+	require(s.MemoryMB >= 0, "memory_mb", "negative", "give megabytes, or 0 if it is not known")
 	require(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio", "negative", "use 0 or more")
 	require(s.Bounds.RetrySlack >= 0, "bounds.retry_slack", "negative", "use 0 or more")
 	return errs
