--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -135,11 +135,10 @@
 		return bytes, nil
 	}
 	n := min(bytes, pieceBytes)
-	if t.left < int64(n) {
+	if t.left == 0 {
 		t.next = t.link.take(int64(n))
-	} else {
-		t.left -= int64(n)
 	}
+	t.left = max(0, t.left-int64(n))
 	wait := t.next - t.link.now() - ahead
 	t.next += t.link.takes(int64(n))
 	if wait <= 0 {
--- /dev/null
+++ b/pkg/link/link_test.go
@@ -0,0 +1,150 @@
+package link
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	thin = 12.0 // megabits a second
+	long = 90_000
+)
+
+// newTestLink returns a link whose clock the test moves.
+func newTestLink() (l *Link, now *time.Duration) {
+	l, now = New(thin), new(time.Duration)
+	l.now = func() time.Duration { return *now }
+	return l, now
+}
+
+func cancelled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// mayWrite reports whether the turn's next piece may be written now. It is taken either way.
+func mayWrite(turn *Turn) bool {
+	wait := turn.next - turn.link.now() - ahead
+	_, _ = turn.Next(cancelled(), pieceBytes)
+	return wait <= 0
+}
+
+// Pattern: many long answers become ready at once on a thin link. They are sent one after the other, the first of them at once, and
+// leave the link a part of its rate.
+func TestLongAnswersTakeTurns(t *testing.T) {
+	l, now := newTestLink()
+	const answers = 8
+	var ends []time.Duration
+	turns := make([]*Turn, answers)
+	for i := range turns {
+		turns[i] = l.Join(long)
+	}
+	for _, turn := range turns {
+		for turn.left > 0 {
+			for turn.next-ahead > *now {
+				*now += time.Millisecond
+			}
+			require.True(t, mayWrite(turn))
+		}
+		ends = append(ends, *now)
+	}
+	assert.True(t, slices.IsSorted(ends))
+	assert.Less(t, ends[0], 80*time.Millisecond, "the first is not slowed by the others")
+	atFullRate := time.Duration(float64(answers*long) * 8 / (thin * 1e6) * float64(time.Second))
+	assert.Greater(t, ends[answers-1], atFullRate)
+	assert.Less(t, ends[answers-1], atFullRate*5/4)
+}
+
+// Pattern: a surge of long answers, four times what the link carries. What cannot be in time is known before it is worked on: of the
+// answers that are begun, all are in time, and the link does not idle.
+func TestSurgeOfLongAnswers(t *testing.T) {
+	const target, work, every, length = 600 * time.Millisecond, 80 * time.Millisecond, 18 * time.Millisecond, 20 * time.Second
+	l, now := newTestLink()
+	begun, late := 0, 0
+	ready := map[time.Duration][]func(){}
+	for *now = 0; *now < length; *now += time.Millisecond {
+		for _, run := range ready[*now] {
+			run()
+		}
+		delete(ready, *now)
+		if *now%every != 0 || max(0, l.Wait(long)-work)+l.Takes(long)+work > target {
+			continue
+		}
+		begun++
+		arrived, done := *now, l.Expect(long)
+		ready[*now+work] = append(ready[*now+work], func() {
+			done()
+			if turn := l.Join(long); turn.next+l.Takes(long)-arrived > target {
+				late++
+			}
+		})
+	}
+	assert.Zero(t, late)
+	assert.Greater(t, float64(begun*long)*8/length.Seconds()/(thin*1e6), 0.8, "part of the link in use")
+}
+
+func TestShortAnswersDoNotWait(t *testing.T) {
+	l, _ := newTestLink()
+	for range 10 {
+		l.Join(long)
+	}
+	assert.Greater(t, l.Wait(long), 500*time.Millisecond)
+	assert.Zero(t, l.Wait(Short))
+}
+
+// A caller that leaves gives back the time of what it has not got.
+func TestLeaveGivesBack(t *testing.T) {
+	l, _ := newTestLink()
+	turn := l.Join(long)
+	before := l.Wait(long)
+	_, err := turn.Next(context.Background(), pieceBytes)
+	require.NoError(t, err)
+	turn.Leave()
+	turn.Leave()
+	assert.Less(t, l.Wait(long), before/3)
+}
+
+func TestExpectedAnswersCount(t *testing.T) {
+	l, _ := newTestLink()
+	done := l.Expect(long)
+	assert.Equal(t, l.Takes(long), l.Wait(long))
+	done()
+	done()
+	assert.Zero(t, l.Wait(long))
+}
+
+func TestWaitEndsWithTheContext(t *testing.T) {
+	l, _ := newTestLink()
+	l.Join(long)
+	_, err := l.Join(long).Next(cancelled(), pieceBytes)
+	assert.ErrorIs(t, err, context.Canceled)
+}
+
+// A length that is not known, or is longer than stated: each piece takes its place by itself.
+func TestLengthNotKnown(t *testing.T) {
+	l, now := newTestLink()
+	turn := l.Join(-1)
+	for range 10 {
+		*now += time.Second
+		assert.True(t, mayWrite(turn))
+	}
+}
+
+func TestNoLinkHasNoBound(t *testing.T) {
+	l := New(0)
+	assert.Nil(t, l)
+	turn := l.Join(long)
+	n, err := turn.Next(context.Background(), long)
+	assert.NoError(t, err)
+	assert.Equal(t, long, n)
+	turn.Leave()
+	l.Expect(long)()
+	l.SendShort(long)
+	assert.Zero(t, l.Wait(long)+l.Takes(long))
+}
