--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -125,8 +125,7 @@
 	m.platform.copied = old
 	m.platform.mu.Unlock()
 	n := m.start(2)
-	m.eventually("starts with a configuration", func() bool { return n.follower.Table() != nil })
-	assert.Contains(t, m.log.String(), "before=0 from=copy")
+	m.eventually("starts with the copy", func() bool { return strings.Contains(m.log.String(), "before=0 from=copy") })
 	m.eventually("comes to the newer one", func() bool { return n.follower.Table().Document.Version == 2 })
 
 	m.platform.mu.Lock()
