membership: gossip stays within data centres but for one message in some rounds

Ruled out: the configuration (its copy comes from the store).

Change: partners at the distances 1, 2, 4 .. of the ring of the own data centre, and in every second round one elsewhere beside them.

--- a/pkg/membership/exchange_test.go
+++ b/pkg/membership/exchange_test.go
@@ -34,6 +34,7 @@
 	blocked func(a, b string) bool // a partition
 	timing  Timing
 	bytes   map[string]int // sent by method, answers included
+	far     int            // of them between data centres
 }
 
 type virtualNode struct {
@@ -152,6 +153,9 @@
 // arrives takes it.
 func (x *exchange) transmit(method, from, to string, size int, deliver func()) {
 	x.bytes[method] += size
+	if a, b := x.nodes[from], x.nodes[to]; a != nil && b != nil && a.me().DataCentre != b.me().DataCentre {
+		x.far += size
+	}
 	if x.random.Float64() < x.loss || x.blocked(from, to) {
 		return
 	}
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -85,63 +85,82 @@
 	require.Empty(t, x.deaths())
 }
 
-// Pattern: all nodes of a deployment are killed and start again within half a second, a fifth of the machines in the directory are gone,
-// and the backend servers announce themselves within the next second, as they do once a second. Every node is to know every endpoint
-// soon after the last announcement, with a part of the thinnest link.
-func TestMassRestartWithADirectory(t *testing.T) {
-	t.Parallel()
-	const count, gone = 71, 17
-	const starts, announcements, spread = 500 * time.Millisecond, time.Second, time.Second
-	const thinLink = 7_000_000 / 8 // bytes a second
-	for seed := range uint64(3) {
-		x := &exchange{
-			t: t, now: epoch, random: rand.New(rand.NewPCG(seed, 3)), nodes: make(map[string]*virtualNode),
-			timing: Regional.withDefaults(), blocked: func(string, string) bool { return false }, bytes: make(map[string]int),
-		}
-		var directory []Member
-		for i := range count + gone {
-			node := x.start(i, 2)
-			entry := node.me().copyMember()
-			if i >= count {
-				node.up = false
-			} else if i%2 == 0 {
-				entry.Incarnation = 1 // it has not entered itself again yet when the others read
-			}
-			directory = append(directory, entry)
-		}
-		for i := range count {
-			node := x.nodes[nodeID(i)]
+// massRestart plays that all nodes of a deployment are killed and start again within half a second, that some machines of the directory are
+// gone, and that the backend servers announce themselves within the next second, as they do once a second. It returns how long after
+// the last announcement every node knows every endpoint, and how long all took.
+func massRestart(t *testing.T, seed uint64, count, gone int) (x *exchange, after, total time.Duration) {
+	const starts, announcements = 500 * time.Millisecond, time.Second
+	x = &exchange{
+		t: t, now: epoch, random: rand.New(rand.NewPCG(seed, 3)), nodes: make(map[string]*virtualNode),
+		timing: Regional.withDefaults(), blocked: func(string, string) bool { return false }, bytes: make(map[string]int),
+	}
+	var directory []Member
+	for i := range count + gone {
+		node := x.start(i, 2)
+		entry := node.me().copyMember()
+		if i >= count {
 			node.up = false
-			at := time.Duration(x.random.Int64N(int64(starts)))
-			x.after(at, func() {
-				node.up = true
-				node.adopt(x.now, directory)
-				x.tick(node)
-			})
-			x.after(at+time.Duration(x.random.Int64N(int64(announcements))), func() {
-				node.setEndpoint(x.now, Endpoint{Service: "tracker", Address: "10.0.0.1:8080", Slots: 9, State: EndpointReady})
-			})
+		} else if i%2 == 0 {
+			entry.Incarnation = 1 // it has not entered itself again yet when the others read
 		}
-		known := func() int {
-			n := 0
-			for i := range count {
-				for _, e := range x.nodes[nodeID(i)].table.entries {
-					if e.Endpoint != nil {
-						n++
-					}
+		directory = append(directory, entry)
+	}
+	for i := range count {
+		node := x.nodes[nodeID(i)]
+		node.up = false
+		at := time.Duration(x.random.Int64N(int64(starts)))
+		x.after(at, func() {
+			node.up = true
+			node.adopt(x.now, directory)
+			x.tick(node)
+		})
+		x.after(at+time.Duration(x.random.Int64N(int64(announcements))), func() {
+			node.setEndpoint(x.now, Endpoint{Service: "tracker", Address: "10.0.0.1:8080", Slots: 9, State: EndpointReady})
+		})
+	}
+	known := func() int {
+		n := 0
+		for i := range count {
+			for _, e := range x.nodes[nodeID(i)].table.entries {
+				if e.Endpoint != nil {
+					n++
 				}
 			}
-			return n
 		}
-		x.advance(starts + announcements)
-		after := time.Duration(0)
-		for ; known() < count*count; after += 50 * time.Millisecond {
-			require.Less(t, after, 10*time.Second)
-			x.advance(50 * time.Millisecond)
-		}
-		perNode := float64(x.sentBytes()) / (starts + announcements + after).Seconds() / count
+		return n
+	}
+	x.advance(starts + announcements)
+	for ; known() < count*count; after += 50 * time.Millisecond {
+		require.Less(t, after, 10*time.Second)
+		x.advance(50 * time.Millisecond)
+	}
+	return x, after, starts + announcements + after
+}
+
+// Pattern: cold start of many, a fifth of the machines in the directory gone. Every node is to know every endpoint soon after the last
+// announcement, with a part of the thinnest link.
+func TestMassRestartWithADirectory(t *testing.T) {
+	t.Parallel()
+	const count, gone, spread = 71, 17, time.Second
+	const thinLink = 7_000_000 / 8 // bytes a second
+	for seed := range uint64(3) {
+		x, after, total := massRestart(t, seed, count, gone)
+		perNode := float64(x.sentBytes()) / total.Seconds() / count
 		t.Logf("seed %d: all know all endpoints %v after the last announcement; %.0f bytes sent per node and second", seed, after, perNode)
 		require.LessOrEqual(t, after, spread)
 		require.Less(t, perNode, thinLink/4.0)
 	}
 }
+
+// Pattern: cold start of many. What members tell each other stays within their data centres but for a small part, at every size; three
+// data centres would otherwise see two thirds of it between them.
+func TestMassStartStaysWithinDataCentres(t *testing.T) {
+	t.Parallel()
+	for _, count := range []int{12, 71, 296} {
+		x, after, _ := massRestart(t, 1, count, 0)
+		share := float64(x.far) / float64(x.sentBytes())
+		t.Logf("%d members: %v after the last announcement; %.0f bytes per node, %.2f of them between data centres", count, after, float64(x.sentBytes())/float64(count), share)
+		require.Less(t, share, 1.0/3)
+		require.LessOrEqual(t, after, 1500*time.Millisecond)
+	}
+}
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -121,7 +121,56 @@
 		return out
 	}
 	s.nextGossip = now.Add(s.timing.GossipInterval)
-	return s.sendDeltas(now, s.randomPartners(s.timing.GossipFanout), out)
+	s.gossipRound++
+	return s.sendDeltas(now, s.gossipTargets(), out)
+}
+
+// farRounds is the number of gossip rounds of which one goes to another data centre as well. A change crosses with each of the many
+// members that have it, so that a few messages from each suffice; bytes between data centres cost more than others.
+const farRounds = 2
+
+// gossipTargets returns members of the own data centre, and in some rounds one elsewhere. Where there are too few of either, the
+// others take their place, but for one message.
+func (s *system) gossipTargets() []*entry {
+	n := s.timing.GossipFanout
+	far := 0
+	if s.gossipRound%farRounds == 0 {
+		far = 1
+	}
+	targets := s.nearPartners(n)
+	own := s.me().DataCentre
+	for _, e := range s.randomPartners(s.offsets()) {
+		if far > 0 && e.DataCentre != own {
+			targets = append(targets, e)
+			far--
+		}
+	}
+	for _, e := range s.randomPartners(n) {
+		if len(targets) < n-1 && !slices.Contains(targets, e) {
+			targets = append(targets, e)
+		}
+	}
+	return targets
+}
+
+// nearPartners returns up to n different members at the distances 1, 2, 4, ... in the ring of the own data centre, so that their
+// number, and that of the open connections, grows with the logarithm of its size.
+func (s *system) nearPartners(n int) []*entry {
+	var distances []int
+	for distance := 1; distance < len(s.nearRing); distance *= 2 {
+		distances = append(distances, distance)
+	}
+	var chosen []*entry
+	for _, i := range s.random.Perm(len(distances)) {
+		if len(chosen) == n {
+			break
+		}
+		e := s.nearRing[(s.nearPosition+distances[i])%len(s.nearRing)]
+		if s.hearsGossip(e) {
+			chosen = append(chosen, e)
+		}
+	}
+	return chosen
 }
 
 func (s *system) sendDeltas(now time.Time, targets []*entry, out []message) []message {
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -43,6 +43,13 @@
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
 	})
 	s.position = slices.Index(s.ring, s.me())
+	s.nearRing = s.nearRing[:0]
+	for _, e := range s.ring {
+		if e.DataCentre == s.me().DataCentre {
+			s.nearRing = append(s.nearRing, e)
+		}
+	}
+	s.nearPosition = slices.Index(s.nearRing, s.me())
 }
 
 // offsets is the number of ring distances 1, 2, 4, ... at which a member has its probe targets.
--- a/pkg/membership/system.go
+++ b/pkg/membership/system.go
@@ -21,6 +21,9 @@
 	ringChanges uint64   // table.changes when the ring was built
 	position    int      // of self in the ring
 
+	nearRing     []*entry // the part of the ring in the own data centre
+	nearPosition int      // of self in it
+
 	begun         time.Time // first tick
 	lastTick      time.Time
 	slot          probeSlot
@@ -32,6 +35,7 @@
 	contactChecks map[string]time.Time // latest check of the contact to each data centre
 	queue         map[string]*broadcast
 	nextGossip    time.Time
+	gossipRound   int
 	nextRetry     time.Time // next probe of a dead member
 	nextHeld      time.Time // next probe of a member behind a partition
 	nextForget    time.Time
