sidecar: at the first start of the fleet a node only waits for the configuration

Each node read the copy and the newest configuration, which cannot be there yet, and then waited for the first one: three calls to the store where one does.

--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -61,6 +61,7 @@
 	client  *rpc.Client
 	metrics *metrics.Registry
 	logger  *zap.Logger
+	first   bool // the whole fleet starts for the first time: neither a copy nor a history is in the store
 
 	table   atomic.Pointer[routing.Table]
 	mu      sync.Mutex          // serialises activation
@@ -130,10 +131,10 @@
 
 // Run reads the source until ctx ends. A node that is no reader reads it only while it has no configuration.
 func (f *follower) Run(ctx context.Context) {
-	if f.readCopy(ctx) {
+	position, known := int64(0), f.first
+	if !f.first && f.readCopy(ctx) {
 		_ = clock.Sleep(ctx, readerCheck) // by then the other members are known, and with them who reads
 	}
-	position, known := int64(0), false
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		if f.table.Load() != nil && !f.isReader() {
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -37,6 +37,7 @@
 	contacts  []Contact
 	copied    []byte
 	refusing  map[string]bool // nodes that the store turns away
+	calls     []string        // to read configurations
 	published chan struct{}
 }
 
@@ -83,11 +84,13 @@
 func (p *forNode) Newest(context.Context) (Published, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.calls = append(p.calls, "newest")
 	return Published{p.document, p.position}, p.refused()
 }
 
 func (p *forNode) Next(ctx context.Context, position int64, wait time.Duration) (Published, error) {
 	p.mu.Lock()
+	p.calls = append(p.calls, "next")
 	published, now, err := p.published, Published{p.document, p.position}, p.refused()
 	p.mu.Unlock()
 	if err != nil || now.Position > position {
@@ -95,7 +98,9 @@
 	}
 	select {
 	case <-published:
-		return p.Newest(ctx)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return Published{p.document, p.position}, p.refused()
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
@@ -105,6 +110,7 @@
 func (p *forNode) Copy(context.Context) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.calls = append(p.calls, "copy")
 	return p.copied, p.refused()
 }
 
@@ -217,6 +223,7 @@
 	platform *fakePlatform
 	nodes    []*testNode
 	ids      atomic.Int64
+	first    bool        // the settings say that the whole fleet starts for the first time
 	adjust   func(*Node) // before a node runs; may be nil
 	log      logBuffer   // of all nodes
 }
@@ -276,7 +283,7 @@
 func (m *mesh) settings(i int, b *backendServer) *Settings {
 	address := func() string { return freeAddress(m.t) }
 	return &Settings{
-		ID: "node-" + strconv.Itoa(i), Region: "r", DataCentre: "dc-" + strconv.Itoa(i),
+		ID: "node-" + strconv.Itoa(i), FirstStart: m.first, Region: "r", DataCentre: "dc-" + strconv.Itoa(i),
 		Listen:  Listen{Callers: address(), Nodes: address(), Control: address(), Announcements: address(), Readiness: address(), Metrics: address()},
 		Backend: Backend{Service: "s", Address: b.address, AnnouncementInterval: Duration(time.Minute)},
 		Store:   Store{Address: "127.0.0.1:1"},
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -81,6 +81,7 @@
 	n.rpcClient = rpc.NewClient(bytes, nil)
 	n.rpcClient.OverrideAddresses(s.DialOverrides)
 	n.follower = newFollower(p, n.rpcClient, n.rpcServer, n.metrics, n.logger)
+	n.follower.first = s.FirstStart
 	n.link = link.New(s.LinkMbps)
 	n.buffers = hop.NewBuffers(s.bufferBytes())
 	n.inbound = newInbound(p, n.link, n.buffers, n.metrics, n.logger, n.heardBackend)
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -22,9 +22,10 @@
 	Backend    Backend `json:"backend"`
 	Store      Store   `json:"store"`
 	Bounds     Bounds  `json:"bounds"`
-	LinkMbps   float64 `json:"link_mbps"` // of the machine, megabits a second; 0: not known, long answers are not paced
-	MemoryMB   float64 `json:"memory_mb"` // that the process may use; 0: not known
-	LogLevel   string  `json:"log_level"` // debug, info, warn or error; default info
+	FirstStart bool    `json:"first_start"` // the whole fleet starts for the first time, which spares it two calls to the store
+	LinkMbps   float64 `json:"link_mbps"`   // of the machine, megabits a second; 0: not known, long answers are not paced
+	MemoryMB   float64 `json:"memory_mb"`   // that the process may use; 0: not known
+	LogLevel   string  `json:"log_level"`   // debug, info, warn or error; default info
 	// DialOverrides maps addresses of other nodes ("ip:port") to the addresses to connect to instead, for address translation
 	// between data centres.
 	DialOverrides map[string]string `json:"dial_overrides"`
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -135,6 +135,21 @@
 	m.eventually("a copy that cannot be read does no harm", func() bool { return n.follower.Table() != nil })
 }
 
+// Pattern: hundreds of nodes start for the first time, and each call to the store has its price. Nothing can be in it yet: one call that
+// waits for the first configuration is enough.
+func TestFirstStartOnlyWaits(t *testing.T) {
+	m := &mesh{t: t, platform: newFakePlatform(), first: true}
+	n := m.start(0)
+	m.eventually("it waits", func() bool { m.platform.mu.Lock(); defer m.platform.mu.Unlock(); return len(m.platform.calls) > 0 })
+	m.platform.publish(testDocument(1))
+	m.eventually("it has the configuration", func() bool { return n.follower.Table() != nil })
+	m.platform.mu.Lock()
+	defer m.platform.mu.Unlock()
+	assert.Equal(t, "next", m.platform.calls[0])
+	assert.NotContains(t, m.platform.calls, "copy")
+	assert.NotContains(t, m.platform.calls, "newest")
+}
+
 func TestNoConfigurationIsNotNotFound(t *testing.T) {
 	m := &mesh{t: t, platform: newFakePlatform()}
 	n := m.start(0)
