--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -23,6 +23,9 @@
 // node that restarts has forgotten what it sent, and a repeat makes its own calls again.
 const caution = 0.5
 
+// outerShare is the part of the allowed repeats that calls which are not made on behalf of admitted work may use.
+const outerShare = 0.5
+
 // buckets divide the window.
 const buckets = 20
 
@@ -55,8 +58,9 @@
 	w.requests[i]++
 }
 
-// TakeRepeat counts a repeat, or returns false if the budget does not allow it.
-func (b *Budget) TakeRepeat(service string) bool {
+// TakeRepeat counts a repeat, or returns false if the budget does not allow it. Inner says that the call is made on behalf of admitted
+// work, which is lost with it; the callers of others can come back, and may use a part of the budget only.
+func (b *Budget) TakeRepeat(service string, inner bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w, i := b.at(service)
@@ -66,6 +70,9 @@
 		repeats += w.repeats[j]
 	}
 	allowed := caution * (b.terms.Ratio*float64(requests) + b.terms.Slack/float64(max(1, b.nodes())))
+	if !inner {
+		allowed *= outerShare
+	}
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -35,7 +35,7 @@
 					b.Request("dispatch")
 					s.requests++
 				}
-				if b.TakeRepeat("dispatch") { // also nodes without requests try
+				if b.TakeRepeat("dispatch", true) { // also nodes without requests try
 					s.repeats++
 				}
 			}
@@ -60,12 +60,35 @@
 	now := 1000 * time.Second
 	b := New(Terms{Ratio: 0, Slack: 4, Window: time.Second}, func() int { return 1 })
 	b.now = func() time.Duration { return now }
-	assert.True(t, b.TakeRepeat("a"))
-	assert.True(t, b.TakeRepeat("a"))
-	assert.False(t, b.TakeRepeat("a"))
-	assert.True(t, b.TakeRepeat("b"))
+	assert.True(t, b.TakeRepeat("a", true))
+	assert.True(t, b.TakeRepeat("a", true))
+	assert.False(t, b.TakeRepeat("a", true))
+	assert.True(t, b.TakeRepeat("b", true))
 	now += 2 * time.Second
-	assert.True(t, b.TakeRepeat("a"))
+	assert.True(t, b.TakeRepeat("a", true))
 	now -= time.Hour // the clock was set back
-	assert.False(t, func() bool { b.TakeRepeat("a"); return b.TakeRepeat("a") }())
+	assert.False(t, func() bool { b.TakeRepeat("a", true); return b.TakeRepeat("a", true) }())
+}
+
+// Pattern: backend servers refuse half of their calls, so that repeats run short. Those on behalf of admitted work come first: the
+// slot time of their parents is lost with them.
+func TestInnerCallsHaveMostRepeats(t *testing.T) {
+	now := 1000 * time.Second
+	b := New(terms, func() int { return 1 })
+	b.now = func() time.Duration { return now }
+	inner, outer := 0, 0
+	for range 1000 {
+		now += terms.Window / 1000
+		b.Request("records")
+		b.Request("records")
+		if b.TakeRepeat("records", false) {
+			outer++
+		}
+		if b.TakeRepeat("records", true) {
+			inner++
+		}
+	}
+	assert.Greater(t, inner, 2*outer)
+	assert.Positive(t, outer)
+	assert.LessOrEqual(t, float64(inner+outer), caution*(terms.Ratio*2000+terms.Slack))
 }
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -162,6 +162,7 @@
 type ruling struct {
 	verdict    verdict
 	reason     reason
+	inner      bool          // the call is made on behalf of admitted work
 	arrived    bool          // the request was handed to the backend server, which counts as an arrival even if it refused
 	retryAfter time.Duration // 0: unknown
 	load       placement.Load
@@ -174,7 +175,7 @@
 // encode writes the ruling as one header value.
 func (r *ruling) encode() string {
 	fields := []string{
-		string(r.verdict), string(r.reason), formatBool(r.arrived), strconv.FormatInt(r.retryAfter.Milliseconds(), 10),
+		string(r.verdict), string(r.reason), formatBool(r.inner), formatBool(r.arrived), strconv.FormatInt(r.retryAfter.Milliseconds(), 10),
 	}
 	if r.hasLoad {
 		fields = append(fields, strconv.Itoa(r.load.Running), strconv.Itoa(r.load.Queued), strconv.Itoa(r.load.Limit),
@@ -187,8 +188,8 @@
 
 // Numbers of fields of an encoded ruling, without and with a load.
 const (
-	rulingFields     = 4
-	rulingLoadFields = 12
+	rulingFields     = 5
+	rulingLoadFields = 13
 )
 
 // decodeRuling reads a ruling. It reports false if the header is not one: the response is then not that of a node.
@@ -197,12 +198,12 @@
 	if len(fields) != rulingFields && len(fields) != rulingLoadFields {
 		return nil, false
 	}
-	r := &ruling{verdict: verdict(fields[0]), reason: reason(fields[1]), arrived: fields[2] == "1"}
+	r := &ruling{verdict: verdict(fields[0]), reason: reason(fields[1]), inner: fields[2] == "1", arrived: fields[3] == "1"}
 	if r.verdict != answered && r.verdict != notRun && r.verdict != unknown {
 		return nil, false
 	}
 	numbers := make([]int, 0, rulingLoadFields)
-	for _, field := range fields[3:] {
+	for _, field := range fields[4:] {
 		n, err := strconv.Atoi(field)
 		if err != nil {
 			return nil, false
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -166,6 +166,7 @@
 	}
 	expected := in.link.Expect(in.history.answerLength(c.class))
 	ruled, response, result := in.hand(ctx, i, c, r, now.Add(c.deadlineLeft))
+	ruled.inner = rank == admission.Inner
 	expected()
 	if response != nil {
 		in.history.answered(c.class, response.Length)
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -221,7 +221,7 @@
 			break
 		}
 		tried[choice.ID] = true
-		if arrivals > 0 && !o.budget.TakeRepeat(q.service) {
+		if arrivals > 0 && !o.budget.TakeRepeat(q.service, last.inner) {
 			choice.Done(placement.Good, nil)
 			o.metrics.Inc("outbound_retry_denied", "reason", string(reasonBudget))
 			break
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -436,7 +436,7 @@
 		_, err := decodeCall(text)
 		assert.Error(t, err, text)
 	}
-	r := &ruling{verdict: notRun, reason: reasonFull, arrived: true, retryAfter: 20 * time.Millisecond, hasLoad: true}
+	r := &ruling{verdict: notRun, reason: reasonFull, inner: true, arrived: true, retryAfter: 20 * time.Millisecond, hasLoad: true}
 	r.load.Limit, r.load.Answered = 9, 0.5
 	got, ok := decodeRuling(http.Header{headerReply: {r.encode()}})
 	require.True(t, ok)
