announce: a leave of an unknown instance holds beside a clock that was set back

After a restart the node does not know the instance that leaves and took its own time of day for the latest start that has ended. Set back, late announcements of the instance were taken; set forward by an hour, its next run was refused for an hour (test: a step of an hour either way). Now the later of the time of day and the steady clock counts, and for 30 s.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -5,6 +5,8 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 )
 
 // Announcement is what a backend server says about itself.
@@ -39,10 +41,14 @@
 
 // process identifies one run of a backend server.
 type process struct {
-	id   string
-	born int64
+	id    string
+	born  int64
+	until time.Time // from then on it is forgotten; zero: never
 }
 
+// lateFor is how late an announcement may be. What was assumed about an instance that this process did not know holds for so long.
+const lateFor = 30 * time.Second
+
 // maxEnded bounds the memory of processes that have ended. Announcements are late by seconds, and a machine does not start
 // so many processes in that time.
 const maxEnded = 64
@@ -53,7 +59,7 @@
 // Announce takes in an announcement.
 func (t *Tracker) Announce(now time.Time, a Announcement) Verdict {
 	for _, p := range t.ended {
-		if p.id == a.ID && a.Born <= p.born {
+		if p.id == a.ID && a.Born <= p.born && (p.until.IsZero() || now.Before(p.until)) {
 			return Ended
 		}
 	}
@@ -79,14 +85,15 @@
 }
 
 // Leave takes in that the instance leaves. It reports whether that is the current one. Of an instance that is not known, as
-// after a restart of this process, every run that began until now has ended.
+// after a restart of this process, every run that began until now has ended: by the later of the time of day, which may have been
+// set back, and the steady clock, which does not count a suspension.
 func (t *Tracker) Leave(now time.Time, id string) bool {
-	born := now.UnixMilli()
+	ended := process{id, max(now.UnixMilli(), clock.UnixMilli(now)), now.Add(lateFor)}
 	known := t.current != nil && t.current.ID == id
 	if known {
-		born = t.current.Born
+		ended.born, ended.until = t.current.Born, time.Time{}
 	}
-	t.ended = append(t.ended, process{id, born})
+	t.ended = append(t.ended, ended)
 	if len(t.ended) > maxEnded {
 		t.ended = t.ended[1:]
 	}
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -60,3 +60,24 @@
 	assert.Nil(t, tracker.Current())
 	assert.Equal(t, Accepted, tracker.Announce(start, Announcement{ID: "a", Born: 100, Sequence: 2}), "it was only silent")
 }
+
+// An instance that is not known leaves, and the time of day of this machine is wrong by an hour either way. A late announcement of it is
+// not taken, and a new run under its id is, at the latest when announcements are not late any more.
+func TestLeaveOfAnUnknownInstanceBesideAWrongClock(t *testing.T) {
+	started := time.Now()
+	for _, step := range []time.Duration{-time.Hour, 0, time.Hour} {
+		var tracker Tracker
+		now := started.Round(0).Add(step)
+		assert.False(t, tracker.Leave(now, "i-1"))
+		late := Announcement{ID: "i-1", Sequence: 3, Born: started.Add(-time.Minute).UnixMilli()}
+		if step >= 0 {
+			assert.Equal(t, Ended, tracker.Announce(now, late), step)
+		}
+		again := Announcement{ID: "i-1", Sequence: 1, Born: started.Add(time.Second).UnixMilli()}
+		assert.Equal(t, Accepted, tracker.Announce(now.Add(lateFor), again), step)
+	}
+	// Set back while this process runs: the steady clock still knows.
+	var tracker Tracker
+	tracker.Leave(time.Now(), "i-1")
+	assert.Equal(t, Ended, tracker.Announce(time.Now(), Announcement{ID: "i-1", Born: time.Now().Add(-time.Second).UnixMilli()}))
+}
--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -6,7 +6,9 @@
 	"path/filepath"
 	"regexp"
 	"testing"
+	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -14,7 +16,8 @@
 var wallClock = map[string]string{
 	"node/node.go":         "incarnation, which is to grow from one process to the next",
 	"sidecar/node.go":      "the same",
-	"announce/announce.go": "stands for the start of a backend server that does not state one",
+	"announce/announce.go": "the later of two clocks; an error ends with lateFor",
+	"clock/clock.go":       "start of the process, to which the steady clock adds",
 	"callctx/context.go":   "deadline between nodes, within the stated bound of clock errors",
 	"execution/ballot.go":  "order between nodes, with the node's name as a tie-break",
 	"hop/exchange.go":      "a fixed time in the past",
@@ -44,3 +47,10 @@
 	})
 	require.NoError(t, err)
 }
+
+func TestUnixMilliFollowsTheSteadyClock(t *testing.T) {
+	start := time.Now()
+	later := start.Add(1500 * time.Millisecond)
+	assert.Equal(t, start.UnixMilli()+1500, unixMilli(start, later))
+	assert.InDelta(t, UnixMilli(start), begun.UnixMilli()+Of(start).Milliseconds(), 1)
+}
