sidecar: the first announcement after a restart is confirmed by the backend server

A backend server says that it leaves, its node acknowledges that and is restarted (no disk), and an announcement from before arrives late: the new process took it and gave the backend server calls again (TestLateAnnouncementAfterARestart, accepted before). Now the first announcement of an instance that is older than the process is checked once with its liveness check; if that does not say that it serves, the second announcement counts.

Tests: pkg/sidecar picked ports that outgoing connections of other processes can be given; 3 of 6 runs beside each other failed (address in use), also one run before whose log was not kept.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -30,6 +30,9 @@
 	Stale    Verdict = "stale"   // a later announcement, or a later process, is known
 	Ended    Verdict = "ended"   // the process has said that it leaves
 	Foreign  Verdict = "foreign" // it does not concern the backend server beside this node
+	// Unconfirmed is the first announcement after a restart of the node, of an instance that the node before may have seen leaving. It is
+	// not taken; the next one is.
+	Unconfirmed Verdict = "unconfirmed"
 )
 
 // Tracker holds the state of the one backend server beside a node. It is not safe for concurrent use.
--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -16,6 +16,7 @@
 var wallClock = map[string]string{
 	"node/node.go":         "incarnation, which is to grow from one process to the next",
 	"sidecar/node.go":      "the same",
+	"sidecar/backend.go":   "start of this process, to compare with that of a backend server; an error costs or spares one liveness check",
 	"announce/announce.go": "the later of two clocks; an error ends with lateFor",
 	"clock/clock.go":       "start of the process, to which the steady clock adds",
 	"callctx/context.go":   "deadline between nodes, within the stated bound of clock errors",
--- a/pkg/sidecar/backend.go
+++ b/pkg/sidecar/backend.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
+	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 )
 
@@ -17,11 +20,18 @@
 		n.logger.Warn("announcement_foreign", zap.String("instance", a.ID), zap.String("service", a.Service), zap.String("address", a.Address))
 		return announce.Foreign
 	}
+	if n.mayHaveLeft(a) && !n.isServing(a) {
+		n.metrics.Inc("announcement", "verdict", string(announce.Unconfirmed))
+		n.logger.Info("announcement_not_taken", zap.String("instance", a.ID), zap.String("verdict", string(announce.Unconfirmed)), zap.Int64("sequence", a.Sequence),
+			zap.String("cause", "this node has just started, and the liveness check does not say that the backend server stays"))
+		return announce.Unconfirmed
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	before := n.tracker.Current()
 	verdict := n.tracker.Announce(time.Now(), a)
 	n.metrics.Inc("announcement", "verdict", string(verdict))
+	n.announced = n.announced || verdict == announce.Accepted
 	if verdict != announce.Accepted {
 		n.logger.Info("announcement_not_taken", zap.String("instance", a.ID), zap.String("verdict", string(verdict)), zap.Int64("sequence", a.Sequence))
 		return verdict
@@ -30,6 +40,50 @@
 	return verdict
 }
 
+// mayHaveLeft reports whether the process before this one may have acknowledged that the instance leaves: an announcement from before that
+// may come late, and this process knows nothing of it. A second announcement of the same instance is not late.
+func (n *Node) mayHaveLeft(a announce.Announcement) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.announced || n.settings.FirstStart || a.Draining || a.Born >= n.started.UnixMilli() {
+		return false
+	}
+	first := n.first
+	n.first = &a
+	return first == nil || first.ID != a.ID || first.Born != a.Born || a.Sequence <= first.Sequence
+}
+
+const (
+	// checkTimeout bounds a liveness check, and the wait for the configuration that says where to ask. A backend server waits a second
+	// for the answer to its announcement.
+	checkTimeout  = 500 * time.Millisecond
+	tableInterval = 10 * time.Millisecond
+)
+
+// isServing asks the backend server's liveness check whether that instance takes calls. Without a path to ask it is taken to.
+func (n *Node) isServing(a announce.Announcement) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	table := n.follower.Table()
+	for ; table == nil; table = n.follower.Table() { // it comes within milliseconds of the start
+		if clock.Sleep(ctx, tableInterval) != nil {
+			return false
+		}
+	}
+	service := table.Service(a.Service)
+	if service == nil || service.HealthPath == "" {
+		return true
+	}
+	n.metrics.Inc("liveness_check")
+	response, failed := n.inbound.client.Do(ctx, a.Address, &hop.Request{Method: http.MethodGet, Target: service.HealthPath, Host: a.Address})
+	if failed != nil {
+		n.logger.Info("liveness_check_failed", zap.String("instance", a.ID), zap.Error(failed))
+		return false
+	}
+	drop(response)
+	return response.Status == http.StatusOK && response.Header.Get(n.inbound.headers.Instance) == a.ID
+}
+
 // isKnownService reports whether a backend server on this machine may belong to the service.
 func (n *Node) isKnownService(name string) bool {
 	table := n.follower.Table()
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -162,7 +163,8 @@
 	handle  func(w http.ResponseWriter, r *http.Request, body string)
 	seen    []string // request ids
 	headers http.Header
-	left    chan string // ids whose caller left while they ran
+	health  func(w http.ResponseWriter) // answers /health; nil: as any other request
+	left    chan string                 // ids whose caller left while they ran
 }
 
 func newBackend(t testing.TB, id string) *backendServer {
@@ -177,6 +179,10 @@
 }
 
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b.health != nil && r.URL.Path == "/health" {
+		b.health(w)
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get(testHeaders.RequestID)
 	w.Header().Set(testHeaders.RequestID, id)
@@ -216,6 +222,7 @@
 	stop    context.CancelFunc
 	done    chan error
 	beats   int64
+	born    int64 // start of the backend server, Unix ms
 }
 
 type mesh struct {
@@ -273,11 +280,25 @@
 	}
 }
 
+// Ports that no outgoing connection is given: those lie from 32768 on. Each test process begins elsewhere.
+const firstPort, ports = 12_000, 20_000
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 199) }
+
+// freeAddress returns an address that nothing listens on, and that stays free until it is used.
 func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range ports {
+		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(firstPort+nextPort.Add(1)%ports, 10))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			require.NoError(t, listener.Close())
+			return address
+		}
+	}
+	require.Fail(t, "no port is free")
+	return ""
 }
 
 func (m *mesh) settings(i int, b *backendServer) *Settings {
@@ -296,7 +317,23 @@
 
 func (m *mesh) start(i int) *testNode {
 	b := newBackend(m.t, "i-"+strconv.Itoa(i))
-	s := m.settings(i, b)
+	node := m.startNode(m.settings(i, b), b)
+	m.nodes = append(m.nodes, node)
+	node.announce(false)
+	return node
+}
+
+// restart stops a node at once and starts it again beside the same backend server.
+func (m *mesh) restart(n *testNode) *testNode {
+	n.stop()
+	<-n.done
+	n.done <- nil // for the clean-up
+	next := m.startNode(n.settings, n.backend)
+	next.beats, next.born = n.beats, n.born
+	return next
+}
+
+func (m *mesh) startNode(s *Settings, b *backendServer) *testNode {
 	logger, err := logging.New(&m.log, "info")
 	require.NoError(m.t, err)
 	n, err := New(s, &forNode{m.platform, s.ID}, logger)
@@ -305,21 +342,19 @@
 		m.adjust(n)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	node := &testNode{Node: n, backend: b, stop: cancel, done: make(chan error, 1)}
+	node := &testNode{Node: n, backend: b, stop: cancel, done: make(chan error, 1), born: time.Now().UnixMilli()}
 	go func() { node.done <- n.Run(ctx) }()
 	m.t.Cleanup(func() {
 		cancel()
 		<-node.done
 	})
-	m.nodes = append(m.nodes, node)
-	node.announce(false)
 	return node
 }
 
 func (n *testNode) announce(draining bool) announce.Verdict {
 	n.beats++
 	return n.Announce(announce.Announcement{
-		ID: n.backend.id, Service: "s", Address: n.backend.address, Slots: 4, Draining: draining, Sequence: n.beats, Born: 1,
+		ID: n.backend.id, Service: "s", Address: n.backend.address, Slots: 4, Draining: draining, Sequence: n.beats, Born: n.born,
 	})
 }
 
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -59,8 +59,11 @@
 	outbound   *outbound
 	service    atomic.Pointer[string] // of the backend server on this machine
 
-	mu      sync.Mutex // guards tracker
-	tracker announce.Tracker
+	mu        sync.Mutex // guards the fields below
+	tracker   announce.Tracker
+	announced bool                   // an announcement was accepted
+	first     *announce.Announcement // the latest one that was not taken because this node had just started
+	started   time.Time
 
 	stopping atomic.Bool
 	entered  bool // in the platform's directory; of the membership's joiner
@@ -74,7 +77,7 @@
 
 // New builds a node and opens its listeners. Start it with Run.
 func New(s *Settings, p Platform, logger *zap.Logger) (*Node, error) {
-	n := &Node{settings: s, platform: p, logger: logger.With(zap.String("node", s.ID)), metrics: metrics.New()}
+	n := &Node{settings: s, platform: p, logger: logger.With(zap.String("node", s.ID)), metrics: metrics.New(), started: time.Now()}
 	n.service.Store(&s.Backend.Service)
 	bytes := &rpc.Bytes{}
 	n.rpcServer = rpc.NewServer(bytes)
--- /dev/null
+++ b/pkg/sidecar/restart_test.go
@@ -0,0 +1,56 @@
+package sidecar
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
+)
+
+// restarted is a node that was restarted beside a backend server whose liveness check answers with that status.
+func restarted(t *testing.T, status int) (*mesh, *testNode) {
+	m := newMesh(t, 1)
+	document := testDocument(2)
+	document.Services[0].HealthPath = "/health"
+	m.platform.publish(document)
+	n := m.nodes[0]
+	m.eventually("the new version is in force", func() bool { return n.follower.version() == 2 })
+	n.backend.health = func(w http.ResponseWriter) {
+		w.Header().Set(testHeaders.Instance, n.backend.id)
+		w.WriteHeader(status)
+	}
+	n = m.restart(n)
+	m.eventually("it has a configuration", func() bool { return n.follower.Table() != nil })
+	return m, n
+}
+
+// A backend server says that it leaves, its node acknowledges that and restarts, and an announcement from before arrives late.
+func TestLateAnnouncementAfterARestart(t *testing.T) {
+	m, n := restarted(t, http.StatusServiceUnavailable)
+	assert.Equal(t, announce.Unconfirmed, n.announce(false))
+	n.beats-- // the same once more
+	assert.Equal(t, announce.Unconfirmed, n.announce(false))
+	a, _ := m.call(n, "GET", "/safe/", "")
+	assert.Equal(t, http.StatusServiceUnavailable, a.status)
+	assert.Equal(t, announce.Accepted, n.announce(true))
+	a, _ = m.call(n, "GET", "/safe/", "")
+	assert.Equal(t, http.StatusServiceUnavailable, a.status)
+	assert.Empty(t, n.backend.requests())
+}
+
+// A backend server that stays is used again at once, or with its second announcement if its liveness check is wrong.
+func TestAnnouncementsAfterARestart(t *testing.T) {
+	m, n := restarted(t, http.StatusOK)
+	assert.Equal(t, announce.Accepted, n.announce(false))
+	a, _ := m.call(n, "GET", "/safe/", "")
+	assert.Equal(t, http.StatusOK, a.status)
+	assert.EqualValues(t, 1, n.metrics.Counter("liveness_check").Count())
+
+	m, n = restarted(t, http.StatusInternalServerError)
+	assert.Equal(t, announce.Unconfirmed, n.announce(false))
+	assert.Equal(t, announce.Accepted, n.announce(false))
+	a, _ = m.call(n, "GET", "/safe/", "")
+	assert.Equal(t, http.StatusOK, a.status)
+}
