routing, sidecar: a change costs what it changes; looking who reads copies no members

Cause: each activation on each node wrote all routes as JSON for the digest and formatted a field name for each before any fault was found; each look whether this node reads the store (twice a second) copied all members twice.

--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -278,6 +278,9 @@
 	return append([]Member(nil), s.view.Load().members...)
 }
 
+// Shared returns what Members does without a copy: callers must not change it.
+func (s *Service) Shared() []Member { return s.view.Load().members }
+
 // Version changes with each change of Members.
 func (s *Service) Version() uint64 {
 	return s.view.Load().version
--- a/pkg/routing/change.go
+++ b/pkg/routing/change.go
@@ -38,8 +38,12 @@
 	return xxhash.Sum64(text)
 }
 
-// digest is the sum of the hashes of the routes, so that it does not depend on their order.
+// digest is the sum of the hashes of the routes, so that it does not depend on their order, and that of a changed document follows from
+// the changed routes alone.
 func (d *Document) digest() uint64 {
+	if d.summed {
+		return d.sum
+	}
 	sum := uint64(0)
 	for i := range d.Routes {
 		sum += d.Routes[i].hash()
@@ -47,6 +51,9 @@
 	return sum
 }
 
+// keepDigest works the digest out once. The routes must not change after it.
+func (d *Document) keepDigest() { d.sum, d.summed = d.digest(), true }
+
 // Diff returns the change from one document to another.
 func Diff(from, to *Document) *Change {
 	c := &Change{From: from.Version, To: to.Version, Digest: to.digest(), Limits: to.Limits}
@@ -94,14 +101,21 @@
 	for i := range c.Routes {
 		gone[c.Routes[i].place()] = true
 	}
+	sum := from.digest()
 	to.Routes = make([]Route, 0, len(from.Routes)+len(c.Routes))
 	for i := range from.Routes {
-		if !gone[from.Routes[i].place()] {
-			to.Routes = append(to.Routes, from.Routes[i])
+		if r := &from.Routes[i]; gone[r.place()] {
+			sum -= r.hash()
+		} else {
+			to.Routes = append(to.Routes, *r)
 		}
 	}
+	for i := range c.Routes {
+		sum += c.Routes[i].hash()
+	}
 	to.Routes = append(to.Routes, c.Routes...)
-	if to.digest() != c.Digest {
+	to.sum, to.summed = sum, true
+	if sum != c.Digest {
 		return nil, apierror.New(apierror.Conflict, "the change leads to another content", "take the whole configuration")
 	}
 	return to, nil
--- a/pkg/routing/change_test.go
+++ b/pkg/routing/change_test.go
@@ -73,3 +73,47 @@
 	_, err = change.Apply(other)
 	assert.Equal(t, apierror.Conflict, apierror.KindOf(err), "same version, other content")
 }
+
+// Pattern: many versions of a large configuration in a row. The digest of each follows from what changed, and is that of the whole.
+func TestDigestFollowsChanges(t *testing.T) {
+	document := changeDocument(1, 1000)
+	_, err := Compile(document)
+	require.NoError(t, err)
+	for version := uint64(2); version < 30; version++ {
+		next := changeDocument(version, 1000+int(version)%3)
+		next.Routes[version*7].TimeoutMS += int64(version)
+		next.Routes = append(next.Routes[:version], next.Routes[version+1:]...)
+		applied, err := Diff(document, next).Apply(document)
+		require.NoError(t, err)
+		require.True(t, applied.summed)
+		require.Equal(t, (&Document{Routes: applied.Routes}).digest(), applied.sum)
+		document = applied
+	}
+}
+
+func changeDocument(version uint64, routes int) *Document {
+	d := &Document{Version: version, Services: []Service{{Name: "tracker"}}}
+	for i := range routes {
+		d.Routes = append(d.Routes, Route{
+			Name: fmt.Sprintf("r-%d", i), Host: fmt.Sprintf("h%d.example", i%40), PathPrefix: fmt.Sprintf("/p%d/", i), TimeoutMS: 1000, MaxAttempts: 2,
+			Destinations: []Destination{{Service: "tracker", Weight: 1}},
+		})
+	}
+	return d
+}
+
+func BenchmarkApply(b *testing.B) {
+	document := changeDocument(1, 1000)
+	_, err := Compile(document)
+	require.NoError(b, err)
+	next := changeDocument(2, 1000)
+	next.Routes[7].TimeoutMS++
+	change := Diff(document, next)
+	b.ReportAllocs()
+	for b.Loop() {
+		applied, err := change.Apply(document)
+		require.NoError(b, err)
+		_, err = Compile(applied)
+		require.NoError(b, err)
+	}
+}
--- a/pkg/routing/document.go
+++ b/pkg/routing/document.go
@@ -18,6 +18,9 @@
 	Limits   Limits    `json:"limits"`
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
+
+	sum    uint64 // digest of the routes, if summed
+	summed bool
 }
 
 // Limits bound what a caller may send. Zero means that the node's own default holds.
@@ -91,21 +94,21 @@
 	places := make(map[Place]string, len(d.Routes))
 	for i := range d.Routes {
 		r := &d.Routes[i]
-		field := fmt.Sprintf("routes[%d]", i)
-		errs = append(errs, r.check(field, services)...)
+		errs = append(errs, r.check(i, services)...)
 		at := r.place()
 		if other, taken := places[at]; taken {
-			fault(field, fmt.Sprintf("route %q has the host and prefix of route %q", r.Name, other), "give each route its own place")
+			fault(fmt.Sprintf("routes[%d]", i), fmt.Sprintf("route %q has the host and prefix of route %q", r.Name, other), "give each route its own place")
 		}
 		places[at] = r.Name
 	}
 	return errs
 }
 
-func (r *Route) check(field string, services map[string]bool) apierror.List {
+// check returns every fault of the route with that index.
+func (r *Route) check(index int, services map[string]bool) apierror.List {
 	var errs apierror.List
 	fault := func(name, message, remedy string) {
-		errs = append(errs, apierror.InvalidField(field+"."+name, message, remedy))
+		errs = append(errs, apierror.InvalidField(fmt.Sprintf("routes[%d].%s", index, name), message, remedy))
 	}
 	if r.Host == "" {
 		fault("host", "missing", "name the host that callers send")
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -107,7 +107,7 @@
 // relayChanges has a few nodes of each data centre read the store and pass changes on to the others.
 func (n *Node) relayChanges() {
 	r := &relay{
-		self: n.settings.ID, address: n.settings.Listen.Control, dataCentre: n.settings.DataCentre, members: n.membership.Members, client: n.rpcClient,
+		self: n.settings.ID, address: n.settings.Listen.Control, dataCentre: n.settings.DataCentre, members: n.membership.Shared, client: n.rpcClient,
 		follower: n.follower, metrics: n.metrics, logger: n.logger,
 	}
 	n.rpcServer.Handle(changeMethod, r.serveChange)
@@ -128,7 +128,7 @@
 	return &outbound{
 		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(),
 		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(n.settings.DataCentre),
-		budget: retry.New(terms, func() int { return len(n.membership.Members()) }),
+		budget: retry.New(terms, func() int { return len(n.membership.Shared()) }),
 		local:  n.inbound, link: n.link,
 		client: hop.New(hop.Options{
 			EchoHeader: n.platform.Headers().RequestID, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, DialOverrides: n.settings.DialOverrides,
@@ -150,8 +150,10 @@
 	view := n.view.Load()
 	if view == nil || view.version != version {
 		view = &endpointView{version: version, byService: make(map[string][]placement.Endpoint)}
-		for _, m := range n.membership.Members() {
-			if e, ok := endpointOf(&m); ok {
+		members := n.membership.Shared()
+		for i := range members {
+			m := &members[i]
+			if e, ok := endpointOf(m); ok {
 				view.byService[m.Endpoint.Service] = append(view.byService[m.Endpoint.Service], e)
 			}
 		}
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,7 +44,7 @@
 	self       string // node id
 	address    string // control address of this node
 	dataCentre string
-	members    func() []membership.Member
+	members    func() []membership.Member // not to be changed
 	client     *rpc.Client
 	follower   *follower
 	metrics    *metrics.Registry
@@ -55,14 +56,19 @@
 
 // isWriter reports whether this node keeps the copy of the configuration in the store: one node of each data centre does, once it knows
 // others.
-func (r *relay) isWriter() bool { return len(r.groups()) > 0 && r.before() == 0 }
+func (r *relay) isWriter() bool {
+	knowsOthers := slices.ContainsFunc(r.members(), func(m membership.Member) bool { return m.ID != r.self && m.Status == membership.Alive })
+	return knowsOthers && r.before() == 0
+}
 
 // before is the number of nodes of the data centre that come before this one. All of them order themselves by the same hash.
 func (r *relay) before() int {
 	own := xxhash.Sum64String(r.self)
 	before := 0
-	for _, m := range r.groups()[r.dataCentre] {
-		if xxhash.Sum64String(m.ID) < own {
+	members := r.members()
+	for i := range members {
+		m := &members[i]
+		if m.DataCentre == r.dataCentre && m.Status == membership.Alive && m.ID != r.self && xxhash.Sum64String(m.ID) < own {
 			before++
 		}
 	}
