--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -26,7 +26,7 @@
 	a.scheduler.dispatch(a.now())
 }
 
-// ObserveSlowness takes in how long work takes at the backend server now, relative to an average machine: above 0. It is to be called before the
+// ObserveSlowness takes in how long work takes at the backend server now, relative to an average machine: above 0. Call it before the
 // Release of the call whose answer says it.
 func (a *Admission) ObserveSlowness(slowness float64) {
 	a.mu.Lock()
--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -64,12 +64,12 @@
 }
 
 const (
-	queueFactor   = 4           // waiting calls of all ranks, relative to the slots
-	shedHold      = time.Second // after the backend server shed a call, the limit stays below that level
-	minimumShare  = 0.4         // of the served part of more urgent ranks, which a rank with waiting calls keeps
-	starvedSlots  = 0.15        // of the slots, rounded up, which a starved rank gets before more urgent ones
-	firstSlack    = 0.5         // of the time that it could wait, which a call may wait that has not been refused yet
-	marginSpreads = 0.5
+	queueFactor   = 4               // waiting calls of all ranks, relative to the slots
+	shedHold      = time.Second     // after the backend server shed a call, the limit stays below that level
+	minimumShare  = 0.4             // of the served part of more urgent ranks, which a rank with waiting calls keeps
+	starvedSlots  = 0.15            // of the slots, rounded up, which a starved rank gets before more urgent ones
+	firstSlack    = 0.5             // of the time that it could wait, which a call may wait that has not been refused yet
+	marginSpreads = 0.5             // mean deviations of its class that a call is expected to take longer than the mean
 	shareMemory   = 3 * time.Second // over which the served part of a rank is averaged
 	firstEstimate = 50 * time.Millisecond
 	sampleWeight  = 0.1 // of a new sample in the mean slot time
