--- a/test/soak/backend_test.go
+++ b/test/soak/backend_test.go
@@ -210,7 +210,7 @@
 	}
 	load := i.load.Add(1)
 	defer i.load.Add(-1)
-	w.Header().Set(wire.Headers.Load, fmt.Sprintf("%d,%d,%d", min(load, slots), max(0, load-slots), slots))
+	w.Header().Set(wire.LoadHeader, fmt.Sprintf("%d,%d,%d", min(load, slots), max(0, load-slots), slots))
 	if load > slots+waiting {
 		i.refuse(w, v, http.StatusServiceUnavailable)
 		return
