--- a/pkg/routing/change.go
+++ b/pkg/routing/change.go
@@ -51,9 +51,6 @@
 	return sum
 }
 
-// keepDigest works the digest out once. The routes must not change after it.
-func (d *Document) keepDigest() { d.sum, d.summed = d.digest(), true }
-
 // Diff returns the change from one document to another.
 func Diff(from, to *Document) *Change {
 	c := &Change{From: from.Version, To: to.Version, Digest: to.digest(), Limits: to.Limits}
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -24,13 +24,15 @@
 	total int   // sum of the weights
 }
 
-// Compile checks a document and builds its table. The document must not change after it. An error is an apierror.List with every fault.
+// Compile checks a document and builds its table, which shares the routes: they must not change after it. An error is an
+// apierror.List with every fault.
 func Compile(d *Document) (*Table, error) {
 	if errs := d.check(); len(errs) > 0 {
 		return nil, errs
 	}
-	d.keepDigest() // before the document is shared
-	t := &Table{Document: d, hosts: make(map[string]map[string]*Entry), services: make(map[string]*Service, len(d.Services))}
+	own := *d
+	own.sum, own.summed = d.digest(), true
+	t := &Table{Document: &own, hosts: make(map[string]map[string]*Entry), services: make(map[string]*Service, len(d.Services))}
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
 	}
