soak: backend servers answer their liveness check, and a mutant finds its guard again

Only GET of the check's path without a request id is one; everything else is judged as before. The mutant 'ends cut answers as whole ones' looked for a line that has moved.

--- a/test/soak/backend_test.go
+++ b/test/soak/backend_test.go
@@ -185,8 +185,23 @@
 	return strings.Repeat(text, size/len(text)+1)
 }
 
+// healthPath is the path of the liveness check.
+const healthPath = "/health"
+
+// serveHealth says whether the instance takes requests. It is no request of a caller and runs nothing.
+func (i *instance) serveHealth(w http.ResponseWriter) {
+	w.Header().Set(wire.Headers.Instance, i.id)
+	if i.draining.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // ServeHTTP runs a request, or refuses it.
 func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.RequestURI == healthPath && r.Header.Get(wire.Headers.RequestID) == "" {
+		i.serveHealth(w)
+		return
+	}
 	v := &arrival{
 		id: r.Header.Get(wire.Headers.RequestID), path: r.RequestURI, caller: r.Header.Get(wire.Headers.Caller),
 		deadline: -1, instance: i.id, service: i.service, node: i.backend.node,
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -37,7 +37,7 @@
 		{"pkg/sidecar/inbound.go", `case response.Header.Get(in.headers.Signature) == "":`, "case false:"},
 	}},
 	{"ends cut answers as whole ones", []promise{promiseWhole}, []replacement{
-		{"pkg/hop/exchange.go", "if _, err = io.ReadFull(in.Body, data); err != nil {\n\t\t\treturn nil, false, err", "if n, failed := io.ReadFull(in.Body, data); failed != nil {\n\t\t\treturn data[:n], true, nil"},
+		{"pkg/hop/exchange.go", "if _, err = io.ReadFull(in.Body, data); err != nil {\n\t\treturn nil, false, held, err", "if n, failed := io.ReadFull(in.Body, data); failed != nil {\n\t\treturn data[:n], true, held, nil"},
 	}},
 	{"believes what the caller says of itself", []promise{promiseAsked}, []replacement{
 		{"pkg/sidecar/inbound.go", "\tr.Header.Set(in.headers.Caller, c.caller)\n", ""},
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -251,7 +251,7 @@
 func firstDocument() *routing.Document {
 	d := &routing.Document{Limits: routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000}}
 	for _, s := range services {
-		d.Services = append(d.Services, routing.Service{Name: s, HealthPath: "/health", MaxConnections: 200})
+		d.Services = append(d.Services, routing.Service{Name: s, HealthPath: healthPath, MaxConnections: 200})
 	}
 	to := func(service string, weight int) routing.Destination {
 		return routing.Destination{Service: service, Weight: weight}
