--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -129,8 +129,8 @@
 // members that have it, so that a few messages from each suffice; bytes between data centres cost more than others.
 const farRounds = 2
 
-// gossipTargets returns members of the own data centre, and in some rounds one elsewhere. Where there are too few of either, the
-// others take their place, but for one message.
+// gossipTargets returns as many members of the own data centre as Timing.GossipFanout says, and in every farRounds-th round one
+// elsewhere as well. Where the data centre is too small for that, probe partners fill the number up to one less.
 func (s *system) gossipTargets() []*entry {
 	n := s.timing.GossipFanout
 	far := 0
