membership: anti-entropy also heals a fleet of which a part lacks a change

Now a difference counts until none was seen for four probe intervals, and the exchange is held with a peer that differs.

--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -164,3 +164,39 @@
 		require.LessOrEqual(t, after, 1500*time.Millisecond)
 	}
 }
+
+// Pattern: nodes start one after the other. A change that is used up within a part of the fleet must reach the rest by anti-entropy,
+// also while most peers of a member have what it has.
+func TestStartsOneByOneSettle(t *testing.T) {
+	t.Parallel()
+	const count, settles = 11, 30 * time.Second
+	for seed := range uint64(600) {
+		x := &exchange{
+			t: t, now: epoch, random: rand.New(rand.NewPCG(seed, 5)), nodes: make(map[string]*virtualNode),
+			timing: Timing{}.withDefaults(), blocked: func(string, string) bool { return false }, bytes: make(map[string]int),
+		}
+		for i := range count {
+			node := x.start(i, 1)
+			if i > 0 {
+				x.join(node, x.nodes[nodeID(int(x.random.Int64N(int64(i))))])
+			}
+			x.after(time.Millisecond, func() {
+				node.setEndpoint(x.now, Endpoint{Service: "tracker", Address: "10.0.0.1:8080", Slots: 9, State: EndpointReady})
+			})
+			x.advance(11 * time.Millisecond)
+		}
+		known := 0
+		for after := time.Duration(0); known < count*count && after < settles; after += time.Second {
+			x.advance(time.Second)
+			known = 0
+			for _, node := range x.nodes {
+				for _, e := range node.table.entries {
+					if e.Endpoint != nil {
+						known++
+					}
+				}
+			}
+		}
+		require.Equal(t, count*count, known, "seed %d", seed)
+	}
+}
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -12,13 +12,20 @@
 	maxSyncUpdates  = 128
 )
 
+// mismatchMemory is how long after the latest difference from a peer the first one still counts, in probe intervals.
+const mismatchMemory = 4
+
 // compareDigest notes whether a peer has the same table. A difference that gossip has not settled within twice the
-// probe interval calls for anti-entropy.
+// probe interval calls for anti-entropy. That others have the same table says nothing: half of the fleet may lack a change
+// that is no longer spread.
 func (s *system) compareDigest(now time.Time, digest uint32) {
-	if digest == s.table.digest() {
+	if now.Sub(s.mismatchAt) > mismatchMemory*s.timing.ProbeInterval {
 		s.mismatchSince = time.Time{}
+	}
+	if digest == s.table.digest() {
 		return
 	}
+	s.mismatchAt = now
 	if s.mismatchSince.IsZero() {
 		s.mismatchSince = now
 	}
@@ -26,7 +33,7 @@
 
 // startSync returns the first step of an exchange with the member that just answered, if one is due.
 func (s *system) startSync(now time.Time, peer string) (message, bool) {
-	due := !s.mismatchSince.IsZero() && now.Sub(s.mismatchSince) >= 2*s.timing.ProbeInterval && !now.Before(s.nextSync)
+	due := !s.mismatchSince.IsZero() && s.mismatchAt.Equal(now) && now.Sub(s.mismatchSince) >= 2*s.timing.ProbeInterval && !now.Before(s.nextSync)
 	e := s.table.entries[peer]
 	if !due || e == nil || s.superseded || s.leaving {
 		return message{}, false
--- a/pkg/membership/system.go
+++ b/pkg/membership/system.go
@@ -40,7 +40,8 @@
 	nextHeld      time.Time // next probe of a member behind a partition
 	nextForget    time.Time
 
-	mismatchSince time.Time // since when no peer has had the same digest
+	mismatchSince time.Time // since when peers have differed, with short breaks
+	mismatchAt    time.Time // when a peer differed last
 	nextSync      time.Time
 	joins         joinBudget
 
