--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -76,11 +76,21 @@
 	fastWeight    = 0.3 // of the first samples
 	fastSamples   = 5
 	minRetryAfter = 20 * time.Millisecond
-	slownessFor   = 400 * time.Millisecond // over which a stated slowness loses its weight; neighbours come and go many times a second
-	usualWeight   = 0.005                  // of a new report in the usual slowness
-	retryShare    = 3                      // callers honour Retry-After up to this part of the time that they have left
+	usualWeight   = 0.005 // of a new report in the usual slowness
 )
 
+// RetryShare is the part of the time that they have left up to which callers honour Retry-After: one in so many.
+const RetryShare = 3
+
+// slownessFor is how long a stated slowness takes to lose its weight; neighbours on a machine come and go many times a second.
+const slownessFor = 400 * time.Millisecond
+
+// Slowed is how long work takes now, relative to usual, if that was stated so long ago. What was stated longer ago counts less.
+func Slowed(stated float64, age time.Duration) float64 {
+	weight := max(0, 1-age.Seconds()/slownessFor.Seconds())
+	return 1 + (stated-1)*weight
+}
+
 // waiting is a call from its arrival to its end.
 type waiting struct {
 	Call
@@ -138,13 +148,12 @@
 	s.stated, s.statedAt = slowness/s.usual, now
 }
 
-// slowness is how long work takes now, relative to what is usual on this machine. What was stated longer ago counts less.
+// slowness is how long work takes now, relative to what is usual on this machine.
 func (s *scheduler) slowness(now time.Time) float64 {
 	if s.statedAt.IsZero() {
 		return 1
 	}
-	weight := max(0, 1-now.Sub(s.statedAt).Seconds()/slownessFor.Seconds())
-	return 1 + (s.stated-1)*weight
+	return Slowed(s.stated, now.Sub(s.statedAt))
 }
 
 // offer grants, queues or refuses a new call.
@@ -356,7 +365,7 @@
 		return 0
 	}
 	accepted := s.wait(now, s.position(c)) / 2
-	honoured := c.Deadline.Sub(now) / retryShare
+	honoured := c.Deadline.Sub(now) / RetryShare
 	return max(minRetryAfter, min(accepted, latest/2, honoured))
 }
 
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -156,16 +156,12 @@
 // nearPartners returns up to n different members at the distances 1, 2, 4, ... in the ring of the own data centre, so that their
 // number, and that of the open connections, grows with the logarithm of its size.
 func (s *system) nearPartners(n int) []*entry {
-	var distances []int
-	for distance := 1; distance < len(s.nearRing); distance *= 2 {
-		distances = append(distances, distance)
-	}
 	var chosen []*entry
-	for _, i := range s.random.Perm(len(distances)) {
+	for _, i := range s.random.Perm(offsetsIn(s.nearRing)) {
 		if len(chosen) == n {
 			break
 		}
-		e := s.nearRing[(s.nearPosition+distances[i])%len(s.nearRing)]
+		e := s.nearRing[(s.nearPosition+1<<i)%len(s.nearRing)]
 		if s.hearsGossip(e) {
 			chosen = append(chosen, e)
 		}
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -53,9 +53,11 @@
 }
 
 // offsets is the number of ring distances 1, 2, 4, ... at which a member has its probe targets.
-func (s *system) offsets() int {
+func (s *system) offsets() int { return offsetsIn(s.ring) }
+
+func offsetsIn(ring []*entry) int {
 	n := 0
-	for distance := 1; distance < len(s.ring); distance *= 2 {
+	for distance := 1; distance < len(ring); distance *= 2 {
 		n++
 	}
 	return n
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -12,6 +12,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/admission"
 )
 
 // Endpoint is a candidate.
@@ -55,8 +57,7 @@
 )
 
 const (
-	slownessFor      = 400 * time.Millisecond // over which a reported slowness loses its weight; neighbours on a machine come and go
-	reportMemory     = time.Second            // a report loses its weight over this time
+	reportMemory     = time.Second // a report loses its weight over this time
 	unknownSlotTime  = 50 * time.Millisecond
 	unknownSpread    = 0.5 // of the slot time
 	minSpread        = 5 * time.Millisecond
@@ -228,13 +229,12 @@
 	return &Choice{Endpoint: e, chooser: c, state: s, class: need.Class, InTime: inTime, value: inTime - busyCost*calls/limit}
 }
 
-// slowness is how long work takes at the endpoint now, relative to usual. What was reported longer ago counts less.
+// slowness is how long work takes at the endpoint now, relative to usual.
 func (s *state) slowness(now time.Time) float64 {
 	if s.report.Slowness == 0 {
 		return 1
 	}
-	weight := max(0, 1-now.Sub(s.reportedAt).Seconds()/slownessFor.Seconds())
-	return 1 + (s.report.Slowness-1)*weight
+	return admission.Slowed(s.report.Slowness, now.Sub(s.reportedAt))
 }
 
 // times is how long a call of the class holds a slot of the endpoint.
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -63,7 +63,7 @@
 		f.report(e, l)
 	}
 	assert.Zero(t, f.shares(endpoints, 250*time.Millisecond)["seeb-1"])
-	f.now = f.now.Add(slownessFor)
+	f.now = f.now.Add(400 * time.Millisecond)
 	assert.Greater(t, f.shares(endpoints, 250*time.Millisecond)["seeb-1"], 0.2)
 }
 
--- a/pkg/sidecar/backend.go
+++ b/pkg/sidecar/backend.go
@@ -21,25 +21,29 @@
 		return announce.Foreign
 	}
 	if n.mayHaveLeft(a) && !n.isServing(a) {
-		n.metrics.Inc("announcement", "verdict", string(announce.Unconfirmed))
-		n.logger.Info("announcement_not_taken", zap.String("instance", a.ID), zap.String("verdict", string(announce.Unconfirmed)), zap.Int64("sequence", a.Sequence),
-			zap.String("cause", "this node has just started, and the liveness check does not say that the backend server stays"))
-		return announce.Unconfirmed
+		return n.notTaken(a, announce.Unconfirmed, zap.String("cause", "this node has just started, and the liveness check does not say that the backend server stays"))
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	before := n.tracker.Current()
 	verdict := n.tracker.Announce(time.Now(), a)
-	n.metrics.Inc("announcement", "verdict", string(verdict))
-	n.announced = n.announced || verdict == announce.Accepted
 	if verdict != announce.Accepted {
-		n.logger.Info("announcement_not_taken", zap.String("instance", a.ID), zap.String("verdict", string(verdict)), zap.Int64("sequence", a.Sequence))
-		return verdict
+		return n.notTaken(a, verdict)
 	}
+	n.metrics.Inc("announcement", "verdict", string(verdict))
+	n.announced = true
 	n.adopt(before, "announcement")
 	return verdict
 }
 
+// notTaken counts and logs an announcement that changes nothing, and returns the verdict.
+func (n *Node) notTaken(a announce.Announcement, verdict announce.Verdict, why ...zap.Field) announce.Verdict {
+	n.metrics.Inc("announcement", "verdict", string(verdict))
+	fields := []zap.Field{zap.String("instance", a.ID), zap.String("verdict", string(verdict)), zap.Int64("sequence", a.Sequence)}
+	n.logger.Info("announcement_not_taken", append(fields, why...)...)
+	return verdict
+}
+
 // mayHaveLeft reports whether the process before this one may have acknowledged that the instance leaves: an announcement from before that
 // may come late, and this process knows nothing of it. A second announcement of the same instance is not late.
 func (n *Node) mayHaveLeft(a announce.Announcement) bool {
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -23,8 +23,6 @@
 	// backendGrace is how long a backend server may take beyond the deadline that it was given, so that its own answer at the
 	// deadline still counts as its answer.
 	backendGrace = 60 * time.Millisecond
-	// retryShare is the part of the time left up to which callers honour Retry-After.
-	retryShare = 3
 	// answeredWeight is the weight of one call in the answered part that is reported.
 	answeredWeight = 0.1
 	// backendIdle is how long a connection to the backend server is kept unused, unless the backend server says less. Common
@@ -196,7 +194,7 @@
 	if work+sending <= limit {
 		return sending, nil
 	}
-	retry := min(wait/2, c.deadlineLeft/retryShare)
+	retry := min(wait/2, c.deadlineLeft/admission.RetryShare)
 	return 0, &ruling{verdict: notRun, reason: reasonLink, retryAfter: retry}
 }
 
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -57,10 +57,15 @@
 // isWriter reports whether this node keeps the copy of the configuration in the store: one node of each data centre does, once it knows
 // others.
 func (r *relay) isWriter() bool {
-	knowsOthers := slices.ContainsFunc(r.members(), func(m membership.Member) bool { return m.ID != r.self && m.Status == membership.Alive })
+	knowsOthers := slices.ContainsFunc(r.members(), func(m membership.Member) bool { return r.isOther(&m) })
 	return knowsOthers && r.before() == 0
 }
 
+// isOther reports whether the member is another node that is alive.
+func (r *relay) isOther(m *membership.Member) bool {
+	return m.ID != r.self && m.Status == membership.Alive
+}
+
 // before is the number of nodes of the data centre that come before this one. All of them order themselves by the same hash.
 func (r *relay) before() int {
 	own := xxhash.Sum64String(r.self)
@@ -68,7 +73,7 @@
 	members := r.members()
 	for i := range members {
 		m := &members[i]
-		if m.DataCentre == r.dataCentre && m.Status == membership.Alive && m.ID != r.self && xxhash.Sum64String(m.ID) < own {
+		if m.DataCentre == r.dataCentre && r.isOther(m) && xxhash.Sum64String(m.ID) < own {
 			before++
 		}
 	}
@@ -79,7 +84,7 @@
 func (r *relay) groups() map[string][]membership.Member {
 	groups := make(map[string][]membership.Member)
 	for _, m := range r.members() {
-		if m.ID != r.self && m.Status == membership.Alive {
+		if r.isOther(&m) {
 			groups[m.DataCentre] = append(groups[m.DataCentre], m)
 		}
 	}
