--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -65,7 +65,7 @@
 	busyCost         = 0.1  // of the worth of a call, at an endpoint whose slots are all in use
 	remoteCostPerKB  = 0.04 // of the worth of a call: what a KB between data centres costs; the users' price list has 0.02 to 0.1
 	minRemoteCost    = 0.04
-	maxRemoteCost    = 0.25            // a call that is late is worth less than its bytes, whatever their number
+	maxRemoteCost    = 0.7             // what a late answer is worth less than one in time: bytes alone do not make a call go unserved
 	doubtFactor      = 0.3             // of the probability, for an endpoint in a data centre where a call was lost since it answered last
 	doubtFor         = 3 * time.Second // after the loss
 	suspectFactor    = 0.2             // of the probability, for an endpoint that did not answer lately
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -98,6 +98,20 @@
 	}
 }
 
+// Pattern: long answers, and a neighbour on the machine of the own backend server. An answer that may be late is no reason to move
+// 90 KB between data centres; one that has no chance is.
+func TestLongAnswersStayUnlessHopeless(t *testing.T) {
+	for left, want := range map[time.Duration]string{320 * time.Millisecond: "seeb-1", 150 * time.Millisecond: "nizwa-1"} {
+		f := newFixture()
+		near, far := endpoint("seeb", 1), endpoint("nizwa", 1)
+		slow := quick(1)
+		slow.Slowness = 3
+		f.report(near, slow)
+		f.report(far, quick(1))
+		assert.Equal(t, want, f.Pick([]Endpoint{near, far}, Need{Class: "eta", Left: left, Bytes: 90_000}).ID, left)
+	}
+}
+
 // Pattern: a surge in one data centre. What does not fit goes to the others.
 func TestFullEndpointSpillsOver(t *testing.T) {
 	f := newFixture()
