placement: a data centre that is cut off gets one call at a time

After the cut had healed its endpoints stayed ejected for up to 8 s, each for itself. Change: two endpoints of a data centre lost in a row, with no answer from there, and it gets one call each 250 ms, whichever endpoint that reaches; its first answer ends that and the ejections.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -65,12 +65,14 @@
 	busyCost         = 0.1  // of the worth of a call, at an endpoint whose slots are all in use
 	remoteCostPerKB  = 0.04 // of the worth of a call: what a KB between data centres costs; the users' price list has 0.02 to 0.1
 	minRemoteCost    = 0.04
-	maxRemoteCost    = 0.7             // what a late answer is worth less than one in time: bytes alone do not make a call go unserved
-	doubtFactor      = 0.3             // of the probability, for an endpoint in a data centre where a call was lost since it answered last
-	doubtFor         = 3 * time.Second // after the loss
-	suspectFactor    = 0.2             // of the probability, for an endpoint that did not answer lately
-	sampled          = 3               // endpoints compared in the own data centre, and as many elsewhere
-	failuresToEject  = 3               // in a row
+	maxRemoteCost    = 0.7                    // what a late answer is worth less than one in time: bytes alone do not make a call go unserved
+	doubtFactor      = 0.3                    // of the probability, for an endpoint in a data centre where a call was lost since it answered last
+	doubtFor         = 3 * time.Second        // after the loss
+	lostToCut        = 2                      // endpoints of a data centre lost in a row, with no answer from there in between: it is cut off
+	trialEvery       = 250 * time.Millisecond // one call is sent to a data centre that is cut off, to see whether it is back
+	suspectFactor    = 0.2                    // of the probability, for an endpoint that did not answer lately
+	sampled          = 3                      // endpoints compared in the own data centre, and as many elsewhere
+	failuresToEject  = 3                      // in a row
 	firstEjection    = time.Second
 	longestEjection  = 8 * time.Second
 	maxEjectionShift = 3
@@ -114,13 +116,23 @@
 
 	mu     sync.Mutex
 	states map[key]*state
-	silent map[string]time.Time // data centre to the latest silent call
+	paths  map[string]*path // by data centre
 	swept  time.Time
 }
 
+// path is what calls showed about the way to another data centre.
+type path struct {
+	lostAt  time.Time           // of the latest silent call
+	lost    map[*state]struct{} // endpoints with a silent call since the data centre answered last
+	trialAt time.Time           // of the latest call that was sent although it is cut off
+}
+
+// isCut reports whether the data centre is taken to be cut off.
+func (p *path) isCut() bool { return p != nil && len(p.lost) >= lostToCut }
+
 // New returns a chooser for a node in that data centre.
 func New(dataCentre string) *Chooser {
-	return &Chooser{dataCentre: dataCentre, now: time.Now, random: rand.IntN, states: make(map[key]*state), silent: make(map[string]time.Time)}
+	return &Chooser{dataCentre: dataCentre, now: time.Now, random: rand.IntN, states: make(map[key]*state), paths: make(map[string]*path)}
 }
 
 // Choice is a chosen endpoint. Its holder must call Done once.
@@ -146,6 +158,9 @@
 	}
 	if best != nil {
 		best.state.outstanding++
+		if p := c.paths[best.DataCentre]; p.isCut() {
+			p.trialAt = now
+		}
 	}
 	return best
 }
@@ -175,14 +190,15 @@
 		if need.Tried != nil && need.Tried(e) {
 			continue
 		}
-		s := c.state(e)
+		s, p := c.state(e), c.paths[e.DataCentre]
 		s.used = now
-		if healthy && (now.Before(s.ejectedUntil) || now.Before(s.unusableTill)) {
-			continue
-		}
-		if e.DataCentre == c.dataCentre {
+		trial := p.isCut() && now.Sub(p.trialAt) >= trialEvery
+		switch {
+		case p.isCut() && !trial:
+		case healthy && !trial && (now.Before(s.ejectedUntil) || now.Before(s.unusableTill)):
+		case e.DataCentre == c.dataCentre:
 			near = append(near, e)
-		} else {
+		default:
 			far = append(far, e)
 		}
 	}
@@ -222,7 +238,7 @@
 	if e.Suspect {
 		inTime *= suspectFactor
 	}
-	if lost, ok := c.silent[e.DataCentre]; ok && e.DataCentre != c.dataCentre && now.Sub(lost) < doubtFor && s.answeredAt.Before(lost) {
+	if p := c.paths[e.DataCentre]; p != nil && now.Sub(p.lostAt) < doubtFor && s.answeredAt.Before(p.lostAt) {
 		inTime *= doubtFactor
 	}
 	// An overloaded endpoint is not worth more than a slightly less overloaded one only because both are hopeless.
@@ -295,6 +311,7 @@
 	case Good:
 		s.failures, s.ejections = 0, 0
 		s.answeredAt = now
+		c.reached(now, ch.DataCentre)
 	case Unusable:
 		s.unusableTill = now.Add(unusableFor)
 	case Failed:
@@ -303,11 +320,43 @@
 			s.eject(now)
 		}
 	case Silent:
-		c.silent[ch.DataCentre] = now
+		c.lost(now, ch.DataCentre, s)
 		s.eject(now)
 	}
 }
 
+// lost notes a silent call to an endpoint of another data centre. The nodes of the own one share no path that could be cut.
+func (c *Chooser) lost(now time.Time, dataCentre string, s *state) {
+	if dataCentre == c.dataCentre {
+		return
+	}
+	p := c.paths[dataCentre]
+	if p == nil {
+		p = &path{lost: make(map[*state]struct{})}
+		c.paths[dataCentre] = p
+	}
+	p.lostAt = now
+	p.lost[s] = struct{}{}
+	if len(p.lost) == lostToCut {
+		p.trialAt = now
+	}
+}
+
+// reached notes an answer from the data centre. If it had been cut off, its endpoints were silent because of the path: they are
+// candidates again at once.
+func (c *Chooser) reached(now time.Time, dataCentre string) {
+	p := c.paths[dataCentre]
+	if p == nil || len(p.lost) == 0 {
+		return
+	}
+	if p.isCut() {
+		for s := range p.lost {
+			s.ejectedUntil, s.ejections, s.failures = now, 0, 0
+		}
+	}
+	clear(p.lost)
+}
+
 // observe takes in a report that answered a call of the class.
 func (s *state) observe(now time.Time, class string, l Load) {
 	s.report, s.reportedAt, s.ownAtReport = l, now, s.outstanding
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -170,6 +170,46 @@
 	assert.Greater(t, f.shares([]Endpoint{cut2, other}, 400*time.Millisecond)["nizwa-2"], 0.0, "it answers again")
 }
 
+// Pattern: loss of a data centre without a sound, while the own one is short of room. A few calls show whether it is back, the others do
+// not wait for it; with its first answer all of its endpoints are candidates again.
+func TestCutOffDataCentreGetsOneCallAtATime(t *testing.T) {
+	full := Load{Running: 9, Queued: 40, Limit: 9, SlotTime: 100 * time.Millisecond, ClassTime: 100 * time.Millisecond, Answered: 1}
+	for _, size := range []int{3, 18, 59, 360} { // endpoints of a service in a data centre, of 12, 71, 296 and 1,800 nodes
+		f := newFixture()
+		endpoints := []Endpoint{endpoint("seeb", 1)}
+		for i := range size {
+			endpoints = append(endpoints, endpoint("nizwa", i))
+		}
+		f.report(endpoints[0], full)
+		// play returns how many calls of a span went to the other data centre, and how many of them it answered.
+		play := func(span time.Duration, cut bool) (sent, answered int) {
+			for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(5 * time.Millisecond) {
+				choice := f.Pick(endpoints, Need{Class: "eta", Left: 400 * time.Millisecond})
+				load := full
+				switch {
+				case choice.DataCentre == "seeb":
+					choice.Done(Good, &load)
+				case cut:
+					sent++
+					choice.Done(Silent, nil)
+				default:
+					sent++
+					answered++
+					load = quick(0)
+					choice.Done(Good, &load)
+				}
+			}
+			return sent, answered
+		}
+		sent, _ := play(5*time.Second, true)
+		assert.LessOrEqual(t, sent, lostToCut+int(5*time.Second/trialEvery), size)
+		assert.Greater(t, sent, int(4*time.Second/trialEvery), size)
+		_, answered := play(2*trialEvery, false)
+		assert.Greater(t, answered, 40, "calls go there again, of %d endpoints", size)
+		assert.Zero(t, f.Ejected())
+	}
+}
+
 // Pattern: every endpoint has failed. One of them is still tried.
 func TestAllEjected(t *testing.T) {
 	f := newFixture()
