--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -41,6 +41,7 @@
 type Need struct {
 	Class string                 // calls of one class have similar service times
 	Left  time.Duration          // until its target
+	Haste float64                // worth that it loses in the time until its target: something waits for it. 0: in time is in time
 	Bytes int                    // of the request and its answer, as far as is known
 	Tried func(e *Endpoint) bool // endpoints that are not to be chosen again; may be nil
 }
@@ -231,7 +232,8 @@
 	}
 	times, slowness := s.times(e, need.Class, slot), s.slowness(now)
 	wait := max(0, calls+1-limit) / limit * float64(slot)
-	inTime := probability(float64(need.Left)-slowness*(wait+float64(times.mean)), slowness*float64(times.spread))
+	takes := slowness * (wait + float64(times.mean))
+	inTime := probability(float64(need.Left)-takes, slowness*float64(times.spread))
 	if !s.reportedAt.IsZero() {
 		inTime *= s.report.Answered
 	}
@@ -242,7 +244,7 @@
 		inTime *= doubtFactor
 	}
 	// An overloaded endpoint is not worth more than a slightly less overloaded one only because both are hopeless.
-	return &Choice{Endpoint: e, chooser: c, state: s, class: need.Class, InTime: inTime, value: inTime - busyCost*calls/limit}
+	return &Choice{Endpoint: e, chooser: c, state: s, class: need.Class, InTime: inTime, value: inTime - busyCost*calls/limit - need.Haste*min(1, takes/float64(need.Left))}
 }
 
 // slowness is how long work takes at the endpoint now, relative to usual.
--- a/pkg/sidecar/history.go
+++ b/pkg/sidecar/history.go
@@ -20,6 +20,7 @@
 // seen is the record of one route.
 type seen struct {
 	answerBytes int64 // moving average; 0: no answer yet
+	inner       bool  // its calls are made on behalf of admitted work, as the latest inbound node saw it
 }
 
 // of returns the record of a route. The caller holds mu.
@@ -50,6 +51,19 @@
 	s.answerBytes += (bytes - s.answerBytes) / answerMemory
 }
 
+// noteInner notes whether the calls of a route are made on behalf of admitted work.
+func (h *history) noteInner(route string, inner bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.of(route).inner = inner
+}
+
+func (h *history) isInner(route string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.of(route).inner
+}
+
 // answerLength is how long the answers of a route are on average; 0: none was seen.
 func (h *history) answerLength(route string) int64 {
 	h.mu.Lock()
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -126,6 +126,16 @@
 	}
 }
 
+// isFull reports whether all slots of the backend server are in use.
+func (in *inbound) isFull() bool {
+	i := in.instance.Load()
+	if i == nil {
+		return false
+	}
+	l := i.admission.Load("")
+	return l.Running >= l.Limit
+}
+
 // stop refuses new calls and those that wait.
 func (in *inbound) stop() {
 	in.stopping.Store(true)
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -262,6 +262,7 @@
 		open = open || last.verdict == unknown
 		if last.verdict == answered {
 			o.history.answered(q.route.Name, last.response.Length)
+			o.history.noteInner(q.route.Name, last.inner)
 			if last.response.Rest != nil {
 				last.response.Rest = &cancelOnClose{ReadCloser: last.response.Rest, cancel: cancel}
 				cancel = func() {}
@@ -299,10 +300,20 @@
 		Class: q.route.Name,
 		Bytes: o.history.bytes(q.route.Name) + len(q.out.Body),
 		Left:  max(time.Until(q.target), time.Millisecond),
+		Haste: o.haste(q),
 		Tried: func(e *placement.Endpoint) bool { return tried[e.ID] },
 	})
 }
 
+// haste is what the time of a call costs that is made on behalf of admitted work: meanwhile its caller holds a slot of the backend server
+// on this machine, which is worth something when none is free.
+func (o *outbound) haste(q *request) float64 {
+	if o.history.isInner(q.route.Name) && o.local.isFull() {
+		return 1
+	}
+	return 0
+}
+
 // try sends the request to one inbound node.
 func (o *outbound) try(ctx context.Context, q *request, choice *placement.Choice) *result {
 	c := &call{
