placement: calls look for a free slot before they wait

Cause: at 70 nodes a node sends 2 to 3 calls a second to each endpoint, so that reports are older than the load that they tell of, and an endpoint whose report had lost its weight was taken for idle. Change: up to two endpoints are asked for a slot that is free; one that has none says so at once (busy), with a fresh report, and the call waits only at the third choice. Nobody is asked while all slots are known to be in use. An endpoint without a fresh report is taken for a typical one.

--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -22,6 +22,7 @@
 	Target   time.Time // an answer until then counts as in time
 	Deadline time.Time // an answer after that is of no use
 	Returned bool      // its caller comes back after a refusal
+	FreeOnly bool      // it does not wait: without a free slot it is refused as Busy
 }
 
 // Inner is the rank of calls on behalf of admitted work.
@@ -32,6 +33,7 @@
 
 // The reasons of refusals.
 const (
+	Busy     Reason = "busy"     // no slot is free, and it does not wait
 	Full     Reason = "full"     // it would have started too late to be in time
 	Hopeless Reason = "hopeless" // it would have ended after its deadline
 	Gone     Reason = "gone"     // its caller has left
@@ -170,6 +172,10 @@
 		s.grant(now, c)
 		return
 	}
+	if c.FreeOnly {
+		s.refuse(now, c, Busy)
+		return
+	}
 	if reason := s.check(now, c, s.position(c)); reason != "" {
 		s.refuse(now, c, reason)
 		return
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -44,6 +44,7 @@
 	Haste float64                // worth that it loses in the time until its target: something waits for it. 0: in time is in time
 	Bytes int                    // of the request and its answer, as far as is known
 	Tried func(e *Endpoint) bool // endpoints that are not to be chosen again; may be nil
+	Busy  map[string]bool        // ids of the endpoints that were asked for a free slot and have none; may be nil
 }
 
 // Outcome is what one call says about its endpoint.
@@ -58,22 +59,26 @@
 )
 
 const (
-	reportMemory     = time.Second // a report loses its weight over this time
-	unknownSlotTime  = 50 * time.Millisecond
-	unknownSpread    = 0.5 // of the slot time
-	minSpread        = 5 * time.Millisecond
-	warmingFactor    = 2.0  // slot time of a backend server in its cold start, where no call has shown it
-	busyCost         = 0.1  // of the worth of a call, at an endpoint whose slots are all in use
-	remoteCostPerKB  = 0.04 // of the worth of a call: what a KB between data centres costs; the users' price list has 0.02 to 0.1
-	minRemoteCost    = 0.04
-	maxRemoteCost    = 0.7                    // what a late answer is worth less than one in time: bytes alone do not make a call go unserved
-	doubtFactor      = 0.3                    // of the probability, for an endpoint in a data centre where a call was lost since it answered last
-	doubtFor         = 3 * time.Second        // after the loss
-	lostToCut        = 2                      // endpoints of a data centre lost in a row, with no answer from there in between: it is cut off
-	trialEvery       = 250 * time.Millisecond // one call is sent to a data centre that is cut off, to see whether it is back
-	suspectFactor    = 0.2                    // of the probability, for an endpoint that did not answer lately
-	sampled          = 3                      // endpoints compared in the own data centre, and as many elsewhere
-	failuresToEject  = 3                      // in a row
+	reportMemory    = time.Second // a report loses its weight over this time
+	usageWeight     = 0.05        // of a report in the typical usage
+	unknownSlotTime = 50 * time.Millisecond
+	unknownSpread   = 0.5 // of the slot time
+	minSpread       = 5 * time.Millisecond
+	warmingFactor   = 2.0  // slot time of a backend server in its cold start, where no call has shown it
+	busyCost        = 0.1  // of the worth of a call, at an endpoint whose slots are all in use
+	remoteCostPerKB = 0.04 // of the worth of a call: what a KB between data centres costs; the users' price list has 0.02 to 0.1
+	minRemoteCost   = 0.04
+	maxRemoteCost   = 0.7                    // what a late answer is worth less than one in time: bytes alone do not make a call go unserved
+	doubtFactor     = 0.3                    // of the probability, for an endpoint in a data centre where a call was lost since it answered last
+	doubtFor        = 3 * time.Second        // after the loss
+	lostToCut       = 2                      // endpoints of a data centre lost in a row, with no answer from there in between: it is cut off
+	trialEvery      = 250 * time.Millisecond // one call is sent to a data centre that is cut off, to see whether it is back
+	suspectFactor   = 0.2                    // of the probability, for an endpoint that did not answer lately
+	// maxSeeks bounds the endpoints that are asked for a free slot before a call waits at one. Reports are older than the load that they
+	// tell of, the more so the more endpoints and callers there are; the answers are not. When all slots are in use, nobody is asked.
+	maxSeeks         = 2
+	sampled          = 3 // endpoints compared in the own data centre, and as many elsewhere
+	failuresToEject  = 3 // in a row
 	firstEjection    = time.Second
 	longestEjection  = 8 * time.Second
 	maxEjectionShift = 3
@@ -117,10 +122,17 @@
 
 	mu     sync.Mutex
 	states map[key]*state
-	paths  map[string]*path // by data centre
+	paths  map[string]*path  // by data centre
+	usages map[string]*usage // by class
 	swept  time.Time
 }
 
+// usage is how much of their slots endpoints use that take calls of a class.
+type usage struct {
+	mean float64
+	at   time.Time // of the latest report
+}
+
 // path is what calls showed about the way to another data centre.
 type path struct {
 	lostAt  time.Time           // of the latest silent call
@@ -133,7 +145,7 @@
 
 // New returns a chooser for a node in that data centre.
 func New(dataCentre string) *Chooser {
-	return &Chooser{dataCentre: dataCentre, now: time.Now, random: rand.IntN, states: make(map[key]*state), paths: make(map[string]*path)}
+	return &Chooser{dataCentre: dataCentre, now: time.Now, random: rand.IntN, states: make(map[key]*state), paths: make(map[string]*path), usages: make(map[string]*usage)}
 }
 
 // Choice is a chosen endpoint. Its holder must call Done once.
@@ -144,7 +156,9 @@
 	class   string
 	// InTime is the probability that the call is in time.
 	InTime float64
-	value  float64 // InTime less costs
+	// FreeOnly says that the call is not to wait at the endpoint: if no slot is free there, Pick again, with the endpoint among the busy ones.
+	FreeOnly bool
+	value    float64 // InTime less costs
 }
 
 // Pick chooses among the endpoints, or returns nil if none is left.
@@ -159,6 +173,7 @@
 	}
 	if best != nil {
 		best.state.outstanding++
+		best.FreeOnly = len(need.Busy) < maxSeeks && !need.Busy[best.ID] && c.typical(now, need.Class) < 1
 		if p := c.paths[best.DataCentre]; p.isCut() {
 			p.trialAt = now
 		}
@@ -225,7 +240,7 @@
 // rate works out what an endpoint is worth to a call.
 func (c *Chooser) rate(now time.Time, e *Endpoint, need Need) *Choice {
 	s := c.state(e)
-	calls, limit := s.load(now, e)
+	calls, limit := s.load(now, e, c.typical(now, need.Class))
 	slot := s.report.SlotTime
 	if slot == 0 {
 		slot = unknownSlotTime
@@ -273,19 +288,43 @@
 	return 1 / (1 + math.Exp(-steepness*slack/(deviations*max(spread, float64(minSpread)))))
 }
 
-// load estimates the calls at the endpoint and how many it takes at once.
-func (s *state) load(now time.Time, e *Endpoint) (calls, limit float64) {
+// typical is the part of their slots that endpoints use lately which take calls of the class.
+func (c *Chooser) typical(now time.Time, class string) float64 {
+	u := c.usages[class]
+	if u == nil {
+		return 0
+	}
+	return u.mean * max(0, 1-now.Sub(u.at).Seconds()/reportMemory.Seconds())
+}
+
+// observe takes in how much of its slots an endpoint uses.
+func (c *Chooser) observe(now time.Time, class string, l Load) {
+	u := c.usages[class]
+	if u == nil {
+		if len(c.usages) >= maxClasses {
+			clear(c.usages)
+		}
+		u = &usage{}
+		c.usages[class] = u
+	}
+	u.mean += (float64(l.Running+l.Queued)/float64(max(1, l.Limit)) - u.mean) * usageWeight
+	u.at = now
+}
+
+// load estimates the calls at the endpoint and how many it takes at once. One that has not reported lately is taken for a typical one:
+// if it were taken for an idle one, calls would go to those that are known least.
+func (s *state) load(now time.Time, e *Endpoint, typical float64) (calls, limit float64) {
 	limit = float64(max(e.Slots, 1))
 	own := float64(s.outstanding)
 	if s.reportedAt.IsZero() {
-		return own, limit
+		return max(own, typical*limit), limit
 	}
 	if s.report.Limit > 0 {
 		limit = float64(s.report.Limit)
 	}
 	weight := max(0, 1-now.Sub(s.reportedAt).Seconds()/reportMemory.Seconds())
 	reported := float64(s.report.Running+s.report.Queued) + own - float64(s.ownAtReport)
-	return max(own, weight*reported+(1-weight)*own), limit
+	return max(own, weight*reported+(1-weight)*typical*limit), limit
 }
 
 func (c *Chooser) state(e *Endpoint) *state {
@@ -308,6 +347,7 @@
 	s.outstanding--
 	if load != nil {
 		s.observe(now, ch.class, *load)
+		c.observe(now, ch.class, *load)
 	}
 	switch o {
 	case Good:
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -38,6 +38,7 @@
 	rank         int
 	idempotent   bool
 	returned     bool          // the caller comes back after a refusal
+	freeOnly     bool          // it is not to wait for a slot
 	targetLeft   time.Duration // until it counts as late; may be negative
 	deadlineLeft time.Duration
 }
@@ -48,7 +49,7 @@
 func (c *call) encode() string {
 	return strings.Join([]string{
 		url.QueryEscape(c.service), url.QueryEscape(c.class), url.QueryEscape(c.caller), url.QueryEscape(c.node),
-		strconv.Itoa(c.rank), formatBool(c.idempotent), formatBool(c.returned),
+		strconv.Itoa(c.rank), formatBool(c.idempotent), formatBool(c.returned), formatBool(c.freeOnly),
 		strconv.FormatInt(c.targetLeft.Milliseconds(), 10), strconv.FormatInt(c.deadlineLeft.Milliseconds(), 10),
 	}, fieldSeparator)
 }
@@ -61,12 +62,12 @@
 }
 
 // callFields is the number of fields of an encoded call.
-const callFields = 9
+const callFields = 10
 
 func decodeCall(text string) (*call, error) {
 	fields := strings.Split(text, fieldSeparator)
 	if len(fields) != callFields {
-		return nil, apierror.InvalidField(headerCall, "does not have 9 fields", "run the same version on all nodes")
+		return nil, apierror.InvalidField(headerCall, "does not have 10 fields", "run the same version on all nodes")
 	}
 	names := [4]string{}
 	for i := range names {
@@ -76,7 +77,7 @@
 		}
 		names[i] = name
 	}
-	numbers := [5]int64{}
+	numbers := [6]int64{}
 	for i := range numbers {
 		n, err := strconv.ParseInt(fields[4+i], 10, 32)
 		if err != nil {
@@ -86,8 +87,8 @@
 	}
 	return &call{
 		service: names[0], class: names[1], caller: names[2], node: names[3],
-		rank: int(numbers[0]), idempotent: numbers[1] == 1, returned: numbers[2] == 1,
-		targetLeft: time.Duration(numbers[3]) * time.Millisecond, deadlineLeft: time.Duration(numbers[4]) * time.Millisecond,
+		rank: int(numbers[0]), idempotent: numbers[1] == 1, returned: numbers[2] == 1, freeOnly: numbers[3] == 1,
+		targetLeft: time.Duration(numbers[4]) * time.Millisecond, deadlineLeft: time.Duration(numbers[5]) * time.Millisecond,
 	}, nil
 }
 
@@ -104,6 +105,7 @@
 type reason string
 
 const (
+	reasonBusy        reason = "busy"      // no slot free, and the call does not wait there
 	reasonFull        reason = "full"      // no slot in time
 	reasonLink        reason = "link_full" // other long answers go before on the machine's link
 	reasonHopeless    reason = "deadline_unreachable"
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -162,7 +162,7 @@
 	}
 	grant, refused := i.admission.Acquire(ctx, admission.Call{
 		Class: c.class, Rank: rank, Target: now.Add(c.targetLeft - sending), Deadline: now.Add(c.deadlineLeft - sending),
-		Returned: c.returned,
+		Returned: c.returned, FreeOnly: c.freeOnly,
 	})
 	if refused != nil {
 		return in.rule(i, c, r, refusedRuling(refused)), nil
@@ -226,6 +226,8 @@
 func refusedRuling(r *admission.Refusal) *ruling {
 	out := &ruling{verdict: notRun, retryAfter: r.RetryAfter}
 	switch r.Reason {
+	case admission.Busy:
+		out.reason = reasonBusy
 	case admission.Full:
 		out.reason = reasonFull
 	case admission.Hopeless:
@@ -253,7 +255,7 @@
 
 // log writes one line for each call that the backend server did not answer, with what decided it.
 func (in *inbound) log(i *instance, c *call, request *hop.Request, r *ruling) {
-	if r.verdict == answered {
+	if r.verdict == answered || r.reason == reasonBusy {
 		return
 	}
 	if !in.logLimit.Allow() {
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -227,7 +227,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(peerGrace))
 	defer func() { cancel() }()
-	tried := map[string]bool{}
+	tried, busy := map[string]bool{}, map[string]bool{}
 	last := refuse(0, reasonNoEndpoint)
 	arrivals, full, open := 0, 0, false
 	for try := 1; try <= maxTries; try++ {
@@ -237,11 +237,10 @@
 			}
 			break
 		}
-		choice := o.choose(q, tried)
+		choice := o.choose(q, tried, busy)
 		if choice == nil {
 			break
 		}
-		tried[choice.ID] = true
 		if arrivals > 0 && !o.budget.TakeRepeat(q.service, last.inner) {
 			choice.Done(placement.Good, nil)
 			o.metrics.Inc("outbound_retry_denied", "reason", string(reasonBudget))
@@ -252,6 +251,12 @@
 		}
 		last = o.try(ctx, q, choice)
 		last.tries = try
+		if last.reason == reasonBusy {
+			busy[choice.ID] = true
+			try--
+			continue
+		}
+		tried[choice.ID] = true
 		if last.arrived {
 			arrivals++
 		}
@@ -295,13 +300,14 @@
 	return ""
 }
 
-func (o *outbound) choose(q *request, tried map[string]bool) *placement.Choice {
+func (o *outbound) choose(q *request, tried, busy map[string]bool) *placement.Choice {
 	return o.chooser.Pick(o.endpoints(q.service), placement.Need{
 		Class: q.route.Name,
 		Bytes: o.history.bytes(q.route.Name) + len(q.out.Body),
 		Left:  max(time.Until(q.target), time.Millisecond),
 		Haste: o.haste(q),
 		Tried: func(e *placement.Endpoint) bool { return tried[e.ID] },
+		Busy:  busy,
 	})
 }
 
@@ -318,7 +324,7 @@
 func (o *outbound) try(ctx context.Context, q *request, choice *placement.Choice) *result {
 	c := &call{
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.route.Priority,
-		idempotent: q.route.Idempotent, returned: q.returned,
+		idempotent: q.route.Idempotent, returned: q.returned, freeOnly: choice.FreeOnly,
 		targetLeft: time.Until(q.target) - o.link.Wait(o.history.answerLength(q.route.Name)), deadlineLeft: time.Until(q.deadline),
 	}
 	res := &result{node: choice.ID}
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -428,11 +428,11 @@
 }
 
 func TestCallsAndRulingsSurviveTheWire(t *testing.T) {
-	c := &call{service: "a;b", class: "r 1", caller: "ü", node: "n", rank: 2, idempotent: true, returned: true, targetLeft: -5 * time.Millisecond, deadlineLeft: time.Second}
+	c := &call{service: "a;b", class: "r 1", caller: "ü", node: "n", rank: 2, idempotent: true, returned: true, freeOnly: true, targetLeft: -5 * time.Millisecond, deadlineLeft: time.Second}
 	decoded, err := decodeCall(c.encode())
 	require.NoError(t, err)
 	assert.Equal(t, c, decoded)
-	for _, text := range []string{"", ";;;;;;;;", "a;b;c;d;1;1;0;5", "a;b;c;d;x;1;0;5;5", "%zz;b;c;d;1;1;0;5;5"} {
+	for _, text := range []string{"", ";;;;;;;;;", "a;b;c;d;1;1;0;0;5", "a;b;c;d;x;1;0;0;5;5", "%zz;b;c;d;1;1;0;0;5;5"} {
 		_, err := decodeCall(text)
 		assert.Error(t, err, text)
 	}
