--- a/cli/cmd/explain.go
+++ b/cli/cmd/explain.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"sort"
-	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -45,15 +43,11 @@
 	if id == "" || logs == "" {
 		return apierror.InvalidField("explain", "--id and --logs belong together", "give both")
 	}
-	var readers []io.Reader
-	for path := range strings.SplitSeq(logs, ",") {
-		file, err := os.Open(path)
-		if err != nil {
-			return apierror.InvalidField("logs", err.Error(), "name existing log files")
-		}
-		defer file.Close()
-		readers = append(readers, file)
+	readers, closeAll, err := openLogs(logs)
+	if err != nil {
+		return err
 	}
+	defer closeAll()
 	chain, err := explain.FromLogs(id, readers...)
 	if err != nil {
 		return apierror.New(apierror.Invalid, "reading the logs: "+err.Error(), "name log files of nodes")
--- /dev/null
+++ b/cli/cmd/losses_test.go
@@ -0,0 +1,43 @@
+package cmd
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestLosses(t *testing.T) {
+	dir := t.TempDir()
+	log, table, picture := filepath.Join(dir, "a.log"), filepath.Join(dir, "losses.csv"), filepath.Join(dir, "losses.png")
+	lines := "time=2026-03-09T06:07:43.100Z level=info event=request route=r service=s verdict=not-run reason=full returned=true\n" +
+		"time=2026-03-09T06:07:45.100Z level=info event=request route=r service=s verdict=unknown reason=node_lost\n" +
+		"time=2026-03-09T06:07:45.200Z level=info event=inbound service=s verdict=not-run reason=full running=9 queued=3 limit=9 slot_time=120ms\n"
+	require.NoError(t, os.WriteFile(log, []byte(lines), 0o600))
+	run := func(code int, arguments ...string) (string, string) {
+		var out, errors bytes.Buffer
+		assert.Equal(t, code, Run(arguments, &out, &errors), errors.String())
+		return out.String(), errors.String()
+	}
+	out, _ := run(ExitOK, "losses", "--logs", log, "--csv", table, "--plot", picture)
+	assert.Contains(t, out, "refused again after coming back")
+	assert.Contains(t, out, "node lost                        1      9.0      9.0    3.0     120ms")
+	rows, err := os.ReadFile(table)
+	require.NoError(t, err)
+	assert.Equal(t, "TIME,SERVICE,ROUTE,CAUSE,COUNT,RUNNING,LIMIT,QUEUED,SLOT TIME\n"+
+		"06:07:43.0,s,r,refused again after coming back,1,,,,\n06:07:45.0,s,r,node lost,1,9.0,9.0,3.0,120ms\n", string(rows))
+	drawn, err := os.ReadFile(picture)
+	require.NoError(t, err)
+	assert.Equal(t, "\x89PNG", string(drawn[:4]))
+
+	require.NoError(t, os.WriteFile(log, nil, 0o600))
+	out, _ = run(ExitOK, "losses", "--logs", log)
+	assert.Contains(t, out, "no loss")
+	for _, wrong := range [][]string{{}, {"--logs", log, "--every", "-1s"}, {"--logs", filepath.Join(dir, "none")}} {
+		_, stderr := run(ExitUsage, append([]string{"losses"}, wrong...)...)
+		assert.Contains(t, stderr, ";", "the message names a remedy")
+	}
+}
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -173,7 +173,9 @@
 		return in.rule(i, c, r, &ruling{verdict: notRun, reason: reasonDraining}), nil
 	}
 	expected := in.link.Expect(in.history.answerLength(c.class))
+	granted := time.Now()
 	ruled, response, result := in.hand(ctx, i, c, r, now.Add(c.deadlineLeft))
+	in.countSlotTime(ctx, ruled, response, rank, time.Since(granted), now.Add(c.targetLeft))
 	ruled.inner = rank == admission.Inner
 	expected()
 	if response != nil {
@@ -187,6 +189,21 @@
 	return in.rule(i, c, r, ruled), response
 }
 
+// countSlotTime counts what a slot was used for. A long answer that is passed on as it arrives holds it for longer.
+func (in *inbound) countSlotTime(ctx context.Context, r *ruling, response *hop.Response, rank int, held time.Duration, target time.Time) {
+	outcome := "in_time"
+	switch {
+	case ctx.Err() != nil:
+		outcome = "caller_left"
+	case r.verdict != answered, response != nil && response.Status >= http.StatusInternalServerError:
+		outcome = "failed"
+	case time.Now().After(target):
+		outcome = "late"
+	}
+	in.metrics.Counter("slot_ms", "rank", rankLabel(rank), "outcome", outcome).Inc(held.Milliseconds())
+	in.metrics.Observe(held, "slot_time", "outcome", outcome)
+}
+
 // sendingTime is how long after the backend server's work the answer is sent, where long answers queue for the link. A call whose
 // answer would miss its target only because of the others is refused: it can still come back, or be served elsewhere.
 func (in *inbound) sendingTime(i *instance, c *call, rank int) (time.Duration, *ruling) {
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/admission"
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/link"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
@@ -86,11 +87,22 @@
 
 // rank is the label of the route's priority in metrics.
 func (q *request) rank() string {
+	if q.route == nil {
+		return "other"
+	}
+	return rankLabel(q.route.Priority)
+}
+
+// rankLabel is the label of a rank in metrics.
+func rankLabel(rank int) string {
 	const ranks = 10 // a bound for the number of metrics; configurations use a few
-	if q.route == nil || q.route.Priority >= ranks {
+	switch {
+	case rank == admission.Inner:
+		return "inner"
+	case rank >= ranks:
 		return "other"
 	}
-	return strconv.Itoa(q.route.Priority)
+	return strconv.Itoa(rank)
 }
 
 // result is the final answer to a caller.
@@ -111,6 +123,9 @@
 	res.version = q.version
 	o.metrics.Observe(time.Since(q.started), "outbound_latency", "rank", q.rank(), "verdict", string(res.verdict))
 	o.metrics.Inc("outbound", "verdict", string(res.verdict), "reason", string(res.reason))
+	if q.returned {
+		o.metrics.Inc("returned", "verdict", string(res.verdict), "reason", string(res.reason))
+	}
 	o.log(q, res)
 	if !o.deliver(w, q, res) {
 		panic(http.ErrAbortHandler) // the caller holds a part of the response
@@ -173,6 +188,7 @@
 	q.first, q.waits, q.deadline = q.started, q.started.Add(waits), q.started.Add(min(waits, timeout))
 	if refusal, ok := o.returns.Take(q.started, q.key(), q.waits); ok {
 		q.first, q.returned = refusal.First, true
+		o.metrics.Observe(q.started.Sub(refusal.Due).Abs(), "returned_off")
 	}
 	q.target = q.first.Add(q.route.Target())
 	return true
@@ -443,9 +459,13 @@
 	return http.StatusBadGateway
 }
 
-// log writes one line for each request that was not answered at the first try.
+// log writes one line for each request that was not answered at the first try, or late.
 func (o *outbound) log(q *request, res *result) {
-	if res.verdict == answered && res.tries <= 1 {
+	late := time.Duration(0)
+	if res.verdict == answered {
+		late = max(0, time.Since(q.target))
+	}
+	if res.verdict == answered && res.tries <= 1 && late == 0 {
 		return
 	}
 	if !o.logLimit.Allow() {
@@ -456,8 +476,12 @@
 	if q.route != nil {
 		route = q.route.Name
 	}
-	o.logger.Info("request", zap.String("id", q.id), zap.String("route", route), zap.String("service", q.service),
+	fields := []zap.Field{zap.String("id", q.id), zap.String("route", route), zap.String("service", q.service),
 		zap.String("verdict", string(res.verdict)), zap.String("reason", string(res.reason)), zap.String("to", res.node), zap.Uint64("version", res.version),
-		zap.Int("tries", res.tries), zap.Int("arrivals", res.arrivals), zap.Int64("ms", time.Since(q.started).Milliseconds()),
-		zap.Int64("left_ms", time.Until(q.deadline).Milliseconds()))
+		zap.Int("tries", res.tries), zap.Int("arrivals", res.arrivals), zap.Bool("returned", q.returned), zap.Int64("ms", time.Since(q.started).Milliseconds()),
+		zap.Int64("left_ms", time.Until(q.deadline).Milliseconds())}
+	if late > 0 {
+		fields = append(fields, zap.Int64("late_ms", late.Milliseconds()))
+	}
+	o.logger.Info("request", fields...)
 }
--- a/pkg/sidecar/returns_test.go
+++ b/pkg/sidecar/returns_test.go
@@ -8,13 +8,14 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 )
 
 // Callers of a route differ in how long they are willing to wait. Only one that was refused here, and asks for the same thing until the
 // same moment, comes back; its target counts from its first attempt.
 func TestCallerThatComesBackIsRecognised(t *testing.T) {
-	o := &outbound{headers: testHeaders}
+	o := &outbound{headers: testHeaders, metrics: metrics.New()}
 	arrival := time.Now()
 	arrive := func(path string, after, waits time.Duration) *request {
 		r := httptest.NewRequest("GET", path, nil)
