admission: calls to the own service are never taken for calls on behalf of admitted work

Cause: a class whose calls all come from the machines of one service is taken for one of backend servers. Ruled out: more samples (30 or 300 of one data centre are the same). Change: only calls to another service can be such calls. Test fails on the former code.

--- a/pkg/admission/load_test.go
+++ b/pkg/admission/load_test.go
@@ -329,13 +329,22 @@
 func TestOrigins(t *testing.T) {
 	o := NewOrigins()
 	for i := range 200 {
-		inner := o.Observe("verify", "tracker")
-		spread := o.Observe("order", []string{"tracker", "dispatch", "records"}[i%3])
+		inner := o.Observe("verify", "tracker", "records")
+		spread := o.Observe("order", []string{"tracker", "dispatch", "records"}[i%3], "records")
 		assert.Equal(t, i+1 >= originSamples, inner)
 		assert.False(t, spread)
 	}
 	for i := range 2 * originMemory { // clients begin to send it
-		o.Observe("verify", []string{"tracker", "dispatch"}[i%2])
+		o.Observe("verify", []string{"tracker", "dispatch"}[i%2], "records")
+	}
+	assert.False(t, o.Observe("verify", "tracker", "records"))
+}
+
+// Pattern: a data centre whose only machines belong to one service. The calls of the clients there are not taken for calls on behalf of
+// admitted work.
+func TestOriginsBesideOneServiceOnly(t *testing.T) {
+	o := NewOrigins()
+	for range 2 * originMemory {
+		assert.False(t, o.Observe("booking", "records", "records"))
 	}
-	assert.False(t, o.Observe("verify", "tracker"))
 }
--- a/pkg/admission/origin.go
+++ b/pkg/admission/origin.go
@@ -6,7 +6,9 @@
 //
 // Nothing in a request says so. But clients live on every machine, while the calls that a backend server makes come from the
 // machines of its own service only: a class whose calls all come from one service is taken for such. Where the clients of a class
-// really live beside one service only, their calls gain precedence over others of the same backend servers, no more.
+// really live beside one service only, their calls gain precedence over others of the same backend servers, no more. Calls to the
+// service beside whose backend servers they begin are never taken for such: in a data centre where only that one has machines, all
+// calls of clients are.
 //
 // It is safe for concurrent use.
 type Origins struct {
@@ -29,8 +31,8 @@
 // NewOrigins returns an empty record.
 func NewOrigins() *Origins { return &Origins{classes: make(map[string]*origin)} }
 
-// Observe notes a call and reports whether its class is made on behalf of admitted work.
-func (o *Origins) Observe(class, service string) bool {
+// Observe notes a call from a machine of one service to another, and reports whether its class is made on behalf of admitted work.
+func (o *Origins) Observe(class, from, to string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	c := o.classes[class]
@@ -41,12 +43,12 @@
 		c = &origin{counts: make(map[string]int)}
 		o.classes[class] = c
 	}
-	c.counts[service]++
+	c.counts[from]++
 	c.total++
 	if c.total >= originMemory {
 		c.halve()
 	}
-	return c.total >= originSamples && float64(c.most()) >= innerShare*float64(c.total)
+	return from != to && c.total >= originSamples && float64(c.most()) >= innerShare*float64(c.total)
 }
 
 func (c *origin) halve() {
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -153,7 +153,7 @@
 		return in.rule(i, c, r, &ruling{verdict: notRun, reason: why}), nil
 	}
 	rank := c.rank
-	if in.origins.Observe(c.class, c.caller) {
+	if in.origins.Observe(c.class, c.caller, i.Service) {
 		rank = admission.Inner
 	}
 	sending, refusedByLink := in.sendingTime(i, c, rank)
