--- a/cli/cmd/losses.go
+++ b/cli/cmd/losses.go
@@ -121,6 +121,9 @@
 	return file.Close()
 }
 
+// legendRoom is the height of the plot relative to its highest bar; the legend stands above the bars.
+const legendRoom = 1.6
+
 // plotLosses draws the losses of each span as stacked bars, one colour for each cause.
 func plotLosses(found explain.Losses, every time.Duration, path string) error {
 	first := found.Rows[0].From
@@ -151,6 +154,7 @@
 		p.Add(bars)
 		p.Legend.Add(cause, bars)
 	}
+	p.Y.Max *= legendRoom
 	return p.Save(10*vg.Inch, 5*vg.Inch, path)
 }
 
