--- a/pkg/returns/returns.go
+++ b/pkg/returns/returns.go
@@ -4,9 +4,7 @@
 // the same thing, and what it states to have left ends at the same moment as before. How long a caller is willing to wait does not tell:
 // callers of one route differ in that by more than a refusal takes.
 //
-// A caller that is recognised brings the moment of its first attempt, from which its target counts, and shows how long the way to it is:
-// between the moment to come back that it was told and its return lie the way of the refusal, the handshake of the new connection and
-// the way of the request.
+// A caller that is recognised brings the moment of its first attempt, from which its target counts.
 package returns
 
 import (
@@ -28,18 +26,12 @@
 	// tolerance is how far two statements of one deadline may lie apart: what is left is stated in whole milliseconds, and either request
 	// may have waited to be read.
 	tolerance = 40 * time.Millisecond
-	// ways is how often a refused caller's return crosses the network: refusal, handshake there and back, request.
-	ways = 4
-	// wayRise is the weight of a longer way than the shortest one lately. Most of what a single return takes longer is the caller's own time.
-	wayRise = 0.02
 )
 
 // Ledger holds the refusals of one node. The zero value is ready. It is safe for concurrent use.
 type Ledger struct {
 	mu       sync.Mutex
 	refusals []Refusal // in the order in which they were added
-	way      time.Duration
-	seen     bool // a return
 }
 
 // Add notes a refusal.
@@ -60,7 +52,7 @@
 
 // Take returns the refusal after which the caller of a request with that key and deadline comes back, and forgets it. It reports
 // false for a caller that was not refused here.
-func (l *Ledger) Take(now time.Time, key uint64, deadline time.Time) (Refusal, bool) {
+func (l *Ledger) Take(key uint64, deadline time.Time) (Refusal, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	best := -1
@@ -75,24 +67,5 @@
 	}
 	r := l.refusals[best]
 	l.refusals = append(l.refusals[:best], l.refusals[best+1:]...)
-	l.measure(now.Sub(r.Due) / ways)
 	return r, true
 }
-
-// measure takes in the way of one return. A caller that comes earlier than it was told says nothing about it.
-func (l *Ledger) measure(way time.Duration) {
-	switch {
-	case way < 0:
-	case !l.seen || way < l.way:
-		l.way, l.seen = way, true
-	default:
-		l.way += time.Duration(wayRise * float64(way-l.way))
-	}
-}
-
-// Way is how long a message takes between the callers that came back and this node; 0 if none has.
-func (l *Ledger) Way() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.way
-}
--- a/pkg/returns/returns_test.go
+++ b/pkg/returns/returns_test.go
@@ -15,20 +15,18 @@
 	l.Add(at(2), Refusal{Key: 1, First: at(0), Deadline: at(700), Due: at(100)})
 	l.Add(at(3), Refusal{Key: 1, First: at(1), Deadline: at(780), Due: at(100)})
 
-	_, ok := l.Take(at(132), 2, at(700))
+	_, ok := l.Take(2, at(700))
 	assert.False(t, ok, "it asks for something else")
-	_, ok = l.Take(at(132), 1, at(850))
+	_, ok = l.Take(1, at(850))
 	assert.False(t, ok, "its time ends later than that of those who were refused")
-	r, ok := l.Take(at(132), 1, at(703))
+	r, ok := l.Take(1, at(703))
 	assert.True(t, ok)
 	assert.Equal(t, at(0), r.First)
-	assert.Equal(t, 8*time.Millisecond, l.Way())
-	_, ok = l.Take(at(133), 1, at(703))
+	_, ok = l.Take(1, at(703))
 	assert.False(t, ok, "each refusal has one return")
-	r, ok = l.Take(at(90), 1, at(779))
+	r, ok = l.Take(1, at(779))
 	assert.True(t, ok)
 	assert.Equal(t, at(1), r.First)
-	assert.Equal(t, 8*time.Millisecond, l.Way(), "a caller that does not wait as told says nothing about the way")
 }
 
 func TestRefusalsAreForgotten(t *testing.T) {
@@ -38,7 +36,7 @@
 		l.Add(start, Refusal{Key: uint64(i), Deadline: start.Add(time.Second)})
 	}
 	assert.Len(t, l.refusals, maxRefusals)
-	_, ok := l.Take(start, 3*maxRefusals-1, start.Add(time.Second))
+	_, ok := l.Take(3*maxRefusals-1, start.Add(time.Second))
 	assert.True(t, ok)
 	l.Add(start.Add(2*time.Second), Refusal{Key: 1, Deadline: start.Add(3 * time.Second)})
 	assert.Len(t, l.refusals, 1, "those whose time has passed")
@@ -52,7 +50,7 @@
 	for i := range 500 {
 		now = now.Add(5 * time.Millisecond)
 		deadline := now.Add(time.Duration(680+random.IntN(120)) * time.Millisecond)
-		_, ok := l.Take(now, uint64(i), deadline)
+		_, ok := l.Take(uint64(i), deadline)
 		assert.False(t, ok)
 		l.Add(now, Refusal{Key: uint64(i), First: now, Deadline: deadline, Due: now.Add(50 * time.Millisecond)})
 	}
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -186,7 +186,7 @@
 		waits = time.Duration(min(ms, float64(time.Hour/time.Millisecond)) * float64(time.Millisecond))
 	}
 	q.first, q.waits, q.deadline = q.started, q.started.Add(waits), q.started.Add(min(waits, timeout))
-	if refusal, ok := o.returns.Take(q.started, q.key(), q.waits); ok {
+	if refusal, ok := o.returns.Take(q.key(), q.waits); ok {
 		q.first, q.returned = refusal.First, true
 		o.metrics.Observe(q.started.Sub(refusal.Due).Abs(), "returned_off")
 	}
