outbound: a repeat that finds no room is kept; a long body is sent to one other node

Causes, both found by reading the change as a newcomer would: (1) each endpoint that was asked for a free slot took a repeat from the budget, and the answer 'busy' made an inner call an outer one for the next try, so that up to three repeats paid for one. (2) A body above 256 KiB is read from the caller as it is sent on; after a refusal by another node it was sent again without what that node had read, and a body of unstated length would have reached the backend server short, as if whole. Change: retry.Repeats holds a repeat until it is used; a request with a streamed body goes to one other node only, and does not look for a free slot.

--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -80,6 +80,26 @@
 	return true
 }
 
+// Repeats are those of one call.
+type Repeats struct {
+	budget  *Budget
+	service string
+	held    bool // a repeat that was taken and not used
+}
+
+// Repeats returns the repeats of a call to the service.
+func (b *Budget) Repeats(service string) *Repeats { return &Repeats{budget: b, service: service} }
+
+// Take has a repeat at hand, or returns false if the budget does not allow it. One that was not used, as the endpoint had no room for it,
+// is still there. For inner see TakeRepeat.
+func (r *Repeats) Take(inner bool) bool {
+	r.held = r.held || r.budget.TakeRepeat(r.service, inner)
+	return r.held
+}
+
+// Use notes that the repeat was sent.
+func (r *Repeats) Use() { r.held = false }
+
 // at returns the window of a service, advanced to now, and the index of its newest bucket.
 func (b *Budget) at(service string) (*window, int) {
 	w := b.services[service]
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -92,3 +92,17 @@
 	assert.Positive(t, outer)
 	assert.LessOrEqual(t, float64(inner+outer), caution*(terms.Ratio*2000+terms.Slack))
 }
+
+// Pattern: a call looks for an endpoint with room for its repeat. It is one repeat, however many endpoints were asked.
+func TestRepeatThatWasNotSentIsKept(t *testing.T) {
+	b := New(Terms{Slack: 4, Window: 10 * time.Second}, func() int { return 1 }) // half of it is used
+	call := b.Repeats("records")
+	for range 5 {
+		assert.True(t, call.Take(true))
+	}
+	call.Use()
+	assert.True(t, call.Take(true), "the second one")
+	call.Use()
+	assert.False(t, call.Take(true))
+	assert.False(t, b.Repeats("records").Take(true))
+}
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -245,7 +245,8 @@
 	defer func() { cancel() }()
 	tried, busy := map[string]bool{}, map[string]bool{}
 	last := refuse(0, reasonNoEndpoint)
-	arrivals, full, open := 0, 0, false
+	arrivals, full, open, inner := 0, 0, false, false
+	repeats := o.budget.Repeats(q.service)
 	for try := 1; try <= maxTries; try++ {
 		if why := o.mayTry(q, last, arrivals, full); why != "" {
 			if try == 1 {
@@ -257,7 +258,7 @@
 		if choice == nil {
 			break
 		}
-		if arrivals > 0 && !o.budget.TakeRepeat(q.service, last.inner) {
+		if arrivals > 0 && !repeats.Take(inner) {
 			choice.Done(placement.Good, nil)
 			o.metrics.Inc("outbound_retry_denied", "reason", string(reasonBudget))
 			break
@@ -272,6 +273,8 @@
 			try--
 			continue
 		}
+		inner = inner || last.inner
+		repeats.Use()
 		tried[choice.ID] = true
 		if last.arrived {
 			arrivals++
@@ -306,8 +309,8 @@
 		return last.reason
 	case last.reason == reasonCancelled, last.reason == reasonBody:
 		return last.reason
-	case last.arrived && q.out.Stream != nil:
-		return last.reason // the body cannot be read again
+	case q.out.Stream != nil && (last.arrived || last.node != "" && last.node != o.self):
+		return last.reason // a part of the body may have been sent, and cannot be read again
 	case arrivals > 0 && arrivals >= max(1, q.route.MaxAttempts):
 		return last.reason
 	case full >= maxFullTries:
@@ -340,7 +343,7 @@
 func (o *outbound) try(ctx context.Context, q *request, choice *placement.Choice) *result {
 	c := &call{
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.route.Priority,
-		idempotent: q.route.Idempotent, returned: q.returned, freeOnly: choice.FreeOnly,
+		idempotent: q.route.Idempotent, returned: q.returned, freeOnly: choice.FreeOnly && q.out.Stream == nil,
 		targetLeft: time.Until(q.target) - o.link.Wait(o.history.answerLength(q.route.Name)), deadlineLeft: time.Until(q.deadline),
 	}
 	res := &result{node: choice.ID}
