--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -19,6 +19,7 @@
 	"sidecar/backend.go":   "start of this process, to compare with that of a backend server; an error costs or spares one liveness check",
 	"announce/announce.go": "the later of two clocks; an error ends with lateFor",
 	"clock/clock.go":       "start of the process, to which the steady clock adds",
+	"explain/losses.go":    "spans of the times in log lines, which other processes have written",
 	"callctx/context.go":   "deadline between nodes, within the stated bound of clock errors",
 	"execution/ballot.go":  "order between nodes, with the node's name as a tie-break",
 	"hop/exchange.go":      "a fixed time in the past",
