membership: a request of anti-entropy carries a copy of the digests

Cause: the request shared the array of the table, and was encoded without the lock while a probe changed the table: digests of two moments, and an exchange in vain. Test: TestSyncRequestIsACopy, fails on the former code.

--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -40,7 +40,7 @@
 	}
 	s.nextSync = now.Add(jitter(s.random, s.timing.SyncInterval))
 	s.notice.count("membership_sync")
-	return s.syncMessage(e, &syncRequest{From: s.self, Digests: s.table.digests[:]}), true
+	return s.syncMessage(e, &syncRequest{From: s.self, Digests: slices.Clone(s.table.digests[:])}), true
 }
 
 func (s *system) syncMessage(e *entry, request *syncRequest) message {
