--- a/pkg/explain/logs.go
+++ b/pkg/explain/logs.go
@@ -32,22 +32,16 @@
 // nodes that took them in the 3 s before. Lines that cannot be read are passed over.
 func FromLogs(id string, logs ...io.Reader) ([]Line, error) {
 	var decisions, changes []Line
-	for _, log := range logs {
-		scanner := bufio.NewScanner(log)
-		scanner.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
-		for scanner.Scan() {
-			line, ok := ParseLine(scanner.Text())
-			switch {
-			case !ok:
-			case line.Fields["id"] == id:
-				decisions = append(decisions, line)
-			case slices.Contains(believed, line.Event):
-				changes = append(changes, line)
-			}
-		}
-		if err := scanner.Err(); err != nil {
-			return nil, err
+	err := eachLine(logs, func(line Line) {
+		switch {
+		case line.Fields["id"] == id:
+			decisions = append(decisions, line)
+		case slices.Contains(believed, line.Event):
+			changes = append(changes, line)
 		}
+	})
+	if err != nil {
+		return nil, err
 	}
 	chain := slices.Clone(decisions)
 	for _, change := range changes {
@@ -59,6 +53,23 @@
 	return chain, nil
 }
 
+// eachLine calls visit with each line of the logs that can be read, one log after the other.
+func eachLine(logs []io.Reader, visit func(Line)) error {
+	for _, log := range logs {
+		scanner := bufio.NewScanner(log)
+		scanner.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
+		for scanner.Scan() {
+			if line, ok := ParseLine(scanner.Text()); ok {
+				visit(line)
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // follows reports whether a change may have led to the decision: it is about a node that took part, and happened shortly before.
 func (l Line) follows(change Line) bool {
 	about := change.Fields["node"] == l.Fields["node"] && change.Fields["node"] != "" || change.Fields["member"] != "" && change.Fields["member"] == l.Fields["to"]
--- a/pkg/explain/losses.go
+++ b/pkg/explain/losses.go
@@ -1,7 +1,6 @@
 package explain
 
 import (
-	"bufio"
 	"cmp"
 	"io"
 	"maps"
@@ -81,30 +80,22 @@
 func FindLosses(span time.Duration, logs ...io.Reader) (Losses, error) {
 	counts := make(map[Loss]int)
 	room := make(map[RoomKey]Room)
-	for _, log := range logs {
-		scanner := bufio.NewScanner(log)
-		scanner.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
-		for scanner.Scan() {
-			line, ok := ParseLine(scanner.Text())
-			if !ok {
-				continue
+	err := eachLine(logs, func(line Line) {
+		from, service := line.Time.Truncate(span), line.Fields["service"]
+		switch line.Event {
+		case "request":
+			if cause := causeOf(line); cause != "" {
+				counts[Loss{From: from, Service: service, Route: line.Fields["route"], Cause: cause}]++
 			}
-			from, service := line.Time.Truncate(span), line.Fields["service"]
-			switch line.Event {
-			case "request":
-				if cause := causeOf(line); cause != "" {
-					counts[Loss{From: from, Service: service, Route: line.Fields["route"], Cause: cause}]++
-				}
-			case "inbound":
-				if limit := number(line, "limit"); limit > 0 {
-					k := RoomKey{from, service}
-					room[k] = room[k].add(line, limit)
-				}
+		case "inbound":
+			if limit := number(line, "limit"); limit > 0 {
+				k := RoomKey{from, service}
+				room[k] = room[k].add(line, limit)
 			}
 		}
-		if err := scanner.Err(); err != nil {
-			return Losses{}, err
-		}
+	})
+	if err != nil {
+		return Losses{}, err
 	}
 	found := Losses{Room: room}
 	for loss, n := range counts {
