--- a/cli/cmd/explain.go
+++ b/cli/cmd/explain.go
@@ -43,7 +43,7 @@
 	if id == "" || logs == "" {
 		return apierror.InvalidField("explain", "--id and --logs must be used together", "pass both")
 	}
-	readers, closeAll, err := openLogs(logs)
+	readers, closeAll, err := openFiles("--logs", logs)
 	if err != nil {
 		return err
 	}
--- a/cli/cmd/losses_test.go
+++ b/cli/cmd/losses_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -33,9 +34,17 @@
 	require.NoError(t, err)
 	assert.Equal(t, "\x89PNG", string(plotContent[:4]))
 
+	metricsPath := filepath.Join(dir, "a.metrics")
+	require.NoError(t, os.WriteFile(metricsPath, []byte("laburnum_log_limited{event=\"request\"} 17\n"), 0o600))
+	out, _ = run(ExitOK, "losses", "--logs", logPath, "--metrics", metricsPath)
+	assert.Contains(t, out, "17 request lines were not logged")
+	run(ExitUsage, "losses", "--logs", logPath, "--metrics", filepath.Join(dir, "none"))
+
 	require.NoError(t, os.WriteFile(logPath, nil, 0o600))
 	out, _ = run(ExitOK, "losses", "--logs", logPath)
 	assert.Contains(t, out, "no loss")
+	assert.Len(t, secondTicks(47, time.Second), 12, "the labels of the time axis do not overlap")
+	assert.Equal(t, "4", secondTicks(3, 2*time.Second)[2].Label)
 	for _, arguments := range [][]string{{}, {"--logs", logPath, "--every", "-1s"}, {"--logs", filepath.Join(dir, "none")}} {
 		_, stderr := run(ExitUsage, append([]string{"losses"}, arguments...)...)
 		assert.Contains(t, stderr, ";", "the message names a remedy")
--- a/pkg/explain/losses.go
+++ b/pkg/explain/losses.go
@@ -1,12 +1,16 @@
 package explain
 
 import (
+	"bufio"
 	"cmp"
 	"io"
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Loss counts the requests of a route that were not answered in time, for one cause and one interval. Nodes limit the request lines that
@@ -19,6 +23,33 @@
 	Count   int
 }
 
+// suppressedMetric is the metric, as a node serves it, that counts the request lines that the node did not log.
+const suppressedMetric = `laburnum_log_limited{event="request"}`
+
+// SuppressedLines sums the request lines that nodes did not log, from the text of their metrics: one reader for each process, which counts
+// from its start. Some of these requests were answered, after a retry.
+func SuppressedLines(metrics ...io.Reader) (int64, error) {
+	sum := int64(0)
+	for _, r := range metrics {
+		scanner := bufio.NewScanner(r)
+		for scanner.Scan() {
+			text, ok := strings.CutPrefix(scanner.Text(), suppressedMetric+" ")
+			if !ok {
+				continue
+			}
+			n, err := strconv.ParseInt(text, 10, 64)
+			if err != nil {
+				return 0, eris.Wrapf(err, "metric %s", suppressedMetric)
+			}
+			sum += n
+		}
+		if err := scanner.Err(); err != nil {
+			return 0, eris.Wrap(err, "reading metrics")
+		}
+	}
+	return sum, nil
+}
+
 // SlotUsage is the mean slot usage per backend server of a service, as logged by the nodes with each refused call of an interval.
 type SlotUsage struct {
 	Refusals               int
@@ -62,8 +93,16 @@
 	"cancelled": CauseCancelled,
 }
 
-// causeOf returns the cause of loss for a request line, or "" if the request was answered in time.
+// callerErrors are the reasons of refusals that any node would give: the request itself is not valid under the configuration.
+var callerErrors = map[string]bool{
+	"unknown_route": true, "bad_request": true, "body_too_large": true, "header_too_large": true, "body_timeout": true,
+}
+
+// causeOf returns the cause of loss for a request line, or "" if the request was answered in time or not valid.
 func causeOf(l Line) string {
+	if callerErrors[l.Fields["reason"]] {
+		return ""
+	}
 	if l.Fields["verdict"] == "answered" {
 		if l.Fields["late_ms"] != "" {
 			return CauseLate
--- a/pkg/explain/losses_test.go
+++ b/pkg/explain/losses_test.go
@@ -39,3 +39,20 @@
 	assert.Empty(t, got.Rows)
 	assert.Empty(t, got.Causes())
 }
+
+// A request that no configuration allows is refused by every node, so it is no loss.
+func TestFindLosses_LeavesOutInvalidRequests(t *testing.T) {
+	got, err := FindLosses(time.Second, strings.NewReader("time=2026-03-09T06:07:43.100Z level=info event=request verdict=not-run reason=unknown_route\n"))
+	require.NoError(t, err)
+	assert.Empty(t, got.Rows)
+}
+
+func TestSuppressedLines_SumsProcesses(t *testing.T) {
+	got, err := SuppressedLines(
+		strings.NewReader("laburnum_log_limited{event=\"inbound\"} 7\nlaburnum_log_limited{event=\"request\"} 40\n"), strings.NewReader(""),
+		strings.NewReader("laburnum_log_limited{event=\"request\"} 2\nlaburnum_other 1\n"))
+	require.NoError(t, err)
+	assert.EqualValues(t, 42, got)
+	_, err = SuppressedLines(strings.NewReader("laburnum_log_limited{event=\"request\"} many\n"))
+	require.Error(t, err)
+}
