--- /dev/null
+++ b/pkg/rollout/decider.go
@@ -0,0 +1,254 @@
+package rollout
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Limits bound the exposure to a version that may be bad.
+type Limits struct {
+	Share float64 // of the requests of the service that the target may get during the duration of the order
+	Slack float64 // requests that it may get besides
+}
+
+const (
+	exposureUsed   = 0.7                    // part of the limits that is granted; the rest covers requests between two decisions
+	maxCanaryShare = 0.08                   // of the service's instances that get requests at the same time
+	permitLease    = 2 * time.Second        // for a limited permit
+	settleTime     = 700 * time.Millisecond // until other nodes know that instances of the target version accept requests
+	moveTime       = 2500 * time.Millisecond
+	maxMoveShare   = 0.4                    // of the duration, if that is short
+	statusTime     = 600 * time.Millisecond // from the last decision until the operators know of it
+	reportTTL      = time.Second
+)
+
+// Decider decides the course of one roll-out from the reports of the nodes. It does no I/O and is not safe for concurrent use.
+type Decider struct {
+	limits  Limits
+	state   State
+	started time.Time
+	nodes   map[string]*nodeRecord
+
+	granted  int64     // exposure granted so far, over all processes
+	openedAt time.Time // all targets were open, in phase Moving
+	verdict  Judgement
+}
+
+// nodeRecord is what the decider knows of a node beside a backend server of the service.
+type nodeRecord struct {
+	first   *Report // of the present process
+	latest  *Report
+	at      time.Time
+	granted int64 // exposure granted to the present process
+}
+
+// NewDecider returns a decider for a roll-out that started at the given time.
+func NewDecider(state State, started time.Time, limits Limits) *Decider {
+	return &Decider{limits: limits, state: state, started: started, nodes: make(map[string]*nodeRecord)}
+}
+
+// State returns the current state.
+func (d *Decider) State() State { return d.state }
+
+// Judgement returns the latest comparison of the versions.
+func (d *Decider) Judgement() Judgement { return d.verdict }
+
+// Granted returns the exposure that was granted so far, in requests.
+func (d *Decider) Granted() int64 { return d.granted }
+
+// Agreed records that the fleet agreed on a state. It returns an error if the state may not follow the current one.
+func (d *Decider) Agreed(s State) error {
+	if s.Phase != d.state.Phase && !s.Phase.mayFollow(d.state.Phase) {
+		return fmt.Errorf("the roll-out of service %.40q may not change from %s to %s", s.Order.Service, d.state.Phase, s.Phase)
+	}
+	d.state = s
+	return nil
+}
+
+// Observe records the report of a node.
+func (d *Decider) Observe(now time.Time, node string, r *Report) {
+	n := d.nodes[node]
+	if n == nil || n.first.Process != r.Process {
+		n = &nodeRecord{first: r}
+		d.nodes[node] = n
+	}
+	n.latest, n.at = r, now
+	// An earlier decider may have granted more. What is not known to be unused counts as exposed.
+	exposed := max(r.Limit, r.forwarded(d.state.Order.Target))
+	if exposed > n.granted {
+		d.granted += exposed - n.granted
+		n.granted = exposed
+	}
+}
+
+// Retain forgets the nodes that are not in the list: they left or are dead. Their exposure counts on.
+func (d *Decider) Retain(nodes []string) {
+	for id := range d.nodes {
+		if !slices.Contains(nodes, id) {
+			delete(d.nodes, id)
+		}
+	}
+}
+
+func (r *Report) forwarded(version string) int64 {
+	if v := r.Versions[version]; v != nil {
+		return v.Forwarded
+	}
+	return 0
+}
+
+// Next returns the phase that the roll-out should change to and the reason, or the current phase.
+func (d *Decider) Next(now time.Time) (Phase, string) {
+	if d.state.Phase.IsFinal() {
+		return d.state.Phase, ""
+	}
+	d.verdict = Judge(d.classes(true), d.classes(false))
+	end := d.started.Add(max(d.state.Order.Duration/2, d.state.Order.Duration-statusTime))
+	switch {
+	case d.verdict.Verdict == Bad:
+		return RolledBack, fmt.Sprintf("%d of %d responses of class %q were bad", d.verdict.BadCount, d.verdict.Answered, d.verdict.Class)
+	case d.state.Phase == Moving && d.hasMoved(now):
+		return Completed, "no base version has a request"
+	case !now.Before(end):
+		return RolledBack, "not completed within the duration; the comparison is " + string(d.verdict.Verdict)
+	case d.state.Phase == Canary && d.verdict.Verdict == Good && !now.Before(d.moveAt()):
+		return Moving, fmt.Sprintf("%d of %d responses were bad", d.verdict.BadCount, d.verdict.Answered)
+	}
+	return d.state.Phase, ""
+}
+
+// moveAt returns when the requests should start to move. Until then the exposure is limited, so it is as late as possible.
+func (d *Decider) moveAt() time.Time {
+	duration := d.state.Order.Duration
+	move := min(moveTime, time.Duration(maxMoveShare*float64(duration)))
+	return d.started.Add(duration - move)
+}
+
+// classes sums the counts of the target version, or of all others, since the nodes were first seen.
+func (d *Decider) classes(target bool) map[string]*Counts {
+	sums := make(map[string]*Counts)
+	for _, n := range d.nodes {
+		for version, v := range n.latest.Versions {
+			if (version == d.state.Order.Target) != target {
+				continue
+			}
+			for class, c := range v.Classes {
+				if sums[class] == nil {
+					sums[class] = &Counts{}
+				}
+				sums[class].add(c)
+			}
+		}
+	}
+	return sums
+}
+
+// requests returns the number of requests that reached the service since the nodes were first seen.
+func (d *Decider) requests() int64 {
+	n := int64(0)
+	for _, record := range d.nodes {
+		for version, v := range record.latest.Versions {
+			n += v.Forwarded - record.first.forwarded(version)
+		}
+	}
+	return n
+}
+
+// targets returns the IDs of the nodes whose backend server has the target version.
+func (d *Decider) targets() []string {
+	var ids []string
+	for id, n := range d.nodes {
+		if n.latest.Version == d.state.Order.Target {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, cmp.Compare[string])
+	return ids
+}
+
+// hasMoved reports whether every node confirmed that it sends no request to a base version and that none is being served there.
+func (d *Decider) hasMoved(now time.Time) bool {
+	if !d.mayCloseBase(now) {
+		return false
+	}
+	for _, n := range d.nodes {
+		if !d.isConfirmed(now, n) || n.latest.Base != Closed {
+			return false
+		}
+		for version, v := range n.latest.Versions {
+			if version != d.state.Order.Target && v.InFlight > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// isConfirmed reports whether the latest report of a node is recent and shows that it follows the current state.
+func (d *Decider) isConfirmed(now time.Time, n *nodeRecord) bool {
+	return n.latest.Epoch == d.state.Epoch && now.Sub(n.at) <= reportTTL
+}
+
+// mayCloseBase reports whether the instances of the target version have been open for long enough to take over all requests.
+func (d *Decider) mayCloseBase(now time.Time) bool {
+	targets := d.targets()
+	if d.state.Phase != Moving || len(targets) == 0 {
+		return false
+	}
+	for _, id := range targets {
+		if n := d.nodes[id]; !d.isConfirmed(now, n) || n.latest.Target != Open {
+			return false
+		}
+	}
+	if d.openedAt.IsZero() {
+		d.openedAt = now
+	}
+	return now.Sub(d.openedAt) >= settleTime
+}
+
+// Permits returns the permit for each of the nodes.
+func (d *Decider) Permits(now time.Time, nodes []string) map[string]Permit {
+	permits := make(map[string]Permit, len(nodes))
+	for _, id := range nodes {
+		permits[id] = InitialPermit(d.state)
+	}
+	switch d.state.Phase {
+	case Canary:
+		d.grant(permits)
+	case Moving:
+		base := Open
+		if d.mayCloseBase(now) {
+			base = Closed
+		}
+		for id, p := range permits {
+			p.Target, p.Base = Open, base
+			permits[id] = p
+		}
+	}
+	return permits
+}
+
+// grant distributes the exposure that is left among the first instances of the target version. The others get no request, so that these
+// few are loaded as they will be later.
+func (d *Decider) grant(permits map[string]Permit) {
+	targets := d.targets()
+	if len(targets) == 0 {
+		return
+	}
+	canaries := min(len(targets), max(1, int(maxCanaryShare*float64(len(d.nodes)-len(targets)))))
+	allowed := int64(exposureUsed * (d.limits.Share*float64(d.requests()) + d.limits.Slack))
+	each := max(0, allowed-d.granted) / int64(canaries)
+	for _, id := range targets[:canaries] {
+		p, known := permits[id]
+		if !known {
+			continue
+		}
+		n := d.nodes[id]
+		d.granted += each
+		n.granted += each
+		p.Target, p.Limit, p.Lease = Limited, n.granted, permitLease
+		permits[id] = p
+	}
+}
--- /dev/null
+++ b/pkg/rollout/rollout_test.go
@@ -0,0 +1,268 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var testLimits = Limits{Share: 0.1, Slack: 50}
+
+// behaviour returns how an instance of the target version answers a request of a class that arrives at a time after the order.
+type behaviour func(random *rand.Rand, class string, at time.Duration) (failed bool, slowdown float64)
+
+var behaviours = map[string]struct {
+	isBad bool
+	of    behaviour
+}{
+	"good": {false, func(*rand.Rand, string, time.Duration) (bool, float64) { return false, 1 }},
+	"good_noisy": {false, func(r *rand.Rand, _ string, _ time.Duration) (bool, float64) {
+		return r.Float64() < 0.02, 0.8 + 0.4*r.Float64()
+	}},
+	"fails_third": {true, func(r *rand.Rand, _ string, _ time.Duration) (bool, float64) { return r.Float64() < 0.33, 1 }},
+	"fails_later": {true, func(r *rand.Rand, _ string, at time.Duration) (bool, float64) {
+		return at > 3*time.Second && r.Float64() < 0.4, 1
+	}},
+	"slow": {true, func(*rand.Rand, string, time.Duration) (bool, float64) { return false, 4 }},
+	"fails_on_a_route": {true, func(r *rand.Rand, class string, _ time.Duration) (bool, float64) {
+		return class == "b" && r.Float64() < 0.5, 1
+	}},
+}
+
+// fleet simulates the nodes beside the backend servers of a service. Requests are spread evenly over the nodes that accept some.
+type fleet struct {
+	random  *rand.Rand
+	gates   []*Gate
+	version []string
+	now     time.Time
+	running []flight
+	counts  map[string]int // requests by version
+	bad     int            // bad responses of the target
+	badAt   time.Time      // of the bad response that reaches the rollback bound
+	lastAt  time.Time      // of the latest request to the target
+}
+
+type flight struct {
+	node   int
+	class  string
+	end    time.Time
+	failed bool
+	took   time.Duration
+}
+
+const rollbackAfter = 50 // bad answers, by the rule EXPOSURE
+
+func newFleet(seed uint64, size int, state State) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), counts: make(map[string]int)}
+	for i := range 2 * size {
+		g := NewGate(state, int64(i))
+		g.now = func() time.Time { return f.now }
+		f.gates = append(f.gates, g)
+		f.version = append(f.version, []string{"v1", "v2"}[i/size])
+	}
+	return f
+}
+
+func (f *fleet) node(i int) string { return fmt.Sprintf("node-%03d", i) }
+
+// send sends one request to a random node that accepts it, and reports whether there is one.
+func (f *fleet) send(of behaviour, since time.Duration) bool {
+	class := []string{"a", "a", "b"}[f.random.IntN(3)]
+	for _, i := range f.random.Perm(len(f.gates)) {
+		if !f.gates[i].Enter(f.version[i]) {
+			continue
+		}
+		f.counts[f.version[i]]++
+		fl := flight{node: i, class: class, took: time.Duration(float64(40*time.Millisecond) * (0.7 + 0.6*f.random.Float64()))}
+		if f.version[i] == "v2" {
+			f.lastAt = f.now
+			slowdown := 1.0
+			fl.failed, slowdown = of(f.random, class, since)
+			fl.took = time.Duration(float64(fl.took) * slowdown)
+			if fl.failed || slowdown > 2 {
+				f.bad++
+			}
+			if f.bad == rollbackAfter && f.badAt.IsZero() {
+				f.badAt = f.now
+			}
+		} else {
+			fl.failed = f.random.Float64() < 0.01
+		}
+		fl.end = f.now.Add(fl.took)
+		f.running = append(f.running, fl)
+		return true
+	}
+	return false
+}
+
+func (f *fleet) finish() {
+	left := f.running[:0]
+	for _, fl := range f.running {
+		if fl.end.After(f.now) {
+			left = append(left, fl)
+			continue
+		}
+		outcome := Succeeded
+		if fl.failed {
+			outcome = Failed
+		}
+		f.gates[fl.node].Leave(f.version[fl.node], fl.class, outcome, fl.took)
+	}
+	f.running = left
+}
+
+// play plays a roll-out until its duration has passed, with perSecond requests a second, and returns the last state.
+func (f *fleet) play(t require.TestingT, state State, perSecond int, of behaviour) State {
+	const tick, poll = 10 * time.Millisecond, 250 * time.Millisecond
+	start := f.now
+	d := NewDecider(state, start, testLimits)
+	var nodes []string
+	for i := range f.gates {
+		nodes = append(nodes, f.node(i))
+	}
+	for step := 0; f.now.Before(start.Add(state.Order.Duration + time.Second)); step++ {
+		f.finish()
+		for range perSecond * int(tick/time.Millisecond) / 1000 {
+			require.True(t, f.send(of, f.now.Sub(start)), "a request finds no instance that accepts it")
+		}
+		if step%int(poll/tick) == 0 {
+			if phase, cause := d.Next(f.now); phase != d.State().Phase {
+				s := d.State()
+				s.Phase, s.Cause, s.Epoch = phase, cause, s.Epoch+1
+				require.NoError(t, d.Agreed(s))
+				if phase == Completed {
+					for i, g := range f.gates {
+						if f.version[i] == "v1" {
+							require.Equal(t, Closed, g.Mode("v1"))
+							require.Zero(t, g.report("v1").InFlight, "a request is lost when the base instances stop")
+						}
+					}
+				}
+			}
+			permits := d.Permits(f.now, nodes)
+			for i, g := range f.gates {
+				g.Apply(permits[nodes[i]])
+				d.Observe(f.now, nodes[i], g.Report(f.version[i]))
+			}
+		}
+		f.now = f.now.Add(tick)
+	}
+	return d.State()
+}
+
+func canaryState(duration time.Duration) State {
+	return State{Order: Order{Service: "s", Target: "v2", Duration: duration}, Phase: Canary, Epoch: 1}
+}
+
+// Good versions are completed within the duration, bad ones rolled back within the exposure limit. Each kind of fault is a pattern of its
+// own: at once, later, slow, on one route only.
+func TestDecider_CompletesGoodAndRollsBackBadVersions(t *testing.T) {
+	for name, b := range behaviours {
+		for _, size := range []int{3, 25, 51} {
+			for _, duration := range []time.Duration{8 * time.Second, 12 * time.Second, 60 * time.Second} {
+				t.Run(fmt.Sprintf("%s/%d_instances/%s", name, size, duration), func(t *testing.T) {
+					state := canaryState(duration)
+					f := newFleet(1, size, state)
+					final := f.play(t, state, 400, b.of)
+					if !b.isBad {
+						require.Equal(t, Completed, final.Phase, final.Cause)
+						return
+					}
+					require.Equal(t, RolledBack, final.Phase, final.Cause)
+					assert.LessOrEqual(t, float64(f.counts["v2"]), testLimits.Share*float64(f.counts["v1"]+f.counts["v2"])+testLimits.Slack)
+					if !f.badAt.IsZero() {
+						assert.Less(t, f.lastAt.Sub(f.badAt), 5*time.Second, "requests after the roll-back bound")
+					}
+				})
+			}
+		}
+	}
+}
+
+// Until the requests move, the exposure to the target stays below the limit whatever the traffic, the fleet and the version do.
+func TestDecider_ExposureBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 20).Draw(t, "size")
+		perSecond := rapid.IntRange(1, 8).Draw(t, "hundreds of requests a second") * 100
+		state := canaryState(rapid.SampledFrom([]time.Duration{4 * time.Second, 8 * time.Second}).Draw(t, "duration"))
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), size, state)
+		badRate := rapid.Float64Range(0.3, 1).Draw(t, "rate of failures")
+		final := f.play(t, state, perSecond, func(r *rand.Rand, _ string, _ time.Duration) (bool, float64) { return r.Float64() < badRate, 1 })
+		require.Equal(t, RolledBack, final.Phase)
+		require.LessOrEqual(t, float64(f.counts["v2"]), testLimits.Share*float64(f.counts["v1"]+f.counts["v2"])+testLimits.Slack)
+	})
+}
+
+// A version without an instance, or without enough responses to compare, must not get the service's requests.
+func TestDecider_RollsBackWithoutEvidence(t *testing.T) {
+	state := canaryState(8 * time.Second)
+	f := newFleet(1, 3, state)
+	f.gates, f.version = f.gates[:3], f.version[:3]
+	final := f.play(t, state, 100, behaviours["good"].of)
+	assert.Equal(t, RolledBack, final.Phase)
+	assert.Contains(t, final.Cause, "undecided")
+}
+
+func TestPhase_NoWayBack(t *testing.T) {
+	d := NewDecider(canaryState(time.Second), time.Now(), testLimits)
+	s := d.State()
+	s.Phase = Completed
+	require.Error(t, d.Agreed(s), "completed without moving")
+	s.Phase = RolledBack
+	require.NoError(t, d.Agreed(s))
+	for _, phase := range []Phase{Canary, Moving, Completed} {
+		s.Phase = phase
+		require.Error(t, d.Agreed(s))
+	}
+}
+
+// A decider that was paused while another took over must not change what nodes do, and a grant must not outlive its lease.
+func TestGate_IgnoresReplacedDeciderAndExpiredLease(t *testing.T) {
+	now := time.Now()
+	state := canaryState(time.Minute)
+	g := NewGate(state, 1)
+	g.now = func() time.Time { return now }
+	assert.False(t, g.Enter("v2"), "closed until a decider permits it")
+	assert.True(t, g.Enter("v1"))
+
+	taken := state
+	taken.Epoch = 2
+	require.True(t, g.Apply(Permit{State: taken, Epoch: 2, Target: Limited, Base: Open, Limit: 2, Lease: time.Second}))
+	require.False(t, g.Apply(Permit{State: state, Epoch: 1, Target: Open, Base: Closed}), "of the replaced decider")
+	assert.True(t, g.Enter("v2"))
+	assert.True(t, g.Enter("v1"))
+	assert.True(t, g.Enter("v2"))
+	assert.False(t, g.Enter("v2"), "the limit is reached")
+	require.True(t, g.Apply(Permit{State: taken, Epoch: 2, Target: Limited, Base: Open, Limit: 9, Lease: time.Second}))
+	now = now.Add(2 * time.Second)
+	assert.False(t, g.Enter("v2"), "the lease has expired")
+	assert.True(t, g.Enter("v1"))
+}
+
+// What an earlier decider granted, and what a process that is gone was granted, counts as exposed.
+func TestDecider_CountsUnknownExposure(t *testing.T) {
+	now := time.Now()
+	d := NewDecider(canaryState(time.Minute), now, testLimits)
+	d.Observe(now, "a", &Report{Process: 1, Version: "v2", Limit: 20})
+	d.Observe(now, "a", &Report{Process: 2, Version: "v2"})
+	d.Retain(nil)
+	assert.EqualValues(t, 20, d.Granted())
+	d.Observe(now, "b", &Report{Process: 1, Version: "v2"})
+	p := d.Permits(now, []string{"b"})["b"]
+	assert.EqualValues(t, int64(exposureUsed*testLimits.Slack)-20, p.Limit)
+}
+
+// Guards against a request that is lost at completion: a node confirmed that the base version is closed, restarted, and opened it again.
+func TestGate_RestartWhileRequestsMoveKeepsBaseClosed(t *testing.T) {
+	state := canaryState(time.Minute)
+	for phase, open := range map[Phase]bool{Canary: true, Moving: false, RolledBack: true} {
+		state.Phase = phase
+		assert.Equal(t, open, NewGate(state, 2).Enter("v1"), string(phase))
+		assert.False(t, NewGate(state, 2).Enter("v2"), string(phase))
+	}
+}
