--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -65,13 +65,24 @@
 	Slowness               float64       // time that work takes on the machine now, relative to its mean; the times above are given for 1
 }
 
+// Policy holds the parameters of the decisions.
+type Policy struct {
+	QueuedPerSlot     int           // bound of the queue, over all ranks
+	ShedLimitDuration time.Duration // how long the limit stays below the level at which the backend server shed a call
+	MinRankShare      float64       // least served share of a rank with queued calls, relative to that of more urgent ranks
+	StarvedSlotShare  float64       // share of the slots, rounded up, that a starved rank gets before more urgent ones
+	FirstAttemptSlack float64       // fraction of its slack that a first attempt may spend in the queue
+	MarginDeviations  float64       // safety margin of a duration estimate, in mean deviations of the class
+}
+
+// DefaultPolicy returns the parameters that the nodes use.
+func DefaultPolicy() Policy {
+	return Policy{
+		QueuedPerSlot: 4, ShedLimitDuration: time.Second, MinRankShare: 0.4, StarvedSlotShare: 0.15, FirstAttemptSlack: 0.5, MarginDeviations: 0.5,
+	}
+}
+
 const (
-	maxQueuedPerSlot  = 4               // bound of the queue, over all ranks
-	shedLimitDuration = time.Second     // how long the limit stays below the level at which the backend server shed a call
-	minRankShare      = 0.4             // least served share of a rank with queued calls, relative to that of more urgent ranks
-	starvedSlotShare  = 0.15            // share of the slots, rounded up, that a starved rank gets before more urgent ones
-	firstAttemptSlack = 0.5             // fraction of its slack that a first attempt may spend in the queue
-	marginDeviations  = 0.5             // safety margin of a duration estimate, in mean deviations of the class
 	servedShareWindow = 3 * time.Second // averaging time of the served share of a rank
 	initialSlotTime   = 50 * time.Millisecond
 	sampleWeight      = 0.1 // weight of a new sample in a moving average
@@ -95,27 +106,29 @@
 	return 1 + (reported-1)*weight
 }
 
-// trackedCall is the state of a call from its arrival to its end.
-type trackedCall struct {
+// Ticket is a call from its arrival to its end. Set Call and Decide, and pass it to Scheduler.Offer.
+type Ticket struct {
 	Call
+	Decide   func(*Refusal) // called exactly once, from a method of the scheduler: nil grants a slot
 	granted  time.Time
 	slowness float64 // at the time of the grant
 	queued   bool
-	decided  chan *Refusal // receives exactly one decision, nil for a grant; capacity 1
 }
 
-// scheduler implements the admission policy. It reads no clock: its state depends only on the calls and times passed to it. It is not safe
+// Scheduler implements the admission policy. It reads no clock: its state depends only on the calls and times passed to it. It is not safe
 // for concurrent use.
-type scheduler struct {
+type Scheduler struct {
+	policy    Policy
 	slots     int
 	shedAt    int // in-flight calls when the backend server last shed one
 	shedUntil time.Time
 
 	running   int
-	queue     []*trackedCall // in service order
+	queue     []*Ticket // in service order
 	ranks     map[int]*rankState
 	slotTimes map[string]*movingAverage // slot time by class, normalised to the mean speed of the machine
 	slotTime  movingAverage             // slot time of all calls, normalised likewise
+	coldUntil time.Time                 // end of the cold start whose slot times the averages contain; zero: none
 	closed    bool
 
 	reportedSlowness float64 // latest reported slowness, relative to the baseline
@@ -134,35 +147,36 @@
 // maxClasses bounds the memory for estimates. When a configuration has more classes, all estimates are dropped.
 const maxClasses = 256
 
-func newScheduler(slots int) *scheduler {
-	return &scheduler{slots: slots, ranks: make(map[int]*rankState), slotTimes: make(map[string]*movingAverage)}
+// NewScheduler returns a scheduler for a backend server with the given number of slots.
+func NewScheduler(slots int, policy Policy) *Scheduler {
+	return &Scheduler{policy: policy, slots: slots, ranks: make(map[int]*rankState), slotTimes: make(map[string]*movingAverage)}
 }
 
 // limit returns how many calls may be in flight.
-func (s *scheduler) limit(now time.Time) int {
+func (s *Scheduler) limit(now time.Time) int {
 	if now.Before(s.shedUntil) {
 		return max(1, min(s.slots, s.shedAt-1))
 	}
 	return max(1, s.slots)
 }
 
-// observe records a report of how long work takes at the backend server, relative to an average machine.
-func (s *scheduler) observe(now time.Time, slowness float64) {
+// ObserveSlowness records a report of how long work takes at the backend server, relative to an average machine.
+func (s *Scheduler) ObserveSlowness(now time.Time, slowness float64) {
 	s.reports++
 	s.baselineSlowness += (slowness - s.baselineSlowness) * max(baselineWeight, 1/float64(s.reports))
 	s.reportedSlowness, s.reportedAt = slowness/s.baselineSlowness, now
 }
 
 // slowness estimates how long work takes now, relative to the mean of this machine.
-func (s *scheduler) slowness(now time.Time) float64 {
+func (s *Scheduler) slowness(now time.Time) float64 {
 	if s.reportedAt.IsZero() {
 		return 1
 	}
 	return DecayedSlowness(s.reportedSlowness, now.Sub(s.reportedAt))
 }
 
-// offer grants, queues or refuses a new call.
-func (s *scheduler) offer(now time.Time, c *trackedCall) {
+// Offer grants, queues or refuses a new call.
+func (s *Scheduler) Offer(now time.Time, c *Ticket) {
 	switch {
 	case s.closed:
 		s.refuse(now, c, Closed)
@@ -189,18 +203,18 @@
 }
 
 // refusalReason returns the reason to refuse a call with the given number of calls ahead of it, or "" if it may be queued.
-func (s *scheduler) refusalReason(now time.Time, c *trackedCall, ahead int) Reason {
+func (s *Scheduler) refusalReason(now time.Time, c *Ticket, ahead int) Reason {
 	wait, duration := s.estimateWait(now, ahead), s.estimateDuration(now, c.Class)
 	expectedEnd := now.Add(wait + duration)
 	slack := c.Target.Sub(now) - duration - s.estimateMargin(now, c.Class)
 	if !c.IsRetry {
 		// Its caller can still retry. Keep queue capacity for retries.
-		slack = time.Duration(firstAttemptSlack * float64(slack))
+		slack = time.Duration(s.policy.FirstAttemptSlack * float64(slack))
 	}
 	switch {
 	case expectedEnd.After(c.Deadline):
 		return DeadlineUnreachable
-	case len(s.queue) >= maxQueuedPerSlot*s.limit(now):
+	case len(s.queue) >= s.policy.QueuedPerSlot*s.limit(now):
 		return Overloaded
 	case wait > slack && c.Rank != Nested:
 		return Overloaded
@@ -209,7 +223,7 @@
 }
 
 // estimateWait estimates the time until a call with the given number of queued calls ahead of it gets a slot.
-func (s *scheduler) estimateWait(now time.Time, ahead int) time.Duration {
+func (s *Scheduler) estimateWait(now time.Time, ahead int) time.Duration {
 	limit := s.limit(now)
 	if free := limit - s.running; ahead < free {
 		return 0
@@ -219,7 +233,7 @@
 }
 
 // estimateDuration estimates how long a call of the class takes if it starts now; 0: unknown.
-func (s *scheduler) estimateDuration(now time.Time, class string) time.Duration {
+func (s *Scheduler) estimateDuration(now time.Time, class string) time.Duration {
 	if m := s.slotTimes[class]; m != nil {
 		return scale(m.value(0), s.slowness(now))
 	}
@@ -227,17 +241,31 @@
 }
 
 // estimateMargin returns the safety margin to add to estimateDuration for a call of the class.
-func (s *scheduler) estimateMargin(now time.Time, class string) time.Duration {
+func (s *Scheduler) estimateMargin(now time.Time, class string) time.Duration {
 	if m := s.slotTimes[class]; m != nil {
-		return scale(m.spread, marginDeviations*s.slowness(now))
+		return scale(m.spread, s.policy.MarginDeviations*s.slowness(now))
 	}
 	return 0
 }
 
+// minWait is the shortest queue time limit, so that it does not end before the deadline can have become unreachable.
+const minWait = time.Millisecond
+
+// MaxQueueTime returns how long the call may stay in the queue until it can no longer end before its deadline. Then it has to be withdrawn.
+func (s *Scheduler) MaxQueueTime(now time.Time, c Call) time.Duration {
+	return max(minWait, c.Deadline.Sub(now)-s.estimateDuration(now, c.Class))
+}
+
+// SetSlots changes the number of slots.
+func (s *Scheduler) SetSlots(now time.Time, slots int) {
+	s.slots = slots
+	s.dispatch(now)
+}
+
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
 // precedes reports whether a goes before b in the queue.
-func (s *scheduler) precedes(a, b *trackedCall) bool {
+func (s *Scheduler) precedes(a, b *Ticket) bool {
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
@@ -245,7 +273,7 @@
 }
 
 // position returns the number of queued calls that go before c.
-func (s *scheduler) position(c *trackedCall) int {
+func (s *Scheduler) position(c *Ticket) int {
 	if s.starved(c.Rank) && !s.hasQueued(c.Rank) {
 		return 0
 	}
@@ -257,11 +285,11 @@
 	return len(s.queue)
 }
 
-func (s *scheduler) hasQueued(rank int) bool {
-	return slices.ContainsFunc(s.queue, func(w *trackedCall) bool { return w.Rank == rank })
+func (s *Scheduler) hasQueued(rank int) bool {
+	return slices.ContainsFunc(s.queue, func(w *Ticket) bool { return w.Rank == rank })
 }
 
-func (s *scheduler) insert(c *trackedCall) {
+func (s *Scheduler) insert(c *Ticket) {
 	c.queued = true
 	i := 0
 	for i < len(s.queue) && !s.precedes(c, s.queue[i]) {
@@ -271,7 +299,7 @@
 }
 
 // dispatch grants free slots to queued calls.
-func (s *scheduler) dispatch(now time.Time) {
+func (s *Scheduler) dispatch(now time.Time) {
 	for s.running < s.limit(now) && len(s.queue) > 0 {
 		i := s.nextIndex()
 		c := s.queue[i]
@@ -289,7 +317,7 @@
 }
 
 // nextIndex returns the index of the queued call to grant next: the first call of a starved rank, or else the head of the queue.
-func (s *scheduler) nextIndex() int {
+func (s *Scheduler) nextIndex() int {
 	if s.queue[0].Rank == Nested {
 		return 0
 	}
@@ -304,15 +332,15 @@
 }
 
 // starved reports whether the rank gets a much smaller share of its calls served than a more urgent rank. A rank that overloads the
-// backend server with its own calls also has a small served share, so a rank that already holds starvedSlotShare of the slots is not
+// backend server with its own calls also has a small served share, so a rank that already holds StarvedSlotShare of the slots is not
 // starved.
-func (s *scheduler) starved(rank int) bool {
+func (s *Scheduler) starved(rank int) bool {
 	own := s.ranks[rank]
-	if own == nil || rank <= 0 || float64(own.running) >= starvedSlotShare*float64(s.slots) {
+	if own == nil || rank <= 0 || float64(own.running) >= s.policy.StarvedSlotShare*float64(s.slots) {
 		return false
 	}
 	for other, state := range s.ranks {
-		if other >= 0 && other < rank && own.servedShare < minRankShare*state.servedShare {
+		if other >= 0 && other < rank && own.servedShare < s.policy.MinRankShare*state.servedShare {
 			return true
 		}
 	}
@@ -320,7 +348,7 @@
 }
 
 // prune refuses queued calls that later, more urgent calls have delayed too much.
-func (s *scheduler) prune(now time.Time) {
+func (s *Scheduler) prune(now time.Time) {
 	for i := len(s.queue) - 1; i >= 0; i-- {
 		c := s.queue[i]
 		if s.starved(c.Rank) && (i == 0 || s.queue[i-1].Rank != c.Rank) {
@@ -333,39 +361,39 @@
 	}
 }
 
-func (s *scheduler) remove(i int) {
+func (s *Scheduler) remove(i int) {
 	s.queue[i].queued = false
 	s.queue = slices.Delete(s.queue, i, i+1)
 }
 
-// withdraw refuses a queued call. It has no effect on a call that is already decided.
-func (s *scheduler) withdraw(now time.Time, c *trackedCall, reason Reason) {
+// Withdraw refuses a queued call. It has no effect on a call that is already decided.
+func (s *Scheduler) Withdraw(now time.Time, c *Ticket, reason Reason) {
 	if c.queued {
 		s.remove(slices.Index(s.queue, c))
 		s.refuse(now, c, reason)
 	}
 }
 
-func (s *scheduler) grant(now time.Time, c *trackedCall) {
+func (s *Scheduler) grant(now time.Time, c *Ticket) {
 	c.granted, c.slowness = now, s.slowness(now)
 	s.running++
 	s.recordDecision(now, c.Rank, 1)
 	s.ranks[c.Rank].running++
-	c.decided <- nil
+	c.Decide(nil)
 }
 
-func (s *scheduler) refuse(now time.Time, c *trackedCall, reason Reason) {
+func (s *Scheduler) refuse(now time.Time, c *Ticket, reason Reason) {
 	r := &Refusal{Reason: reason}
 	if reason == Overloaded || reason == DeadlineUnreachable {
 		s.recordDecision(now, c.Rank, 0)
 		r.RetryAfter = s.retryAfter(now, c)
 	}
-	c.decided <- r
+	c.Decide(r)
 }
 
 // retryAfter returns the time until a retry of the call is expected to be accepted, based on the calls queued ahead of it. It leaves
 // enough time to finish before the target if that is possible, and otherwise before the deadline. It returns 0 if neither is.
-func (s *scheduler) retryAfter(now time.Time, c *trackedCall) time.Duration {
+func (s *Scheduler) retryAfter(now time.Time, c *Ticket) time.Duration {
 	duration := s.estimateDuration(now, c.Class)
 	latest := c.Target.Sub(now) - duration
 	if latest < minRetryAfter {
@@ -379,7 +407,7 @@
 	return max(minRetryAfter, min(accepted, latest/2, maxHonoured))
 }
 
-func (s *scheduler) recordDecision(now time.Time, rank int, served float64) {
+func (s *Scheduler) recordDecision(now time.Time, rank int, served float64) {
 	state := s.ranks[rank]
 	if state == nil {
 		s.ranks[rank] = &rankState{servedShare: served, updatedAt: now}
@@ -390,23 +418,39 @@
 	state.updatedAt = now
 }
 
-// finish releases the slot of a granted call and records its result.
-func (s *scheduler) finish(now time.Time, c *trackedCall, r Result) {
+// Finish releases the slot of a granted call and records its result.
+func (s *Scheduler) Finish(now time.Time, c *Ticket, r Result) {
 	switch r {
 	case Answered:
+		s.endColdStart(c.granted)
 		slotTime := scale(now.Sub(c.granted), 2/(c.slowness+s.slowness(now)))
 		s.slotTime.add(slotTime)
 		s.classAverage(c.Class).add(slotTime)
 	case Shed:
 		s.shedAt = s.running
-		s.shedUntil = now.Add(shedLimitDuration)
+		s.shedUntil = now.Add(s.policy.ShedLimitDuration)
 	}
 	s.running--
 	s.ranks[c.Rank].running--
 	s.dispatch(now)
 }
 
-func (s *scheduler) classAverage(name string) *movingAverage {
+// SetColdUntil says until when the backend server is slow after its start.
+func (s *Scheduler) SetColdUntil(t time.Time) { s.coldUntil = t }
+
+// endColdStart gives the slot times of the cold start little weight when the first call that was granted after it has ended.
+func (s *Scheduler) endColdStart(granted time.Time) {
+	if s.coldUntil.IsZero() || granted.Before(s.coldUntil) {
+		return
+	}
+	s.coldUntil = time.Time{}
+	s.slotTime.restart()
+	for _, m := range s.slotTimes {
+		m.restart()
+	}
+}
+
+func (s *Scheduler) classAverage(name string) *movingAverage {
 	m := s.slotTimes[name]
 	if m == nil {
 		if len(s.slotTimes) >= maxClasses {
@@ -418,8 +462,8 @@
 	return m
 }
 
-// close refuses all queued and all later calls.
-func (s *scheduler) close(now time.Time) {
+// Close refuses all queued and all later calls.
+func (s *Scheduler) Close(now time.Time) {
 	s.closed = true
 	for len(s.queue) > 0 {
 		c := s.queue[0]
@@ -428,8 +472,8 @@
 	}
 }
 
-// load returns the current load, with the times of the class.
-func (s *scheduler) load(now time.Time, class string) Load {
+// Load returns the current load, with the times of the class.
+func (s *Scheduler) Load(now time.Time, class string) Load {
 	l := Load{Running: s.running, Queued: len(s.queue), Limit: s.limit(now), SlotTime: s.slotTime.value(0), Slowness: s.slowness(now)}
 	if m := s.slotTimes[class]; m != nil {
 		l.ClassTime, l.ClassSpread = m.average, m.spread
@@ -460,6 +504,9 @@
 	}
 }
 
+// restart makes later samples count as if the average had only one.
+func (m *movingAverage) restart() { m.samples = min(m.samples, 1) }
+
 func (m *movingAverage) value(fallback time.Duration) time.Duration {
 	if m.samples == 0 {
 		return fallback
--- a/pkg/admission/scheduler_test.go
+++ b/pkg/admission/scheduler_test.go
@@ -55,7 +55,7 @@
 
 // simulation drives a scheduler with a load in simulated time.
 type simulation struct {
-	scheduler       *scheduler
+	scheduler       *Scheduler
 	random          *rand.Rand
 	queue           events
 	now             time.Duration
@@ -63,12 +63,11 @@
 	results         map[string]*classResult
 	countFrom       time.Duration // calls with an earlier first attempt are not counted
 	reportsSlowness bool          // the backend server reports its slowness with each response
-	undecided       []*simulatedCall
 }
 
 // simulatedCall is one attempt of a call.
 type simulatedCall struct {
-	*trackedCall
+	*Ticket
 	class        *class
 	firstAttempt time.Duration // arrival of the caller's first attempt
 	isRetry      bool
@@ -80,7 +79,7 @@
 
 func newSimulation(slots int, speed func(time.Duration) float64, countFrom time.Duration) *simulation {
 	return &simulation{
-		scheduler: newScheduler(slots), random: rand.New(rand.NewPCG(7, 7)), speed: speed,
+		scheduler: NewScheduler(slots, DefaultPolicy()), random: rand.New(rand.NewPCG(7, 7)), speed: speed,
 		results: make(map[string]*classResult), countFrom: countFrom,
 	}
 }
@@ -95,7 +94,6 @@
 		next := heap.Pop(&s.queue).(event)
 		s.now = next.at
 		next.run()
-		s.collect()
 	}
 	return s.results
 }
@@ -117,9 +115,9 @@
 
 func (s *simulation) arrive(c *class, firstAttempt time.Duration, isRetry bool) {
 	call := &simulatedCall{class: c, firstAttempt: firstAttempt, isRetry: isRetry}
-	call.trackedCall = &trackedCall{
-		Call:    Call{Class: c.name, Rank: c.rank, Target: s.time(firstAttempt + c.target), Deadline: s.time(firstAttempt + c.deadline), IsRetry: isRetry},
-		decided: make(chan *Refusal, 1),
+	call.Ticket = &Ticket{
+		Call:   Call{Class: c.name, Rank: c.rank, Target: s.time(firstAttempt + c.target), Deadline: s.time(firstAttempt + c.deadline), IsRetry: isRetry},
+		Decide: func(r *Refusal) { s.handleDecision(call, r) },
 	}
 	if t := s.resultOf(call); t != nil {
 		if isRetry {
@@ -128,8 +126,7 @@
 			t.offered++
 		}
 	}
-	s.undecided = append(s.undecided, call)
-	s.scheduler.offer(s.time(s.now), call.trackedCall)
+	s.scheduler.Offer(s.time(s.now), call.Ticket)
 }
 
 func (s *simulation) resultOf(c *simulatedCall) *classResult {
@@ -139,24 +136,6 @@
 	return s.results[c.class.name]
 }
 
-// collect handles the decisions that the latest event caused.
-func (s *simulation) collect() {
-	for progress := true; progress; {
-		progress = false
-		calls := s.undecided
-		s.undecided = nil
-		for _, c := range calls {
-			select {
-			case refused := <-c.decided:
-				progress = true
-				s.handleDecision(c, refused)
-			default:
-				s.undecided = append(s.undecided, c)
-			}
-		}
-	}
-}
-
 func (s *simulation) handleDecision(c *simulatedCall, refused *Refusal) {
 	t := s.resultOf(c)
 	if refused == nil {
@@ -170,9 +149,9 @@
 				s.countResponse(t, c)
 			}
 			if s.reportsSlowness {
-				s.scheduler.observe(s.time(s.now), 1/s.speed(s.now))
+				s.scheduler.ObserveSlowness(s.time(s.now), 1/s.speed(s.now))
 			}
-			s.scheduler.finish(s.time(s.now), c.trackedCall, Answered)
+			s.scheduler.Finish(s.time(s.now), c.Ticket, Answered)
 		})
 		return
 	}
@@ -291,6 +270,27 @@
 	assert.Greater(t, got["urgent"].inTimeShare(), 0.95, "share of calls in time, from one second after the end of the cold start")
 }
 
+// Guards against estimates that stay as long as during the cold start until many calls have ended.
+func TestScheduler_EndOfColdStart(t *testing.T) {
+	const cold, warm = 400 * time.Millisecond, 200 * time.Millisecond
+	s := NewScheduler(4, DefaultPolicy())
+	now := time.Unix(1000, 0)
+	s.SetColdUntil(now.Add(10 * cold))
+	serve := func(duration time.Duration) {
+		ticket := &Ticket{Call: Call{Class: "eta", Target: now.Add(time.Second), Deadline: now.Add(time.Second)}, Decide: func(*Refusal) {}}
+		s.Offer(now, ticket)
+		now = now.Add(duration)
+		s.Finish(now, ticket, Answered)
+	}
+	for range 10 {
+		serve(cold)
+	}
+	for range 4 {
+		serve(warm)
+	}
+	assert.Less(t, s.Load(now, "eta").ClassTime, 5*warm/4)
+}
+
 // Guards against refusing retries as often as first attempts in a steady overload by one class whose callers retry once.
 func TestScheduler_RetriesGoFirst(t *testing.T) {
 	got := simulate(testSlots, 30*time.Second, normalSpeed, 5*time.Second, urgentClass(constantRate(70)))["urgent"]
@@ -316,17 +316,17 @@
 }
 
 func TestScheduler_ShedLowersLimitTemporarily(t *testing.T) {
-	s := newScheduler(4)
+	s := NewScheduler(4, DefaultPolicy())
 	now := time.Unix(1000, 0)
-	var calls []*trackedCall
+	var calls []*Ticket
 	for range 4 {
-		c := &trackedCall{Call: Call{Target: now.Add(time.Second), Deadline: now.Add(time.Second)}, decided: make(chan *Refusal, 1)}
-		s.offer(now, c)
+		c := &Ticket{Call: Call{Target: now.Add(time.Second), Deadline: now.Add(time.Second)}, Decide: func(*Refusal) {}}
+		s.Offer(now, c)
 		calls = append(calls, c)
 	}
-	s.finish(now, calls[0], Shed)
+	s.Finish(now, calls[0], Shed)
 	assert.Equal(t, 3, s.limit(now))
-	assert.Equal(t, 4, s.limit(now.Add(shedLimitDuration)))
+	assert.Equal(t, 4, s.limit(now.Add(DefaultPolicy().ShedLimitDuration)))
 }
 
 func TestOriginTracker_Observe(t *testing.T) {
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -14,6 +14,7 @@
 	ID            string // instance ID; a restarted process may reuse it
 	Service       string
 	Address       string // "ip:port"
+	Version       string // of its software; "" if not reported
 	Slots         int
 	Draining      bool
 	ColdRemaining time.Duration // remaining time of the cold start
@@ -88,14 +89,17 @@
 	return cmp.Compare(a.Sequence, c.Sequence)
 }
 
-// Leave records that an instance leaves and reports whether it is the current one. If the instance is unknown, for example after
-// a restart of this process, every process of the instance that started before now counts as ended. "Now" is the later of the wall
+// Leave records that an instance leaves and reports whether it is the current one. If the instance or its start is unknown, for example
+// after a restart of this process, every process of the instance that started before now counts as ended. "Now" is the later of the wall
 // clock, which may have been set back, and the monotonic clock, which stops while the machine is suspended.
 func (t *Tracker) Leave(now time.Time, id string) bool {
 	ended := process{id, max(now.UnixMilli(), clock.UnixMilli(now)), now.Add(maxAnnouncementDelay)}
 	isCurrent := t.current != nil && t.current.ID == id
 	if isCurrent {
-		ended.startTimeMS, ended.expires = t.current.StartTimeMS, time.Time{}
+		ended.expires = time.Time{}
+		if t.current.StartTimeMS != 0 {
+			ended.startTimeMS = t.current.StartTimeMS
+		}
 	}
 	t.endedProcesses = append(t.endedProcesses, ended)
 	if len(t.endedProcesses) > maxEndedProcesses {
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -81,3 +81,15 @@
 	tracker.Leave(time.Now(), "i-1")
 	assert.Equal(t, Ended, tracker.Observe(time.Now(), Announcement{ID: "i-1", StartTimeMS: time.Now().Add(-time.Second).UnixMilli()}))
 }
+
+// Guards against the use of a backend server that has left: an instance that was found without an announcement has no known start, and an
+// announcement from before its departure may arrive late.
+func TestTracker_LeaveOfInstanceWithUnknownStart(t *testing.T) {
+	now := time.Now()
+	var tracker Tracker
+	require.Equal(t, Accepted, tracker.Observe(now, Announcement{ID: "i"}))
+	require.True(t, tracker.Leave(now, "i"))
+	assert.Equal(t, Ended, tracker.Observe(now, Announcement{ID: "i", StartTimeMS: now.UnixMilli() - 5000, Sequence: 3}))
+	assert.Equal(t, Ended, tracker.Observe(now, Announcement{ID: "i"}), "a start is not reported")
+	assert.Equal(t, Accepted, tracker.Observe(now, Announcement{ID: "i", StartTimeMS: now.UnixMilli() + 5000}), "a later process")
+}
--- a/pkg/distribution/store.go
+++ b/pkg/distribution/store.go
@@ -13,24 +13,22 @@
 
 // store holds the applied state, the latest entries, which peers pull, and the latest replay results.
 type store struct {
-	mu           sync.Mutex
-	state        *config.State
-	entries      []logstore.Entry // contiguous, ending at state.Offset
-	entryBytes   int
-	maxEntries   int
-	maxBytes     int
-	results      map[string]config.Result // by record id; the first result of an id
-	resultOrder  []string
-	advanced     chan struct{} // closed when the state advances
-	verified     position      // position at which the state was equal to the one computed from the log
-	replacements int
+	mu          sync.Mutex
+	state       *config.State
+	entries     []logstore.Entry // contiguous, ending at state.Offset
+	entryBytes  int
+	maxEntries  int
+	maxBytes    int
+	results     map[string]config.Result // by record id; the first result of an id
+	resultOrder []string
+	advanced    chan struct{} // closed when the state advances
+	verified    position      // position at which the state was equal to the one computed from the log
 }
 
 // applyResult is the result of apply.
 type applyResult struct {
 	results []config.Result // results of the entries that extended the state
 	stale   int             // number of entries at or below the position
-	gap     bool            // entries after a gap were ignored
 	first   int64           // offset of the first entry that extended the state; 0: none
 	state   *config.State   // state after apply
 }
@@ -69,7 +67,6 @@
 			continue
 		}
 		if entry.Offset != s.state.Offset+1 {
-			out.gap = true
 			break
 		}
 		entry.Data = canonical(entry.Data)
@@ -130,7 +127,6 @@
 	s.state = state
 	s.entries, s.entryBytes = nil, 0
 	s.results, s.resultOrder = make(map[string]config.Result), nil
-	s.replacements++
 	s.notify()
 }
 
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -2,41 +2,61 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/socket"
 )
 
 // Server is an HTTP server whose Stop method responds to every request that was received.
 //
 // http.Server.Shutdown does not: it drops a request that is read after Shutdown was called and closes the connection, so the
-// client cannot tell whether the request has run.
+// client cannot tell whether the request has run. It also closes idle connections without a look at what has arrived on them.
 type Server struct {
 	http     *http.Server
 	listener *Listener
+	stopping atomic.Bool
 
 	mu    sync.Mutex
-	conns map[net.Conn]connState
+	conns map[net.Conn]*connState
 }
 
+// connState is the state of a connection. Server.mu guards it.
 type connState struct {
-	state http.ConnState
-	since time.Time
+	socket         *countingConn
+	state          http.ConnState
+	readByResponse int64 // bytes that were read when the latest response ended
+	readByPoll     int64 // bytes that were read at the previous poll of Stop
+	quietPolls     int   // consecutive polls of Stop between which nothing arrived and no request was served
 }
 
 const (
-	// newConnTimeout is how long a new connection may stay without a request before Stop closes it. Clients open
-	// some connections in advance.
-	newConnTimeout = time.Second
-	// pollInterval is the interval at which Stop checks for pending requests.
+	// pollInterval is the interval at which Stop examines the connections.
 	pollInterval = 50 * time.Millisecond
+	// Quiet connections are closed after a number of polls, not after a time: a process that was paused finds the requests that arrived
+	// meanwhile before it counts further.
+	maxQuietPollsFirst = 20 // before the end of the first request header: clients open some connections in advance
+	maxQuietPollsIdle  = 4  // after a response: the client may have sent the next request before it learnt of the stop
+	// backlogDrainTimeout bounds the wait until the accept loop has accepted the connections in the backlog.
+	backlogDrainTimeout = time.Second
 )
 
-// NewServer returns a server for the listener. It replaces the ConnState hook of server with one that also calls the previous hook.
+// NewServer returns a server for the listener. It replaces the handler and the ConnState hook of server with ones that also call the
+// previous ones.
 func NewServer(server *http.Server, listener *Listener) *Server {
-	s := &Server{http: server, listener: listener, conns: make(map[net.Conn]connState)}
+	s := &Server{http: server, listener: listener, conns: make(map[net.Conn]*connState)}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 	next := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		s.track(conn, state)
@@ -51,17 +71,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
+	case http.StateNew:
+		s.conns[conn] = &connState{socket: countingConnOf(conn)}
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, conn)
 	default:
-		s.conns[conn] = connState{state, time.Now()}
+		c := s.conns[conn]
+		c.state, c.readByResponse, c.quietPolls = state, c.socket.read.Load(), 0
 	}
 }
 
 // Serve accepts connections until Stop is called, and then returns nil. If wrap is not nil, it is applied to the listener, for example
 // for TLS.
 func (s *Server) Serve(wrap func(net.Listener) net.Listener) error {
-	var listener net.Listener = s.listener
+	var listener net.Listener = &countingListener{s.listener}
 	if wrap != nil {
 		listener = wrap(listener)
 	}
@@ -72,16 +95,12 @@
 	return err
 }
 
-// Stop accepts the connections of the backlog, closes idle connections, and returns when every received request has its response.
-// If ctx ends first, Stop closes the remaining connections and returns the error of ctx.
+// Stop accepts the connections of the backlog, responds to every received request, and closes connections that remain without one.
+// If ctx ends first, Stop closes the remaining connections and returns the error of ctx. ErrHandshakesNotBlocked is as for Listener.Drain.
 func (s *Server) Stop(ctx context.Context) error {
-	drainTimeout := newConnTimeout
-	if deadline, ok := ctx.Deadline(); ok {
-		drainTimeout = min(drainTimeout, time.Until(deadline))
-	}
-	s.http.SetKeepAlivesEnabled(false) // closes idle connections now and others after their next response
-	s.listener.Drain(drainTimeout)
-	for s.hasPendingRequests() {
+	s.stopping.Store(true)
+	drainErr := s.listener.Drain(DrainTimeout(ctx))
+	for s.closeQuietConns() > 0 {
 		select {
 		case <-ctx.Done():
 			s.http.Close()
@@ -89,17 +108,77 @@
 		case <-time.After(pollInterval):
 		}
 	}
-	return s.http.Close()
+	if err := s.http.Close(); err != nil {
+		return err
+	}
+	return drainErr
+}
+
+// DrainTimeout returns the time for Listener.Drain within a shutdown that ctx bounds.
+func DrainTimeout(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(backlogDrainTimeout, time.Until(deadline))
+	}
+	return backlogDrainTimeout
 }
 
-// hasPendingRequests reports whether any connection has a request in flight, or is so new that its first request may still arrive.
-func (s *Server) hasPendingRequests() bool {
+// closeQuietConns closes the connections that have been without a request for long enough, and returns the number of those left.
+func (s *Server) closeQuietConns() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.conns {
-		if c.state == http.StateActive || c.state == http.StateNew && time.Since(c.since) < newConnTimeout {
-			return true
+		if !c.poll() {
+			c.quietPolls = 0
+			continue
 		}
+		c.quietPolls++
+		limit := maxQuietPollsFirst
+		if c.state == http.StateIdle && c.socket.read.Load() == c.readByResponse {
+			limit = maxQuietPollsIdle
+		}
+		if c.quietPolls > limit {
+			c.socket.Close() // the HTTP server notices, and track removes the connection
+		}
+	}
+	return len(s.conns)
+}
+
+// poll reports whether nothing arrived since the previous call and no request is being served.
+func (c *connState) poll() (quiet bool) {
+	read := c.socket.read.Load()
+	quiet = c.state != http.StateActive && read == c.readByPoll && !socket.HasUnread(c.socket.TCPConn)
+	c.readByPoll = read
+	return quiet
+}
+
+// countingListener returns connections that count what is read.
+type countingListener struct{ *Listener }
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{TCPConn: conn.(*net.TCPConn)}, nil
+}
+
+// countingConn counts the bytes that are read.
+type countingConn struct {
+	*net.TCPConn
+	read atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+func countingConnOf(conn net.Conn) *countingConn {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
 	}
-	return false
+	return conn.(*countingConn)
 }
--- a/pkg/graceful/server_test.go
+++ b/pkg/graceful/server_test.go
@@ -14,12 +14,12 @@
 )
 
 func serve(t *testing.T, handler http.HandlerFunc) (*Server, string, *errgroup.Group) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := Listen("127.0.0.1:0")
 	require.NoError(t, err)
-	s := NewServer(&http.Server{Handler: handler}, NewListener(inner.(*net.TCPListener)))
+	s := NewServer(&http.Server{Handler: handler}, listener)
 	group := &errgroup.Group{}
 	group.Go(func() error { return s.Serve(nil) })
-	return s, inner.Addr().String(), group
+	return s, listener.Addr().String(), group
 }
 
 func dial(t *testing.T, address string) net.Conn {
--- a/pkg/hop/pool.go
+++ b/pkg/hop/pool.go
@@ -13,21 +13,19 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/dial"
+	"github.com/laburnumcleat/laburnumcleat/pkg/socket"
 )
 
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
 	source      *boundedReader // underlies reader
-	reader      *bufio.Reader
+	reader      *bufio.Reader  // nil while the connection is idle
 	address     string
 	idleSince   time.Time     // when it was returned to the pool
 	idleTimeout time.Duration // from the Keep-Alive header of the peer, in addition to Options.IdleTimeout; 0: none
 }
 
-// readBufferBytes is enough for a typical response header.
-const readBufferBytes = 2 << 10
-
 // pool keeps idle connections by address.
 type pool struct {
 	options   Options
@@ -49,6 +47,7 @@
 			break
 		}
 		if cn.isUsable() {
+			cn.reader = socket.AcquireReader(cn.source)
 			return cn, true, nil
 		}
 		cn.Close()
@@ -76,8 +75,10 @@
 	return cn
 }
 
-// put returns a connection to the pool, or closes it if the pool is full for its address.
+// put returns a connection that has nothing buffered to the pool, or closes it if the pool is full for its address.
 func (p *pool) put(cn *conn) {
+	socket.ReleaseReader(cn.reader)
+	cn.reader = nil
 	cn.idleSince = time.Now()
 	p.mu.Lock()
 	conns := p.idle[cn.address]
@@ -144,12 +145,12 @@
 const keepAliveProbeInterval = time.Second
 
 func (p *pool) dial(ctx context.Context, address string) (*conn, error) {
-	socket, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialed, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	source := &boundedReader{Reader: socket, remaining: unbounded}
-	return &conn{Conn: socket, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), address: address}, nil
+	source := &boundedReader{Reader: dialed, remaining: unbounded}
+	return &conn{Conn: dialed, source: source, reader: socket.AcquireReader(source), address: address}, nil
 }
 
 // unbounded is the value of boundedReader.remaining that disables the limit.
@@ -178,14 +179,11 @@
 // isUsable reports whether an idle connection is open and has no unread data. Such data would be a late response to an earlier
 // request.
 func (cn *conn) isUsable() bool {
-	if cn.reader.Buffered() > 0 {
-		return false
-	}
-	socket, ok := cn.Conn.(syscall.Conn)
+	conn, ok := cn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := socket.SyscallConn()
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -154,16 +154,21 @@
 }
 
 // Mass cold start. Guards against gossip that ignores data centres: at every fleet size less than a third of the bytes may cross
-// between data centres. With random targets in three data centres it would be two thirds.
+// between data centres. With random targets in three data centres it would be two thirds. Also guards against traffic between data
+// centres that grows faster than the fleet: if every member sent every change across, that of a node would grow with the fleet.
 func TestMassStart_TrafficStaysLocal(t *testing.T) {
 	t.Parallel()
+	const noise = 1.1
+	perNode := map[int]float64{}
 	for _, count := range []int{12, 71, 296} {
 		x, after, _ := massRestart(t, 1, count, 0)
 		share := float64(x.remoteBytes) / float64(x.sentBytes())
-		t.Logf("%d members: %v after the last announcement; %.0f bytes per node, %.2f of them between data centres", count, after, float64(x.sentBytes())/float64(count), share)
+		perNode[count] = float64(x.remoteBytes) / float64(count)
+		t.Logf("%d members: %v after the last announcement; %.0f bytes per node, %.2f of them between data centres: %.0f", count, after, float64(x.sentBytes())/float64(count), share, perNode[count])
 		require.Less(t, share, 1.0/3)
 		require.LessOrEqual(t, after, 1500*time.Millisecond)
 	}
+	require.Less(t, perNode[296], noise*perNode[71])
 }
 
 // Nodes start sequentially, and a change can exhaust its transmissions within part of the fleet. Guards against anti-entropy that is
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -23,14 +23,14 @@
 	}
 }
 
-// takeDeltas appends the least-transmitted changes, up to the size limit of a message, and counts them as sent. Changes about
+// takeDeltas appends the least-transmitted changes, up to maxBytes, and counts them as sent. Changes about
 // members in received are skipped: sending them back would spend transmissions on a peer that already has them.
-func (s *system) takeDeltas(now time.Time, deltas, received []update) []update {
+func (s *system) takeDeltas(now time.Time, deltas, received []update, maxBytes int) []update {
 	if len(s.queue) == 0 {
 		return deltas
 	}
 	limit := s.timing.retransmitLimit(s.size())
-	remainingBytes := s.timing.MaxDeltaBytes
+	remainingBytes := maxBytes
 	for _, b := range s.queueBySent() {
 		e := s.table.entries[b.id]
 		if e == nil {
@@ -123,19 +123,32 @@
 	}
 	s.nextGossip = now.Add(s.timing.GossipInterval)
 	s.gossipRound++
-	return s.appendGossip(now, s.gossipTargets(), out)
+	return s.appendGossip(now, s.gossipTargets(now), out)
 }
 
-// remoteGossipRounds is the interval, in gossip rounds, at which a member also gossips to another data centre. Every member that has a
-// change sends it across, so a few messages from each suffice, and traffic between data centres is more expensive.
-const remoteGossipRounds = 2
+const (
+	// remoteGossipRounds is the interval, in gossip rounds, at which a member gossips to another data centre while it is its turn.
+	remoteGossipRounds = 2
+	// remoteGossipers is the number of members of a data centre whose turn it is. Each change reaches all members of a data centre, so the
+	// traffic between data centres would grow with the square of the fleet size if all of them sent it across.
+	remoteGossipers = 6
+	// remoteTurn is how long the turn of a member lasts; the next members continue then, in case that these are not reachable.
+	remoteTurn = 5 * time.Second
+)
+
+// isRemoteTurn reports whether this member gossips to other data centres in this round.
+func (s *system) isRemoteTurn(now time.Time) bool {
+	groups := max(1, len(s.localRing)/remoteGossipers)
+	turn := int(now.UnixNano() / int64(remoteTurn) % int64(groups))
+	return s.gossipRound%remoteGossipRounds == 0 && s.localPosition%groups == turn
+}
 
-// gossipTargets returns up to Timing.GossipFanout members of the local data centre and, in every remoteGossipRounds-th round, one
-// remote member. If the local data centre is too small, random peers fill the list up to one less than the fan-out.
-func (s *system) gossipTargets() []*entry {
+// gossipTargets returns up to Timing.GossipFanout members of the local data centre and, if it is this member's turn, one remote member.
+// If the local data centre is too small, random peers fill the list up to one less than the fan-out.
+func (s *system) gossipTargets(now time.Time) []*entry {
 	n := s.timing.GossipFanout
 	remote := 0
-	if s.gossipRound%remoteGossipRounds == 0 {
+	if s.isRemoteTurn(now) {
 		remote = 1
 	}
 	targets := s.localPeers(n)
@@ -176,7 +189,7 @@
 		if len(s.queue) == 0 {
 			break
 		}
-		out = append(out, s.probeMessage(now, target))
+		out = append(out, s.messageTo(now, target, s.timing.MaxDeltaBytes))
 	}
 	return out
 }
--- a/pkg/membership/member.go
+++ b/pkg/membership/member.go
@@ -16,6 +16,7 @@
 const (
 	EndpointWarming  EndpointState = "warming"
 	EndpointReady    EndpointState = "ready"
+	EndpointHeld     EndpointState = "held" // a roll-out allows its version no request
 	EndpointDraining EndpointState = "draining"
 	EndpointGone     EndpointState = "gone"
 )
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -123,17 +123,44 @@
 	return append(out, m)
 }
 
-// probeMessage builds a probe or gossip message. If the target is under suspicion, its own entry is the first delta.
+// probeMessage builds a probe. If the target is under suspicion, its own entry is the first delta.
 func (s *system) probeMessage(now time.Time, target *entry) message {
-	p := s.packet(now, target, nil)
+	return s.messageTo(now, target, s.probeDeltaBytes(target))
+}
+
+// messageTo builds a probe or gossip message with deltas up to the given size.
+func (s *system) messageTo(now time.Time, target *entry, maxDeltaBytes int) message {
+	p := s.packet(now, target, nil, maxDeltaBytes)
 	p.To = target.ID
 	return message{
 		method: methodProbe, to: target.ID, address: target.ControlAddress, packet: p, timeout: 2 * s.probeTimeout(),
 	}
 }
 
-// packet builds a packet for a peer, which may be nil. Changes that the peer has just sent are not sent back.
-func (s *system) packet(now time.Time, peer *entry, received []update) packet {
+// remoteProbeDeltaBytes is the size limit of the deltas in probes of other data centres. Most probes cross between data centres, and while
+// many members change, as in a restart of the whole fleet, gossip takes the changes across.
+const remoteProbeDeltaBytes = 300
+
+// probeDeltaBytes returns the size limit of the deltas in a probe of a peer.
+func (s *system) probeDeltaBytes(peer *entry) int {
+	if peer != nil && peer.DataCentre != s.selfEntry().DataCentre {
+		return min(remoteProbeDeltaBytes, s.timing.MaxDeltaBytes)
+	}
+	return s.timing.MaxDeltaBytes
+}
+
+// replyDeltaBytes returns the size limit of the deltas in the reply to a peer: gossip between data centres goes both ways.
+func (s *system) replyDeltaBytes(peer *entry, received []update) int {
+	size := 0
+	for _, u := range received {
+		size += u.size()
+	}
+	return max(size, s.probeDeltaBytes(peer))
+}
+
+// packet builds a packet for a peer, which may be nil, with deltas up to the given size. Changes that the peer has just sent are not sent
+// back.
+func (s *system) packet(now time.Time, peer *entry, received []update, maxDeltaBytes int) packet {
 	heartbeat := s.heartbeat()
 	p := packet{
 		From: s.self, Incarnation: s.selfEntry().Incarnation, Digest: s.table.digest(), Version: heartbeat.Version, State: heartbeat.Digest,
@@ -141,7 +168,7 @@
 	if peer != nil && peer.Status != Alive {
 		p.Deltas = append(p.Deltas, peer.delta(now))
 	}
-	p.Deltas = s.takeDeltas(now, p.Deltas, received)
+	p.Deltas = s.takeDeltas(now, p.Deltas, received, maxDeltaBytes)
 	return p
 }
 
@@ -164,7 +191,7 @@
 
 func (s *system) appendIndirectProbes(now time.Time, number uint64, p *probe, out []message) []message {
 	for _, helper := range s.randomMembers(s.timing.IndirectProbes, p.target) {
-		request := s.packet(now, helper, nil)
+		request := s.packet(now, helper, nil, s.probeDeltaBytes(helper))
 		request.To = p.target
 		out = append(out, message{
 			method: methodIndirect, to: helper.ID, address: helper.ControlAddress, probe: number, packet: request,
@@ -244,7 +271,7 @@
 	result := s.apply(now, p.Deltas)
 	s.recordContact(now, p.From)
 	sender := s.table.entries[p.From]
-	reply := s.packet(now, s.senderToCorrect(sender, p.Incarnation), p.Deltas)
+	reply := s.packet(now, s.senderToCorrect(sender, p.Incarnation), p.Deltas, s.replyDeltaBytes(sender, p.Deltas))
 	reply.Deltas = s.corrections(now, result.outdated, reply.Deltas)
 	reply.DeltasKnown = len(p.Deltas) > 0 && result.changed == 0
 	reply.SenderUnknown = sender == nil || sender.ControlAddress == ""
@@ -287,7 +314,7 @@
 
 // indirectReply builds the ack that reports to the prober whether the target responded.
 func (s *system) indirectReply(now time.Time, answered bool) packet {
-	reply := s.packet(now, nil, nil)
+	reply := s.packet(now, nil, nil, s.timing.MaxDeltaBytes)
 	reply.Failed = !answered
 	return reply
 }
--- a/pkg/node/api.go
+++ b/pkg/node/api.go
@@ -44,8 +44,11 @@
 		return nil, nil
 	}
 	data, err := os.ReadFile(path)
-	if err != nil || len(data) > maxTokensBytes {
-		return nil, apierror.InvalidField("operators.tokens_file", fmt.Sprintf("not readable or over 1 MiB: %v", err), "set the path of a readable tokens file")
+	if err != nil {
+		return nil, apierror.InvalidField("operators.tokens_file", "not readable: "+err.Error(), "set the path of a readable tokens file")
+	}
+	if len(data) > maxTokensBytes {
+		return nil, apierror.InvalidField("operators.tokens_file", fmt.Sprintf("has %d bytes, more than %d", len(data), maxTokensBytes), "remove tokens that are not used")
 	}
 	var tokens []operator.Token
 	if err := json.Unmarshal(data, &tokens); err != nil {
--- a/pkg/node/listeners.go
+++ b/pkg/node/listeners.go
@@ -18,40 +18,27 @@
 // listeners holds the sockets of a node and the HTTP servers on them.
 type listeners struct {
 	calls, nodes, api *graceful.Listener
-	control           net.Listener
+	control           *graceful.Listener
 
 	mu      sync.Mutex
 	servers []*graceful.Server
 }
 
 func (l *listeners) open(addresses settings.Listen) error {
-	control, err := listen(addresses.Control)
-	if err != nil {
-		return err
-	}
-	l.control = control
 	for _, socket := range []struct {
 		address string
 		target  **graceful.Listener
-	}{{addresses.Calls, &l.calls}, {addresses.Nodes, &l.nodes}, {addresses.API, &l.api}} {
-		listener, err := listen(socket.address)
+	}{{addresses.Control, &l.control}, {addresses.Calls, &l.calls}, {addresses.Nodes, &l.nodes}, {addresses.API, &l.api}} {
+		listener, err := graceful.Listen(socket.address)
 		if err != nil {
 			l.closeSockets()
 			return err
 		}
-		*socket.target = graceful.NewListener(listener)
+		*socket.target = listener
 	}
 	return nil
 }
 
-func listen(address string) (*net.TCPListener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, eris.Wrapf(err, "listening on %s; free the port or change the setting", address)
-	}
-	return listener.(*net.TCPListener), nil
-}
-
 // serveHTTP serves a handler on a listener in the background until close. A nil tlsConfig means plain HTTP.
 func (l *listeners) serveHTTP(group *errgroup.Group, listener *graceful.Listener, handler http.Handler, tlsConfig *tls.Config) {
 	server := graceful.NewServer(&http.Server{
@@ -75,27 +62,25 @@
 // timeout the remaining connections are closed, and what is not written by then is lost.
 const shutdownTimeout = 10 * time.Second
 
-// close stops all servers concurrently and closes the sockets. Requests that were already received are answered.
-func (l *listeners) close() {
+// close stops all servers concurrently and closes the sockets. Requests that were already received are answered. An error says which
+// requests may have been cut.
+func (l *listeners) close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	l.mu.Lock()
 	servers := l.servers
 	l.mu.Unlock()
-	var stopping sync.WaitGroup
+	var stopping errgroup.Group
 	for _, server := range servers {
-		// On timeout Stop has closed the remaining connections; the error needs no further action.
-		stopping.Go(func() { _ = server.Stop(ctx) })
+		stopping.Go(func() error { return server.Stop(ctx) })
 	}
-	stopping.Wait()
+	err := stopping.Wait()
 	l.closeSockets()
+	return err
 }
 
 func (l *listeners) closeSockets() {
-	if l.control != nil {
-		l.control.Close()
-	}
-	for _, listener := range []*graceful.Listener{l.calls, l.nodes, l.api} {
+	for _, listener := range []*graceful.Listener{l.control, l.calls, l.nodes, l.api} {
 		if listener != nil {
 			listener.Close()
 		}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -186,7 +186,9 @@
 	}
 	stop()
 	n.server.Close() // before its socket is closed, so that it does not report the closed socket as a failure
-	n.listeners.close()
+	if err := n.listeners.close(); err != nil {
+		n.logger.Warn("requests_cut", zap.Error(err))
+	}
 	n.client.Close()
 	err := group.Wait()
 	n.logger.Info("node_stopped")
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/socket"
 )
 
 // conn is a client connection. One goroutine reads the requests; each request is served by a separate goroutine.
@@ -17,7 +19,7 @@
 	server       *Server
 	socket       net.Conn
 	headerReader *headerLimitReader
-	reader       *bufio.Reader
+	reader       *bufio.Reader   // nil: nothing is buffered; used by the reading goroutine, and by a handler that reads a body
 	ctx          context.Context // cancelled when the client disconnects
 	cancel       context.CancelFunc
 
@@ -35,7 +37,7 @@
 
 // headerLimitReader limits the number of bytes read for one request header.
 type headerLimitReader struct {
-	net.Conn
+	socket.IdleReader
 	remaining int64     // bytes until the limit; negative: no limit
 	lastRead  time.Time // time of the latest successful read
 }
@@ -49,7 +51,7 @@
 	if h.remaining > 0 && int64(len(p)) > h.remaining {
 		p = p[:h.remaining]
 	}
-	n, err := h.Conn.Read(p)
+	n, err := h.IdleReader.Read(p)
 	if n > 0 {
 		h.lastRead = time.Now()
 	}
@@ -59,11 +61,10 @@
 	return n, err
 }
 
-func newConn(s *Server, socket net.Conn) *conn {
-	c := &conn{server: s, socket: socket, headerReader: &headerLimitReader{Conn: socket, remaining: -1}}
-	c.reader = bufio.NewReaderSize(c.headerReader, readBufferBytes)
+func newConn(s *Server, accepted net.Conn) *conn {
+	c := &conn{server: s, socket: accepted, headerReader: &headerLimitReader{IdleReader: socket.IdleReader{Conn: accepted}, remaining: -1}}
 	c.changed = sync.NewCond(&c.mu)
-	c.ctx, c.cancel = context.WithCancel(s.baseContext)
+	c.ctx, c.cancel = context.WithCancel(socket.WithConn(s.baseContext, accepted))
 	return c
 }
 
@@ -136,28 +137,58 @@
 // awaitFirstByte waits for the first byte of a request. It returns false if the client closes the connection, the idle timeout
 // expires or the connection is closing.
 func (c *conn) awaitFirstByte() bool {
-	c.mu.Lock()
-	c.awaitingRequest = true
-	c.setIdleDeadline()
-	c.mu.Unlock()
+	for {
+		c.mu.Lock()
+		c.awaitingRequest = true
+		c.setIdleDeadline()
+		c.mu.Unlock()
+		err := c.peek()
+		c.mu.Lock()
+		c.awaitingRequest = false
+		if isTimeout(err) && !c.closing && socket.HasUnread(c.socket) {
+			c.mu.Unlock() // a request arrived when the deadline expired, or while the process was paused
+			continue
+		}
+		if err != nil && c.server.isStopping() {
+			c.closing = true
+		}
+		ready := err == nil && !c.closing
+		c.mu.Unlock()
+		return ready
+	}
+}
+
+// peek waits for the next byte. Meanwhile, the connection holds no buffer.
+func (c *conn) peek() error {
+	if c.reader != nil && c.reader.Buffered() == 0 {
+		socket.ReleaseReader(c.reader)
+		c.reader = nil
+	}
+	if c.reader == nil {
+		if err := c.headerReader.Await(); err != nil {
+			return err
+		}
+		c.reader = socket.AcquireReader(c.headerReader)
+	}
 	_, err := c.reader.Peek(1)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.awaitingRequest = false
-	return err == nil && !c.closing
+	return err
 }
 
 // setIdleDeadline sets the read deadline for the wait for the next request: none while requests are served, otherwise the idle
-// timeout. The caller holds mu.
+// timeout, or a shorter one during a shutdown. The caller holds mu.
 func (c *conn) setIdleDeadline() {
 	if !c.awaitingRequest {
 		return
 	}
 	switch {
-	case c.closing && c.requestsStarted == c.responsesWritten:
-		_ = c.socket.SetReadDeadline(time.Now())
 	case c.requestsStarted > c.responsesWritten:
 		_ = c.socket.SetReadDeadline(time.Time{})
+	case c.closing:
+		_ = c.socket.SetReadDeadline(time.Now())
+	case c.server.isStopping() && c.requestsStarted == 0:
+		_ = c.socket.SetReadDeadline(time.Now().Add(stopFirstRequestTimeout))
+	case c.server.isStopping():
+		_ = c.socket.SetReadDeadline(time.Now().Add(stopIdleTimeout))
 	default:
 		_ = c.socket.SetReadDeadline(deadlineAfter(c.server.limits().IdleTimeout))
 	}
@@ -263,15 +294,16 @@
 	return !c.broken
 }
 
-// updateClosing stops the start of further requests if close is true, and reports whether the connection is to be closed after this
-// response.
+// updateClosing stops the start of further requests if close is true, or if this is the last response during a shutdown. It reports
+// whether the connection is to be closed after this response.
 func (c *conn) updateClosing(number int, close bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if close {
+	last := c.requestsStarted == number+1
+	if close || last && c.server.isStopping() {
 		c.closing = true
 	}
-	return c.closing && c.requestsStarted == number+1
+	return c.closing && last
 }
 
 // responseWritten records that a response was written, or that writing it failed with err.
@@ -287,13 +319,12 @@
 	c.changed.Broadcast()
 }
 
-// closeAfterResponses makes the connection close after the responses to the requests that have been read.
-func (c *conn) closeAfterResponses() {
+// applyStop applies a shutdown to the connection. A response that the client has received did not announce the close, so the client may
+// have sent another request: the connection is not closed before the deadline for that one, and its response announces the close.
+func (c *conn) applyStop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
 	c.setIdleDeadline()
-	c.changed.Broadcast()
 }
 
 // respondError sends an error response for a request that could not be read, after the responses to earlier requests.
@@ -344,7 +375,7 @@
 		}
 		_ = c.socket.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}()
-	_, err := io.Copy(io.Discard, c.reader)
+	_, err := io.Copy(io.Discard, c.headerReader)
 	if err == nil || !isTimeout(err) {
 		c.cancel()
 	}
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -41,9 +41,11 @@
 	writeTimeout         = 10 * time.Second       // for one write to the client
 	lingerTimeout        = 500 * time.Millisecond // for the client to read the last response before the socket is closed
 	pollInterval         = 20 * time.Millisecond  // of Wait; also the delay after a failed Accept
-	maxUnreadBodyBytes   = 64 << 10               // the longest unread body that is discarded to keep the connection open
-	unreadBodyTimeout    = 50 * time.Millisecond  // for discarding it
-	readBufferBytes      = 4 << 10
+	// During a shutdown, a connection without a request is closed after one of these times.
+	stopFirstRequestTimeout = time.Second            // before the first request: clients open some connections in advance
+	stopIdleTimeout         = 200 * time.Millisecond // after a response: the client may have sent the next request already
+	maxUnreadBodyBytes      = 64 << 10               // the longest unread body that is discarded to keep the connection open
+	unreadBodyTimeout       = 50 * time.Millisecond  // for discarding it
 )
 
 // Server serves connections. Create it with New.
@@ -103,8 +105,8 @@
 	}()
 }
 
-// CloseAfterResponses starts a graceful shutdown. It closes idle connections immediately and each other connection after the responses
-// to the requests that have been read.
+// CloseAfterResponses starts a graceful shutdown. The next response on each connection announces the close. A connection that stays
+// without a request is closed after a short time.
 func (s *Server) CloseAfterResponses() {
 	s.mu.Lock()
 	s.stopping = true
@@ -114,7 +116,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range conns {
-		c.closeAfterResponses()
+		c.applyStop()
 	}
 }
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -58,29 +58,51 @@
 	Unresponsive                // no response in time, and no sign that the request arrived: the endpoint or the network path to it has failed
 )
 
+// Policy holds the parameters of the decisions. Costs are in units of the score, in which a call that is certainly in time counts 1.
+type Policy struct {
+	ReportDecay  time.Duration // age at which a load report has no weight
+	FailureDecay time.Duration // age at which a reported share of failed calls has no weight
+	// SampleSize is the number of endpoints compared in the own data centre, and as many in the others. While typically all slots are in
+	// use, FullSampleSize are compared: what the best of many reports says is then out of date when the call arrives.
+	SampleSize     int
+	FullSampleSize int
+	// MaxSlotProbes bounds the endpoints that a call probes for a free slot before it queues at one. Reports are stale, the more so the
+	// more endpoints and callers there are; the results of probes are not. While typically all slots are in use, calls do not probe.
+	MaxSlotProbes int
+	BusyCost      float64 // lost at an endpoint whose slots are all in use
+	// EqualScores is the difference up to which scores count as equal, so that an endpoint that seemed a little slower once is not left out
+	// for ever while there is little load.
+	EqualScores float64
+
+	RemoteCostPerKB float64 // lost per KB between data centres; the users' price list has 0.02 to 0.1
+	MinRemoteCost   float64 // lost by any call to another data centre
+	MaxRemoteCost   float64 // lost by a late response; the cost of bytes alone never leaves a call unserved
+
+	SuspectFactor       float64       // on the probability at endpoints that did not respond recently
+	LossFactor          float64       // on the probability at endpoints without a response since a loss in their data centre
+	LossPenaltyDuration time.Duration // how long LossFactor applies after a lost call to the data centre
+	FailuresToEject     int           // consecutive failures
+	BaseEjection        time.Duration
+	MaxEjection         time.Duration
+}
+
+// DefaultPolicy returns the parameters that the nodes use.
+func DefaultPolicy() Policy {
+	return Policy{
+		ReportDecay: time.Second, FailureDecay: 5 * time.Second, SampleSize: 8, FullSampleSize: 3, MaxSlotProbes: 2, BusyCost: 0.1, EqualScores: 0.01,
+		RemoteCostPerKB: 0.04, MinRemoteCost: 0.04, MaxRemoteCost: 0.7,
+		SuspectFactor: 0.2, LossFactor: 0.3, LossPenaltyDuration: 3 * time.Second, FailuresToEject: 3, BaseEjection: time.Second, MaxEjection: 8 * time.Second,
+	}
+}
+
 const (
-	reportDecay         = time.Second // age at which a report has no weight
-	usageWeight         = 0.05        // weight of a report in the typical usage
+	usageWeight         = 0.05 // weight of a report in the typical usage
 	unknownSlotTime     = 50 * time.Millisecond
 	unknownSpread       = 0.5 // spread relative to the slot time, if unknown
 	minSpread           = 5 * time.Millisecond
-	warmingFactor       = 2.0  // factor on the slot time during a cold start, if the time of the class is unknown
-	busyCost            = 0.1  // score lost at an endpoint whose slots are all in use
-	remoteCostPerKB     = 0.04 // score lost per KB between data centres; the users' price list has 0.02 to 0.1
-	minRemoteCost       = 0.04
-	maxRemoteCost       = 0.7                    // score that a late response loses; the cost of bytes alone never leaves a call unserved
-	lossFactor          = 0.3                    // probability factor for endpoints without a response since a loss in their data centre
-	lossPenaltyDuration = 3 * time.Second        // how long lossFactor applies after a lost call to the data centre
+	warmingFactor       = 2.0                    // how much longer calls are expected to take during a cold start
 	lossesToPartition   = 2                      // unresponsive endpoints since the last response that make a data centre count as partitioned
 	probeInterval       = 250 * time.Millisecond // interval of the calls sent to a partitioned data centre to detect its recovery
-	suspectFactor       = 0.2                    // probability factor for endpoints that did not respond recently
-	// maxSlotProbes bounds the endpoints that a call probes for a free slot before it queues at one. Reports are stale, the more so the
-	// more endpoints and callers there are; the results of probes are not. While typically all slots are in use, calls do not probe.
-	maxSlotProbes       = 2
-	sampleSize          = 3 // endpoints compared in the own data centre, and as many in the others
-	failuresToEject     = 3 // consecutive failures
-	baseEjection        = time.Second
-	maxEjection         = 8 * time.Second
 	maxEjectionShift    = 3
 	unavailableDuration = 300 * time.Millisecond // by then, membership usually shows the reason
 	stateTTL            = time.Minute
@@ -100,6 +122,7 @@
 	reportedAt          time.Time
 	outstandingAtReport int
 	classes             map[string]classTimes
+	warming             bool // the report and the class times are of a cold start
 
 	answeredAt       time.Time
 	failures         int // consecutive
@@ -117,6 +140,7 @@
 // Chooser chooses endpoints for the calls of one node. It is safe for concurrent use.
 type Chooser struct {
 	dataCentre string
+	policy     Policy
 	now        func() time.Time
 	random     func(n int) int
 
@@ -127,10 +151,13 @@
 	sweptAt time.Time
 }
 
-// usage is the mean slot usage of the endpoints that serve a class.
+// usage is the mean slot usage of the endpoints that serve a class, the mean fraction of calls that they answer, and the mean time for which
+// its calls hold a slot.
 type usage struct {
-	mean float64
-	at   time.Time // time of the latest report
+	mean      float64
+	answered  float64
+	classTime time.Duration
+	at        time.Time // time of the latest report
 }
 
 // path holds the observations of the network path to another data centre.
@@ -143,9 +170,27 @@
 // isPartitioned reports whether the data centre counts as partitioned from this node.
 func (p *path) isPartitioned() bool { return p != nil && len(p.unresponsive) >= lossesToPartition }
 
-// New returns a chooser for a node in the given data centre.
-func New(dataCentre string) *Chooser {
-	return &Chooser{dataCentre: dataCentre, now: time.Now, random: rand.IntN, states: make(map[stateKey]*endpointState), paths: make(map[string]*path), usages: make(map[string]*usage)}
+// Options configure a Chooser.
+type Options struct {
+	DataCentre string // of the node
+	Policy     Policy
+	Now        func() time.Time // nil: time.Now
+	Random     func(n int) int  // returns a number below n; nil: rand.IntN
+}
+
+// New returns a chooser.
+func New(o Options) *Chooser {
+	c := &Chooser{
+		dataCentre: o.DataCentre, policy: o.Policy, now: o.Now, random: o.Random,
+		states: make(map[stateKey]*endpointState), paths: make(map[string]*path), usages: make(map[string]*usage),
+	}
+	if c.now == nil {
+		c.now = time.Now
+	}
+	if c.random == nil {
+		c.random = rand.IntN
+	}
+	return c
 }
 
 // Choice is the endpoint chosen for a call. Its holder must call Done exactly once.
@@ -174,7 +219,7 @@
 	}
 	if best != nil {
 		best.state.outstanding++
-		best.NoQueue = len(req.Busy) < maxSlotProbes && !req.Busy[best.ID] && c.typicalUsage(now, req.Class) < 1
+		best.NoQueue = len(req.Busy) < c.policy.MaxSlotProbes && !req.Busy[best.ID] && c.typicalUsage(now, req.Class) < 1
 		if p := c.paths[best.DataCentre]; p.isPartitioned() {
 			p.probedAt = now
 		}
@@ -188,16 +233,16 @@
 	switch {
 	case local == nil:
 		return remote
-	case remote == nil || local.score >= remote.score-req.remoteCost():
+	case remote == nil || local.score >= remote.score-c.remoteCost(req):
 		return local
 	}
 	return remote
 }
 
 // remoteCost returns the score lost by sending the call to another data centre.
-func (r *Requirements) remoteCost() float64 {
+func (c *Chooser) remoteCost(req Requirements) float64 {
 	const bytesPerKB = 1000
-	return max(minRemoteCost, min(maxRemoteCost, remoteCostPerKB*float64(r.Bytes)/bytesPerKB))
+	return max(c.policy.MinRemoteCost, min(c.policy.MaxRemoteCost, c.policy.RemoteCostPerKB*float64(req.Bytes)/bytesPerKB))
 }
 
 // candidates returns the eligible endpoints of the own data centre and of the others.
@@ -224,43 +269,53 @@
 
 // bestOf returns the endpoint with the highest score of a random sample, or nil if there are no endpoints.
 func (c *Chooser) bestOf(now time.Time, endpoints []*Endpoint, req Requirements) *Choice {
-	for i := 0; i < len(endpoints) && i < sampleSize; i++ {
+	size := min(c.sampleSize(now, req.Class), len(endpoints))
+	for i := range size {
 		j := i + c.random(len(endpoints)-i)
 		endpoints[i], endpoints[j] = endpoints[j], endpoints[i]
 	}
 	var best *Choice
-	for _, e := range endpoints[:min(sampleSize, len(endpoints))] {
+	for _, e := range endpoints[:size] {
 		choice := c.evaluate(now, e, req)
-		if best == nil || choice.score > best.score {
+		if best == nil || choice.score > best.score+c.policy.EqualScores {
 			best = choice
 		}
 	}
 	return best
 }
 
+// sampleSize returns the number of endpoints to compare for a call of the class.
+func (c *Chooser) sampleSize(now time.Time, class string) int {
+	if c.typicalUsage(now, class) >= 1 {
+		return c.policy.FullSampleSize
+	}
+	return c.policy.SampleSize
+}
+
 // evaluate computes the score of an endpoint for a call.
 func (c *Chooser) evaluate(now time.Time, e *Endpoint, req Requirements) *Choice {
 	s := c.stateOf(e)
-	calls, limit := s.load(now, e, c.typicalUsage(now, req.Class))
+	if s.warming && !e.Warming {
+		s.endWarming()
+	}
+	calls, limit := c.load(now, e, s, req.Class)
 	slot := s.report.SlotTime
 	if slot == 0 {
-		slot = unknownSlotTime
+		slot = c.optimisticTime(req.Class)
 	}
 	times, slowness := s.classTimesOf(e, req.Class, slot), s.slowness(now)
 	wait := max(0, calls+1-limit) / limit * float64(slot)
 	duration := slowness * (wait + float64(times.mean))
 	inTime := probability(float64(req.TimeToTarget)-duration, slowness*float64(times.spread))
-	if !s.reportedAt.IsZero() {
-		inTime *= s.report.Answered
-	}
+	inTime *= c.answered(now, s, req.Class)
 	if e.Suspect {
-		inTime *= suspectFactor
+		inTime *= c.policy.SuspectFactor
 	}
-	if p := c.paths[e.DataCentre]; p != nil && now.Sub(p.lostAt) < lossPenaltyDuration && s.answeredAt.Before(p.lostAt) {
-		inTime *= lossFactor
+	if p := c.paths[e.DataCentre]; p != nil && now.Sub(p.lostAt) < c.policy.LossPenaltyDuration && s.answeredAt.Before(p.lostAt) {
+		inTime *= c.policy.LossFactor
 	}
-	// busyCost is not capped, so that of two endpoints that would both be late, the less loaded one has the higher score.
-	return &Choice{Endpoint: e, chooser: c, state: s, class: req.Class, InTime: inTime, score: inTime - busyCost*calls/limit - req.DelayCost*min(1, duration/float64(req.TimeToTarget))}
+	// BusyCost is not capped, so that of two endpoints that would both be late, the less loaded one has the higher score.
+	return &Choice{Endpoint: e, chooser: c, state: s, class: req.Class, InTime: inTime, score: inTime - c.policy.BusyCost*calls/limit - req.DelayCost*min(1, duration/float64(req.TimeToTarget))}
 }
 
 // slowness estimates how long work takes at the endpoint now, relative to the mean there.
@@ -295,26 +350,67 @@
 	if u == nil {
 		return 0
 	}
-	return u.mean * max(0, 1-now.Sub(u.at).Seconds()/reportDecay.Seconds())
+	return u.mean * max(0, 1-now.Sub(u.at).Seconds()/c.policy.ReportDecay.Seconds())
 }
 
-// observe records the slot usage in a load report.
+// typicalAnswered returns the recent mean fraction of calls that the endpoints which serve the class answer.
+func (c *Chooser) typicalAnswered(class string) float64 {
+	if u := c.usages[class]; u != nil {
+		return u.answered
+	}
+	return 1
+}
+
+// answered estimates the fraction of calls that the backend server of an endpoint answers now. The report loses its weight with age: an
+// endpoint that is not called because it failed cannot report that it has recovered.
+func (c *Chooser) answered(now time.Time, s *endpointState, class string) float64 {
+	typical := c.typicalAnswered(class)
+	if s.reportedAt.IsZero() {
+		return typical
+	}
+	return typical + (s.report.Answered-typical)*reportWeight(now, s, c.policy.FailureDecay)
+}
+
+// reportWeight returns the weight of an endpoint's latest report, which falls from 1 to 0 within the given time.
+func reportWeight(now time.Time, s *endpointState, decay time.Duration) float64 {
+	return max(0, 1-now.Sub(s.reportedAt).Seconds()/decay.Seconds())
+}
+
+// optimisticTime returns the slot time to assume for an endpoint without a report. It is not longer than the mean of the class: otherwise
+// the endpoint would never be chosen, and so never report.
+func (c *Chooser) optimisticTime(class string) time.Duration {
+	if u := c.usages[class]; u != nil && u.classTime > 0 {
+		return min(u.classTime, unknownSlotTime)
+	}
+	return unknownSlotTime
+}
+
+// observe records the slot usage and the class time in a load report.
 func (c *Chooser) observe(now time.Time, class string, l Load) {
 	u := c.usages[class]
 	if u == nil {
 		if len(c.usages) >= maxClasses {
 			clear(c.usages)
 		}
-		u = &usage{}
+		u = &usage{answered: l.Answered}
 		c.usages[class] = u
 	}
+	u.answered += (l.Answered - u.answered) * usageWeight
 	u.mean += (float64(l.Running+l.Queued)/float64(max(1, l.Limit)) - u.mean) * usageWeight
 	u.at = now
+	switch {
+	case l.ClassTime == 0:
+	case u.classTime == 0:
+		u.classTime = l.ClassTime
+	default:
+		u.classTime += time.Duration(float64(l.ClassTime-u.classTime) * usageWeight)
+	}
 }
 
 // load estimates the calls at the endpoint and its concurrency limit. Without a recent report, it assumes typical usage: if it assumed an
 // idle endpoint, calls would prefer the endpoints with the least information.
-func (s *endpointState) load(now time.Time, e *Endpoint, typicalUsage float64) (calls, limit float64) {
+func (c *Chooser) load(now time.Time, e *Endpoint, s *endpointState, class string) (calls, limit float64) {
+	typicalUsage := c.typicalUsage(now, class)
 	limit = float64(max(e.Slots, 1))
 	outstanding := float64(s.outstanding)
 	if s.reportedAt.IsZero() {
@@ -323,7 +419,7 @@
 	if s.report.Limit > 0 {
 		limit = float64(s.report.Limit)
 	}
-	weight := max(0, 1-now.Sub(s.reportedAt).Seconds()/reportDecay.Seconds())
+	weight := reportWeight(now, s, c.policy.ReportDecay)
 	reported := float64(s.report.Running+s.report.Queued) + outstanding - float64(s.outstandingAtReport)
 	return max(outstanding, weight*reported+(1-weight)*typicalUsage*limit), limit
 }
@@ -348,6 +444,7 @@
 	s.outstanding--
 	if load != nil {
 		s.observe(now, ch.class, *load)
+		s.warming = ch.Warming
 		c.observe(now, ch.class, *load)
 	}
 	switch o {
@@ -359,12 +456,12 @@
 		s.unavailableUntil = now.Add(unavailableDuration)
 	case Failed:
 		s.failures++
-		if s.failures >= failuresToEject {
-			s.eject(now)
+		if s.failures >= c.policy.FailuresToEject {
+			c.eject(now, s)
 		}
 	case Unresponsive:
 		c.recordLoss(now, ch.DataCentre, s)
-		s.eject(now)
+		c.eject(now, s)
 	}
 }
 
@@ -413,11 +510,22 @@
 	s.classes[class] = classTimes{l.ClassTime, l.ClassSpread}
 }
 
+// endWarming replaces the times of a cold start by what calls are expected to take after it. Otherwise an endpoint would not be chosen, and so
+// not report its times, as long as others have room.
+func (s *endpointState) endWarming() {
+	s.warming = false
+	warm := func(d time.Duration) time.Duration { return time.Duration(float64(d) / warmingFactor) }
+	s.report.SlotTime = warm(s.report.SlotTime)
+	for class, t := range s.classes {
+		s.classes[class] = classTimes{warm(t.mean), warm(t.spread)}
+	}
+}
+
 // eject makes the endpoint ineligible, with exponential backoff over consecutive ejections. Afterwards a single failure ejects it again.
-func (s *endpointState) eject(now time.Time) {
-	s.ejectedUntil = now.Add(min(baseEjection<<min(s.ejections, maxEjectionShift), maxEjection))
+func (c *Chooser) eject(now time.Time, s *endpointState) {
+	s.ejectedUntil = now.Add(min(c.policy.BaseEjection<<min(s.ejections, maxEjectionShift), c.policy.MaxEjection))
 	s.ejections++
-	s.failures = failuresToEject - 1
+	s.failures = c.policy.FailuresToEject - 1
 }
 
 // Ejected returns the number of endpoints that are currently ejected.
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -15,8 +15,8 @@
 }
 
 func newFixture() *fixture {
-	f := &fixture{Chooser: New("seeb"), now: time.Unix(1000, 0)}
-	f.Chooser.now = func() time.Time { return f.now }
+	f := &fixture{now: time.Unix(1000, 0)}
+	f.Chooser = New(Options{DataCentre: "seeb", Policy: DefaultPolicy(), Now: func() time.Time { return f.now }})
 	return f
 }
 
@@ -168,7 +168,7 @@
 	assert.Equal(t, 1.0, f.shares([]Endpoint{first, second, other}, 400*time.Millisecond)["sohar-1"])
 	assert.Equal(t, 1, f.Ejected())
 
-	f.now = f.now.Add(lossPenaltyDuration)
+	f.now = f.now.Add(DefaultPolicy().LossPenaltyDuration)
 	f.report(second, fastLoad(0))
 	assert.Greater(t, f.shares([]Endpoint{second, other}, 400*time.Millisecond)["nizwa-2"], 0.0, "the data centre responds again")
 }
@@ -217,7 +217,7 @@
 func TestPick_AllEndpointsEjected(t *testing.T) {
 	f := newFixture()
 	only := endpoint("seeb", 1)
-	for range failuresToEject {
+	for range DefaultPolicy().FailuresToEject {
 		f.Pick([]Endpoint{only}, Requirements{TimeToTarget: time.Second}).Done(Failed, nil)
 	}
 	require.Equal(t, 1, f.Ejected())
@@ -227,12 +227,11 @@
 }
 
 func TestEject_BackoffGrowsToMaximum(t *testing.T) {
-	s := &endpointState{}
-	now := time.Unix(1000, 0)
+	f, s := newFixture(), &endpointState{}
 	var spans []time.Duration
 	for range 6 {
-		s.eject(now)
-		spans = append(spans, s.ejectedUntil.Sub(now))
+		f.eject(f.now, s)
+		spans = append(spans, s.ejectedUntil.Sub(f.now))
 	}
 	assert.Equal(t, []time.Duration{1e9, 2e9, 4e9, 8e9, 8e9, 8e9}, spans)
 }
@@ -244,3 +243,85 @@
 	f.report(endpoint("seeb", 2), fastLoad(0))
 	assert.Len(t, f.states, 1)
 }
+
+// Guards against an endpoint that joins a service of short calls and gets none, because it is assumed to be slower than those that are known.
+func TestPick_ChoosesNewEndpointOfFastService(t *testing.T) {
+	f := newFixture()
+	known := []Endpoint{endpoint("seeb", 1), endpoint("seeb", 2)}
+	for _, e := range known {
+		f.report(e, Load{Limit: 9, SlotTime: time.Millisecond, ClassTime: time.Millisecond, ClassSpread: time.Millisecond, Answered: 1})
+	}
+	joined := endpoint("seeb", 3)
+	assert.Greater(t, f.shares(append(known, joined), 10*time.Millisecond)[joined.ID], 0.2)
+}
+
+// recoveryTime is the time after a fault within which the users expect service as before.
+const recoveryTime = 15 * time.Second
+
+// Pattern: a backend server fails for a while and others have room. Guards against a backend server that is never used again since calls to
+// the others leave no report of its recovery.
+func TestPick_RecoveredBackendServerIsUsedAgain(t *testing.T) {
+	f := newFixture()
+	failed, sound := endpoint("seeb", 1), endpoint("seeb", 2)
+	load := fastLoad(1)
+	load.Answered = 0
+	f.report(failed, load)
+	failedAt := f.now
+	for f.now.Sub(failedAt) < recoveryTime {
+		choice := f.Pick([]Endpoint{failed, sound}, Requirements{Class: "eta", TimeToTarget: time.Second})
+		load := fastLoad(1)
+		choice.Done(Healthy, &load)
+		if choice.ID == failed.ID {
+			break
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	used := f.now.Sub(failedAt)
+	assert.Greater(t, used, time.Second, "one call of each node a second would be too many failures")
+	assert.Less(t, used, recoveryTime)
+}
+
+// Pattern: all backend servers of a service turn away a part of their calls. Guards against calls to another data centre only because the
+// reports from there are older.
+func TestPick_ServiceThatShedsStaysLocal(t *testing.T) {
+	f := newFixture()
+	near, far := endpoint("seeb", 1), endpoint("nizwa", 1)
+	shedding := fastLoad(1)
+	shedding.Answered = 0.45
+	f.report(far, shedding)
+	for range 200 {
+		choice := f.Pick([]Endpoint{near, far}, Requirements{Class: "eta", TimeToTarget: time.Second})
+		choice.Done(Healthy, &shedding)
+		f.now = f.now.Add(50 * time.Millisecond)
+		assert.Equal(t, near.ID, choice.ID)
+	}
+}
+
+// Pattern: instances of a new version start cold beside warm ones, and there is room. Guards against a backend server that gets no calls after
+// its cold start since its reported times are those of the cold start.
+func TestPick_WarmBackendServerIsUsedAfterItsColdStart(t *testing.T) {
+	f := newFixture()
+	cold, warm := endpoint("seeb", 1), endpoint("seeb", 2)
+	cold.Warming = true
+	slow := fastLoad(1)
+	slow.SlotTime, slow.ClassTime, slow.ClassSpread = 2*slow.SlotTime, 2*slow.ClassTime, 2*slow.ClassSpread
+	f.report(cold, slow)
+	f.report(warm, fastLoad(1))
+	endpoints := []Endpoint{cold, warm}
+	assert.Zero(t, f.shares(endpoints, 300*time.Millisecond)[cold.ID])
+	endpoints[0].Warming = false
+	assert.Greater(t, f.shares(endpoints, 300*time.Millisecond)[cold.ID], 0.2)
+}
+
+// Pattern: little load, and an instance whose first responses were slow, such as the only one of a new version. Guards against a backend
+// server that gets no calls at all since others seem a little better: nobody would learn how long its calls take now.
+func TestPick_SlightlySlowerBackendServerIsStillUsed(t *testing.T) {
+	f := newFixture()
+	slower, fast := endpoint("seeb", 1), endpoint("seeb", 2)
+	l := fastLoad(0)
+	l.SlotTime, l.ClassTime, l.ClassSpread = 5*time.Millisecond, 5*time.Millisecond, 2*time.Millisecond
+	f.report(fast, l)
+	l.SlotTime, l.ClassTime = 40*time.Millisecond, 40*time.Millisecond
+	f.report(slower, l)
+	assert.Greater(t, f.shares([]Endpoint{slower, fast}, time.Second)[slower.ID], 0.2)
+}
--- a/pkg/placement/simulation_test.go
+++ b/pkg/placement/simulation_test.go
@@ -56,9 +56,7 @@
 func newSimulation(nodes int, probe bool) *simulation {
 	sim := &simulation{random: rand.New(rand.NewPCG(5, 5)), now: time.Unix(1000, 0), probe: probe, servers: map[string]*server{}}
 	for i := range nodes {
-		c := New("seeb")
-		c.now = func() time.Time { return sim.now }
-		c.random = sim.random.IntN
+		c := New(Options{DataCentre: "seeb", Policy: DefaultPolicy(), Now: func() time.Time { return sim.now }, Random: sim.random.IntN})
 		sim.callers = append(sim.callers, c)
 		e := endpoint("seeb", i)
 		e.Slots = simulatedSlots
@@ -158,7 +156,7 @@
 		}
 	}
 	assert.False(t, f.Pick(endpoints, Requirements{Class: "eta", TimeToTarget: time.Second}).NoQueue)
-	f.now = f.now.Add(reportDecay)
+	f.now = f.now.Add(DefaultPolicy().ReportDecay)
 	choice := f.Pick(endpoints, Requirements{Class: "eta", TimeToTarget: time.Second})
 	assert.True(t, choice.NoQueue, "the reports are stale")
 	assert.False(t, f.Pick(endpoints[:1], Requirements{Class: "eta", TimeToTarget: time.Second, Busy: map[string]bool{"seeb-1": true}}).NoQueue, "the endpoint was probed and is busy")
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -12,42 +12,58 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 )
 
-// Policy is the fleet-wide retry bound of a service.
-type Policy struct {
+// Bound is the fleet-wide retry bound of a service.
+type Bound struct {
 	Ratio  float64       // retries per request for the service
 	Slack  float64       // additional retries in each window
 	Window time.Duration // length of the sliding window
 }
 
-// safetyFactor is the fraction of the bound that is used. The rest covers windows that are not aligned between nodes and observers,
-// nodes that lose their counts on a restart, and the nested calls that a retry makes again.
-const safetyFactor = 0.5
+// Policy holds the parameters of the decisions.
+type Policy struct {
+	// UsedRatio is the fraction of Bound.Ratio that is used. The rest covers windows that are not aligned between nodes and observers.
+	UsedRatio float64
+	// UsedSlack is the fraction of Bound.Slack that is used. A node that restarts loses its counts and gets its share of the slack again.
+	UsedSlack float64
+	// NonNestedShare is the share of the allowed retries that is open to calls that are not nested.
+	NonNestedShare float64
+}
 
-// nonNestedShare is the share of the allowed retries that is open to calls that are not nested.
-const nonNestedShare = 0.5
+// DefaultPolicy returns the parameters that the nodes use.
+func DefaultPolicy() Policy { return Policy{UsedRatio: 0.85, UsedSlack: 0.5, NonNestedShare: 0.75} }
 
 // buckets is the number of buckets in a window.
 const buckets = 20
 
 // Budget counts requests and retries per service over a sliding window. It is safe for concurrent use.
 type Budget struct {
-	policy Policy
-	nodes  func() int           // size of the fleet, including this node
-	now    func() time.Duration // time since a fixed origin
+	options Options
 
 	mu       sync.Mutex
 	services map[string]*window
 }
 
-// New returns a budget that enforces this node's share of the policy. nodes returns the size of the fleet, including this node.
-func New(policy Policy, nodes func() int) *Budget {
-	return &Budget{policy: policy, nodes: nodes, now: clock.Now, services: make(map[string]*window)}
+// Options configure a Budget.
+type Options struct {
+	Bound  Bound
+	Nodes  func() int // size of the fleet, including this node
+	Policy Policy
+	Now    func() time.Duration // time since a fixed origin; nil: clock.Now
 }
 
-// window counts requests and retries in buckets that together cover Policy.Window.
+// New returns a budget that enforces this node's share of the bound.
+func New(o Options) *Budget {
+	if o.Now == nil {
+		o.Now = clock.Now
+	}
+	return &Budget{options: o, services: make(map[string]*window)}
+}
+
+// window counts requests and retries in buckets that together cover Bound.Window.
 type window struct {
-	requests, retries [buckets]int
-	newest            int64 // sequence number of the newest bucket
+	requests [buckets]int
+	retries  [buckets]float64
+	newest   int64 // sequence number of the newest bucket
 }
 
 // CountRequest counts the first attempt of a call.
@@ -58,49 +74,39 @@
 	w.requests[i]++
 }
 
+// CountRetries counts retries that the budget cannot prevent: nested calls that a backend server makes again while it serves a retry. n may
+// be a fraction, the probability that a call is one.
+func (b *Budget) CountRetries(service string, n float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, i := b.advance(service)
+	w.retries[i] += n
+}
+
 // AllowRetry counts a retry and returns true, or returns false if the budget does not allow one. nested reports whether a
 // backend server makes the call while it serves another call, whose work is lost if this one fails. Callers of other calls can retry by
-// themselves, so calls that are not nested may use only nonNestedShare of the budget.
+// themselves, so calls that are not nested may use only Policy.NonNestedShare of the budget.
 func (b *Budget) AllowRetry(service string, nested bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w, i := b.advance(service)
-	requests, retries := 0, 0
+	requests, retries := 0, 0.0
 	for j := range buckets {
 		requests += w.requests[j]
 		retries += w.retries[j]
 	}
-	allowed := safetyFactor * (b.policy.Ratio*float64(requests) + b.policy.Slack/float64(max(1, b.nodes())))
+	bound, policy := b.options.Bound, b.options.Policy
+	allowed := policy.UsedRatio*bound.Ratio*float64(requests) + policy.UsedSlack*bound.Slack/float64(max(1, b.options.Nodes()))
 	if !nested {
-		allowed *= nonNestedShare
+		allowed *= policy.NonNestedShare
 	}
-	if float64(retries+1) > allowed {
+	if retries+1 > allowed {
 		return false
 	}
 	w.retries[i]++
 	return true
 }
 
-// CallBudget accounts for the retries of one call. It is not safe for concurrent use.
-type CallBudget struct {
-	budget   *Budget
-	service  string
-	reserved bool // a retry is counted in the budget and not sent yet
-}
-
-// ForCall returns the retry budget of one call to the service.
-func (b *Budget) ForCall(service string) *CallBudget { return &CallBudget{budget: b, service: service} }
-
-// Reserve counts a retry in the budget, or returns false if the budget does not allow one. A reservation that is not committed, for
-// example because the endpoint had no free slot, serves the next Reserve. For nested, see AllowRetry.
-func (c *CallBudget) Reserve(nested bool) bool {
-	c.reserved = c.reserved || c.budget.AllowRetry(c.service, nested)
-	return c.reserved
-}
-
-// Commit marks the reserved retry as sent.
-func (c *CallBudget) Commit() { c.reserved = false }
-
 // advance moves the window of a service to the current time and returns it with the index of its newest bucket.
 func (b *Budget) advance(service string) (*window, int) {
 	w := b.services[service]
@@ -108,7 +114,7 @@
 		w = &window{}
 		b.services[service] = w
 	}
-	number := int64(b.now() / (b.policy.Window / buckets))
+	number := int64(b.options.Now() / (b.options.Bound.Window / buckets))
 	steps := min(number-w.newest, buckets)
 	for s := int64(1); s <= steps; s++ {
 		i := (w.newest + s) % buckets
--- a/pkg/routing/change.go
+++ b/pkg/routing/change.go
@@ -75,6 +75,34 @@
 	return c
 }
 
+// Merge returns the change that has the effect of consecutive changes, at least one. Each must be based on the version before it.
+func Merge(changes []*Change) *Change {
+	last := changes[len(changes)-1]
+	merged := &Change{From: changes[0].From, To: last.To, Digest: last.Digest, Limits: last.Limits}
+	routes, removed := make(map[RouteKey]*Route), make(map[RouteKey]bool)
+	for _, c := range changes {
+		if c.Services != nil {
+			merged.Services = c.Services
+		}
+		for _, key := range c.Removed {
+			delete(routes, key)
+			removed[key] = true
+		}
+		for i := range c.Routes {
+			key := c.Routes[i].key()
+			routes[key] = &c.Routes[i]
+			delete(removed, key)
+		}
+	}
+	for _, r := range routes {
+		merged.Routes = append(merged.Routes, *r)
+	}
+	for key := range removed {
+		merged.Removed = append(merged.Removed, key)
+	}
+	return merged
+}
+
 func (r *Route) equal(other *Route) bool {
 	return r.Name == other.Name && r.Host == other.Host && r.PathPrefix == other.PathPrefix && r.Idempotent == other.Idempotent &&
 		r.Priority == other.Priority && r.TargetMS == other.TargetMS && r.TimeoutMS == other.TimeoutMS && r.MaxAttempts == other.MaxAttempts &&
--- a/pkg/routing/change_test.go
+++ b/pkg/routing/change_test.go
@@ -44,6 +44,26 @@
 	})
 }
 
+// Guards against a node that serves a change over several versions which does not lead to the newest one.
+func TestMerge_EqualsConsecutiveChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first := drawDocument(t, 1)
+		var changes []*Change
+		last := first
+		for version := uint64(2); version < 6; version++ {
+			next := drawDocument(t, version)
+			changes = append(changes, Diff(last, next))
+			last = next
+		}
+		got, err := Merge(changes).Apply(first)
+		require.NoError(t, err)
+		assert.ElementsMatch(t, last.Routes, got.Routes)
+		assert.Equal(t, last.Services, got.Services)
+		assert.Equal(t, last.Limits, got.Limits)
+		assert.Equal(t, last.Version, got.Version)
+	})
+}
+
 // Guards against changes whose size grows with the number of unchanged routes.
 func TestDiff_SingleRouteChangeIsSmall(t *testing.T) {
 	from := &Document{Version: 1, Services: []Service{{Name: "a"}}}
--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -208,17 +208,11 @@
 		return nil, errors.New("the client is closed")
 	}
 	conn := &peer{socket: socket}
-	conn.Conn = newConn(socket, jsonrpc2.HandlerWithError(refuseRequests))
+	conn.Conn = newConn(socket, jsonrpc2.HandlerWithError(refuseRequests), func() { c.removeConn(address, conn) })
 	c.conns[address] = conn
-	go c.removeWhenClosed(address, conn)
 	return conn, nil
 }
 
-func (c *Client) removeWhenClosed(address string, conn *peer) {
-	<-conn.DisconnectNotify()
-	c.removeConn(address, conn)
-}
-
 func (c *Client) removeConn(address string, conn *peer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/rpc/frame.go
+++ b/pkg/rpc/frame.go
@@ -19,7 +19,7 @@
 	socket *timedConn // nil: no time limit per message
 }
 
-// WriteObject implements jsonrpc2.ObjectCodec.
+// WriteObject writes a message as one frame.
 func (frameCodec) WriteObject(stream io.Writer, object any) error {
 	body, err := json.Marshal(object)
 	if err != nil {
@@ -34,7 +34,7 @@
 	return err
 }
 
-// ReadObject implements jsonrpc2.ObjectCodec.
+// ReadObject reads the message of the next frame.
 func (c frameCodec) ReadObject(stream *bufio.Reader, v any) error {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(stream, header[:1]); err != nil {
--- a/pkg/rpc/rpc.go
+++ b/pkg/rpc/rpc.go
@@ -34,10 +34,9 @@
 // connection is closed.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
-// newConn starts a JSON-RPC connection.
-func newConn(socket *timedConn, handler jsonrpc2.Handler) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(socket, frameCodec{socket: socket})
-	return jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(discardLogger{}))
+// newConn starts a JSON-RPC connection. onClose is called when it is closed; it must not call the connection.
+func newConn(socket *timedConn, handler jsonrpc2.Handler, onClose func()) *jsonrpc2.Conn {
+	return jsonrpc2.NewConn(context.Background(), newFrameStream(socket, onClose), handler, jsonrpc2.SetLogger(discardLogger{}))
 }
 
 // discardLogger drops the log lines of the library. Failures are returned to the caller, which logs them.
--- a/pkg/rpc/server.go
+++ b/pkg/rpc/server.go
@@ -83,19 +83,23 @@
 	go s.serveSocket(socket, tlsConfig)
 }
 
+// serveSocket starts to serve a socket.
 func (s *Server) serveSocket(socket net.Conn, tlsConfig *tls.Config) {
-	defer func() {
-		socket.Close()
-		s.mu.Lock()
-		delete(s.accepted, socket)
-		s.mu.Unlock()
-	}()
 	ready, err := acceptSocket(socket, s.counters, tlsConfig)
 	if err != nil {
+		s.forget(socket)
 		return
 	}
 	handler := jsonrpc2.HandlerWithError(s.dispatch).SuppressErrClosed()
-	<-newConn(ready, jsonrpc2.AsyncHandler(handler)).DisconnectNotify()
+	newConn(ready, jsonrpc2.AsyncHandler(handler), func() { s.forget(socket) })
+}
+
+// forget closes a socket and stops counting it.
+func (s *Server) forget(socket net.Conn) {
+	socket.Close()
+	s.mu.Lock()
+	delete(s.accepted, socket)
+	s.mu.Unlock()
 }
 
 func (s *Server) dispatch(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
--- a/pkg/rpc/tls_test.go
+++ b/pkg/rpc/tls_test.go
@@ -69,7 +69,7 @@
 // that are not counted.
 func TestTLSWithClientCertificates(t *testing.T) {
 	fleetCA, foreignCA := newAuthority(t), newAuthority(t)
-	server, address := startServer(t, fleetCA.server(t))
+	_, address := startServer(t, fleetCA.server(t))
 	clientConfig := &tls.Config{RootCAs: fleetCA.pool, Certificates: []tls.Certificate{fleetCA.node(t)}}
 	for name, c := range map[string]struct {
 		config *tls.Config
@@ -90,10 +90,11 @@
 		require.Equal(t, apierror.Unavailable, apierror.KindOf(err), name)
 	}
 
+	// A server of its own: the other one may still receive the alert with which a client refused it.
+	counting, address := startServer(t, fleetCA.server(t))
 	client := startClient(t, clientConfig)
-	before := server.counters.Received.Load()
 	require.NoError(t, echo(testContext(t), client, address, "x"))
-	require.Equal(t, client.counters.Sent.Load(), server.counters.Received.Load()-before)
+	require.Equal(t, client.counters.Sent.Load(), counting.counters.Received.Load())
 	first := client.counters.Sent.Load() + client.counters.Received.Load()
 	require.NoError(t, echo(testContext(t), client, address, "x"))
 	second := client.counters.Sent.Load() + client.counters.Received.Load() - first
--- a/pkg/sidecar/backend.go
+++ b/pkg/sidecar/backend.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
@@ -20,7 +22,7 @@
 		n.logger.Warn("announcement_foreign", zap.String("instance", a.ID), zap.String("service", a.Service), zap.String("address", a.Address))
 		return announce.Foreign
 	}
-	if n.recordUnconfirmed(a) && !n.isServing(a) {
+	if n.recordUnconfirmed(a) && !n.isConfirmed(a) {
 		return n.rejectAnnouncement(a, announce.Unconfirmed, zap.String("cause", "this node has just started, and the liveness check did not confirm that the backend server is serving"))
 	}
 	n.mu.Lock()
@@ -31,7 +33,7 @@
 		return n.rejectAnnouncement(a, verdict)
 	}
 	n.metrics.Inc("announcement", "verdict", string(verdict))
-	n.announced = true
+	n.announced, n.provisional = true, false
 	n.publishBackend(previous, "announcement")
 	return verdict
 }
@@ -65,29 +67,112 @@
 	tablePollInterval = 10 * time.Millisecond
 )
 
+// isConfirmed reports whether the liveness check at the start of this process, or another one, shows that the instance accepts calls.
+func (n *Node) isConfirmed(a announce.Announcement) bool {
+	select {
+	case <-n.found:
+	case <-time.After(checkTimeout):
+	}
+	n.mu.Lock()
+	confirmed := n.confirmed == a.ID
+	n.mu.Unlock()
+	return confirmed || n.isServing(a)
+}
+
 // isServing queries the backend server's liveness check to find out whether the instance accepts calls. It returns true if no path is
 // configured.
 func (n *Node) isServing(a announce.Announcement) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
+	header, err := n.checkLiveness(ctx, a.Service)
+	if errors.Is(err, errNoLivenessPath) {
+		return true
+	}
+	if err != nil {
+		n.logger.Info("liveness_check_failed", zap.String("instance", a.ID), zap.Error(err))
+		return false
+	}
+	return header.Get(n.inbound.headers.Instance) == a.ID
+}
+
+// errNoLivenessPath is returned if the configuration has no liveness check for a service.
+var errNoLivenessPath = eris.New("no liveness check is configured")
+
+// checkLiveness waits for the configuration and queries the liveness check of the backend server. It returns the header of a success.
+func (n *Node) checkLiveness(ctx context.Context, serviceName string) (http.Header, error) {
 	table := n.follower.Table()
 	for ; table == nil; table = n.follower.Table() { // it arrives within milliseconds after the start
-		if clock.Sleep(ctx, tablePollInterval) != nil {
-			return false
+		if err := clock.Sleep(ctx, tablePollInterval); err != nil {
+			return nil, err
 		}
 	}
-	service := table.Service(a.Service)
+	service := table.Service(serviceName)
 	if service == nil || service.HealthPath == "" {
-		return true
+		return nil, errNoLivenessPath
 	}
 	n.metrics.Inc("liveness_check")
-	response, failed := n.inbound.client.Do(ctx, a.Address, &hop.Request{Method: http.MethodGet, Target: service.HealthPath, Host: a.Address})
+	address := n.settings.Backend.Address
+	response, failed := n.inbound.client.Do(ctx, address, &hop.Request{Method: http.MethodGet, Target: service.HealthPath, Host: address})
 	if failed != nil {
-		n.logger.Info("liveness_check_failed", zap.String("instance", a.ID), zap.Error(failed))
-		return false
+		return nil, failed
 	}
 	discard(response)
-	return response.Status == http.StatusOK && response.Header.Get(n.inbound.headers.Instance) == a.ID
+	if response.Status != http.StatusOK {
+		return nil, eris.Errorf("the liveness check returned status %d", response.Status)
+	}
+	return response.Header, nil
+}
+
+// findBackend makes a restarted node use the backend server that runs beside it before the next announcement, if the liveness check says
+// which instance it is and how many slots it has. The instance is provisional: it may have left, and the previous process may have
+// acknowledged that. Without an announcement it is used for one announcement interval and a second at most.
+func (n *Node) findBackend(ctx context.Context) {
+	defer close(n.found)
+	if n.settings.FirstStart {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, startDuration) // a long configuration arrives late on a slow link
+	defer cancel()
+	a := announce.Announcement{Service: n.settings.Backend.Service, Address: n.settings.Backend.Address}
+	header, err := n.checkLiveness(ctx, a.Service)
+	if err != nil {
+		n.logger.Info("backend_not_found", zap.Error(err))
+		return
+	}
+	report, ok, err := n.platform.Report(header)
+	a.ID, a.Slots = header.Get(n.inbound.headers.Instance), report.Slots
+	if err != nil || a.ID == "" {
+		n.logger.Info("backend_not_found", zap.String("instance", a.ID), zap.Error(err))
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.announced || n.left {
+		return // an announcement or a departure says more
+	}
+	n.confirmed = a.ID
+	time.AfterFunc(time.Duration(n.settings.Backend.AnnouncementInterval)+announcementSlack, n.dropProvisional)
+	if !ok || a.Slots < 1 || n.unconfirmed != nil || n.inbound.gate.Load() != nil {
+		return // the slots, or the version that a roll-out depends on, are only known from an announcement
+	}
+	n.provisional = true
+	n.tracker.Observe(time.Now(), a)
+	n.publishBackend(nil, "liveness check")
+}
+
+// dropProvisional stops using a provisional instance that has not announced itself.
+func (n *Node) dropProvisional() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.confirmed = ""
+	if !n.provisional {
+		return
+	}
+	previous := n.tracker.Current()
+	n.provisional = false
+	if n.tracker.Expire(time.Now(), 0) {
+		n.publishBackend(previous, "not announced since the start of this node")
+	}
 }
 
 // isKnownService reports whether a backend server on this VM may belong to the service.
@@ -101,6 +186,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	previous := n.tracker.Current()
+	n.left, n.provisional, n.confirmed = true, false, ""
 	known := n.tracker.Leave(time.Now(), id)
 	n.logger.Info("backend_leaves", zap.String("instance", id), zap.Bool("known", known))
 	if known {
@@ -128,6 +214,9 @@
 		e.State = endpointState(current)
 		n.service.Store(&current.Service)
 	}
+	if current != nil && n.inbound.isHeld(current) {
+		e.State = membership.EndpointHeld
+	}
 	if n.stopping.Load() && e.State != membership.EndpointGone {
 		e.State = membership.EndpointDraining
 	}
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -38,6 +38,7 @@
 	rank              int
 	idempotent        bool
 	callerRetry       bool          // the caller is retrying after a refusal
+	retry             bool          // a backend server has received the call before
 	noQueue           bool          // reject the call instead of queueing it if no slot is free
 	targetRemaining   time.Duration // time until the call counts as late; may be negative
 	deadlineRemaining time.Duration
@@ -49,7 +50,7 @@
 func (c *call) encode() string {
 	return strings.Join([]string{
 		url.QueryEscape(c.service), url.QueryEscape(c.class), url.QueryEscape(c.caller), url.QueryEscape(c.node),
-		strconv.Itoa(c.rank), formatBool(c.idempotent), formatBool(c.callerRetry), formatBool(c.noQueue),
+		strconv.Itoa(c.rank), formatBool(c.idempotent), formatBool(c.callerRetry), formatBool(c.retry), formatBool(c.noQueue),
 		strconv.FormatInt(c.targetRemaining.Milliseconds(), 10), strconv.FormatInt(c.deadlineRemaining.Milliseconds(), 10),
 	}, fieldSeparator)
 }
@@ -62,12 +63,12 @@
 }
 
 // callFields is the number of fields of an encoded call.
-const callFields = 10
+const callFields = 11
 
 func decodeCall(text string) (*call, error) {
 	fields := strings.Split(text, fieldSeparator)
 	if len(fields) != callFields {
-		return nil, apierror.InvalidField(headerCall, "does not have 10 fields", "run the same version on all nodes")
+		return nil, apierror.InvalidField(headerCall, "does not have 11 fields", "run the same version on all nodes")
 	}
 	names := [4]string{}
 	for i := range names {
@@ -77,7 +78,7 @@
 		}
 		names[i] = name
 	}
-	numbers := [6]int64{}
+	numbers := [7]int64{}
 	for i := range numbers {
 		n, err := strconv.ParseInt(fields[4+i], 10, 32)
 		if err != nil {
@@ -87,8 +88,8 @@
 	}
 	return &call{
 		service: names[0], class: names[1], caller: names[2], node: names[3],
-		rank: int(numbers[0]), idempotent: numbers[1] == 1, callerRetry: numbers[2] == 1, noQueue: numbers[3] == 1,
-		targetRemaining: time.Duration(numbers[4]) * time.Millisecond, deadlineRemaining: time.Duration(numbers[5]) * time.Millisecond,
+		rank: int(numbers[0]), idempotent: numbers[1] == 1, callerRetry: numbers[2] == 1, retry: numbers[3] == 1, noQueue: numbers[4] == 1,
+		targetRemaining: time.Duration(numbers[5]) * time.Millisecond, deadlineRemaining: time.Duration(numbers[6]) * time.Millisecond,
 	}, nil
 }
 
@@ -116,6 +117,8 @@
 	reasonStopping            reason = "stopping"      // the node is shutting down
 	reasonUnreachable         reason = "backend_unreachable"
 	reasonBackendShed         reason = "backend_shed"   // the backend server rejected the request without executing it
+	reasonBackendFailed       reason = "backend_failed" // the backend server answered with an error of its own
+	reasonVersionHeld         reason = "version_held"   // a roll-out allows the backend server's version no further request
 	reasonOtherInstance       reason = "other_instance" // another instance now uses the backend server's address
 	reasonDeadline            reason = "deadline"
 	reasonCancelled           reason = "cancelled" // the caller disconnected
--- a/pkg/sidecar/download_test.go
+++ b/pkg/sidecar/download_test.go
@@ -123,10 +123,11 @@
 // Long responses queue for a low-bandwidth link. A call whose response would be late is rejected immediately, unsent, with Retry-After;
 // calls with short responses are still served.
 func TestFullLink_RejectsLongResponses(t *testing.T) {
-	m := newMesh(t, 1)
-	n := m.nodes[0]
 	slowLink := link.New(1)
-	n.link, n.inbound.link, n.outbound.link = slowLink, slowLink, slowLink
+	m := &mesh{t: t, platform: newFakePlatform(), adjust: func(n *Node) { n.link, n.inbound.link, n.outbound.link = slowLink, slowLink, slowLink }}
+	m.platform.publish(testDocument(1))
+	n := m.start(0)
+	m.waitReady()
 	n.inbound.stats.observeResponse("safe", 100_000)
 	slowLink.Reserve(1_000_000) // 8 s at 1 Mbit/s
 	start := time.Now()
--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/compression"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
+	"github.com/laburnumcleat/laburnumcleat/pkg/rollout"
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
 )
@@ -22,10 +24,14 @@
 const (
 	// pollWait bounds a long poll for the next configuration. If the store silently drops a node's requests, a pending poll stays
 	// unanswered even after the store recovers; pollWait plus the call timeout bounds how long that goes undetected.
-	pollWait            = 2 * time.Second
+	pollWait = 2 * time.Second
+	// standbyPollWait is the same for the readers of a data centre other than the first one.
+	standbyPollWait     = 8 * time.Second
 	pollPause           = 800 * time.Millisecond // after a configuration was read, so that a burst of versions takes few reads
 	minBurstVersions    = 2                      // if one read skips at least this many versions, the next read fetches the newest version directly
+	copyInterval        = 3 * time.Second        // between writes of the copy; a node that starts with a stale one soon learns of the newer version
 	readerCheckInterval = 500 * time.Millisecond // between checks whether this node has become a reader
+	firstRelayTimeout   = 3 * time.Second        // when the whole fleet starts for the first time, for the first configuration from a reader
 	minBackoff          = 100 * time.Millisecond
 	maxBackoff          = time.Second // bounds the delay until a recovered store is read again
 	// peerDelay is how long a node that learns of a newer version from a probe waits to receive it from the store or the relay before it
@@ -50,9 +56,9 @@
 }
 
 const (
-	maxPreviousDocuments = 8 // previous versions kept to compute changes from
-	maxFullTransfers     = 2 // full configurations that a node serves concurrently
-	maxDocumentBytes     = 256 << 20
+	maxChanges       = 8 // kept for nodes that have an earlier version
+	maxFullTransfers = 2 // full configurations that a node serves concurrently
+	maxDocumentBytes = 256 << 20
 )
 
 // follower keeps the node's configuration up to date. The version never decreases within the lifetime of the process.
@@ -64,23 +70,30 @@
 	firstStart bool // the fleet starts for the first time: the store holds neither a copy nor earlier versions
 
 	table         atomic.Pointer[routing.Table]
-	mu            sync.Mutex          // serialises activation
-	previous      []*routing.Document // earlier active versions, the latest last; guarded by mu
-	fullTransfers chan struct{}       // semaphore with one element for each full configuration being served
-	copyVersion   uint64              // version of the copy that this node last read or wrote; used by Run only
+	mu            sync.Mutex        // serialises activation
+	changes       []*routing.Change // between the latest active versions, the latest last; guarded by mu
+	fullTransfers chan struct{}     // semaphore with one element for each full configuration being served
+	copyVersion   uint64            // version of the copy that this node last read or wrote; used by Run only
+	copiedAt      time.Time         // when it last wrote the copy; used by Run only
 	pulling       atomic.Bool
 	storeUp       atomic.Bool
 
-	isReader func() bool                               // whether this node reads the store
-	isWriter func() bool                               // whether this node also maintains the copy in the store
-	onChange func(previous, current *routing.Document) // called after a version was read from the store or pulled from another node
+	isReader   func() bool                            // whether this node reads the store
+	isStandby  func() bool                            // whether another node of the data centre notices sooner that the store drops requests
+	hasPeers   func() bool                            // whether other nodes are known
+	isWriter   func() bool                            // whether this node also maintains the copy in the store
+	onRollouts func([]rollout.State)                  // called with the states of roll-outs that a starting node reads
+	onOrders   func(context.Context, []rollout.Order) // called with the orders of roll-outs that were read from the store
+	onChange   func(*routing.Change)                  // called after a version was read from the store or pulled from another node
 }
 
 func newFollower(source Source, client *rpc.Client, server *rpc.Server, m *metrics.Registry, logger *zap.Logger) *follower {
 	f := &follower{
 		source: source, client: client, metrics: m, logger: logger,
 		fullTransfers: make(chan struct{}, maxFullTransfers),
-		isReader:      func() bool { return true }, isWriter: func() bool { return true }, onChange: func(*routing.Document, *routing.Document) {},
+		isReader:      func() bool { return true }, isStandby: func() bool { return false }, isWriter: func() bool { return true },
+		hasPeers: func() bool { return true }, onChange: func(*routing.Change) {},
+		onRollouts: func([]rollout.State) {}, onOrders: func(context.Context, []rollout.Order) {},
 	}
 	server.Handle(documentMethod, f.serveDocument)
 	return f
@@ -97,28 +110,41 @@
 	return 0
 }
 
-// activate puts a configuration into force if it is valid and newer than the current one. It reports whether it did.
-func (f *follower) activate(d *routing.Document, from string) bool {
+// document returns the configuration in force, or an empty one of version 0.
+func (f *follower) document() *routing.Document {
+	if t := f.table.Load(); t != nil {
+		return t.Document
+	}
+	return &routing.Document{}
+}
+
+// activate puts a configuration into force if it is valid and newer than the current one. It returns the change from the version that was in
+// force before, or nil if the configuration was not activated. Before the first one, an empty document of version 0 is in force. change is
+// that change if it is known, or nil.
+func (f *follower) activate(d *routing.Document, change *routing.Change, from string) *routing.Change {
 	if d == nil {
-		return false
+		return nil
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.version()
 	if d.Version <= before {
-		return false
+		return nil
 	}
 	table, err := routing.Compile(d)
 	if err != nil {
 		f.metrics.Inc("configuration_rejected")
 		f.logger.Error("configuration_rejected", zap.Uint64("version", d.Version), zap.String("from", from), zap.Error(err),
 			zap.String("remedy", "publish a corrected configuration; the one in force is kept"))
-		return false
+		return nil
 	}
-	if current := f.table.Load(); current != nil {
-		f.previous = append(f.previous, current.Document)
-		if len(f.previous) > maxPreviousDocuments {
-			f.previous = f.previous[1:]
+	if change == nil || change.From != before {
+		change = routing.Diff(f.document(), table.Document)
+	}
+	if before > 0 {
+		f.changes = append(f.changes, change)
+		if len(f.changes) > maxChanges {
+			f.changes = slices.Delete(f.changes, 0, 1)
 		}
 	}
 	f.table.Store(table)
@@ -126,26 +152,34 @@
 	f.metrics.Gauge("configuration_version").Update(int64(d.Version))
 	f.logger.Info("configuration_activated", zap.Uint64("version", d.Version), zap.Uint64("before", before),
 		zap.String("from", from), zap.Int("routes", len(d.Routes)), zap.Int("services", len(d.Services)))
-	return true
+	return change
 }
 
-// Run reads the source until ctx ends. A node that is not a reader reads it only as long as it has no configuration.
+// Run reads the source until ctx ends. A node that is not a reader reads it only as long as it has no configuration, and not before
+// firstRelayTimeout if the whole fleet starts for the first time.
 func (f *follower) Run(ctx context.Context) {
 	position, positionKnown := int64(0), f.firstStart
-	if !f.firstStart && f.readCopy(ctx) {
+	readAlone := time.Now()
+	if f.firstStart {
+		readAlone = readAlone.Add(firstRelayTimeout)
+	}
+	for f.firstStart && !f.hasPeers() && time.Now().Before(readAlone) {
+		_ = clock.Sleep(ctx, readerCheckInterval)
+	}
+	if f.firstStart || f.readCopy(ctx) {
 		_ = clock.Sleep(ctx, readerCheckInterval) // by then the other members are known, which determine the readers
 	}
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		if f.table.Load() != nil && !f.isReader() {
-			positionKnown = false
+		if !f.isReader() && (f.table.Load() != nil || time.Now().Before(readAlone)) {
+			positionKnown = f.firstStart && f.table.Load() == nil
 			_ = clock.Sleep(ctx, readerCheckInterval)
 			continue
 		}
 		var p Published
 		var err error
 		if positionKnown {
-			p, err = f.source.Next(ctx, position, pollWait)
+			p, err = f.source.Next(ctx, position, f.pollWait())
 		} else {
 			p, err = f.source.Newest(ctx)
 		}
@@ -158,12 +192,13 @@
 		}
 		f.storeReached()
 		backoff = minBackoff
+		f.onOrders(ctx, p.Orders)
 		// After a burst of versions, read the newest instead of each in turn.
 		positionKnown = p.Position-position < minBurstVersions || !positionKnown
 		position = p.Position
-		before := f.table.Load()
-		if f.activate(p.Document, "store") && before != nil {
-			go f.onChange(before.Document, p.Document) // an unreachable data centre must not delay the next read
+		isFirst := f.table.Load() == nil
+		if change := f.activate(p.Document, nil, "store"); change != nil && (!isFirst || f.firstStart) {
+			go f.onChange(change) // an unreachable data centre must not delay the next read
 		}
 		f.keepCopy(ctx)
 		if p.Document == nil {
@@ -173,31 +208,41 @@
 	}
 }
 
+// pollWait returns how long the next poll of the store may wait.
+func (f *follower) pollWait() time.Duration {
+	if f.isStandby() {
+		return standbyPollWait
+	}
+	return pollWait
+}
+
 // readCopy activates the copy of the newest configuration that a node has left in the store. The copy may be slightly stale; the readers
 // detect that within a second and relay the newer version. It reports whether a usable copy was found.
 func (f *follower) readCopy(ctx context.Context) bool {
-	data, err := f.source.Copy(ctx)
+	stored, err := f.source.Copy(ctx)
 	if err != nil {
 		f.storeFailed(err) // Run reads the published configuration in any case
+		return false
 	}
-	if err != nil || data == nil {
+	f.onRollouts(stored.Rollouts)
+	if stored.Document == nil {
 		return false
 	}
-	document, err := decodeCompressed[routing.Document](data)
+	document, err := decodeCompressed[routing.Document](stored.Document)
 	if err != nil {
 		f.metrics.Inc("configuration_copy_unreadable")
 		f.logger.Warn("configuration_copy_unreadable", zap.Error(err), zap.String("remedy", "none; the copy is replaced with the next configuration"))
 		return false
 	}
 	f.copyVersion = document.Version
-	f.activate(document, "copy")
+	f.activate(document, nil, "copy")
 	return f.table.Load() != nil
 }
 
 // keepCopy updates the copy that starting nodes read, if it is older than the configuration in force.
 func (f *follower) keepCopy(ctx context.Context) {
 	t := f.table.Load()
-	if t == nil || t.Document.Version <= f.copyVersion || !f.isWriter() {
+	if t == nil || t.Document.Version <= f.copyVersion || time.Since(f.copiedAt) < copyInterval || !f.isWriter() {
 		return
 	}
 	data, err := encodeCompressed(t.Document)
@@ -209,7 +254,7 @@
 		f.logger.Info("configuration_copy_failed", zap.Uint64("version", t.Document.Version), zap.Error(err))
 		return // retried after the next read
 	}
-	f.copyVersion = t.Document.Version
+	f.copyVersion, f.copiedAt = t.Document.Version, time.Now()
 }
 
 func (f *follower) storeFailed(err error) {
@@ -257,9 +302,9 @@
 		f.logger.Info("configuration_pull_failed", zap.String("from", address), zap.Error(err))
 		return
 	}
-	before := f.table.Load()
-	if f.activate(document, "node") && before != nil {
-		go f.onChange(before.Document, document) // the readers of this data centre may have lost the store
+	isFirst := f.table.Load() == nil
+	if change := f.activate(document, nil, "node"); change != nil && !isFirst {
+		go f.onChange(change) // the readers of this data centre may have lost the store
 	}
 }
 
@@ -287,9 +332,9 @@
 	if t == nil || t.Document.Version <= p.NewerThan {
 		return documentResult{}, nil
 	}
-	if previous := f.previousVersion(p.NewerThan); previous != nil {
-		change, err := encodeCompressed(routing.Diff(previous, t.Document))
-		return documentResult{Change: change}, err
+	if change := f.changeSince(p.NewerThan); change != nil {
+		data, err := encodeCompressed(change)
+		return documentResult{Change: data}, err
 	}
 	select {
 	case f.fullTransfers <- struct{}{}:
@@ -301,12 +346,13 @@
 	return documentResult{Full: full}, err
 }
 
-func (f *follower) previousVersion(version uint64) *routing.Document {
+// changeSince returns the change from an earlier version to the one in force, or nil if it is not known.
+func (f *follower) changeSince(version uint64) *routing.Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, d := range f.previous {
-		if d.Version == version {
-			return d
+	for i, c := range f.changes {
+		if c.From == version {
+			return routing.Merge(f.changes[i:])
 		}
 	}
 	return nil
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -17,6 +17,8 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/link"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
+	"github.com/laburnumcleat/laburnumcleat/pkg/rollout"
+	"github.com/laburnumcleat/laburnumcleat/pkg/socket"
 )
 
 const (
@@ -40,7 +42,8 @@
 	client         *hop.Client
 	metrics        *metrics.Registry
 	logger         *zap.Logger
-	onResponse     func() // called when the backend server has responded
+	onResponse     func()       // called when the backend server has responded
+	failedCalls    atomic.Int64 // calls of the backend server that were not answered with a success
 	readLoadReport func(http.Header) (LoadReport, bool, error)
 
 	logLimit *rate.Limiter
@@ -48,8 +51,12 @@
 	link  *link.Link
 	stats routeStats // by call class
 
+	running        atomic.Int64 // calls that hold a slot
+	runningRetries atomic.Int64 // of them, those that a backend server has received before
+
 	origins  *admission.OriginTracker
 	instance atomic.Pointer[instance]
+	gate     atomic.Pointer[rollout.Gate] // nil if no roll-out of the service is known
 	stopping atomic.Bool
 }
 
@@ -58,6 +65,7 @@
 	announce.Announcement
 	admission *admission.Controller
 	draining  atomic.Bool
+	warmAt    time.Time // end of its cold start
 
 	mu            sync.Mutex
 	answeredRatio float64 // EWMA of the fraction of calls that it answered
@@ -82,8 +90,15 @@
 		}
 		return
 	}
+	if old != nil && old.ID == a.ID && old.StartTimeMS == 0 && a.StartTimeMS != 0 && !old.draining.Load() {
+		in.instance.Store(old.announced(*a)) // it was in use before its first announcement
+		return
+	}
 	if old == nil || old.ID != a.ID || old.StartTimeMS != a.StartTimeMS {
-		next := &instance{Announcement: *a, admission: admission.New(max(a.Slots, 1)), answeredRatio: 1}
+		next := &instance{Announcement: *a, admission: admission.New(max(a.Slots, 1)), warmAt: time.Now().Add(a.ColdRemaining), answeredRatio: 1}
+		if a.ColdRemaining > 0 {
+			next.admission.SetColdUntil(next.warmAt)
+		}
 		if a.Draining {
 			next.close()
 		}
@@ -100,6 +115,29 @@
 	old.admission.SetSlots(max(a.Slots, 1))
 }
 
+// announced returns the instance with what its announcement says, and with its calls.
+func (i *instance) announced(a announce.Announcement) *instance {
+	next := &instance{Announcement: a, admission: i.admission, warmAt: time.Now().Add(a.ColdRemaining)}
+	i.mu.Lock()
+	next.answeredRatio = i.answeredRatio
+	i.mu.Unlock()
+	next.admission.SetSlots(max(a.Slots, 1))
+	if a.ColdRemaining > 0 {
+		next.admission.SetColdUntil(next.warmAt)
+	}
+	if a.Draining {
+		next.close()
+		i.draining.Store(true)
+	}
+	return next
+}
+
+// isCurrent reports whether the instance is still the one to forward calls to.
+func (in *inbound) isCurrent(i *instance) bool {
+	current := in.instance.Load()
+	return current != nil && current.admission == i.admission && !current.draining.Load()
+}
+
 func (i *instance) close() {
 	i.draining.Store(true)
 	i.admission.Close()
@@ -167,14 +205,21 @@
 	if refused != nil {
 		return in.completeReply(i, c, r, admissionReply(refused)), nil
 	}
-	// The call may have been queued. Check the instance again before the first byte is sent.
-	if in.instance.Load() != i || i.draining.Load() {
+	// The call may have been queued, or the process paused. Check again before the first byte is sent.
+	if cause := in.lateRefusalReason(ctx, i); cause != "" {
+		grant.Release(admission.Inconclusive)
+		return in.completeReply(i, c, r, &callReply{verdict: verdictNotRun, reason: cause}), nil
+	}
+	leaveGate, ok := in.enterGate(i, c.class)
+	if !ok {
 		grant.Release(admission.Inconclusive)
-		return in.completeReply(i, c, r, &callReply{verdict: verdictNotRun, reason: reasonDraining}), nil
+		return in.completeReply(i, c, r, &callReply{verdict: verdictNotRun, reason: reasonVersionHeld}), nil
 	}
 	done := in.link.Expect(in.stats.meanResponseBytes(c.class))
 	granted := time.Now()
+	leaveRunning := in.countRunning(c)
 	reply, response, result := in.forward(ctx, i, c, r, now.Add(c.deadlineRemaining))
+	leaveRunning()
 	in.recordSlotTime(ctx, reply, response, rank, time.Since(granted), now.Add(c.targetRemaining))
 	reply.nested = rank == admission.Nested
 	done()
@@ -182,13 +227,34 @@
 		in.stats.observeResponse(c.class, response.Length)
 	}
 	if response != nil && response.Rest != nil && !response.Buffered {
-		response.Rest = &releaseOnClose{ReadCloser: response.Rest, grant: grant, result: result}
+		response.Rest = &releaseOnClose{ReadCloser: response.Rest, release: func() { grant.Release(result); leaveGate(reply, response) }}
 	} else {
 		grant.Release(result)
+		leaveGate(reply, response)
 	}
 	return in.completeReply(i, c, r, reply), response
 }
 
+// countRunning counts a call as running until the returned function is called.
+func (in *inbound) countRunning(c *call) (done func()) {
+	retries := int64(0)
+	if c.retry {
+		retries = 1
+	}
+	in.running.Add(1)
+	in.runningRetries.Add(retries)
+	return func() {
+		in.running.Add(-1)
+		in.runningRetries.Add(-retries)
+	}
+}
+
+// retryShare returns the share of the running calls that a backend server has received before: the probability that a nested call which the
+// backend server makes now repeats an earlier one.
+func (in *inbound) retryShare() float64 {
+	return float64(in.runningRetries.Load()) / float64(max(1, in.running.Load()))
+}
+
 // recordSlotTime counts the slot time of a call by its outcome. It does not include the time for which a streamed response holds the slot.
 func (in *inbound) recordSlotTime(ctx context.Context, r *callReply, response *hop.Response, rank int, held time.Duration, target time.Time) {
 	outcome := "in_time"
@@ -237,10 +303,67 @@
 		return reasonOtherService
 	case i.draining.Load():
 		return reasonDraining
+	case in.isHeld(&i.Announcement):
+		return reasonVersionHeld
+	}
+	return ""
+}
+
+// lateRefusalReason returns the reason why a call that was granted a slot must not be forwarded to the instance after all, or "".
+func (in *inbound) lateRefusalReason(ctx context.Context, i *instance) reason {
+	switch {
+	case !in.isCurrent(i):
+		return reasonDraining
+	case socket.CallerLeft(ctx):
+		return reasonCancelled
 	}
 	return ""
 }
 
+// rolloutMode returns which requests a roll-out allows the instance's version.
+func (in *inbound) rolloutMode(a *announce.Announcement) rollout.Mode {
+	gate := in.gate.Load()
+	if gate == nil || gate.State().Order.Service != a.Service {
+		return rollout.Open
+	}
+	return gate.Mode(a.Version)
+}
+
+// isHeld reports whether a roll-out allows the instance's version no request.
+func (in *inbound) isHeld(a *announce.Announcement) bool { return in.rolloutMode(a) == rollout.Closed }
+
+// enterGate reports whether a roll-out allows the instance a request of the class. The returned function records the end of the request.
+func (in *inbound) enterGate(i *instance, class string) (leave func(*callReply, *hop.Response), ok bool) {
+	gate := in.gate.Load()
+	if gate == nil || gate.State().Order.Service != i.Service {
+		return func(*callReply, *hop.Response) {}, true
+	}
+	if !gate.Enter(i.Version) {
+		return nil, false
+	}
+	start := time.Now()
+	return func(r *callReply, response *hop.Response) {
+		outcome := rolloutOutcome(r, response)
+		if start.Before(i.warmAt) {
+			outcome = rollout.NoVerdict
+		}
+		gate.Leave(i.Version, class, outcome, time.Since(start))
+	}, true
+}
+
+// rolloutOutcome returns what the end of a request shows about the version of the backend server.
+func rolloutOutcome(r *callReply, response *hop.Response) rollout.Outcome {
+	switch {
+	case r.verdict == verdictNotRun, r.reason == reasonCancelled, r.reason == reasonBodyFailed:
+		return rollout.NoVerdict
+	case r.verdict == verdictUnknown, r.reason == reasonBackendFailed:
+		return rollout.Failed
+	case response != nil && response.Status >= http.StatusInternalServerError:
+		return rollout.NoVerdict // a call that the backend server made has failed
+	}
+	return rollout.Succeeded
+}
+
 func admissionReply(r *admission.Refusal) *callReply {
 	out := &callReply{verdict: verdictNotRun, retryAfter: r.RetryAfter}
 	switch r.Reason {
@@ -262,6 +385,9 @@
 func (in *inbound) completeReply(i *instance, c *call, request *hop.Request, r *callReply) *callReply {
 	if i != nil {
 		r.load, r.hasLoad = i.load(c.class), true
+		if in.rolloutMode(&i.Announcement) == rollout.Limited {
+			r.load.Answered = 1 // callers that avoided a failing canary would leave too few responses to judge the version by
+		}
 		if wait := in.link.EstimateWait(in.stats.meanResponseBytes(c.class)); wait > 0 && r.load.ClassTime > 0 {
 			r.load.ClassTime += wait // outbound nodes compare the times at which responses arrive
 		}
@@ -305,6 +431,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(backendGrace))
+	failedCalls := in.failedCalls.Load()
 	response, failed := in.client.Do(ctx, i.Address, r)
 	if failed != nil {
 		cancel()
@@ -315,7 +442,11 @@
 	} else {
 		cancel()
 	}
-	return in.classifyResponse(i, response)
+	reply, response, result := in.classifyResponse(i, response)
+	if response != nil && response.Status == http.StatusInternalServerError && in.failedCalls.Load() == failedCalls {
+		reply.reason = reasonBackendFailed
+	}
+	return reply, response, result
 }
 
 func (in *inbound) backendFailure(i *instance, f *hop.Failure) (*callReply, *hop.Response, admission.Result) {
--- a/pkg/sidecar/listeners.go
+++ b/pkg/sidecar/listeners.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/graceful"
@@ -42,13 +41,12 @@
 		}
 		return err
 	}
-	listen := func(address string) (*net.TCPListener, error) {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return nil, eris.Wrapf(err, "listening on %s; free the port or change the setting", address)
+	listen := func(address string) (*graceful.Listener, error) {
+		listener, err := graceful.Listen(address)
+		if err == nil {
+			open = append(open, listener)
 		}
-		open = append(open, listener)
-		return listener.(*net.TCPListener), nil
+		return listener, err
 	}
 	control, err := listen(l.Control)
 	if err != nil {
@@ -59,48 +57,53 @@
 	if err != nil {
 		return fail(err)
 	}
-	n.callers = &callerServer{graceful.NewListener(callers), pipeline.New(n.outbound, n.callerLimits, n.onPanic)}
+	n.callers = &pipelineServer{callers, pipeline.New(n.outbound, n.callerLimits, n.onPanic)}
+	nodes, err := listen(l.Nodes)
+	if err != nil {
+		return fail(err)
+	}
+	n.nodes = &pipelineServer{nodes, pipeline.New(&nodeHandler{id: n.settings.ID, inbound: n.inbound, link: n.link}, nodeLimits, n.onPanic)}
 	for _, spec := range []struct {
 		address string
 		handler http.Handler
-		target  **graceful.Server
 	}{
-		{l.Nodes, &nodeHandler{id: n.settings.ID, inbound: n.inbound, link: n.link}, &n.nodes},
-		{l.Announcements, n.platform.AnnouncementHandler(n), nil},
-		{l.Readiness, n.platform.ReadinessHandler(n.isReady), nil},
-		{l.Metrics, n.metricsHandler(), nil},
+		{l.Announcements, n.platform.AnnouncementHandler(n)},
+		{l.Readiness, n.platform.ReadinessHandler(n.isReady)},
+		{l.Metrics, n.metricsHandler()},
 	} {
 		listener, err := listen(spec.address)
 		if err != nil {
 			return fail(err)
 		}
 		server := &http.Server{Handler: spec.handler, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: nodeIdleTimeout, ReadHeaderTimeout: nodeIdleTimeout}
-		s := graceful.NewServer(server, graceful.NewListener(listener))
-		if spec.target != nil {
-			*spec.target = s
-		} else {
-			n.auxiliary = append(n.auxiliary, s)
-		}
+		n.auxiliary = append(n.auxiliary, graceful.NewServer(server, listener))
 	}
 	return nil
 }
 
-// callerServer serves clients and the backend server on this VM.
-type callerServer struct {
+// nodeLimits returns the limits of connections of other nodes.
+func nodeLimits() pipeline.Limits {
+	return pipeline.Limits{IdleTimeout: nodeIdleTimeout, HeaderTimeout: nodeIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
+// pipelineServer serves callers, which are clients and the backend server on this VM, or other nodes.
+type pipelineServer struct {
 	listener *graceful.Listener
 	server   *pipeline.Server
 }
 
-// backlogDrainTimeout bounds the wait until the accept loop has accepted the connections in the backlog.
-const backlogDrainTimeout = time.Second
-
-// Stop answers the requests that have been received, and closes the connections. ctx bounds the wait.
-func (c *callerServer) Stop(ctx context.Context) error {
+// Stop answers the requests that have been received, and closes the connections. ctx bounds the wait. The error is as for graceful.Server.
+func (c *pipelineServer) Stop(ctx context.Context) error {
 	c.server.CloseAfterResponses()
-	c.listener.Drain(backlogDrainTimeout)
-	return c.server.Wait(ctx)
+	drainErr := c.listener.Drain(graceful.DrainTimeout(ctx))
+	if err := c.server.Wait(ctx); err != nil {
+		return err
+	}
+	return drainErr
 }
 
+func (c *pipelineServer) serve() error { return c.server.Serve(c.listener) }
+
 func (n *Node) onPanic(value any) {
 	n.metrics.Inc("panics")
 	n.logger.Error("panic", zap.Any("value", value), zap.String("remedy", "report it; the connection was closed"))
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/logging"
+	"github.com/laburnumcleat/laburnumcleat/pkg/rollout"
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 	"github.com/stretchr/testify/require"
 )
@@ -37,13 +39,24 @@
 	position  int64
 	contacts  []Contact
 	copied    []byte
-	refusing  map[string]bool // IDs of nodes that the store refuses to serve
-	calls     []string        // calls that read configurations, in order
-	published chan struct{}
+	copyEnd   int64                    // number of records among the copies and states
+	rollouts  []rollout.State          // one for each service
+	statuses  []rollout.Phase          // that were written for the operators
+	orders    []rollout.Order          // in force
+	refusing  map[string]bool          // IDs of nodes that the store refuses to serve
+	noCopies  map[string]bool          // IDs of nodes that the store refuses the copies and states
+	calls     []string                 // calls that read configurations, in order
+	pollers   map[string]bool          // IDs of nodes that waited for a configuration
+	registers []string                 // IDs of nodes that registered, in order
+	waits     map[string]time.Duration // longest wait of a poll, by ID of the node
+
+	directoryReads int
+	published      chan struct{}
+	holdLeave      <-chan struct{} // Remove returns when it is closed, whatever its context says; nil: at once
 }
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{refusing: make(map[string]bool), published: make(chan struct{})}
+	return &fakePlatform{refusing: make(map[string]bool), noCopies: make(map[string]bool), pollers: make(map[string]bool), waits: make(map[string]time.Duration), published: make(chan struct{})}
 }
 
 func (p *fakePlatform) publish(d *routing.Document) {
@@ -55,6 +68,23 @@
 	p.published = make(chan struct{})
 }
 
+// setNoCopies makes the store refuse a node the copies and states, or serve them again.
+func (p *fakePlatform) setNoCopies(id string, refusing bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.noCopies[id] = refusing
+}
+
+// orderRollout publishes an order for the service "s".
+func (p *fakePlatform) orderRollout(target string, duration time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.position++
+	p.orders = []rollout.Order{{Service: "s", Target: target, Duration: duration, Position: p.position}}
+	close(p.published)
+	p.published = make(chan struct{})
+}
+
 // forNode is the fake platform as seen by one node.
 type forNode struct {
 	*fakePlatform
@@ -86,13 +116,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls = append(p.calls, "newest")
-	return Published{p.document, p.position}, p.refused()
+	return Published{p.document, p.orders, p.position}, p.refused()
 }
 
 func (p *forNode) Next(ctx context.Context, position int64, wait time.Duration) (Published, error) {
 	p.mu.Lock()
 	p.calls = append(p.calls, "next")
-	published, now, err := p.published, Published{p.document, p.position}, p.refused()
+	p.pollers[p.id] = true
+	p.waits[p.id] = max(p.waits[p.id], wait)
+	published, now, err := p.published, Published{p.document, p.orders, p.position}, p.refused()
 	p.mu.Unlock()
 	if err != nil || now.Position > position {
 		return now, err
@@ -101,18 +133,46 @@
 	case <-published:
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return Published{p.document, p.position}, p.refused()
+		return Published{p.document, p.orders, p.position}, p.refused()
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
 	return Published{Position: position}, ctx.Err()
 }
 
-func (p *forNode) Copy(context.Context) ([]byte, error) {
+func (p *forNode) Copy(context.Context) (Copy, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls = append(p.calls, "copy")
-	return p.copied, p.refused()
+	if p.noCopies[p.id] {
+		return Copy{}, apierror.New(apierror.Unavailable, "store is down", "try again")
+	}
+	return Copy{Document: p.copied, Rollouts: slices.Clone(p.rollouts), End: p.copyEnd}, p.refused()
+}
+
+func (p *forNode) PutRollout(_ context.Context, state rollout.State, end int64) (int64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.refused(); err != nil {
+		return 0, err
+	}
+	if end != p.copyEnd {
+		return 0, apierror.New(apierror.Conflict, "changed", "read again")
+	}
+	state.Epoch = p.copyEnd
+	p.copyEnd++
+	p.rollouts = append(slices.DeleteFunc(p.rollouts, func(s rollout.State) bool { return s.Order.Service == state.Order.Service }), state)
+	return state.Epoch, nil
+}
+
+func (p *forNode) PutRolloutStatus(_ context.Context, _ rollout.Order, phase rollout.Phase) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.refused(); err != nil {
+		return err
+	}
+	p.statuses = append(p.statuses, phase)
+	return nil
 }
 
 func (p *forNode) PutCopy(_ context.Context, data []byte) error {
@@ -122,17 +182,22 @@
 		return err
 	}
 	p.copied = data
+	p.copyEnd++
 	return nil
 }
 
 func (p *forNode) Register(_ context.Context, c Contact) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.contacts = append(p.contacts, c)
+	p.contacts = append(slices.DeleteFunc(p.contacts, func(old Contact) bool { return old.ID == c.ID }), c)
+	p.registers = append(p.registers, c.ID)
 	return p.refused()
 }
 
 func (p *forNode) Remove(_ context.Context, id string) error {
+	if p.holdLeave != nil {
+		<-p.holdLeave
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.contacts = slices.DeleteFunc(p.contacts, func(c Contact) bool { return c.ID == id })
@@ -142,6 +207,7 @@
 func (p *forNode) Contacts(context.Context) ([]Contact, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.directoryReads++
 	return slices.Clone(p.contacts), p.refused()
 }
 
@@ -179,8 +245,11 @@
 }
 
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if b.health != nil && r.URL.Path == "/health" {
-		b.health(w)
+	b.mu.Lock()
+	health := b.health
+	b.mu.Unlock()
+	if health != nil && r.URL.Path == "/health" {
+		health(w)
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
@@ -209,6 +278,12 @@
 	b.handle = handle
 }
 
+func (b *backendServer) setHealth(health func(w http.ResponseWriter)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.health = health
+}
+
 func (b *backendServer) requests() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -222,7 +297,8 @@
 	stop          context.CancelFunc
 	done          chan error
 	announcements int64
-	backendStart  int64 // start time of the backend server, Unix ms
+	version       string // of the backend server
+	backendStart  int64  // start time of the backend server, Unix ms
 }
 
 type mesh struct {
@@ -231,6 +307,8 @@
 	nodes      []*testNode
 	ids        atomic.Int64
 	firstStart bool        // sets Settings.FirstStart
+	version    string      // of the backend servers that are started
+	dataCentre string      // of all nodes; "": each node has its own
 	adjust     func(*Node) // called before a node runs; may be nil
 	log        logBuffer   // output of all nodes
 }
@@ -304,13 +382,14 @@
 func (m *mesh) settings(i int, b *backendServer) *Settings {
 	address := func() string { return freeAddress(m.t) }
 	return &Settings{
-		ID: "node-" + strconv.Itoa(i), FirstStart: m.firstStart, Region: "r", DataCentre: "dc-" + strconv.Itoa(i),
+		ID: "node-" + strconv.Itoa(i), FirstStart: m.firstStart, Region: "r", DataCentre: cmp.Or(m.dataCentre, "dc-"+strconv.Itoa(i)),
 		Listen:  Listen{Callers: address(), Nodes: address(), Control: address(), Announcements: address(), Readiness: address(), Metrics: address()},
 		Backend: Backend{Service: "s", Address: b.address, AnnouncementInterval: Duration(time.Minute)},
 		Store:   Store{Address: "127.0.0.1:1"},
 		Bounds: Bounds{
 			GracePeriod: Duration(testLimit), Drain: Duration(2 * time.Second), ConfigApply: Duration(2 * time.Second),
 			RetryRatio: 0.2, RetrySlack: 100, RetryWindow: Duration(10 * time.Second), ReadinessInterval: Duration(10 * time.Millisecond),
+			ExposureShare: 0.1, ExposureSlack: 50,
 		},
 	}
 }
@@ -318,6 +397,7 @@
 func (m *mesh) start(i int) *testNode {
 	b := newBackend(m.t, "i-"+strconv.Itoa(i))
 	node := m.startNode(m.settings(i, b), b)
+	node.version = m.version
 	m.nodes = append(m.nodes, node)
 	node.announce(false)
 	return node
@@ -354,7 +434,7 @@
 func (n *testNode) announce(draining bool) announce.Verdict {
 	n.announcements++
 	return n.Announce(announce.Announcement{
-		ID: n.backend.id, Service: "s", Address: n.backend.address, Slots: 4, Draining: draining, Sequence: n.announcements, StartTimeMS: n.backendStart,
+		ID: n.backend.id, Service: "s", Version: n.version, Address: n.backend.address, Slots: 4, Draining: draining, Sequence: n.announcements, StartTimeMS: n.backendStart,
 	})
 }
 
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -19,6 +20,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/graceful"
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/link"
@@ -41,6 +43,12 @@
 	nodeIdleTimeout        = 10 * time.Second // idle timeout of connections between nodes; longer than the client side keeps them
 )
 
+const (
+	// maxWaitToBeFound is how long a node waits at most, when the whole fleet starts for the first time, until it reads the directory.
+	maxWaitToBeFound   = 2 * time.Second
+	foundCheckInterval = 50 * time.Millisecond
+)
+
 // contactsInterval is the time between reads of the platform's directory while other nodes are known.
 const contactsInterval = time.Minute
 
@@ -64,22 +72,29 @@
 	mu          sync.Mutex // guards the fields below
 	tracker     announce.Tracker
 	announced   bool                   // an announcement was accepted
+	left        bool                   // a backend server has left
+	confirmed   string                 // ID of the instance that the liveness check at the start has shown; "": none, or too long ago
+	provisional bool                   // that instance is in use and not announced yet
 	unconfirmed *announce.Announcement // latest announcement that was rejected because this node had just started
 	started     time.Time
 
-	stopping   atomic.Bool
-	registered bool // in the platform's directory; used by the membership's join loop only
-	view       atomic.Pointer[endpointView]
+	found        chan struct{} // closed when the liveness check at the start has ended
+	stopping     atomic.Bool
+	shutdownStep atomic.Value // string; what the shutdown waits for
+	registered   bool         // in the platform's directory; used by the membership's join loop only
+	// rolloutsKnown is set when the states of roll-outs were read after the start, so that no gate means that there is none.
+	rolloutsKnown atomic.Bool
+	view          atomic.Pointer[endpointView]
 
 	control   net.Listener
-	callers   *callerServer
-	nodes     *graceful.Server
+	callers   *pipelineServer
+	nodes     *pipelineServer
 	auxiliary []*graceful.Server // servers for announcements, readiness and metrics
 }
 
 // New builds a node and opens its listeners. Start it with Run.
 func New(s *Settings, p Platform, logger *zap.Logger) (*Node, error) {
-	n := &Node{settings: s, platform: p, logger: logger.With(zap.String("node", s.ID)), metrics: metrics.New(), started: time.Now()}
+	n := &Node{settings: s, platform: p, logger: logger.With(zap.String("node", s.ID)), metrics: metrics.New(), found: make(chan struct{}), started: time.Now()}
 	n.service.Store(&s.Backend.Service)
 	bytes := &rpc.Counters{}
 	n.rpcServer = rpc.NewServer(bytes)
@@ -113,8 +128,9 @@
 		follower: n.follower, metrics: n.metrics, logger: n.logger,
 	}
 	n.rpcServer.Handle(changeMethod, r.serveChange)
-	n.follower.isReader, n.follower.isWriter = r.isReader, r.isWriter
+	n.follower.isReader, n.follower.isStandby, n.follower.isWriter, n.follower.hasPeers = r.isReader, r.isStandby, r.isWriter, r.hasPeers
 	n.follower.onChange = r.broadcast
+	n.follower.onOrders, n.follower.onRollouts = n.newRollouts(r).observe, n.observeRollouts
 }
 
 func (n *Node) self() membership.Member {
@@ -126,12 +142,12 @@
 }
 
 func (n *Node) newOutbound() *outbound {
-	policy := retry.Policy{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: time.Duration(n.settings.Bounds.RetryWindow)}
+	retryBound := retry.Bound{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: time.Duration(n.settings.Bounds.RetryWindow)}
 	return &outbound{
 		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(),
-		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(n.settings.DataCentre),
-		budget: retry.New(policy, func() int { return len(n.membership.SharedMembers()) }),
-		local:  n.inbound, link: n.link,
+		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(placement.Options{DataCentre: n.settings.DataCentre, Policy: placement.DefaultPolicy()}),
+		budget: retry.New(retry.Options{Bound: retryBound, Policy: retry.DefaultPolicy(), Nodes: func() int { return len(n.membership.SharedMembers()) }}),
+		local:  n.inbound, link: n.link, starting: newStarting(),
 		client: hop.New(hop.Options{
 			EchoHeader: n.platform.Headers().RequestID, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, DialOverrides: n.settings.DialOverrides,
 			MaxBufferedBytes: link.MaxShortBytes,
@@ -177,41 +193,63 @@
 	}, true
 }
 
-// directory registers this node in the platform's directory and then reads the registered nodes. This order ensures that of any two nodes
-// that start concurrently, at least one finds the other.
+// directory registers this node in the platform's directory and reads the registered nodes. If the whole fleet starts for the first time, it
+// registers before it reads: then of any two nodes, at least one finds the other. It reads only if no other node has found it for a while.
+// Otherwise it registers only if the contact of its previous process is gone or has other addresses.
 func (n *Node) directory(ctx context.Context) ([]membership.Member, error) {
-	if !n.registered {
+	if n.settings.FirstStart && !n.registered {
 		if err := n.register(ctx); err != nil {
 			return nil, err
 		}
+		if n.isFoundWithin(ctx, rand.N(maxWaitToBeFound)) {
+			return nil, nil
+		}
 	}
 	contacts, err := n.platform.Contacts(ctx)
 	if err != nil {
 		return nil, err
 	}
 	var members []membership.Member
-	registered := false
+	own := n.contact()
+	found := false
 	for _, c := range contacts {
-		registered = registered || c.ID == n.settings.ID
+		found = found || c.hasAddressesOf(own)
 		members = append(members, membership.Member{
 			ID: c.ID, Region: c.Region, DataCentre: c.DataCentre, ControlAddress: c.Control, CallAddress: c.Nodes, Incarnation: c.Incarnation,
 		})
 	}
-	if !registered {
-		n.logger.Warn("contact_was_removed", zap.String("remedy", "other nodes considered this node dead; it registers again"))
+	if !found {
+		if n.registered {
+			n.logger.Warn("contact_was_removed", zap.String("remedy", "other nodes considered this node dead; it registers again"))
+		}
 		if err := n.register(ctx); err != nil {
 			return members, err
 		}
 	}
+	n.registered = true
 	n.removeDeadContacts(ctx, contacts)
 	return members, nil
 }
 
-func (n *Node) register(ctx context.Context) error {
+// isFoundWithin waits until other nodes are known, because they have contacted this one, and reports whether that happened in time.
+func (n *Node) isFoundWithin(ctx context.Context, wait time.Duration) bool {
+	for end := time.Now().Add(wait); time.Now().Before(end) && clock.Sleep(ctx, foundCheckInterval) == nil; {
+		if len(n.membership.SharedMembers()) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) contact() Contact {
 	self := n.membership.Self()
-	err := n.platform.Register(ctx, Contact{
+	return Contact{
 		ID: self.ID, Region: self.Region, DataCentre: self.DataCentre, Control: self.ControlAddress, Nodes: self.CallAddress, Incarnation: self.Incarnation,
-	})
+	}
+}
+
+func (n *Node) register(ctx context.Context) error {
+	err := n.platform.Register(ctx, n.contact())
 	if err != nil {
 		n.metrics.Inc("directory_failed")
 	}
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -24,15 +24,12 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
 	"github.com/laburnumcleat/laburnumcleat/pkg/retry"
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
+	"github.com/laburnumcleat/laburnumcleat/pkg/socket"
 )
 
 const (
 	// peerGrace is how long the outbound node waits beyond a call's deadline for a reply that is already in flight.
 	peerGrace = 100 * time.Millisecond
-	// maxNodeAttempts bounds the inbound nodes that one call is sent to. A refusal takes about 1 ms.
-	maxNodeAttempts = 4
-	// maxFullRefusals is the number of refusals for lack of capacity after which the remaining nodes are assumed to be full as well.
-	maxFullRefusals = 2
 	// peerUserTimeout closes a connection to another node that does not acknowledge data. Round trips take a few milliseconds, and a
 	// lost packet is first retransmitted after 200 ms.
 	peerUserTimeout = 350 * time.Millisecond
@@ -66,6 +63,7 @@
 	logger    *zap.Logger
 	stats     routeStats
 	refusals  callerretry.Tracker
+	starting  *starting
 	logLimit  *rate.Limiter
 }
 
@@ -116,6 +114,11 @@
 	arrivals int // number of backend servers that received the request
 }
 
+// isSuccess reports whether the backend server answered with a status other than a server error.
+func (r *result) isSuccess() bool {
+	return r.verdict == verdictAnswered && r.response != nil && r.response.Status < http.StatusInternalServerError
+}
+
 // ServeHTTP routes a request and writes the response.
 func (o *outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Request: r, id: r.Header.Get(o.headers.RequestID), received: pipeline.ReceivedAt(r)}
@@ -123,6 +126,9 @@
 	res.version = q.version
 	o.metrics.Observe(time.Since(q.received), "outbound_latency", "rank", q.rankLabel(), "verdict", string(res.verdict))
 	o.metrics.Inc("outbound", "verdict", string(res.verdict), "reason", string(res.reason))
+	if q.route != nil && o.stats.isNested(q.route.Name) && !res.isSuccess() {
+		o.local.failedCalls.Add(1)
+	}
 	if q.callerRetry {
 		o.metrics.Inc("returned", "verdict", string(res.verdict), "reason", string(res.reason))
 	}
@@ -139,6 +145,9 @@
 // serve validates and routes a request, and returns the final result.
 func (o *outbound) serve(w http.ResponseWriter, q *request) *result {
 	table := o.table()
+	if table == nil && o.starting.wait(q.Context(), time.Now().Add(maxStartWait), func() bool { table = o.table(); return table != nil }) {
+		o.metrics.Inc("start_wait", "for", "configuration")
+	}
 	if table == nil {
 		res := refuse(http.StatusServiceUnavailable, reasonNotReady)
 		res.retryAfter = notReadyRetryAfter
@@ -159,8 +168,21 @@
 		return res
 	}
 	q.service = q.route.Destination()
-	o.budget.CountRequest(q.service)
-	return o.sendWithRetries(q)
+	return o.sendOrWait(q)
+}
+
+// sendOrWait sends the request. If no endpoint is known because the process has just started, the request waits for one, for half of its
+// remaining time at most.
+func (o *outbound) sendOrWait(q *request) *result {
+	hasEndpoint := func() bool { return len(o.endpoints(q.service)) > 0 }
+	if !hasEndpoint() && o.starting.wait(q.Context(), q.received.Add(q.deadline.Sub(q.received)/2), hasEndpoint) {
+		o.metrics.Inc("start_wait", "for", "endpoint")
+	}
+	res := o.sendWithRetries(q)
+	if res.reason == reasonNoEndpoint && res.retryAfter == 0 && o.starting.signal() != nil {
+		res.retryAfter = startRetryAfter
+	}
+	return res
 }
 
 // headerBytes returns the approximate size of the request header on the wire.
@@ -246,11 +268,13 @@
 	defer func() { cancel() }()
 	attempted, busy := map[string]bool{}, map[string]bool{}
 	last := refuse(0, reasonNoEndpoint)
-	arrivals, fullRefusals, mayHaveRun, nested := 0, 0, false, false
-	retries := o.budget.ForCall(q.service)
-	for attempt := 1; attempt <= maxNodeAttempts; attempt++ {
-		if cause := o.stopReason(q, last, arrivals, fullRefusals); cause != "" {
-			if attempt == 1 {
+	attempts := o.budget.Attempts(retry.Call{Service: q.service, Idempotent: q.route.Idempotent, MaxArrivals: q.route.MaxAttempts})
+	if o.stats.isNested(q.route.Name) {
+		o.budget.CountRetries(q.service, o.local.retryShare()) // the call is a retry if that of its parent is one
+	}
+	for attempts.Allowed() {
+		if cause := o.stopReason(q, last); cause != "" {
+			if attempts.Sent() == 0 {
 				last.reason = cause
 			}
 			break
@@ -259,64 +283,54 @@
 		if choice == nil {
 			break
 		}
-		if arrivals > 0 && !retries.Reserve(nested) {
+		if !attempts.Reserve() {
 			choice.Done(placement.Healthy, nil)
 			o.metrics.Inc("outbound_retry_denied", "reason", string(reasonRetryBudget))
 			break
 		}
-		if attempt > 1 {
+		if attempts.Sent() > 0 {
 			o.metrics.Inc("outbound_retry", "reason", string(last.reason))
 		}
-		last = o.attempt(ctx, q, choice)
-		last.attempts = attempt
+		last = o.attempt(ctx, q, choice, attempts.Arrivals() > 0)
 		if last.reason == reasonBusy {
 			busy[choice.ID] = true
-			attempt--
 			continue
 		}
-		nested = nested || last.nested
-		retries.Commit()
 		attempted[choice.ID] = true
-		if last.arrived {
-			arrivals++
-		}
-		last.arrivals = arrivals
-		if last.reason == reasonFull || last.reason == reasonDeadlineUnreachable {
-			fullRefusals++
-		}
-		mayHaveRun = mayHaveRun || last.verdict == verdictUnknown
-		if last.verdict == verdictAnswered {
-			o.stats.observeResponse(q.route.Name, last.response.Length)
-			o.stats.setNested(q.route.Name, last.nested)
-			if last.response.Rest != nil {
-				last.response.Rest = &cancelOnClose{ReadCloser: last.response.Rest, cancel: cancel}
-				cancel = func() {}
-			}
-			break
+		attempts.Observe(attemptOutcome(last))
+	}
+	last.attempts, last.arrivals = attempts.Sent(), attempts.Arrivals()
+	if last.verdict == verdictAnswered {
+		o.stats.observeResponse(q.route.Name, last.response.Length)
+		o.stats.setNested(q.route.Name, last.nested)
+		if last.response.Rest != nil {
+			last.response.Rest = &cancelOnClose{ReadCloser: last.response.Rest, cancel: cancel}
+			cancel = func() {}
 		}
 	}
-	if mayHaveRun && last.verdict == verdictNotRun {
-		last.verdict = verdictUnknown // an earlier attempt may have been executed
+	if attempts.MayHaveRun() && last.verdict == verdictNotRun {
+		last.verdict = verdictUnknown
 	}
 	return last
 }
 
-// stopReason returns the reason not to make another attempt, or "" if one is allowed. arrivals is the number of backend servers that
-// received the request, fullRefusals the number of nodes that had no capacity.
-func (o *outbound) stopReason(q *request, last *result, arrivals, fullRefusals int) reason {
+// attemptOutcome returns what the result of an attempt shows about the call.
+func attemptOutcome(res *result) retry.Outcome {
+	return retry.Outcome{
+		Answered: res.verdict == verdictAnswered, MayHaveRun: res.verdict == verdictUnknown, Arrived: res.arrived, Nested: res.nested,
+		Full: res.reason == reasonFull || res.reason == reasonDeadlineUnreachable,
+	}
+}
+
+// stopReason returns the reason for which the last result or the deadline rules out another attempt, or "" if one is possible.
+func (o *outbound) stopReason(q *request, last *result) reason {
 	switch {
 	case !time.Now().Add(attemptOverhead).Before(q.deadline):
 		return reasonDeadline
-	case last.verdict == verdictUnknown && !q.route.Idempotent:
-		return last.reason
 	case last.reason == reasonCancelled, last.reason == reasonBodyFailed:
 		return last.reason
 	case q.out.Stream != nil && (last.arrived || last.node != "" && last.node != o.self):
 		return last.reason // part of the body may have been sent and cannot be replayed
-	case arrivals > 0 && arrivals >= max(1, q.route.MaxAttempts):
-		return last.reason
-	case fullRefusals >= maxFullRefusals:
-		return last.reason
 	}
 	return ""
 }
@@ -341,20 +355,23 @@
 	return 0
 }
 
-// attempt sends the request to one inbound node.
-func (o *outbound) attempt(ctx context.Context, q *request, choice *placement.Choice) *result {
+// attempt sends the request to one inbound node. isRetry says that a backend server has received it before.
+func (o *outbound) attempt(ctx context.Context, q *request, choice *placement.Choice, isRetry bool) *result {
 	c := &call{
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.route.Priority,
-		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, noQueue: choice.NoQueue && q.out.Stream == nil,
+		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: isRetry, noQueue: choice.NoQueue && q.out.Stream == nil,
 		targetRemaining: time.Until(q.target) - o.link.EstimateWait(o.stats.meanResponseBytes(q.route.Name)), deadlineRemaining: time.Until(q.deadline),
 	}
 	res := &result{node: choice.ID}
 	out := *q.out
 	out.Header = q.out.Header.Clone()
-	if choice.ID == o.self {
+	switch {
+	case choice.ID == o.self:
 		reply, response := o.local.serve(ctx, c, &out)
 		res.callReply, res.response = *reply, response
-	} else {
+	case socket.CallerLeft(q.Context()):
+		res.callReply = callReply{verdict: verdictNotRun, reason: reasonCancelled}
+	default:
 		out.Header.Set(headerCall, c.encode())
 		out.FreshOnly = !q.route.Idempotent
 		response, failed := o.client.Do(ctx, choice.Address, &out)
@@ -403,7 +420,8 @@
 		return placement.Unresponsive
 	case reasonMalformedResponse:
 		return placement.Failed
-	case reasonDraining, reasonNoBackend, reasonOtherService, reasonOtherNode, reasonStopping, reasonUnreachable, reasonOtherInstance:
+	case reasonDraining, reasonNoBackend, reasonOtherService, reasonOtherNode, reasonStopping, reasonUnreachable, reasonOtherInstance,
+		reasonVersionHeld:
 		return placement.Unavailable
 	case reasonConnectionLost, reasonTruncatedResponse, reasonUnsignedResponse:
 		return placement.Healthy // the load report already accounts for the calls that the backend server did not answer
--- a/pkg/sidecar/platform.go
+++ b/pkg/sidecar/platform.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
+	"github.com/laburnumcleat/laburnumcleat/pkg/rollout"
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 )
 
@@ -36,6 +37,7 @@
 // Published is a configuration and its position in the source.
 type Published struct {
 	Document *routing.Document // nil: nothing has been published, or the published configuration is malformed
+	Orders   []rollout.Order   // of roll-outs, each with its position; an order without a target withdraws the earlier one
 	Position int64             // to pass to Next
 }
 
@@ -48,10 +50,23 @@
 	// none. An error of kind NotFound means that the position is no longer kept; call Newest instead.
 	Next(ctx context.Context, position int64, wait time.Duration) (Published, error)
 
-	// Copy returns the data that any node last passed to PutCopy, or nil.
-	Copy(ctx context.Context) ([]byte, error)
+	// Copy returns what nodes keep at the source.
+	Copy(ctx context.Context) (Copy, error)
 	// PutCopy replaces the copy. The copy may have been replaced even if an error is returned.
 	PutCopy(ctx context.Context, data []byte) error
+
+	// PutRollout replaces the state of the service's roll-out if nothing was put since a Copy whose End is given. It returns the epoch of
+	// the state. An error of kind Conflict means that something was put; after any other error the state may have been replaced.
+	PutRollout(ctx context.Context, state rollout.State, end int64) (epoch int64, err error)
+	// PutRolloutStatus tells the operators the phase of a roll-out.
+	PutRolloutStatus(ctx context.Context, order rollout.Order, phase rollout.Phase) error
+}
+
+// Copy is what nodes keep at the source.
+type Copy struct {
+	Document []byte          // that any node last passed to PutCopy, or nil
+	Rollouts []rollout.State // of all services that had one
+	End      int64           // to pass to PutRollout
 }
 
 // Contact is a node's entry in the directory.
@@ -64,6 +79,12 @@
 	Incarnation uint64 `json:"incarnation"` // start time of the process, Unix ms
 }
 
+// hasAddressesOf reports whether both contacts are of the same node at the same addresses. Their processes may differ.
+func (c Contact) hasAddressesOf(other Contact) bool {
+	c.Incarnation, other.Incarnation = 0, 0
+	return c == other
+}
+
 // Directory stores the addresses of nodes, so that starting nodes find them.
 type Directory interface {
 	// Register adds or replaces the contact of this node. It may have been registered even if an error is returned.
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -56,9 +56,13 @@
 
 // isWriter reports whether this node maintains the copy of the configuration in the store. One node of each data centre does, once it
 // knows other nodes.
-func (r *relay) isWriter() bool {
-	hasPeers := slices.ContainsFunc(r.members(), func(m membership.Member) bool { return r.isLivePeer(&m) })
-	return hasPeers && r.indexInDataCentre() == 0
+func (r *relay) isWriter() bool { return r.hasPeers() && r.indexInDataCentre() == 0 }
+
+// isStandby reports whether this node is not the first reader of its data centre.
+func (r *relay) isStandby() bool { return r.indexInDataCentre() > 0 }
+
+func (r *relay) hasPeers() bool {
+	return slices.ContainsFunc(r.members(), func(m membership.Member) bool { return r.isLivePeer(&m) })
 }
 
 // isLivePeer reports whether the member is another node and alive.
@@ -81,6 +85,18 @@
 	return index
 }
 
+// indexInFleet returns the position of this node among all live nodes, ordered by the hash of their IDs.
+func (r *relay) indexInFleet() int {
+	own := xxhash.Sum64String(r.self)
+	index := 0
+	for _, m := range r.members() {
+		if r.isLivePeer(&m) && xxhash.Sum64String(m.ID) < own {
+			index++
+		}
+	}
+	return index
+}
+
 // peersByDataCentre returns the other live nodes, grouped by data centre.
 func (r *relay) peersByDataCentre() map[string][]membership.Member {
 	peers := make(map[string][]membership.Member)
@@ -92,14 +108,14 @@
 	return peers
 }
 
-// broadcast relays the change between two versions to the nodes of its own data centre, and to one node of each other data centre, which
-// forwards it there, since the readers of that data centre may have lost the store.
-func (r *relay) broadcast(previous, current *routing.Document) {
+// broadcast relays a change to the nodes of its own data centre, and to one node of each other data centre, which forwards it there, since
+// the readers of that data centre may have lost the store.
+func (r *relay) broadcast(c *routing.Change) {
 	peers := r.peersByDataCentre()
-	if previous == nil || len(peers) == 0 {
+	if len(peers) == 0 {
 		return // starting nodes read the store or pull from another node
 	}
-	change, err := encodeCompressed(routing.Diff(previous, current))
+	change, err := encodeCompressed(c)
 	if err != nil {
 		r.logger.Error("configuration_not_relayed", zap.Error(err))
 		return
@@ -111,7 +127,7 @@
 		for _, m := range members {
 			addresses = append(addresses, m.ControlAddress)
 		}
-		p := &changeParams{To: current.Version, Change: change, From: r.address, ForwardTo: addresses}
+		p := &changeParams{To: c.To, Change: change, From: r.address, ForwardTo: addresses}
 		if dataCentre == r.dataCentre {
 			wg.Go(func() { r.fanOut(p) })
 			continue
@@ -172,18 +188,16 @@
 }
 
 func (r *relay) apply(c *routing.Change, from string) {
-	table := r.follower.Table()
-	if table != nil && c.To <= table.Document.Version {
+	current := r.follower.document()
+	if c.To <= current.Version {
 		return
 	}
-	if table != nil {
-		document, err := c.Apply(table.Document)
-		if err == nil {
-			r.follower.activate(document, "relay")
-			return
-		}
-		r.metrics.Inc("configuration_change_unfit")
-		r.logger.Info("configuration_change_unfit", zap.Uint64("to", c.To), zap.Uint64("version", table.Document.Version), zap.Error(err))
+	document, err := c.Apply(current)
+	if err == nil {
+		r.follower.activate(document, c, "relay")
+		return
 	}
+	r.metrics.Inc("configuration_change_unfit")
+	r.logger.Info("configuration_change_unfit", zap.Uint64("to", c.To), zap.Uint64("version", current.Version), zap.Error(err))
 	r.follower.observeVersion(context.Background(), c.To, from, 0)
 }
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -62,6 +62,8 @@
 	RetrySlack        float64  `json:"retry_slack"`  // additional retries per window, across all nodes
 	RetryWindow       Duration `json:"retry_window"`
 	ReadinessInterval Duration `json:"ready_checked_in"` // interval between readiness checks
+	ExposureShare     float64  `json:"exposure_share"`   // fraction of a service's requests that a version may get before it is known to be good
+	ExposureSlack     float64  `json:"exposure_slack"`   // additional requests that it may get
 }
 
 // Duration is a time.Duration that is encoded as a string.
@@ -176,5 +178,7 @@
 	require(s.MemoryMB >= 0, "memory_mb", "negative", "specify megabytes, or 0 if unknown")
 	require(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio", "negative", "use 0 or more")
 	require(s.Bounds.RetrySlack >= 0, "bounds.retry_slack", "negative", "use 0 or more")
+	require(s.Bounds.ExposureShare >= 0 && s.Bounds.ExposureShare <= 1, "bounds.exposure_share", "not a fraction", "use 0 to 1")
+	require(s.Bounds.ExposureSlack >= 0, "bounds.exposure_slack", "negative", "use 0 or more")
 	return errs
 }
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -150,6 +152,64 @@
 	assert.NotContains(t, m.platform.calls, "newest")
 }
 
+// Pattern: the whole fleet starts for the first time. Guards against calls to the store of every node for a configuration that a few readers
+// can relay.
+func TestFirstStart_FewNodesPollTheStore(t *testing.T) {
+	m := &mesh{t: t, platform: newFakePlatform(), firstStart: true, dataCentre: "dc"}
+	for i := range 6 {
+		m.start(i)
+	}
+	m.eventually("some nodes poll the store", func() bool {
+		m.platform.mu.Lock()
+		defer m.platform.mu.Unlock()
+		return len(m.platform.pollers) == readersPerDataCentre
+	})
+	m.platform.publish(testDocument(1))
+	m.waitReady()
+	m.platform.mu.Lock()
+	defer m.platform.mu.Unlock()
+	assert.Len(t, m.platform.pollers, readersPerDataCentre)
+	assert.Contains(t, m.log.String(), "before=0 from=relay")
+}
+
+// Pattern: a whole fleet starts for the first time. Guards against a read of the directory by every node: the nodes that have not read it
+// are found by the others.
+func TestFirstStart_FewNodesReadTheDirectory(t *testing.T) {
+	const nodes = 16
+	m := &mesh{t: t, platform: newFakePlatform(), firstStart: true, dataCentre: "dc"}
+	for i := range nodes {
+		m.start(i)
+	}
+	m.platform.publish(testDocument(1))
+	m.waitReady()
+	m.platform.mu.Lock()
+	defer m.platform.mu.Unlock()
+	assert.Less(t, m.platform.directoryReads, nodes/2)
+	assert.Len(t, m.platform.registers, nodes)
+}
+
+// Guards against polls of the store by all readers of a data centre in the same short intervals: one of them has to notice soon that the store
+// drops its requests, the others have to be there when it fails.
+func TestReaders_OnlyFirstPollsInShortIntervals(t *testing.T) {
+	m := &mesh{t: t, platform: newFakePlatform(), dataCentre: "dc"}
+	m.platform.publish(testDocument(1))
+	for i := range 4 {
+		m.start(i)
+	}
+	m.waitReady()
+	m.eventually("both readers poll", func() bool {
+		m.platform.mu.Lock()
+		defer m.platform.mu.Unlock()
+		return len(m.platform.pollers) >= readersPerDataCentre
+	})
+	m.platform.publish(testDocument(2))
+	m.eventually("the waits of the polls differ", func() bool {
+		m.platform.mu.Lock()
+		defer m.platform.mu.Unlock()
+		return slices.Contains(slices.Collect(maps.Values(m.platform.waits)), standbyPollWait)
+	})
+}
+
 func TestNoConfiguration_Returns503(t *testing.T) {
 	m := &mesh{t: t, platform: newFakePlatform()}
 	n := m.start(0)
@@ -338,11 +398,11 @@
 			assert.Equal(t, testDocument(2), full)
 		}
 	}
-	m.nodes[0].follower.activate(testDocument(1), "test")
+	m.nodes[0].follower.activate(testDocument(1), nil, "test")
 	assert.EqualValues(t, 2, m.nodes[0].follower.version())
 	faulty := testDocument(3)
 	faulty.Routes[0].Destinations[0].Service = "nobody"
-	m.nodes[0].follower.activate(faulty, "test")
+	m.nodes[0].follower.activate(faulty, nil, "test")
 	assert.EqualValues(t, 2, m.nodes[0].follower.version(), "an invalid configuration must be rejected entirely")
 }
 
@@ -353,7 +413,7 @@
 	relaying, release := make(chan struct{}), make(chan struct{})
 	var once sync.Once
 	m.adjust = func(n *Node) {
-		n.follower.onChange = func(*routing.Document, *routing.Document) {
+		n.follower.onChange = func(*routing.Change) {
 			once.Do(func() { close(relaying) })
 			<-release
 		}
@@ -411,6 +471,25 @@
 	assert.Empty(t, stopping.backend.abandoned)
 }
 
+// Guards against a process that outlives its grace period because a step of the shutdown does not end: it would be killed without a word
+// on what it waited for.
+func TestShutdown_EndsAndReportsBeforeGracePeriod(t *testing.T) {
+	m := newMesh(t, 1)
+	n := m.nodes[0]
+	release := make(chan struct{})
+	defer close(release)
+	m.platform.holdLeave = release
+	n.settings.Bounds.GracePeriod = Duration(2 * time.Second)
+	start := time.Now()
+	n.stop()
+	require.ErrorIs(t, <-n.done, errShutdownOverdue)
+	n.done <- nil // for the cleanup
+	assert.Less(t, time.Since(start), 2*time.Second)
+	assert.Contains(t, m.log.String(), "event=shutdown_overdue")
+	assert.Contains(t, m.log.String(), "step=leave")
+	assert.Contains(t, m.log.String(), "Remove", "the stacks show the step that does not end")
+}
+
 // Every request is counted exactly once, by its outcome.
 func TestOutboundMetric_CountsEachRequestOnce(t *testing.T) {
 	m := newMesh(t, 1)
@@ -428,7 +507,7 @@
 }
 
 func TestCallAndReply_EncodeDecode(t *testing.T) {
-	c := &call{service: "a;b", class: "r 1", caller: "ü", node: "n", rank: 2, idempotent: true, callerRetry: true, noQueue: true, targetRemaining: -5 * time.Millisecond, deadlineRemaining: time.Second}
+	c := &call{service: "a;b", class: "r 1", caller: "ü", node: "n", rank: 2, idempotent: true, callerRetry: true, retry: true, noQueue: true, targetRemaining: -5 * time.Millisecond, deadlineRemaining: time.Second}
 	decoded, err := decodeCall(c.encode())
 	require.NoError(t, err)
 	assert.Equal(t, c, decoded)
@@ -446,3 +525,15 @@
 		assert.False(t, ok, text)
 	}
 }
+
+// Guards against a retry budget that does not count the nested calls which a backend server makes again while it serves a retry.
+func TestInbound_RetryShare(t *testing.T) {
+	in := &inbound{}
+	assert.Zero(t, in.retryShare())
+	endFirst, endRetry := in.countRunning(&call{}), in.countRunning(&call{retry: true})
+	assert.Equal(t, 0.5, in.retryShare())
+	endFirst()
+	assert.Equal(t, 1.0, in.retryShare())
+	endRetry()
+	assert.Zero(t, in.retryShare())
+}
--- a/pkg/sidecar/stream.go
+++ b/pkg/sidecar/stream.go
@@ -4,21 +4,18 @@
 	"context"
 	"io"
 	"sync"
-
-	"github.com/laburnumcleat/laburnumcleat/pkg/admission"
 )
 
 // releaseOnClose holds the slot of a call until its streamed response body is closed.
 type releaseOnClose struct {
 	io.ReadCloser
-	grant  *admission.Grant
-	result admission.Result
-	once   sync.Once
+	release func()
+	once    sync.Once
 }
 
 func (r *releaseOnClose) Close() error {
 	err := r.ReadCloser.Close()
-	r.once.Do(func() { r.grant.Release(r.result) })
+	r.once.Do(r.release)
 	return err
 }
 
--- a/pkg/sidecar/streamed_body_test.go
+++ b/pkg/sidecar/streamed_body_test.go
@@ -21,8 +21,8 @@
 	refused := func(node string) *result {
 		return &result{callReply: callReply{verdict: verdictNotRun, reason: reasonFull}, node: node}
 	}
-	assert.Empty(t, o.stopReason(long, refuse(0, reasonNoEndpoint), 0, 0), "first attempt")
-	assert.Empty(t, o.stopReason(long, refused("a"), 0, 0))
-	assert.Equal(t, reasonFull, o.stopReason(long, refused("b"), 0, 0))
-	assert.Empty(t, o.stopReason(short, refused("b"), 0, 0))
+	assert.Empty(t, o.stopReason(long, refuse(0, reasonNoEndpoint)), "first attempt")
+	assert.Empty(t, o.stopReason(long, refused("a")))
+	assert.Equal(t, reasonFull, o.stopReason(long, refused("b")))
+	assert.Empty(t, o.stopReason(short, refused("b")))
 }
