--- a/cmd/laburnum-standin/main.go
+++ b/cmd/laburnum-standin/main.go
@@ -20,8 +20,8 @@
 
 func main() {
 	flaggy.SetName("laburnum-standin")
-	flaggy.SetDescription("stand-ins for the log service, backend servers and clients")
-	verbs := append([]verb{newLogCmd(), newBackendCmd(), newLoadCmd(), newFleetCmd(), newDemoCmd()}, benchCommands()...)
+	flaggy.SetDescription("stand-ins for the log service, backend servers and clients, and experiments")
+	verbs := append([]verb{newLogCmd(), newBackendCmd(), newLoadCmd(), newFleetCmd(), newDemoCmd(), newExperimentCmd()}, benchCommands()...)
 	for _, v := range verbs {
 		flaggy.AttachSubcommand(v.command, 1)
 	}
--- /dev/null
+++ b/standin/experiment/pattern_test.go
@@ -0,0 +1,100 @@
+package experiment
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// load returns a pattern with the variants, on half of the fleet and for the given simulated time.
+func load(t *testing.T, pattern string, seconds float64, variants ...Variant) *Scenario {
+	s, err := Load(pattern)
+	require.NoError(t, err)
+	s.Seconds, s.Seeds, s.Retry.Slack = seconds, 1, s.Retry.Slack/2
+	for i := range s.Services {
+		s.Services[i].Servers = max(1, s.Services[i].Servers/2)
+	}
+	for i := range s.Classes {
+		s.Classes[i].PerSecond /= 2
+	}
+	s.Variants = append([]Variant{{Name: "as it stands"}}, variants...)
+	return s
+}
+
+// play runs a scenario and returns the result of each variant.
+func play(t *testing.T, s *Scenario) []*Result {
+	results, err := Run(t.Context(), s, func(int, int) {})
+	require.NoError(t, err)
+	var plays []*Result
+	for _, v := range results {
+		plays = append(plays, v.Plays[0])
+	}
+	return plays
+}
+
+// Guards against comparisons of variants that differ by chance: the same seed gives the same play.
+func TestRun_Deterministic(t *testing.T) {
+	s := load(t, "small-fleet", 6, Variant{Name: "the same"})
+	s.Events = append(s.Events, Event{Kind: Restart, AtS: 2, Seconds: 0.5, Share: 0.4})
+	got := play(t, s)
+	assert.Equal(t, got[0], got[1])
+}
+
+// Pattern: a service turns away half of its calls for a while. Guards against a fleet that exceeds the bound on retries, which all nodes share,
+// and against one that leaves most of it unused while callers are refused.
+func TestShedding_UsesTheRetryBound(t *testing.T) {
+	s := load(t, "shedding", 7, Variant{Name: "half of the bound", Retry: raw("UsedRatio", "0.5")})
+	got := play(t, s)
+	assert.LessOrEqual(t, got[0].BudgetUsed, 1.0)
+	assert.Greater(t, got[0].ServedAtAll, got[1].ServedAtAll)
+}
+
+// Pattern: two services that call each other turn away calls at the same time. Guards against nested calls of retries that are not counted as
+// retries of the called service.
+func TestShedding_OfTwoServicesKeepsTheRetryBound(t *testing.T) {
+	s := load(t, "shedding", 7)
+	s.Events = append(s.Events, Event{Kind: Shed, Service: "tracker", AtS: 1, Seconds: 6, Share: 1, Factor: 0.55})
+	assert.LessOrEqual(t, play(t, s)[0].BudgetUsed, 1.0)
+}
+
+// Pattern: a surge of one class after the other. Guards against nested calls that are refused while their parents hold slots.
+func TestSurge_NestedCallsGoFirst(t *testing.T) {
+	s := load(t, "surge", 6, Variant{Name: "by rank", Without: []Mechanism{NestedFirst}})
+	got := play(t, s)
+	assert.Greater(t, got[0].Score, got[1].Score)
+}
+
+// Pattern: some servers are several times slower. Guards against calls that queue at a slow server while others have free slots.
+func TestSlowServers_AreProbedAndAvoided(t *testing.T) {
+	s := load(t, "slow-servers", 6, Variant{Name: "random", Placement: raw("SampleSize", "1")}, Variant{Name: "no probes", Placement: raw("MaxSlotProbes", "0")})
+	got := play(t, s)
+	assert.Greater(t, got[0].Whole, got[1].Whole)
+	assert.Less(t, got[0].MeanWait, got[2].MeanWait)
+}
+
+// Pattern: a data centre is cut off. Guards against calls that are sent there until the partition ends, and against a class that starves.
+func TestDataCentreCut_IsServedByItself(t *testing.T) {
+	got := play(t, load(t, "data-centre-cut", 7))[0]
+	assert.Greater(t, got.WorstDataCentre, 0.9)
+	assert.Greater(t, got.WorstClass, 0.9)
+}
+
+func TestReport(t *testing.T) {
+	s := load(t, "small-fleet", 4)
+	results, err := Run(t.Context(), s, func(int, int) {})
+	require.NoError(t, err)
+	var table, values bytes.Buffer
+	require.NoError(t, WriteTable(&table, s, results))
+	assert.Contains(t, table.String(), "as it stands")
+	require.NoError(t, WriteCSV(&values, results))
+	assert.Equal(t, 2, bytes.Count(values.Bytes(), []byte("\n")))
+	assert.NoError(t, Plot(s, results, t.TempDir()+"/plot.png"))
+}
+
+// raw returns the changed value of one field of a policy.
+func raw(field, value string) map[string]json.RawMessage {
+	return map[string]json.RawMessage{field: json.RawMessage(value)}
+}
--- /dev/null
+++ b/standin/experiment/tally.go
@@ -0,0 +1,251 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+)
+
+// windowLength is the length of the windows of which the worst ones count.
+const windowLength = 2 * time.Second
+
+// worstWindows is the number of windows that make up Result.WorstWindows.
+const worstWindows = 2
+
+// Outcomes counts what became of calls.
+type Outcomes struct {
+	Asked, InTime, Late, Refused, Failed int
+	ReturnedRefused                      int     // of Refused: the caller had returned after an earlier refusal or failure
+	Earned, Owed                         float64 // worth
+}
+
+// Share returns the earned share of the worth.
+func (o *Outcomes) Share() float64 {
+	if o.Owed == 0 {
+		return 1
+	}
+	return o.Earned / o.Owed
+}
+
+// tally counts what happens in a play.
+type tally struct {
+	scenario *Scenario
+	classes  map[string]*Outcomes
+	centres  map[string]*Outcomes
+	windows  []*Outcomes
+	services map[string]*serviceTally
+
+	remoteBytes, remoteCalls int
+	budgetDenied             int
+	grants                   int
+	totalWait                time.Duration
+	refusals                 int
+	refusalTime              time.Duration // from the arrival of a call to its refusal, over all refusals
+}
+
+// serviceTally counts the calls to one service.
+type serviceTally struct {
+	slotTime  map[status]time.Duration
+	requests  []int // by tenth of the retry window
+	retries   []int
+	lateSlots time.Duration // slot time of calls that ended after their target
+}
+
+// retryBuckets is the number of buckets of a retry window.
+const retryBuckets = 10
+
+func newTally(s *Scenario) *tally {
+	t := &tally{scenario: s, classes: make(map[string]*Outcomes), centres: make(map[string]*Outcomes), services: make(map[string]*serviceTally)}
+	for _, c := range s.Classes {
+		if c.PerSecond > 0 {
+			t.classes[c.Name] = &Outcomes{}
+		}
+	}
+	for _, name := range s.DataCentres {
+		t.centres[name] = &Outcomes{}
+	}
+	for range int(seconds(s.Seconds)/windowLength) + 1 {
+		t.windows = append(t.windows, &Outcomes{})
+	}
+	buckets := int((warmUp+seconds(s.Seconds)+settle)/(seconds(s.Retry.WindowS)/retryBuckets)) + 1
+	for _, service := range s.Services {
+		t.services[service.Name] = &serviceTally{slotTime: make(map[status]time.Duration), requests: make([]int, buckets), retries: make([]int, buckets)}
+	}
+	return t
+}
+
+// counts calls count with the outcomes that a request belongs to.
+func (t *tally) counts(f *fleet, r *request, count func(*Outcomes)) {
+	if !r.counted {
+		return
+	}
+	count(t.classes[r.class.Name])
+	count(t.centres[r.node.dataCentre])
+	count(t.windows[min(int(r.first.Sub(f.start)/windowLength), len(t.windows)-1)])
+}
+
+func (t *tally) asked(f *fleet, r *request) {
+	t.counts(f, r, func(o *Outcomes) { o.Asked++; o.Owed += r.class.Worth })
+}
+
+func (t *tally) answered(f *fleet, r *request) {
+	inTime := f.now.Sub(r.first) <= milliseconds(r.class.TargetMS)
+	t.counts(f, r, func(o *Outcomes) {
+		if inTime {
+			o.InTime++
+			o.Earned += r.class.Worth
+			return
+		}
+		o.Late++
+		o.Earned += r.class.LateWorth
+	})
+}
+
+func (t *tally) lost(f *fleet, r *request, s status) {
+	t.counts(f, r, func(o *Outcomes) {
+		if s != notRun {
+			o.Failed++
+			return
+		}
+		o.Refused++
+		if r.returned {
+			o.ReturnedRefused++
+		}
+	})
+}
+
+func (t *tally) refusal(r *request, after time.Duration) {
+	if r.counted {
+		t.refusals++
+		t.refusalTime += after
+	}
+}
+
+func (t *tally) waited(d time.Duration) {
+	t.grants++
+	t.totalWait += d
+}
+
+// held records the slot time of an execution.
+func (t *tally) held(f *fleet, e *execution, s status) {
+	service, held := t.services[e.node.service.Name], f.now.Sub(e.granted)
+	service.slotTime[s] += held
+	if s == succeeded && f.now.After(e.call.target) {
+		service.lateSlots += held
+	}
+}
+
+func (t *tally) bucket(f *fleet) int {
+	return int(f.now.Sub(epoch) / (seconds(t.scenario.Retry.WindowS) / retryBuckets))
+}
+
+func (t *tally) firstAttempt(f *fleet, service string) { t.services[service].requests[t.bucket(f)]++ }
+
+func (t *tally) retry(f *fleet, service string) { t.services[service].retries[t.bucket(f)]++ }
+
+// Result is the outcome of one play, or the mean over several.
+type Result struct {
+	Whole, WorstWindows, WorstClass, WorstDataCentre, ServedAtAll float64
+	Score                                                         float64 // the parts, weighted
+	Classes                                                       map[string]Outcomes
+	Windows                                                       []Outcomes
+	RemoteMB                                                      float64
+	RemoteCalls                                                   int
+	MeanWait, MeanRefusalTime                                     time.Duration
+	BudgetDenied                                                  int
+	BudgetUsed                                                    float64 // largest share of the retry bound that a service used in a window
+	WastedSlots                                                   float64 // share of the slot time of calls that were late or failed
+}
+
+func (t *tally) result() *Result {
+	r := &Result{Classes: make(map[string]Outcomes), BudgetDenied: t.budgetDenied, RemoteCalls: t.remoteCalls}
+	const bytesPerMB = 1e6
+	r.RemoteMB = float64(t.remoteBytes) / bytesPerMB
+	r.WorstClass, r.WorstDataCentre = 1, 1
+	var all Outcomes
+	for _, c := range t.scenario.Classes { // in order, since sums of fractions depend on it
+		o := t.classes[c.Name]
+		if o == nil {
+			continue
+		}
+		r.Classes[c.Name] = *o
+		r.WorstClass = min(r.WorstClass, o.Share())
+		all.Asked += o.Asked
+		all.InTime += o.InTime
+		all.Late += o.Late
+		all.Earned += o.Earned
+		all.Owed += o.Owed
+	}
+	for _, o := range t.centres {
+		r.WorstDataCentre = min(r.WorstDataCentre, o.Share())
+	}
+	var shares []float64
+	for _, o := range t.windows {
+		r.Windows = append(r.Windows, *o)
+		if o.Asked > 0 {
+			shares = append(shares, o.Share())
+		}
+	}
+	slices.Sort(shares)
+	r.WorstWindows = mean(shares[:min(worstWindows, len(shares))])
+	r.Whole = all.Share()
+	r.ServedAtAll = float64(all.InTime+all.Late) / float64(max(1, all.Asked))
+	w := t.scenario.Weights
+	r.Score = w.Whole*r.Whole + w.WorstWindows*r.WorstWindows + w.WorstClass*r.WorstClass + w.WorstDataCentre*r.WorstDataCentre + w.ServedAtAll*r.ServedAtAll
+	if t.grants > 0 {
+		r.MeanWait = t.totalWait / time.Duration(t.grants)
+	}
+	if t.refusals > 0 {
+		r.MeanRefusalTime = t.refusalTime / time.Duration(t.refusals)
+	}
+	r.BudgetUsed, r.WastedSlots = t.budgetUsed(), t.wastedSlots()
+	return r
+}
+
+// budgetUsed returns the largest share of the retry bound that a service used in a window. The bound counts the requests of that window, of
+// the one before it or of the one half a window before it, whichever are most.
+func (t *tally) budgetUsed() float64 {
+	used := 0.0
+	for _, s := range t.services {
+		for i := range s.retries {
+			requests := max(sumOfWindow(s.requests, i), sumOfWindow(s.requests, i-retryBuckets/2), sumOfWindow(s.requests, i-retryBuckets))
+			if bound := t.scenario.Retry.Ratio*float64(requests) + t.scenario.Retry.Slack; bound > 0 {
+				used = max(used, float64(sumOfWindow(s.retries, i))/bound)
+			}
+		}
+	}
+	return used
+}
+
+// sumOfWindow returns the sum of the counts in the window that ends with the given bucket.
+func sumOfWindow(counts []int, last int) int {
+	sum := 0
+	for i := max(0, last-retryBuckets+1); i <= last; i++ {
+		sum += counts[i]
+	}
+	return sum
+}
+
+func (t *tally) wastedSlots() float64 {
+	var total, wasted time.Duration
+	for _, s := range t.services {
+		for outcome, held := range s.slotTime {
+			total += held
+			if outcome != succeeded {
+				wasted += held
+			}
+		}
+		wasted += s.lateSlots
+	}
+	if total == 0 {
+		return 0
+	}
+	return wasted.Seconds() / total.Seconds()
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(max(1, len(values)))
+}
