hop: a response that had arrived at the deadline is read to its end

The node's log has the request with verdict=answered and left_ms=-111: the process was suspended until 111 ms after the deadline; the header was read, then the timer of the connection fired and the body, which was in the socket, was not read. Ruled out: a reset at the close of the listener (the connection was served), a panic (no line), the grace period (the stop took 2.5 s). Change: when the deadline expires and bytes have arrived, reading goes on for 100 ms, once in an exchange; a cancelled exchange ends at once.

--- a/pkg/hop/exchange.go
+++ b/pkg/hop/exchange.go
@@ -46,9 +46,12 @@
 		cn.Close()
 		return nil, &Failure{Cause: ConnectionLost, Err: err}
 	}
+	cn.arrived.begin(ctx)
 	stop := context.AfterFunc(ctx, func() {
-		// An error means that the connection is already closed and there is nothing to interrupt.
-		_ = cn.SetDeadline(pastDeadline)
+		if errors.Is(ctx.Err(), context.Canceled) { // otherwise the deadline of the connection has expired
+			// An error means that the connection is already closed and there is nothing to interrupt.
+			_ = cn.SetDeadline(pastDeadline)
+		}
 	})
 	body, failed := c.writeRequest(ctx, cn, r)
 	if failed != nil {
--- a/pkg/hop/hop_test.go
+++ b/pkg/hop/hop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -234,6 +235,35 @@
 
 // Guards against corrupt requests after a backend server responds before it has read a long request body: the response is delivered, and
 // the rest of the body, never another request, follows on the connection.
+// Guards against a response that is cut off although all of it had arrived before the deadline: the process was paused meanwhile.
+func TestDo_ArrivedResponseIsReadAfterDeadline(t *testing.T) {
+	const length = 20_000
+	body := strings.Repeat("x", length)
+	p := newPeer(t, func(c *net.TCPConn, r *bufio.Reader, _ int32) {
+		id, _ := readRequest(r)
+		sent := map[string]string{"whole": body, "half": body[:length/2]}[id]
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: "+strconv.Itoa(length)+"\r\n\r\n"+sent)
+		io.Copy(io.Discard, r)
+	})
+	client := New(Options{EchoHeader: "Id", IdleTimeout: testLimit, MaxBufferedBytes: 1})
+	t.Cleanup(client.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	response, failed := client.Do(ctx, p.address, request("whole"))
+	require.Nil(t, failed)
+	<-ctx.Done()
+	got, err := io.ReadAll(response.Rest)
+	require.NoError(t, err)
+	assert.Equal(t, body, string(response.Body)+string(got))
+
+	ctx, cancel = context.WithTimeout(t.Context(), testLimit)
+	response, failed = client.Do(ctx, p.address, request("half"))
+	require.Nil(t, failed)
+	cancel()
+	_, err = io.ReadAll(response.Rest)
+	assert.Error(t, err, "a cancelled exchange ends")
+}
+
 func TestDo_EarlyResponseToLongBody(t *testing.T) {
 	const size = 8 << 20 // more than the socket buffers hold
 	delivered := make(chan struct{})
--- a/pkg/hop/pool.go
+++ b/pkg/hop/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +21,7 @@
 type conn struct {
 	net.Conn
 	source      *boundedReader // underlies reader
+	arrived     *arrivedReader // underlies source
 	reader      *bufio.Reader  // nil while the connection is idle
 	address     string
 	idleSince   time.Time     // when it was returned to the pool
@@ -149,8 +151,39 @@
 	if err != nil {
 		return nil, err
 	}
-	source := &boundedReader{Reader: dialed, remaining: unbounded}
-	return &conn{Conn: dialed, source: source, reader: socket.AcquireReader(source), address: address}, nil
+	arrived := &arrivedReader{Conn: dialed}
+	source := &boundedReader{Reader: arrived, remaining: unbounded}
+	return &conn{Conn: dialed, source: source, arrived: arrived, reader: socket.AcquireReader(source), address: address}, nil
+}
+
+// arrivedGrace is how long a response is read after the deadline if a part of it had arrived by then.
+const arrivedGrace = 100 * time.Millisecond
+
+// arrivedReader reads what had arrived when the deadline of the exchange expired. A process that was paused or has little processor time
+// finds the deadline expired beside bytes that arrived in time.
+type arrivedReader struct {
+	net.Conn
+	ctx      context.Context // of the exchange
+	extended bool            // arrivedGrace has begun, at most once in an exchange
+}
+
+// begin starts an exchange, whose end of ctx interrupts reads.
+func (r *arrivedReader) begin(ctx context.Context) { r.ctx, r.extended = ctx, false }
+
+// Read implements io.Reader.
+func (r *arrivedReader) Read(p []byte) (int, error) {
+	n, err := r.Conn.Read(p)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || r.extended || errors.Is(r.ctx.Err(), context.Canceled) || !socket.HasUnread(r.Conn) {
+		return n, err
+	}
+	r.extended = true
+	if err := r.Conn.SetReadDeadline(time.Now().Add(arrivedGrace)); err != nil {
+		return 0, err
+	}
+	if errors.Is(r.ctx.Err(), context.Canceled) {
+		return 0, context.Canceled // the interruption may have preceded the new deadline
+	}
+	return r.Conn.Read(p)
 }
 
 // unbounded is the value of boundedReader.remaining that disables the limit.
