retry: claims that lose more take precedence in the budget

It was spent on first attempts and on callers that had returned alike, although a refused first attempt can still return and arrive as a new request. A quarter was kept for nested calls also at the nodes that send none (all but those of tracker). Change: a retry is claimed for a first attempt, a last attempt or a nested call; lower claims get a share of the budget only while higher ones are made.

--- a/pkg/retry/attempts.go
+++ b/pkg/retry/attempts.go
@@ -11,7 +11,8 @@
 type Call struct {
 	Service     string
 	Idempotent  bool
-	MaxArrivals int // backend servers that may receive the call; 0: 1
+	Returned    bool // its caller has returned after a refusal
+	MaxArrivals int  // backend servers that may receive the call; 0: 1
 }
 
 // Outcome says what one attempt of a call shows. An attempt that found no free slot and did not queue is not reported.
@@ -68,10 +69,20 @@
 	if a.arrivals == 0 {
 		return true
 	}
-	a.reserved = a.reserved || a.budget.AllowRetry(a.call.Service, a.nested)
+	a.reserved = a.reserved || a.budget.AllowRetry(a.call.Service, a.claim())
 	return a.reserved
 }
 
+func (a *Attempts) claim() Claim {
+	switch {
+	case a.nested:
+		return Nested
+	case a.call.Returned:
+		return LastAttempt
+	}
+	return FirstAttempt
+}
+
 // Observe records an attempt.
 func (a *Attempts) Observe(o Outcome) {
 	a.sent++
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -25,12 +25,26 @@
 	UsedRatio float64
 	// UsedSlack is the fraction of Bound.Slack that is used. A node that restarts loses its counts and gets its share of the slack again.
 	UsedSlack float64
-	// NonNestedShare is the share of the allowed retries that is open to calls that are not nested.
-	NonNestedShare float64
+	// FirstAttemptShare and LastAttemptShare are the shares of the allowed retries that are open to claims of these kinds. The former applies
+	// while last attempts or nested calls have claimed retries within the window, the latter while nested calls have.
+	FirstAttemptShare, LastAttemptShare float64
 }
 
+// Claim says what is lost if a call gets no retry. A larger value takes precedence.
+type Claim int
+
+// Claims of calls to retries.
+const (
+	FirstAttempt Claim = iota // its caller can return and be served then
+	LastAttempt               // its caller has returned after a refusal and will not return again
+	Nested                    // a backend server makes the call while it serves another one, whose work is lost as well
+	claims                    // number of claims
+)
+
 // DefaultPolicy returns the parameters that the nodes use.
-func DefaultPolicy() Policy { return Policy{UsedRatio: 0.85, UsedSlack: 0.5, NonNestedShare: 0.75} }
+func DefaultPolicy() Policy {
+	return Policy{UsedRatio: 0.85, UsedSlack: 0.5, FirstAttemptShare: 0.25, LastAttemptShare: 0.9}
+}
 
 // buckets is the number of buckets in a window.
 const buckets = 20
@@ -63,7 +77,8 @@
 type window struct {
 	requests [buckets]int
 	retries  [buckets]float64
-	newest   int64 // sequence number of the newest bucket
+	claims   [buckets][claims]int // retries that were claimed, allowed or not
+	newest   int64                // sequence number of the newest bucket
 }
 
 // CountRequest counts the first attempt of a call.
@@ -83,22 +98,26 @@
 	w.retries[i] += n
 }
 
-// AllowRetry counts a retry and returns true, or returns false if the budget does not allow one. nested reports whether a
-// backend server makes the call while it serves another call, whose work is lost if this one fails. Callers of other calls can retry by
-// themselves, so calls that are not nested may use only Policy.NonNestedShare of the budget.
-func (b *Budget) AllowRetry(service string, nested bool) bool {
+// AllowRetry counts a retry and returns true, or returns false if the budget does not allow one.
+func (b *Budget) AllowRetry(service string, claim Claim) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w, i := b.advance(service)
-	requests, retries := 0, 0.0
+	w.claims[i][claim]++
+	requests, retries, highest := 0, 0.0, claim
 	for j := range buckets {
 		requests += w.requests[j]
 		retries += w.retries[j]
+		for c := highest + 1; c < claims; c++ {
+			if w.claims[j][c] > 0 {
+				highest = c
+			}
+		}
 	}
 	bound, policy := b.options.Bound, b.options.Policy
 	allowed := policy.UsedRatio*bound.Ratio*float64(requests) + policy.UsedSlack*bound.Slack/float64(max(1, b.options.Nodes()))
-	if !nested {
-		allowed *= policy.NonNestedShare
+	if highest > claim {
+		allowed *= policy.share(claim)
 	}
 	if retries+1 > allowed {
 		return false
@@ -107,6 +126,17 @@
 	return true
 }
 
+// share returns the share of the allowed retries that is open to a claim beside those that take precedence.
+func (p *Policy) share(c Claim) float64 {
+	switch c {
+	case FirstAttempt:
+		return p.FirstAttemptShare
+	case LastAttempt:
+		return p.LastAttemptShare
+	}
+	return 1
+}
+
 // advance moves the window of a service to the current time and returns it with the index of its newest bucket.
 func (b *Budget) advance(service string) (*window, int) {
 	w := b.services[service]
@@ -121,7 +151,7 @@
 		if steps == buckets {
 			i = s % buckets
 		}
-		w.requests[i], w.retries[i] = 0, 0
+		w.requests[i], w.retries[i], w.claims[i] = 0, 0, [claims]int{}
 	}
 	w.newest = max(number, w.newest)
 	return w, int(w.newest % buckets)
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -34,7 +34,7 @@
 					b.CountRequest("dispatch")
 					s.requests++
 				}
-				if b.AllowRetry("dispatch", true) { // nodes without requests also retry
+				if b.AllowRetry("dispatch", Nested) { // nodes without requests also retry
 					s.retries++
 				}
 			}
@@ -75,7 +75,7 @@
 				start(i)
 			}
 			budgets[i].CountRequest("dispatch")
-			for budgets[i].AllowRetry("dispatch", true) {
+			for budgets[i].AllowRetry("dispatch", Nested) {
 				retries++
 			}
 		}
@@ -94,7 +94,7 @@
 		b.CountRequest("dispatch")
 		b.CountRetries("dispatch", repeatedParents)
 		retries += repeatedParents
-		if b.AllowRetry("dispatch", true) {
+		if b.AllowRetry("dispatch", Nested) {
 			retries++
 		}
 	}
@@ -104,36 +104,57 @@
 func TestBudget_SeparateServicesAndSlidingWindow(t *testing.T) {
 	now := 1000 * time.Second
 	b := New(Options{Bound: Bound{Slack: 4, Window: time.Second}, Policy: DefaultPolicy(), Nodes: oneNode, Now: func() time.Duration { return now }})
-	assert.True(t, b.AllowRetry("a", true))
-	assert.True(t, b.AllowRetry("a", true))
-	assert.False(t, b.AllowRetry("a", true))
-	assert.True(t, b.AllowRetry("b", true))
+	assert.True(t, b.AllowRetry("a", Nested))
+	assert.True(t, b.AllowRetry("a", Nested))
+	assert.False(t, b.AllowRetry("a", Nested))
+	assert.True(t, b.AllowRetry("b", Nested))
 	now += 2 * time.Second
-	assert.True(t, b.AllowRetry("a", true))
+	assert.True(t, b.AllowRetry("a", Nested))
 	now -= time.Hour // the clock was set back
-	assert.False(t, func() bool { b.AllowRetry("a", true); return b.AllowRetry("a", true) }())
+	assert.False(t, func() bool { b.AllowRetry("a", Nested); return b.AllowRetry("a", Nested) }())
 }
 
-// Guards against calls that are not nested using up the budget when backend servers refuse half of all calls. Retries of nested calls go
-// first: the slot time of their parent calls is lost if they fail.
-func TestBudget_NestedCallsGetMostRetries(t *testing.T) {
+// Guards against claims that use up the budget for those that lose more when backend servers refuse half of all calls: a refused caller can
+// return and be served then, a caller that has returned already cannot, and if a nested call fails, so does its parent call.
+func TestBudget_ClaimsThatLoseMoreGoFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		low, high Claim
+		atLeast   float64 // retries of the high claims, relative to those of the low ones
+	}{
+		"callers that have returned before others": {FirstAttempt, LastAttempt, 2},
+		"nested calls before others":               {FirstAttempt, Nested, 2},
+		"nested calls before returned callers":     {LastAttempt, Nested, 1},
+	} {
+		allowed, total := claimRetries(c.low, c.high)
+		assert.GreaterOrEqual(t, float64(allowed[c.high]), c.atLeast*float64(allowed[c.low]), name)
+		assert.Positive(t, allowed[c.low], name)
+		assert.LessOrEqual(t, float64(total), testBound.Ratio*claimedRequests+testBound.Slack, name)
+	}
+}
+
+// Guards against a reserve for claims that nobody makes: first attempts get the whole budget while there are no others.
+func TestBudget_OpenToFirstAttemptsAlone(t *testing.T) {
+	_, alone := claimRetries(FirstAttempt)
+	_, nested := claimRetries(Nested)
+	assert.Equal(t, nested, alone)
+}
+
+const claimedRequests = 2000
+
+// claimRetries sends claimedRequests requests within a window and claims a retry for each with the given claims in turn. It returns the
+// allowed retries by claim and in total.
+func claimRetries(inTurn ...Claim) (allowed [claims]int, total int) {
 	now := 1000 * time.Second
 	b := New(Options{Bound: testBound, Policy: DefaultPolicy(), Nodes: oneNode, Now: func() time.Duration { return now }})
-	nested, other := 0, 0
-	for range 1000 {
-		now += testBound.Window / 1000
-		b.CountRequest("records")
+	for i := range claimedRequests {
+		now += testBound.Window / claimedRequests
 		b.CountRequest("records")
-		if b.AllowRetry("records", false) {
-			other++
-		}
-		if b.AllowRetry("records", true) {
-			nested++
+		if claim := inTurn[i%len(inTurn)]; b.AllowRetry("records", claim) {
+			allowed[claim]++
+			total++
 		}
 	}
-	assert.Greater(t, nested, 2*other)
-	assert.Positive(t, other)
-	assert.LessOrEqual(t, float64(nested+other), testBound.Ratio*2000+testBound.Slack)
+	return allowed, total
 }
 
 // Guards against counting a retry more than once while its call probes several endpoints for a free slot.
@@ -183,4 +204,15 @@
 	}
 }
 
+// Guards against a retry that is claimed for less than what the call loses.
+func TestAttempts_Claim(t *testing.T) {
+	b := New(Options{Bound: testBound, Policy: DefaultPolicy(), Nodes: oneNode})
+	a := b.Attempts(Call{MaxArrivals: 3})
+	assert.Equal(t, FirstAttempt, a.claim())
+	a = b.Attempts(Call{MaxArrivals: 3, Returned: true})
+	assert.Equal(t, LastAttempt, a.claim())
+	a.Observe(Outcome{Arrived: true, Nested: true})
+	assert.Equal(t, Nested, a.claim())
+}
+
 func oneNode() int { return 1 }
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -268,7 +268,7 @@
 	defer func() { cancel() }()
 	attempted, busy := map[string]bool{}, map[string]bool{}
 	last := refuse(0, reasonNoEndpoint)
-	attempts := o.budget.Attempts(retry.Call{Service: q.service, Idempotent: q.route.Idempotent, MaxArrivals: q.route.MaxAttempts})
+	attempts := o.budget.Attempts(retry.Call{Service: q.service, Idempotent: q.route.Idempotent, Returned: q.callerRetry, MaxArrivals: q.route.MaxAttempts})
 	if o.stats.isNested(q.route.Name) {
 		o.budget.CountRetries(q.service, o.local.retryShare()) // the call is a retry if that of its parent is one
 	}
--- a/standin/experiment/call.go
+++ b/standin/experiment/call.go
@@ -119,7 +119,7 @@
 
 // serve handles a call at the node of its caller, as the outbound side of pkg/sidecar does.
 func (n *node) serve(c *call) {
-	c.attempts = n.budget.Attempts(retry.Call{Service: c.class.Service, Idempotent: c.class.Idempotent, MaxArrivals: c.class.MaxAttempts})
+	c.attempts = n.budget.Attempts(retry.Call{Service: c.class.Service, Idempotent: c.class.Idempotent, Returned: c.callerRetry, MaxArrivals: c.class.MaxAttempts})
 	c.attempted, c.busy = make(map[string]bool), make(map[string]bool)
 	c.last = reply{status: notRun}
 	if c.nested {
--- a/standin/experiment/pattern_test.go
+++ b/standin/experiment/pattern_test.go
@@ -52,6 +52,21 @@
 	assert.Greater(t, got[0].ServedAtAll, got[1].ServedAtAll)
 }
 
+// Pattern: a service turns away half of its calls, and refused callers return once. Guards against retries that are spent on callers who can
+// still return.
+func TestShedding_ReturnedCallersAreSentAgainFirst(t *testing.T) {
+	s := load(t, "shedding", 9, Variant{Name: "all alike", Retry: map[string]json.RawMessage{"FirstAttemptShare": json.RawMessage("1"), "LastAttemptShare": json.RawMessage("1")}})
+	s.Seeds = 6
+	results, err := Run(t.Context(), s, func(int, int) {})
+	require.NoError(t, err)
+	var servedMore float64 // than with retries to all alike, summed over the seeds
+	for i, p := range results[0].Plays {
+		servedMore += p.ServedAtAll - results[1].Plays[i].ServedAtAll
+		assert.LessOrEqual(t, p.BudgetUsed, 1.0)
+	}
+	assert.Positive(t, servedMore)
+}
+
 // Pattern: two services that call each other turn away calls at the same time. Guards against nested calls of retries that are not counted as
 // retries of the called service.
 func TestShedding_OfTwoServicesKeepsTheRetryBound(t *testing.T) {
