--- a/model/publish.pml
+++ b/model/publish.pml
@@ -39,7 +39,6 @@
 	bit may_be_appended = 0; /* an append may have succeeded */
 	bit in_log = 0;          /* the log, as read to its tail, contains the id */
 	bit superseded = 0;      /* the log, as read, gives the entity to another record */
-	bit rest;
 	do
 	:: reported[id] != none -> break
 	:: else ->
--- a/pkg/callctx/callctx.go
+++ b/pkg/callctx/callctx.go
@@ -104,7 +104,7 @@
 	ResponseTruncated  Reason = "response_truncated"  // the response is shorter than declared
 	ResponseUnchecked  Reason = "response_unchecked"  // the response has no length, so that its completeness cannot be verified
 	ResponseMismatch   Reason = "response_mismatch"   // the response belongs to another request id
-	DeadlineInBackend  Reason = "deadline_in_backend" // the deadline passed after the call may have been forwarded; package client also uses it for a cancelled context
+	DeadlineInBackend  Reason = "deadline_in_backend" // the deadline passed after the call may have been forwarded
 	CancelledInBackend Reason = "cancelled_in_backend"
 )
 
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -269,8 +269,7 @@
 	return request, nil
 }
 
-// transportErrorResult classifies a call without a response. DeadlineInBackend stands for any end of ctx, also by cancellation, after
-// some of the request was written.
+// transportErrorResult classifies a call without a response.
 func transportErrorResult(ctx context.Context, err error) sendResult {
 	var transportErr *transport.Error
 	notSent := errors.As(err, &transportErr) && !transportErr.Written
@@ -280,12 +279,21 @@
 	case notSent:
 		return sendResult{outcome: callctx.NotRun, reason: callctx.NoEndpoint, notSent: true, cause: err}
 	case ctx.Err() != nil:
-		return sendResult{outcome: callctx.Unknown, reason: callctx.DeadlineInBackend, cause: err}
+		return endedInBackend(ctx, err)
 	default:
 		return sendResult{outcome: callctx.Unknown, reason: callctx.ConnectionLost, switchNode: true, cause: err}
 	}
 }
 
+// endedInBackend is the result of a call whose ctx ended after some of the request was written.
+func endedInBackend(ctx context.Context, err error) sendResult {
+	reason := callctx.DeadlineInBackend
+	if errors.Is(ctx.Err(), context.Canceled) {
+		reason = callctx.CancelledInBackend
+	}
+	return sendResult{outcome: callctx.Unknown, reason: reason, cause: err}
+}
+
 // read verifies the request id and length of a response and reads its body.
 func (c *Client) read(ctx context.Context, id, method string, response *http.Response) sendResult {
 	r := sendResult{status: response.StatusCode, header: response.Header}
@@ -305,7 +313,7 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxResponseBytes+1))
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return sendResult{outcome: callctx.Unknown, reason: callctx.DeadlineInBackend, cause: err}
+		return endedInBackend(ctx, err)
 	case err != nil:
 		return sendResult{outcome: callctx.Unknown, reason: callctx.ResponseTruncated, switchNode: true, cause: err}
 	case int64(len(body)) > c.options.MaxResponseBytes:
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -229,7 +229,7 @@
 	}
 }
 
-// Guards against reporting "not-run" for a call that is cancelled after it was sent.
+// Guards against reporting "not-run", or a passed deadline, for a call that is cancelled after it was sent.
 func TestContextCancelledAfterSend(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -242,7 +242,7 @@
 	var callErr *Error
 	require.ErrorAs(t, err, &callErr)
 	require.Equal(t, callctx.Unknown, callErr.Outcome)
-	require.Equal(t, callctx.DeadlineInBackend, callErr.Reason)
+	require.Equal(t, callctx.CancelledInBackend, callErr.Reason)
 	require.ErrorIs(t, err, context.Canceled)
 }
 
