--- a/standin/experiment/fleet.go
+++ b/standin/experiment/fleet.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -25,6 +26,8 @@
 	detectionTime = 2 * time.Second
 	// slowShiftInterval is the length of a time in which a machine is slow.
 	slowShiftInterval = 600 * time.Millisecond
+	// cancelInterval is the simulated time between checks whether the play was cancelled.
+	cancelInterval = 100 * time.Millisecond
 )
 
 // epoch is the simulated time at which the fleet starts.
@@ -73,8 +76,8 @@
 	return f
 }
 
-// play runs the load and the events, and returns the result.
-func (f *fleet) play() *Result {
+// play runs the load and the events, and returns the result, or the error of ctx if that ends first.
+func (f *fleet) play(ctx context.Context) (*Result, error) {
 	for i := range f.scenario.Classes {
 		if c := &f.scenario.Classes[i]; c.PerSecond > 0 {
 			f.rates[c.Name] = 1
@@ -86,10 +89,19 @@
 			f.after(warmUp+seconds(e.AtS), func() { f.begin(e) })
 		}
 	}
-	f.runUntil(f.start.Add(seconds(f.scenario.Seconds)))
+	for end := f.start.Add(seconds(f.scenario.Seconds)); f.now.Before(end); {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		next := f.now.Add(cancelInterval)
+		if next.After(end) {
+			next = end
+		}
+		f.runUntil(next)
+	}
 	f.rates = nil
 	f.runUntil(f.now.Add(settle))
-	return f.tally.result()
+	return f.tally.result(), nil
 }
 
 // scheduleArrival schedules the next call of a class by a caller, until the load ends.
--- a/standin/experiment/pattern_test.go
+++ b/standin/experiment/pattern_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -43,6 +45,15 @@
 	assert.Equal(t, got[0], got[1])
 }
 
+// Guards against an experiment that goes on for the rest of its plays after it was interrupted.
+func TestRun_Interrupted(t *testing.T) {
+	s := load(t, "large-fleet", 3600)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := Run(ctx, s, func(int, int) {})
+	assert.ErrorIs(t, err, context.Canceled)
+}
+
 // Pattern: a service turns away half of its calls for a while. Guards against a fleet that exceeds the bound on retries, which all nodes share,
 // and against one that leaves most of it unused while callers are refused.
 func TestShedding_UsesTheRetryBound(t *testing.T) {
--- a/standin/experiment/run.go
+++ b/standin/experiment/run.go
@@ -92,7 +92,7 @@
 	results := make([]VariantResult, len(s.Variants))
 	ended := make(chan struct{}, len(s.Variants)*s.Seeds)
 	var group errgroup.Group
-	group.SetLimit(max(1, runtime.NumCPU()-1))
+	group.SetLimit(max(1, runtime.GOMAXPROCS(0)-1))
 	reported := make(chan struct{})
 	go func() {
 		defer close(reported)
@@ -111,12 +111,10 @@
 		results[i] = VariantResult{Variant: s.Variants[i].Name, Plays: make([]*Result, s.Seeds)}
 		for seed := range s.Seeds {
 			group.Go(func() error {
-				if ctx.Err() != nil {
-					return ctx.Err()
-				}
-				results[i].Plays[seed] = newFleet(s, p, uint64(seed+1)).play()
+				result, err := newFleet(s, p, uint64(seed+1)).play(ctx)
+				results[i].Plays[seed] = result
 				ended <- struct{}{}
-				return nil
+				return err
 			})
 		}
 	}
