--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -74,7 +74,7 @@
 	// for ever while there is little load.
 	EqualScores float64
 
-	RemoteCostPerKB float64 // lost per KB between data centres; the users' price list has 0.02 to 0.1
+	RemoteCostPerKB float64 // lost per KB between data centres
 	MinRemoteCost   float64 // lost by any call to another data centre
 	MaxRemoteCost   float64 // lost by a late response; the cost of bytes alone never leaves a call unserved
 
