--- a/cli/cmd/explain.go
+++ b/cli/cmd/explain.go
@@ -43,14 +43,13 @@
 	if id == "" || logs == "" {
 		return apierror.InvalidField("explain", "--id and --logs must be used together", "pass both")
 	}
-	readers, closeAll, err := openFiles("--logs", logs)
-	if err != nil {
+	var chain []explain.Line
+	err := readLogs(logs, func(logs []io.Reader) (err error) {
+		chain, err = explain.FromLogs(id, logs...)
 		return err
-	}
-	defer closeAll()
-	chain, err := explain.FromLogs(id, readers...)
+	})
 	if err != nil {
-		return apierror.New(apierror.Invalid, "reading the logs: "+err.Error(), "pass log files that nodes have written")
+		return err
 	}
 	if len(chain) == 0 {
 		return apierror.New(apierror.NotFound, "no log line about request "+id, "pass the logs of the node that received the request and of the nodes named in its lines; requests answered in time at the first attempt are not logged")
--- a/cli/cmd/losses.go
+++ b/cli/cmd/losses.go
@@ -8,7 +8,6 @@
 	"io"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -50,9 +49,6 @@
 }
 
 func (o *lossesOptions) validate() error {
-	if o.logs == "" {
-		return apierror.New(usageKind, "--logs: no log file is given", "pass the log files of the nodes, separated by commas")
-	}
 	if o.interval <= 0 {
 		return apierror.New(usageKind, "--every is not positive", "pass an interval such as 1s")
 	}
@@ -63,17 +59,16 @@
 	if err := o.validate(); err != nil {
 		return err
 	}
-	if err := o.writeSuppressed(s); err != nil {
+	var losses explain.Losses
+	err := readLogs(o.logs, func(logs []io.Reader) (err error) {
+		losses, err = explain.FindLosses(o.interval, logs...)
 		return err
-	}
-	readers, closeAll, err := openFiles("--logs", o.logs)
+	})
 	if err != nil {
 		return err
 	}
-	defer closeAll()
-	losses, err := explain.FindLosses(o.interval, readers...)
-	if err != nil {
-		return apierror.New(apierror.Invalid, "reading the logs: "+err.Error(), "pass log files that nodes have written")
+	if err := o.writeSuppressed(s); err != nil {
+		return err
 	}
 	if len(losses.Rows) == 0 {
 		fmt.Fprintln(s.stdout, "no losses in the logs")
@@ -211,23 +206,3 @@
 	p.Y.Max *= legendHeadroom
 	return p.Save(plotWidth, plotHeight, path)
 }
-
-// openFiles opens the files in a comma-separated list of paths, which is the value of an option.
-func openFiles(option, names string) (readers []io.Reader, closeAll func(), err error) {
-	var files []*os.File
-	closeAll = func() {
-		for _, file := range files {
-			file.Close()
-		}
-	}
-	for path := range strings.SplitSeq(names, ",") {
-		file, err := os.Open(path)
-		if err != nil {
-			closeAll()
-			return nil, nil, apierror.New(usageKind, option+": "+err.Error(), "pass existing files")
-		}
-		files = append(files, file)
-		readers = append(readers, file)
-	}
-	return readers, closeAll, nil
-}
--- a/cli/cmd/rollouts.go
+++ b/cli/cmd/rollouts.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 
 	"github.com/integrii/flaggy"
 
-	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/explain"
 )
 
@@ -32,26 +32,15 @@
 	}
 }
 
-func (o *rolloutsOptions) validate() error {
-	if o.logs == "" {
-		return apierror.New(usageKind, "--logs: no log file is given", "pass the log files of the nodes, separated by commas")
-	}
-	return nil
-}
-
 func (o *rolloutsOptions) run(s *session) error {
-	if err := o.validate(); err != nil {
+	var steps []explain.RolloutStep
+	err := readLogs(o.logs, func(logs []io.Reader) (err error) {
+		steps, err = explain.FindRollouts(o.service, logs...)
 		return err
-	}
-	readers, closeAll, err := openFiles("--logs", o.logs)
+	})
 	if err != nil {
 		return err
 	}
-	defer closeAll()
-	steps, err := explain.FindRollouts(o.service, readers...)
-	if err != nil {
-		return apierror.New(apierror.Invalid, "reading the logs: "+err.Error(), "pass log files that nodes have written")
-	}
 	if len(steps) == 0 {
 		fmt.Fprintln(s.stdout, "no roll-outs in the logs; pass those of the nodes that read the store, which decide")
 		return nil
