--- a/model/run.sh
+++ b/model/run.sh
@@ -5,6 +5,12 @@
 # guard, and the verifier must then find a violation; otherwise the property does not depend on the guard.
 set -euo pipefail
 cd "$(dirname "$0")"
+for tool in spin cc; do
+  if ! command -v "$tool" >/dev/null; then
+    echo "the models need $tool; install the packages spin and gcc, for example with: apt-get install spin gcc" >&2
+    exit 1
+  fi
+done
 jobs=4 # one verification takes up to 0.5 GB
 export models=$PWD
 work=$(mktemp -d)
