admission: a target later than usual for its rank counts as the usual one in the queue

Ruled out: a shorter or longer queue, which moves the bound only. Change: the place in the queue follows the earlier of the target and the usual time to a target of the rank, a moving average over first attempts.

--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -6,7 +6,8 @@
 // succeed elsewhere or later, and a slot used by a call that ends late is not available to one that could be in time.
 //
 // Queue order: nested calls go first, because refusing them wastes the slot that their parent call holds; then by rank; within a rank by
-// earliest target, which also puts retries of refused calls before new calls. A less urgent rank keeps a minimum share relative to the
+// earliest target, which also puts retries of refused calls before new calls. A target that is later than usual for the rank counts as the
+// usual one, so that calls with such targets do not starve. A less urgent rank keeps a minimum share relative to the
 // more urgent ones, so that none starves, and is never served a larger share than they are.
 package admission
 
@@ -85,8 +86,9 @@
 const (
 	servedShareWindow = 3 * time.Second // averaging time of the served share of a rank
 	initialSlotTime   = 50 * time.Millisecond
-	sampleWeight      = 0.1 // weight of a new sample in a moving average
-	warmupWeight      = 0.3 // minimum weight of the first warmupSamples samples
+	targetWeight      = 0.05 // weight of a new call in the usual time to a target
+	sampleWeight      = 0.1  // weight of a new sample in a moving average
+	warmupWeight      = 0.3  // minimum weight of the first warmupSamples samples
 	warmupSamples     = 5
 	minRetryAfter     = 20 * time.Millisecond
 	baselineWeight    = 0.005 // weight of a new report in the baseline slowness
@@ -110,6 +112,7 @@
 type Ticket struct {
 	Call
 	Decide   func(*Refusal) // called exactly once, from a method of the scheduler: nil grants a slot
+	due      time.Time      // by which its place in the queue is determined; not after Target
 	granted  time.Time
 	slowness float64 // at the time of the grant
 	queued   bool
@@ -139,9 +142,10 @@
 
 // rankState holds the statistics of one rank.
 type rankState struct {
-	running     int
-	servedShare float64 // moving average over decisions: 1 for a grant, 0 for a refusal
-	updatedAt   time.Time
+	running      int
+	servedShare  float64 // moving average over decisions: 1 for a grant, 0 for a refusal
+	updatedAt    time.Time
+	timeToTarget time.Duration // moving average over first attempts
 }
 
 // maxClasses bounds the memory for estimates. When a configuration has more classes, all estimates are dropped.
@@ -185,6 +189,7 @@
 		s.refuse(now, c, DeadlineUnreachable)
 		return
 	}
+	c.due = s.due(now, c)
 	if s.running < s.limit(now) && len(s.queue) == 0 {
 		s.grant(now, c)
 		return
@@ -202,6 +207,30 @@
 	s.prune(now)
 }
 
+// due returns the time by which the place of a new call in the queue is determined. A call whose target is later than usual for its rank is
+// treated as one with the usual target: otherwise, while slots are short, it would wait behind all later calls with earlier targets.
+func (s *Scheduler) due(now time.Time, c *Ticket) time.Time {
+	state := s.rank(c.Rank)
+	left := c.Target.Sub(now)
+	if !c.IsRetry {
+		if state.timeToTarget == 0 {
+			state.timeToTarget = left
+		}
+		state.timeToTarget += time.Duration(float64(left-state.timeToTarget) * targetWeight)
+	}
+	return now.Add(min(left, state.timeToTarget))
+}
+
+// rank returns the statistics of a rank.
+func (s *Scheduler) rank(rank int) *rankState {
+	state := s.ranks[rank]
+	if state == nil {
+		state = &rankState{servedShare: 1}
+		s.ranks[rank] = state
+	}
+	return state
+}
+
 // refusalReason returns the reason to refuse a call with the given number of calls ahead of it, or "" if it may be queued.
 func (s *Scheduler) refusalReason(now time.Time, c *Ticket, ahead int) Reason {
 	wait, duration := s.estimateWait(now, ahead), s.estimateDuration(now, c.Class)
@@ -269,7 +298,7 @@
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
-	return a.Target.Before(b.Target)
+	return a.due.Before(b.due)
 }
 
 // position returns the number of queued calls that go before c.
@@ -408,11 +437,7 @@
 }
 
 func (s *Scheduler) recordDecision(now time.Time, rank int, served float64) {
-	state := s.ranks[rank]
-	if state == nil {
-		s.ranks[rank] = &rankState{servedShare: served, updatedAt: now}
-		return
-	}
+	state := s.rank(rank)
 	weight := min(1, max(0.02, now.Sub(state.updatedAt).Seconds()/servedShareWindow.Seconds()))
 	state.servedShare += (served - state.servedShare) * weight
 	state.updatedAt = now
