--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -405,9 +405,19 @@
 
 // restart stops a node and starts it again with the same backend server.
 func (m *mesh) restart(n *testNode) *testNode {
+	m.stop(n)
+	return m.startAgain(n)
+}
+
+// stop stops a node and waits until it has ended.
+func (m *mesh) stop(n *testNode) {
 	n.stop()
-	<-n.done
+	require.NoError(m.t, <-n.done)
 	n.done <- nil // for the cleanup
+}
+
+// startAgain starts a node that has ended, with the same backend server.
+func (m *mesh) startAgain(n *testNode) *testNode {
 	next := m.startNode(n.settings, n.backend)
 	next.announcements, next.backendStart = n.announcements, n.backendStart
 	return next
--- a/pkg/sidecar/restart_test.go
+++ b/pkg/sidecar/restart_test.go
@@ -32,8 +32,9 @@
 		}
 		w.WriteHeader(status)
 	})
-	n.settings.Backend.AnnouncementInterval = Duration(announcementInterval)
-	n = m.restart(n)
+	m.stop(n)
+	n.settings.Backend.AnnouncementInterval = Duration(announcementInterval) // a running node reads it
+	n = m.startAgain(n)
 	<-n.found
 	return m, n
 }
@@ -118,9 +119,7 @@
 	require.Equal(t, 2, count())
 	// crash stops the node and leaves its contact in the directory, as a loss of power does.
 	crash := func() {
-		n.stop()
-		<-n.done
-		n.done <- nil // for the cleanup
+		m.stop(n)
 		m.platform.mu.Lock()
 		defer m.platform.mu.Unlock()
 		m.platform.contacts = append(m.platform.contacts, contact)
