rollout: an order for the version in use, or written again, takes no instance away; fewer polls; canaries in all data centres

A repeated order also started a version again that had been rolled back. Change: nodes are asked before the first permit; without an instance of another version nothing is limited, and the roll-out is completed. An order with the same service, target and duration is the same one until it is withdrawn. The decider polls every 100 ms only nodes that do not follow its state yet (before: all nodes while requests move); nodes are told the last phase for 10 s instead of 2.5 s. Canaries lie in different data centres. The line of a call names the version of the instance, and requests that a canary answered are logged, so that explain names the version that served a request.

--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -1,8 +1,8 @@
 package rollout
 
 import (
-	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -22,8 +22,20 @@
 	maxMoveShare   = 0.4                    // of the duration, if that is short
 	statusTime     = 600 * time.Millisecond // from the last decision until the operators know of it
 	reportTTL      = time.Second
+	onlyTargetTime = 2 * time.Second // until all instances of other versions would have been found
 )
 
+// Intervals between polls of a node.
+const (
+	PollInterval    = 100 * time.Millisecond // of one that does not follow the current state yet
+	settledInterval = 500 * time.Millisecond // of one that does
+
+	maxBasePolls = 100 // a second, of nodes beside base instances in the canary phase
+)
+
+// Node is a node beside a backend server of the service.
+type Node struct{ ID, DataCentre string }
+
 // Decider decides the course of one roll-out from the reports of the nodes. It does no I/O and is not safe for concurrent use.
 type Decider struct {
 	limits  Limits
@@ -31,17 +43,20 @@
 	started time.Time
 	nodes   map[string]*nodeRecord
 
-	granted  int64     // exposure granted so far, over all processes
-	openedAt time.Time // all targets were open, in phase Moving
-	verdict  Judgement
+	granted         int64     // exposure granted so far, over all processes
+	openedAt        time.Time // all targets were open, in phase Moving
+	onlyTargetSince time.Time // no base instance was found; zero: there is one
+	verdict         Judgement
 }
 
 // nodeRecord is what the decider knows of a node beside a backend server of the service.
 type nodeRecord struct {
-	first   *Report // of the present process
-	latest  *Report
-	at      time.Time
-	granted int64 // exposure granted to the present process
+	dataCentre string
+	polledAt   time.Time
+	first      *Report // of the present process; nil: it has not answered yet
+	latest     *Report // nil likewise
+	at         time.Time
+	granted    int64 // exposure granted to the present process
 }
 
 // NewDecider returns a decider for a roll-out that started at the given time.
@@ -67,12 +82,14 @@
 	return nil
 }
 
-// Observe records the report of a node.
+// Observe records the report of a polled node.
 func (d *Decider) Observe(now time.Time, node string, r *Report) {
 	n := d.nodes[node]
-	if n == nil || n.first.Process != r.Process {
-		n = &nodeRecord{first: r}
-		d.nodes[node] = n
+	if n == nil {
+		return // it has left
+	}
+	if n.first == nil || n.first.Process != r.Process {
+		n.first, n.granted = r, 0
 	}
 	n.latest, n.at = r, now
 	// An earlier decider may have granted more. What is not known to be unused counts as exposed.
@@ -83,13 +100,43 @@
 	}
 }
 
-// Retain forgets the nodes that are not in the list: they left or are dead. Their exposure counts on.
-func (d *Decider) Retain(nodes []string) {
-	for id := range d.nodes {
-		if !slices.Contains(nodes, id) {
-			delete(d.nodes, id)
+// Poll returns the permits for those of the nodes that are to be polled now. nodes are all that are alive: the others are forgotten, but
+// their exposure counts on.
+func (d *Decider) Poll(now time.Time, nodes []Node) map[string]Permit {
+	maps.DeleteFunc(d.nodes, func(id string, _ *nodeRecord) bool {
+		return !slices.ContainsFunc(nodes, func(n Node) bool { return n.ID == id })
+	})
+	var due []string
+	base := d.baseMode(now)
+	for _, node := range nodes {
+		n := d.nodes[node.ID]
+		if n == nil {
+			n = &nodeRecord{}
+			d.nodes[node.ID] = n
 		}
+		n.dataCentre = node.DataCentre
+		if interval, polled := d.pollInterval(n, base); polled && now.Sub(n.polledAt) >= interval {
+			n.polledAt = now
+			due = append(due, node.ID)
+		}
+	}
+	return d.permits(now, due)
+}
+
+// pollInterval returns the time between polls of a node. base is the mode of the base versions in phase Moving. polled is false if the node
+// need not be polled again.
+func (d *Decider) pollInterval(n *nodeRecord, base Mode) (interval time.Duration, polled bool) {
+	switch {
+	case n.latest == nil || n.latest.Epoch != d.state.Epoch:
+		return PollInterval, true
+	case d.state.Phase.IsFinal():
+		return 0, false
+	case d.state.Phase == Canary && n.latest.Version != d.state.Order.Target:
+		return max(settledInterval, time.Duration(len(d.nodes))*time.Second/maxBasePolls), true
+	case d.state.Phase == Moving && (n.latest.Target != Open || n.latest.Base != base || d.hasBaseRequest(n)):
+		return PollInterval, true
 	}
+	return settledInterval, true
 }
 
 func (r *Report) forwarded(version string) int64 {
@@ -105,12 +152,15 @@
 		return d.state.Phase, ""
 	}
 	d.verdict = Judge(d.classes(true), d.classes(false))
+	onlyTarget := d.hasOnlyTarget(now)
 	end := d.started.Add(max(d.state.Order.Duration/2, d.state.Order.Duration-statusTime))
 	switch {
 	case d.verdict.Verdict == Bad:
 		return RolledBack, fmt.Sprintf("%d of %d responses of class %q were bad", d.verdict.BadCount, d.verdict.Answered, d.verdict.Class)
 	case d.state.Phase == Moving && d.hasMoved(now):
 		return Completed, "no base version has a request"
+	case d.state.Phase == Canary && onlyTarget:
+		return Moving, "no instance has another version"
 	case !now.Before(end):
 		return RolledBack, "not completed within the duration; the comparison is " + string(d.verdict.Verdict)
 	case d.state.Phase == Canary && d.verdict.Verdict == Good && !now.Before(d.moveAt()):
@@ -130,6 +180,9 @@
 func (d *Decider) classes(target bool) map[string]*Counts {
 	sums := make(map[string]*Counts)
 	for _, n := range d.nodes {
+		if n.latest == nil {
+			continue
+		}
 		for version, v := range n.latest.Versions {
 			if (version == d.state.Order.Target) != target {
 				continue
@@ -149,6 +202,9 @@
 func (d *Decider) requests() int64 {
 	n := int64(0)
 	for _, record := range d.nodes {
+		if record.latest == nil {
+			continue
+		}
 		for version, v := range record.latest.Versions {
 			n += v.Forwarded - record.first.forwarded(version)
 		}
@@ -156,16 +212,45 @@
 	return n
 }
 
-// targets returns the IDs of the nodes whose backend server has the target version.
+// targets returns the IDs of the nodes whose backend server has the target version. Nodes of different data centres alternate.
 func (d *Decider) targets() []string {
-	var ids []string
+	byDataCentre := make(map[string][]string)
 	for id, n := range d.nodes {
-		if n.latest.Version == d.state.Order.Target {
-			ids = append(ids, id)
+		if n.latest != nil && n.latest.Version == d.state.Order.Target {
+			byDataCentre[n.dataCentre] = append(byDataCentre[n.dataCentre], id)
+		}
+	}
+	for _, ids := range byDataCentre {
+		slices.Sort(ids)
+	}
+	var targets []string
+	dataCentres := slices.Sorted(maps.Keys(byDataCentre))
+	for i := 0; len(dataCentres) > 0; i++ {
+		dataCentres = slices.DeleteFunc(dataCentres, func(name string) bool { return len(byDataCentre[name]) <= i })
+		for _, name := range dataCentres {
+			targets = append(targets, byDataCentre[name][i])
+		}
+	}
+	return targets
+}
+
+// hasOnlyTarget reports whether all instances have had the target version for a while. Then the limits of the canary phase would only take
+// capacity away.
+func (d *Decider) hasOnlyTarget(now time.Time) bool {
+	targets := d.targets()
+	for _, n := range d.nodes {
+		if n.latest == nil || now.Sub(n.at) > reportTTL {
+			targets = nil
 		}
 	}
-	slices.SortFunc(ids, cmp.Compare[string])
-	return ids
+	if len(targets) == 0 || len(targets) < len(d.nodes) {
+		d.onlyTargetSince = time.Time{}
+		return false
+	}
+	if d.onlyTargetSince.IsZero() {
+		d.onlyTargetSince = now
+	}
+	return now.Sub(d.onlyTargetSince) >= onlyTargetTime
 }
 
 // hasMoved reports whether every node confirmed that it sends no request to a base version and that none is being served there.
@@ -174,21 +259,26 @@
 		return false
 	}
 	for _, n := range d.nodes {
-		if !d.isConfirmed(now, n) || n.latest.Base != Closed {
+		if !d.isConfirmed(now, n) || n.latest.Base != Closed || d.hasBaseRequest(n) {
 			return false
 		}
-		for version, v := range n.latest.Versions {
-			if version != d.state.Order.Target && v.InFlight > 0 {
-				return false
-			}
-		}
 	}
 	return true
 }
 
+// hasBaseRequest reports whether a base instance beside the node has a request.
+func (d *Decider) hasBaseRequest(n *nodeRecord) bool {
+	for version, v := range n.latest.Versions {
+		if version != d.state.Order.Target && v.InFlight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // isConfirmed reports whether the latest report of a node is recent and shows that it follows the current state.
 func (d *Decider) isConfirmed(now time.Time, n *nodeRecord) bool {
-	return n.latest.Epoch == d.state.Epoch && now.Sub(n.at) <= reportTTL
+	return n.latest != nil && n.latest.Epoch == d.state.Epoch && now.Sub(n.at) <= reportTTL
 }
 
 // mayCloseBase reports whether the instances of the target version have been open for long enough to take over all requests.
@@ -208,20 +298,31 @@
 	return now.Sub(d.openedAt) >= settleTime
 }
 
-// Permits returns the permit for each of the nodes.
-func (d *Decider) Permits(now time.Time, nodes []string) map[string]Permit {
+// baseMode returns the mode of the base versions in phase Moving.
+func (d *Decider) baseMode(now time.Time) Mode {
+	if d.mayCloseBase(now) {
+		return Closed
+	}
+	return Open
+}
+
+// permits returns the permit for each of the nodes.
+func (d *Decider) permits(now time.Time, nodes []string) map[string]Permit {
 	permits := make(map[string]Permit, len(nodes))
 	for _, id := range nodes {
 		permits[id] = InitialPermit(d.state)
 	}
 	switch d.state.Phase {
 	case Canary:
+		if !d.hasBase() {
+			for id := range permits {
+				permits[id] = inquiry(d.state)
+			}
+			return permits
+		}
 		d.grant(permits)
 	case Moving:
-		base := Open
-		if d.mayCloseBase(now) {
-			base = Closed
-		}
+		base := d.baseMode(now)
 		for id, p := range permits {
 			p.Target, p.Base = Open, base
 			permits[id] = p
@@ -230,6 +331,13 @@
 	return permits
 }
 
+// hasBase reports whether an instance of another version than the target is known.
+func (d *Decider) hasBase() bool {
+	return slices.ContainsFunc(slices.Collect(maps.Values(d.nodes)), func(n *nodeRecord) bool {
+		return n.latest != nil && n.latest.Version != "" && n.latest.Version != d.state.Order.Target
+	})
+}
+
 // grant distributes the exposure that is left among the first instances of the target version. The others get no request, so that these
 // few are loaded as they will be later.
 func (d *Decider) grant(permits map[string]Permit) {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -22,6 +22,11 @@
 	Position int64         `json:"position"` // of the order in the operators' log; a later order replaces an earlier one of the service
 }
 
+// IsSame reports whether the operators ask for the same. An order may be written again, at another position, without being a new one.
+func (o *Order) IsSame(other *Order) bool {
+	return o.Service == other.Service && o.Target == other.Target && o.Duration == other.Duration
+}
+
 // IsWithdrawal reports whether the order only withdraws an earlier one of the service.
 func (o *Order) IsWithdrawal() bool { return o.Target == "" && o.Duration == 0 }
 
@@ -87,12 +92,17 @@
 type Permit struct {
 	State  State         `json:"state"`
 	Epoch  int64         `json:"epoch"`
-	Target Mode          `json:"target"`          // for an instance of the target version
+	Target Mode          `json:"target"`          // for an instance of the target version; "": an inquiry, see IsInquiry
 	Base   Mode          `json:"base"`            // for an instance of any other version: Closed or Open
 	Limit  int64         `json:"limit,omitempty"` // requests that the process may forward to the target version in all, if Target is Limited
 	Lease  time.Duration `json:"lease,omitempty"` // after which Target becomes Closed; 0: never, so that requests that move have an instance
 }
 
+// IsInquiry reports whether the node should only report, as if there were no roll-out.
+func (p *Permit) IsInquiry() bool { return p.Target == "" }
+
+func inquiry(s State) Permit { return Permit{State: s, Epoch: s.Epoch} }
+
 // timeBuckets is the number of buckets of a histogram of response times. Bucket i holds times below firstBucket*bucketGrowth^i.
 const (
 	timeBuckets  = 24
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -45,9 +45,18 @@
 	bad     int            // bad responses of the target
 	badAt   time.Time      // of the bad response that reaches the rollback bound
 	lastAt  time.Time      // of the latest request to the target
+	polls   int            // permits sent
+	endedAt time.Duration  // when the last phase was agreed, after the order
+	sentTo  int            // node that the latest request was sent to
+
+	load []int // requests in flight by node
+	step int   // between nodes that are tried one after the other
+
+	hasSickNodes bool // each tenth node is three times slower
 }
 
 type flight struct {
+	gate   *Gate // that was asked; nil: none
 	node   int
 	class  string
 	end    time.Time
@@ -60,25 +69,47 @@
 func newFleet(seed uint64, size int, state State) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), counts: make(map[string]int)}
 	for i := range 2 * size {
-		g := NewGate(state, int64(i))
-		g.now = func() time.Time { return f.now }
-		f.gates = append(f.gates, g)
+		f.gates = append(f.gates, nil)
 		f.version = append(f.version, []string{"v1", "v2"}[i/size])
 	}
+	f.load = make([]int, 2*size)
+	for f.step = size + 1; gcd(f.step, 2*size) > 1; f.step++ {
+	}
 	return f
 }
 
-func (f *fleet) node(i int) string { return fmt.Sprintf("node-%03d", i) }
+func (f *fleet) node(i int) Node {
+	return Node{ID: fmt.Sprintf("node-%03d", i), DataCentre: []string{"a", "b", "c"}[i%3]}
+}
+
+// apply applies a permit to a node and returns its report.
+func (f *fleet) apply(i int, p Permit) *Report {
+	if f.gates[i] == nil && p.IsInquiry() {
+		return &Report{Process: int64(i), Version: f.version[i]}
+	}
+	if f.gates[i] == nil {
+		f.gates[i] = NewGate(p.State, int64(i))
+		f.gates[i].now = func() time.Time { return f.now }
+	}
+	if !p.IsInquiry() {
+		f.gates[i].Apply(p)
+	}
+	return f.gates[i].Report(f.version[i])
+}
 
 // send sends one request to a random node that accepts it, and reports whether there is one.
 func (f *fleet) send(of behaviour, since time.Duration) bool {
 	class := []string{"a", "a", "b"}[f.random.IntN(3)]
-	for _, i := range f.random.Perm(len(f.gates)) {
-		if !f.gates[i].Enter(f.version[i]) {
+	first := f.random.IntN(len(f.gates))
+	for k := range f.gates {
+		i := (first + k*f.step) % len(f.gates)
+		gate := f.gates[i]
+		if gate != nil && !gate.Enter(f.version[i]) {
 			continue
 		}
 		f.counts[f.version[i]]++
-		fl := flight{node: i, class: class, took: time.Duration(float64(40*time.Millisecond) * (0.7 + 0.6*f.random.Float64()))}
+		f.sentTo = i
+		fl := flight{gate: gate, node: i, class: class, took: time.Duration(float64(40*time.Millisecond) * (0.7 + 0.6*f.random.Float64()))}
 		if f.version[i] == "v2" {
 			f.lastAt = f.now
 			slowdown := 1.0
@@ -92,14 +123,31 @@
 			}
 		} else {
 			fl.failed = f.random.Float64() < 0.01
+			fl.took = time.Duration(float64(fl.took) * f.slowdownOf(i))
 		}
 		fl.end = f.now.Add(fl.took)
 		f.running = append(f.running, fl)
+		f.load[i]++
 		return true
 	}
 	return false
 }
 
+// slowdownOf returns how much slower than others the node's machine is.
+func (f *fleet) slowdownOf(node int) float64 {
+	if f.hasSickNodes && node%10 == 3 {
+		return 3
+	}
+	return 1
+}
+
+func gcd(a, b int) int {
+	for b > 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 func (f *fleet) finish() {
 	left := f.running[:0]
 	for _, fl := range f.running {
@@ -107,34 +155,42 @@
 			left = append(left, fl)
 			continue
 		}
+		f.load[fl.node]--
 		outcome := Succeeded
 		if fl.failed {
 			outcome = Failed
 		}
-		f.gates[fl.node].Leave(f.version[fl.node], fl.class, outcome, fl.took)
+		if fl.gate != nil {
+			fl.gate.Leave(f.version[fl.node], fl.class, outcome, fl.took)
+		}
 	}
 	f.running = left
 }
 
 // play plays a roll-out until its duration has passed, with perSecond requests a second, and returns the last state.
 func (f *fleet) play(t require.TestingT, state State, perSecond int, of behaviour) State {
-	const tick, poll = 10 * time.Millisecond, 250 * time.Millisecond
+	const tick = 10 * time.Millisecond
 	start := f.now
 	d := NewDecider(state, start, testLimits)
-	var nodes []string
+	var nodes []Node
 	for i := range f.gates {
 		nodes = append(nodes, f.node(i))
 	}
+	due := 0.0 // requests
 	for step := 0; f.now.Before(start.Add(state.Order.Duration + time.Second)); step++ {
 		f.finish()
-		for range perSecond * int(tick/time.Millisecond) / 1000 {
+		due += float64(perSecond) * tick.Seconds()
+		for ; due >= 1; due-- {
 			require.True(t, f.send(of, f.now.Sub(start)), "a request finds no instance that accepts it")
 		}
-		if step%int(poll/tick) == 0 {
+		if step%int(PollInterval/tick) == 0 {
 			if phase, cause := d.Next(f.now); phase != d.State().Phase {
 				s := d.State()
 				s.Phase, s.Cause, s.Epoch = phase, cause, s.Epoch+1
 				require.NoError(t, d.Agreed(s))
+				if phase.IsFinal() {
+					f.endedAt = f.now.Sub(start)
+				}
 				if phase == Completed {
 					for i, g := range f.gates {
 						if f.version[i] == "v1" {
@@ -144,10 +200,12 @@
 					}
 				}
 			}
-			permits := d.Permits(f.now, nodes)
-			for i, g := range f.gates {
-				g.Apply(permits[nodes[i]])
-				d.Observe(f.now, nodes[i], g.Report(f.version[i]))
+			permits := d.Poll(f.now, nodes)
+			f.polls += len(permits)
+			for i, n := range nodes {
+				if p, ok := permits[n.ID]; ok {
+					d.Observe(f.now, n.ID, f.apply(i, p))
+				}
 			}
 		}
 		f.now = f.now.Add(tick)
@@ -208,6 +266,46 @@
 	assert.Contains(t, final.Cause, "undecided")
 }
 
+// An order whose target is the version in use must not take capacity away: no instance is closed, and the roll-out is completed.
+func TestDecider_VersionInUse(t *testing.T) {
+	state := canaryState(8 * time.Second)
+	f := newFleet(1, 3, state)
+	f.gates, f.version = f.gates[3:], f.version[3:]
+	final := f.play(t, state, 100, behaviours["good"].of) // fails if a request finds no instance
+	assert.Equal(t, Completed, final.Phase, final.Cause)
+}
+
+// While requests move, one decider must not spend its processor time on nodes that have moved already, whatever the size of the fleet.
+func TestDecider_PollsFewNodesOfALargeFleet(t *testing.T) {
+	state := canaryState(12 * time.Second)
+	f := newFleet(1, 150, state)
+	require.Equal(t, Completed, f.play(t, state, 400, behaviours["good"].of).Phase)
+	assert.Less(t, f.polls, 300*12*2, "two polls a second of each node would be more")
+}
+
+// The instances that are tried first lie in different data centres: a fault of one of them would otherwise look like one of the version.
+func TestDecider_CanariesOfAllDataCentres(t *testing.T) {
+	now := time.Now()
+	d := NewDecider(canaryState(time.Minute), now, testLimits)
+	f := newFleet(1, 39, canaryState(time.Minute))
+	var nodes []Node
+	for i := range f.version {
+		nodes = append(nodes, f.node(i))
+	}
+	d.Poll(now, nodes)
+	for i, n := range nodes {
+		d.Observe(now, n.ID, &Report{Process: 1, Version: f.version[i]})
+	}
+	dataCentres := make(map[string]bool)
+	permits := d.Poll(now.Add(PollInterval), nodes)
+	for _, n := range nodes {
+		if permits[n.ID].Target == Limited {
+			dataCentres[n.DataCentre] = true
+		}
+	}
+	assert.Len(t, dataCentres, 3)
+}
+
 func TestPhase_NoWayBack(t *testing.T) {
 	d := NewDecider(canaryState(time.Second), time.Now(), testLimits)
 	s := d.State()
@@ -248,12 +346,14 @@
 func TestDecider_CountsUnknownExposure(t *testing.T) {
 	now := time.Now()
 	d := NewDecider(canaryState(time.Minute), now, testLimits)
+	d.Poll(now, []Node{{ID: "a"}})
 	d.Observe(now, "a", &Report{Process: 1, Version: "v2", Limit: 20})
 	d.Observe(now, "a", &Report{Process: 2, Version: "v2"})
-	d.Retain(nil)
+	d.Poll(now, []Node{{ID: "b"}, {ID: "c"}})
 	assert.EqualValues(t, 20, d.Granted())
 	d.Observe(now, "b", &Report{Process: 1, Version: "v2"})
-	p := d.Permits(now, []string{"b"})["b"]
+	d.Observe(now, "c", &Report{Process: 1, Version: "v1"})
+	p := d.Poll(now.Add(PollInterval), []Node{{ID: "b"}, {ID: "c"}})["b"]
 	assert.EqualValues(t, int64(exposureUsed*testLimits.Slack)-20, p.Limit)
 }
 
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -397,20 +397,23 @@
 	return r
 }
 
-// logCall logs a call that the backend server did not answer, with the values that decided it. Lines are rate-limited.
+// logCall logs a call that the backend server did not answer, with the values that decided it, and calls that a canary of a roll-out
+// answered. Lines are rate-limited.
 func (in *inbound) logCall(i *instance, c *call, request *hop.Request, r *callReply) {
-	if r.verdict == verdictAnswered || r.reason == reasonBusy {
+	isCanary := i != nil && in.rolloutMode(&i.Announcement) == rollout.Limited
+	if r.verdict == verdictAnswered && !isCanary || r.reason == reasonBusy {
 		return
 	}
 	if !in.logLimit.Allow() {
 		in.metrics.Inc("log_limited", "event", "inbound")
 		return
 	}
-	id := ""
+	id, version := "", ""
 	if i != nil {
-		id = i.ID
+		id, version = i.ID, i.Version
 	}
 	in.logger.Info("inbound", zap.String("id", request.ID), zap.String("class", c.class), zap.String("service", c.service), zap.String("instance", id),
+		zap.String("backend_version", version),
 		zap.String("verdict", string(r.verdict)), zap.String("reason", string(r.reason)), zap.Bool("arrived", r.arrived), zap.Int("rank", c.rank),
 		zap.Int("running", r.load.Running), zap.Int("queued", r.load.Queued), zap.Int("limit", r.load.Limit), zap.Duration("slot_time", r.load.SlotTime),
 		zap.Duration("target_left", c.targetRemaining), zap.Duration("deadline_left", c.deadlineRemaining), zap.Duration("retry_after", r.retryAfter))
--- a/pkg/sidecar/rollout.go
+++ b/pkg/sidecar/rollout.go
@@ -24,10 +24,8 @@
 )
 
 const (
-	canaryInterval  = 500 * time.Millisecond // between polls of the nodes in the canary phase
-	movingInterval  = 100 * time.Millisecond // while requests move
 	permitTimeout   = 400 * time.Millisecond
-	finalPolls      = 5 // permits that are sent after the last phase was agreed
+	finalTime       = 10 * time.Second // in which nodes are told the last phase
 	agreeRetryDelay = 200 * time.Millisecond
 	claimDelay      = 150 * time.Millisecond // a node waits this long for each node that may decide before it
 	standbyInterval = time.Second            // between checks of the node that decides
@@ -62,12 +60,15 @@
 	for _, o := range orders {
 		r.mu.Lock()
 		known, ok := r.latest[o.Service]
-		isNew := !ok || o.Position > known.Position
+		isNew := !ok || o.Position > known.Position && !o.IsSame(&known)
 		if isNew {
 			r.latest[o.Service] = o
 		}
 		r.mu.Unlock()
 		if !isNew {
+			if o.Position > known.Position {
+				r.metrics.Inc("rollout_order", "verdict", "repeated")
+			}
 			continue
 		}
 		if o.IsWithdrawal() {
@@ -81,8 +82,18 @@
 			continue
 		}
 		r.metrics.Inc("rollout_order", "verdict", "accepted")
-		go r.run(ctx, o)
+		go r.run(ctx, o, ok && known.IsWithdrawal())
+	}
+}
+
+// adopt makes an order, as the fleet agreed on it, the latest one if it is the same, and returns it.
+func (r *rollouts) adopt(agreed rollout.Order) rollout.Order {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if latest := r.latest[agreed.Service]; latest.IsSame(&agreed) {
+		r.latest[agreed.Service] = agreed
 	}
+	return agreed
 }
 
 func (r *rollouts) isLatest(o rollout.Order) bool {
@@ -91,8 +102,9 @@
 	return r.latest[o.Service].Position == o.Position
 }
 
-// run decides on the roll-out of an order, or stands by, until the roll-out has ended.
-func (r *rollouts) run(ctx context.Context, o rollout.Order) {
+// run decides on the roll-out of an order, or stands by, until the roll-out has ended. An order that is the same as that of the stored
+// state was written again, unless the earlier one was withdrawn.
+func (r *rollouts) run(ctx context.Context, o rollout.Order, afterWithdrawal bool) {
 	seen := time.Now()
 	_ = clock.Sleep(ctx, time.Duration(r.rank())*claimDelay)
 	for ctx.Err() == nil {
@@ -103,6 +115,11 @@
 			continue
 		}
 		state := stored.rolloutOf(o.Service)
+		if state.Order.IsSame(&o) && state.Order.Position != o.Position && !afterWithdrawal {
+			r.logger.Info("rollout_order_repeated", zap.String("service", o.Service), zap.String("target", o.Target), zap.String("phase", string(state.Phase)),
+				zap.String("remedy", "to try the version again, withdraw the order first"))
+			o = r.adopt(state.Order)
+		}
 		switch {
 		case state.Order.Position > o.Position, !r.isLatest(o) && state.Order.Position < o.Position:
 			return // a later order replaced this one
@@ -189,16 +206,13 @@
 	elapsed := min(max(0, time.Since(time.UnixMilli(state.StartedMS))), order.Duration) // the time of day of nodes may differ
 	d := rollout.NewDecider(state, time.Now().Add(-elapsed), r.limits)
 	var reported rollout.Phase // that the operators know of
-	for polls := 0; polls < finalPolls; {
-		if d.State().Phase.IsFinal() {
-			polls++
-		}
+	var ended time.Time        // when the last phase was agreed and reported
+	for ended.IsZero() || time.Since(ended) < finalTime {
 		if reported != d.State().Phase {
 			if err := r.source.PutRolloutStatus(ctx, order, d.State().Phase); err != nil {
 				r.logger.Info("rollout_status_not_written", zap.String("service", order.Service), zap.Error(err))
-				polls = 0 // it is written again
-			} else {
-				reported = d.State().Phase
+			} else if reported = d.State().Phase; reported.IsFinal() {
+				ended = time.Now()
 			}
 		}
 		if err := r.poll(ctx, d); err != nil {
@@ -221,11 +235,7 @@
 			}
 			continue // at once with the new permits
 		}
-		interval := canaryInterval
-		if phase == rollout.Moving {
-			interval = movingInterval
-		}
-		if err := clock.Sleep(ctx, interval); err != nil {
+		if err := clock.Sleep(ctx, rollout.PollInterval); err != nil {
 			return err
 		}
 	}
@@ -239,24 +249,24 @@
 		zap.Int64("bad", j.BadCount), zap.Float64("base_rate", j.BaseRate), zap.Int64("exposure_granted", d.Granted()))
 }
 
-// poll sends the permits to all nodes beside backend servers of the service and records their reports. It returns errSuperseded if one
-// of them follows another decider.
+// poll sends permits to the nodes beside backend servers of the service and records their reports. It returns errSuperseded if one of
+// them follows another decider.
 func (r *rollouts) poll(ctx context.Context, d *rollout.Decider) error {
 	addresses := make(map[string]string)
-	var nodes []string
+	var nodes []rollout.Node
 	for _, m := range r.members() {
 		if m.Endpoint == nil || m.Endpoint.Service != d.State().Order.Service || m.Endpoint.State == membership.EndpointGone {
 			continue
 		}
 		if m.Status == membership.Alive || m.Status == membership.Suspect {
-			nodes, addresses[m.ID] = append(nodes, m.ID), m.ControlAddress
+			nodes, addresses[m.ID] = append(nodes, rollout.Node{ID: m.ID, DataCentre: m.DataCentre}), m.ControlAddress
 		}
 	}
-	d.Retain(nodes)
-	reports := make(map[string]*rollout.Report, len(nodes))
+	permits := d.Poll(time.Now(), nodes)
+	reports := make(map[string]*rollout.Report, len(permits))
 	var mu sync.Mutex
 	var inFlight sync.WaitGroup
-	for id, p := range d.Permits(time.Now(), nodes) {
+	for id, p := range permits {
 		inFlight.Go(func() {
 			report, err := r.send(ctx, id, addresses[id], p)
 			if err != nil {
@@ -317,15 +327,23 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	gate := n.inbound.gate.Load()
-	if gate == nil || gate.State().Order.Position < p.State.Order.Position || gate.State().Order.Service != p.State.Order.Service {
-		gate = rollout.NewGate(p.State, n.started.UnixMilli())
-		n.inbound.gate.Store(gate)
-	}
-	gate.Apply(p)
 	current := n.tracker.Current()
 	version := ""
 	if current != nil {
 		version = current.Version
+	}
+	isUnknown := gate == nil || gate.State().Order.Position < p.State.Order.Position || gate.State().Order.Service != p.State.Order.Service
+	if isUnknown && p.IsInquiry() {
+		return &rollout.Report{Process: n.started.UnixMilli(), Version: version}
+	}
+	if isUnknown {
+		gate = rollout.NewGate(p.State, n.started.UnixMilli())
+		n.inbound.gate.Store(gate)
+	}
+	if !p.IsInquiry() {
+		gate.Apply(p)
+	}
+	if current != nil {
 		n.publishBackend(current, "roll-out")
 	}
 	return gate.Report(version)
--- a/pkg/sidecar/rollout_test.go
+++ b/pkg/sidecar/rollout_test.go
@@ -19,11 +19,11 @@
 // rolloutMesh is a mesh whose callers send requests during a roll-out.
 type rolloutMesh struct {
 	*mesh
-	base, target []*testNode
-	stop         chan struct{}
-	callers      sync.WaitGroup
-	failures     atomic.Int64
-	sent         atomic.Int64
+	base, targets []*testNode
+	stop          chan struct{}
+	callers       sync.WaitGroup
+	failures      atomic.Int64
+	sent          atomic.Int64
 }
 
 // rolloutServiceTime is the time that all instances need for a request. It is long relative to the delays of a busy machine, which would
@@ -52,7 +52,7 @@
 				w.WriteHeader(http.StatusInternalServerError)
 			}
 		})
-		r.target = append(r.target, n)
+		r.targets = append(r.targets, n)
 	}
 	for _, n := range r.base {
 		r.callers.Go(func() { r.call(n) })
@@ -86,6 +86,13 @@
 	return r.platform.rollouts[0].Phase
 }
 
+// target returns the target version of the roll-out that the fleet agreed on.
+func (r *rolloutMesh) target() string {
+	r.platform.mu.Lock()
+	defer r.platform.mu.Unlock()
+	return r.platform.rollouts[0].Order.Target
+}
+
 func executed(nodes []*testNode) int {
 	n := 0
 	for _, node := range nodes {
@@ -99,7 +106,7 @@
 func TestRollout_GoodVersionIsCompletedWithoutLoss(t *testing.T) {
 	r := newRolloutMesh(t, 3, 3, 8*time.Second, 0)
 	r.eventually("the requests move", func() bool { return r.phase() != rollout.Canary })
-	exposed, all := executed(r.target), executed(r.target)+executed(r.base)
+	exposed, all := executed(r.targets), executed(r.targets)+executed(r.base)
 	assert.LessOrEqual(t, float64(exposed), 0.1*float64(all)+50)
 	r.eventually("the roll-out ends", func() bool { return r.phase().IsFinal() })
 	require.Equal(t, rollout.Completed, r.phase(), r.log.String())
@@ -119,13 +126,14 @@
 	r.eventually("the roll-out ends", func() bool { return r.phase().IsFinal() })
 	require.Equal(t, rollout.RolledBack, r.phase())
 	assert.Contains(t, r.log.String(), "responses of class", "rolled back for its responses, not at the end of the duration")
-	time.Sleep(2 * canaryInterval) // the permits have arrived by then
-	exposed := executed(r.target)
+	assert.Regexp(t, `event=inbound .*backend_version=v2 .*verdict=answered`, r.log.String(), "the version that served a request must be found by its id")
+	time.Sleep(time.Second) // the permits have arrived by then
+	exposed := executed(r.targets)
 	assert.Positive(t, exposed)
 	assert.LessOrEqual(t, float64(exposed), 0.1*float64(exposed+executed(r.base))+50)
 	sent := r.sent.Load()
 	r.eventually("requests are served", func() bool { return r.sent.Load() > sent+100 })
-	assert.Equal(t, exposed, executed(r.target), "a request reached the target after the roll-back")
+	assert.Equal(t, exposed, executed(r.targets), "a request reached the target after the roll-back")
 }
 
 // The deciding node is lost: another one takes over and ends the roll-out.
@@ -137,9 +145,7 @@
 	i := slices.IndexFunc(r.nodes, func(n *testNode) bool { return n.settings.ID == decider })
 	require.GreaterOrEqual(t, i, 0)
 	lost := r.nodes[i]
-	lost.stop()
-	require.NoError(t, <-lost.done)
-	lost.done <- nil // for the cleanup
+	r.mesh.stop(lost)
 	r.eventually("another node decides", func() bool {
 		r.platform.mu.Lock()
 		defer r.platform.mu.Unlock()
@@ -158,6 +164,39 @@
 	assert.Contains(t, r.log.String(), "event=rollout_withdrawn")
 }
 
+// An order whose target is the version in use must not take the service's instances away, nor end without a result.
+func TestRollout_VersionInUse(t *testing.T) {
+	r := newRolloutMesh(t, 3, 0, time.Minute, 0)
+	r.platform.orderRollout("", 0)
+	r.eventually("the first roll-out ends", func() bool { return r.phase().IsFinal() })
+	r.platform.orderRollout("v1", 8*time.Second)
+	r.eventually("the roll-out begins", func() bool { return r.target() == "v1" })
+	r.eventually("the roll-out ends", func() bool { return r.phase().IsFinal() })
+	assert.Equal(t, rollout.Completed, r.phase(), r.log.String())
+	assert.Zero(t, r.failures.Load(), "lost requests")
+}
+
+// Guards against a roll-out that begins anew because the store lost the order and the operators wrote the same one again: the instances in
+// use would be limited like a canary.
+func TestRollout_OrderWrittenAgain(t *testing.T) {
+	r := newRolloutMesh(t, 3, 2, 8*time.Second, 3)
+	r.eventually("the roll-out ends", func() bool { return r.phase().IsFinal() })
+	require.Equal(t, rollout.RolledBack, r.phase())
+	time.Sleep(time.Second) // the permits have arrived by then
+	exposed := executed(r.targets)
+	r.platform.orderRollout("v2", 8*time.Second)
+	r.restart(r.nodes[0]).announce(false) // has not seen the first order
+	r.eventually("a node that has started knows the order", func() bool { return strings.Contains(r.log.String(), "event=rollout_order_repeated") })
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, rollout.RolledBack, r.phase())
+	assert.Equal(t, exposed, executed(r.targets), "requests reached a version that was rolled back")
+
+	r.platform.orderRollout("", 0)
+	r.eventually("the order is withdrawn", func() bool { return strings.Contains(r.log.String(), "event=rollout_withdrawn") })
+	r.platform.orderRollout("v2", 8*time.Second)
+	r.eventually("the roll-out begins again after the order was withdrawn", func() bool { return r.phase() == rollout.Canary })
+}
+
 // A node that starts while a roll-out runs, or after it was rolled back, must not serve the target version before a decider permits it.
 func TestRollout_StartingNodeHoldsTargetVersion(t *testing.T) {
 	m := &mesh{t: t, platform: newFakePlatform(), version: "v1"}
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -84,7 +84,7 @@
 	}, runRollout},
 	{"completes with requests on the base version", []guarantee{guaranteeRollout}, []replacement{
 		{"pkg/rollout/decider.go", "if version != d.state.Order.Target && v.InFlight > 0 {", "if version == \"\" && v.InFlight > 0 {"},
-		{"pkg/rollout/decider.go", "if !d.isConfirmed(now, n) || n.latest.Base != Closed {", "if false {"},
+		{"pkg/rollout/decider.go", "if !d.isConfirmed(now, n) || n.latest.Base != Closed || d.hasBaseRequest(n) {", "if n == nil {"},
 	}, runGoodRollout},
 	{"keeps the first instance", []guarantee{guaranteeRecovery, guaranteeBackendsUsed}, []replacement{
 		{"pkg/sidecar/inbound.go", "if old == nil || old.ID != a.ID || old.StartTimeMS != a.StartTimeMS {", "if old == nil {"},
