sidecar: the store comes back from a copy

A reader that waited at an offset beyond the end, or at one that was given out again, skipped what lay between; a conditional write could succeed on an offset of the earlier generation; the copy of the configuration and the last phase of a roll-out were not written again; a starting node trusted a copy from before. Change: the adapter decodes the generation of each response, refused ones included, and Generations decides: a late response of an earlier one is not used, and what is based on positions of an earlier one is void. Positions and epochs contain the generation, so they rise. The writers of the copy write it again; a node that starts beside a copy of an earlier generation asks other nodes for 1.5 s first. Readers write the last phase of a roll-out again; a node that knows that a roll-out has ended accepts no other phase of it, and tells a decider that does not know; an order that comes back in place of the one that replaced it is not new.

--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -47,6 +47,7 @@
 	openedAt        time.Time // all targets were open, in phase Moving
 	onlyTargetSince time.Time // no base instance was found; zero: there is one
 	verdict         Judgement
+	ended           Phase // that a node knows of, although the state is an earlier one; "": none does
 }
 
 // nodeRecord is what the decider knows of a node beside a backend server of the service.
@@ -92,6 +93,9 @@
 		n.first, n.granted = r, 0
 	}
 	n.latest, n.at = r, now
+	if !d.state.Phase.IsFinal() && r.Ended != "" {
+		d.ended = r.Ended
+	}
 	// An earlier decider may have granted more. What is not known to be unused counts as exposed.
 	exposed := max(r.Limit, r.forwarded(d.state.Order.Target))
 	if exposed > n.granted {
@@ -146,6 +150,9 @@
 	return 0
 }
 
+// endedBefore is the reason to end a roll-out whose end the fleet had agreed on.
+const endedBefore = "it had ended before the store came back from a copy"
+
 // Next returns the phase that the roll-out should change to and the reason, or the current phase.
 func (d *Decider) Next(now time.Time) (Phase, string) {
 	if d.state.Phase.IsFinal() {
@@ -155,6 +162,10 @@
 	onlyTarget := d.hasOnlyTarget(now)
 	end := d.started.Add(max(d.state.Order.Duration/2, d.state.Order.Duration-statusTime))
 	switch {
+	case d.ended == RolledBack, d.ended == Completed && d.state.Phase == Moving:
+		return d.ended, endedBefore
+	case d.ended == Completed:
+		return Moving, endedBefore
 	case d.verdict.Verdict == Bad:
 		return RolledBack, fmt.Sprintf("%d of %d responses of class %q were bad", d.verdict.BadCount, d.verdict.Answered, d.verdict.Class)
 	case d.state.Phase == Moving && d.hasMoved(now):
--- a/pkg/rollout/gate.go
+++ b/pkg/rollout/gate.go
@@ -45,11 +45,13 @@
 	return g.permit.State
 }
 
-// Apply replaces the permit unless one of a later decider or order is known. It reports whether it did.
+// Apply replaces the permit unless one of a later decider or order is known, or the roll-out has ended in another phase: the store may have
+// lost that. It reports whether it did.
 func (g *Gate) Apply(p Permit) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p.Epoch < g.permit.Epoch {
+	known := g.permit.State
+	if p.Epoch < g.permit.Epoch || known.Phase.IsFinal() && p.State.Order.Position == known.Order.Position && p.State.Phase != known.Phase {
 		return false
 	}
 	g.permit, g.receivedAt = p, g.now()
@@ -143,6 +145,9 @@
 		Process: g.process, Version: version, Epoch: g.permit.Epoch, Target: g.modeOf(g.permit.State.Order.Target), Base: g.permit.Base,
 		Limit: g.limit, Versions: make(map[string]*VersionReport),
 	}
+	if g.permit.State.Phase.IsFinal() {
+		r.Ended = g.permit.State.Phase
+	}
 	for name, v := range g.versions {
 		copied := &VersionReport{Forwarded: v.Forwarded, InFlight: v.InFlight, Classes: make(map[string]*Counts)}
 		for class, c := range v.Classes {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -155,11 +155,12 @@
 
 // Report is the answer of a node to a permit.
 type Report struct {
-	Process  int64                     `json:"process"` // start of the process that counted; counts of another process start anew
-	Version  string                    `json:"version"` // of the backend server; "": none is announced
-	Epoch    int64                     `json:"epoch"`   // of the permit that the node follows; higher than the decider's if it was replaced
-	Target   Mode                      `json:"target"`  // that the node enforces
-	Base     Mode                      `json:"base"`    // likewise
-	Limit    int64                     `json:"limit"`   // highest limit that was permitted
+	Process  int64                     `json:"process"`         // start of the process that counted; counts of another process start anew
+	Version  string                    `json:"version"`         // of the backend server; "": none is announced
+	Epoch    int64                     `json:"epoch"`           // of the permit that the node follows; higher than the decider's if it was replaced
+	Target   Mode                      `json:"target"`          // that the node enforces
+	Base     Mode                      `json:"base"`            // likewise
+	Limit    int64                     `json:"limit"`           // highest limit that was permitted
+	Ended    Phase                     `json:"ended,omitempty"` // last phase, if the node knows that the roll-out has ended
 	Versions map[string]*VersionReport `json:"versions"`
 }
--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -38,6 +38,9 @@
 	// pulls it.
 	peerDelay   = 300 * time.Millisecond
 	pullTimeout = time.Second
+	// earlierCopyWait is how long a starting node asks other nodes before it uses a copy of an earlier generation of the store. It is longer
+	// than a node needs to join.
+	earlierCopyWait = 1500 * time.Millisecond
 )
 
 // documentMethod is the RPC method that pulls the configuration from another node.
@@ -74,6 +77,7 @@
 	changes       []*routing.Change // between the latest active versions, the latest last; guarded by mu
 	fullTransfers chan struct{}     // semaphore with one element for each full configuration being served
 	copyVersion   uint64            // version of the copy that this node last read or wrote; used by Run only
+	generation    int64             // of the store that holds it; used by Run only
 	copiedAt      time.Time         // when it last wrote the copy; used by Run only
 	pulling       atomic.Bool
 	storeUp       atomic.Bool
@@ -158,7 +162,7 @@
 // Run reads the source until ctx ends. A node that is not a reader reads it only as long as it has no configuration, and not before
 // firstRelayTimeout if the whole fleet starts for the first time.
 func (f *follower) Run(ctx context.Context) {
-	position, positionKnown := int64(0), f.firstStart
+	position, positionKnown := StorePosition{}, f.firstStart
 	readAlone := time.Now()
 	if f.firstStart {
 		readAlone = readAlone.Add(firstRelayTimeout)
@@ -194,13 +198,13 @@
 		backoff = minBackoff
 		f.onOrders(ctx, p.Orders)
 		// After a burst of versions, read the newest instead of each in turn.
-		positionKnown = p.Position-position < minBurstVersions || !positionKnown
+		positionKnown = p.Position.Offset-position.Offset < minBurstVersions || !positionKnown
 		position = p.Position
 		isFirst := f.table.Load() == nil
 		if change := f.activate(p.Document, nil, "store"); change != nil && (!isFirst || f.firstStart) {
 			go f.onChange(change) // an unreachable data centre must not delay the next read
 		}
-		f.keepCopy(ctx)
+		f.keepCopy(ctx, p.Position.Generation)
 		if p.Document == nil {
 			continue
 		}
@@ -234,13 +238,31 @@
 		f.logger.Warn("configuration_copy_unreadable", zap.Error(err), zap.String("remedy", "none; the copy is replaced with the next configuration"))
 		return false
 	}
-	f.copyVersion = document.Version
+	f.copyVersion, f.generation = document.Version, stored.End.Generation
+	if stored.IsEarlier {
+		f.metrics.Inc("configuration_copy_earlier")
+		f.logger.Warn("configuration_copy_earlier", zap.Uint64("version", document.Version), zap.String("remedy", "none; other nodes are asked for a newer one first"))
+		f.awaitPeers(ctx)
+	}
 	f.activate(document, nil, "copy")
 	return f.table.Load() != nil
 }
 
-// keepCopy updates the copy that starting nodes read, if it is older than the configuration in force.
-func (f *follower) keepCopy(ctx context.Context) {
+// awaitPeers waits until another node has passed on a configuration, for earlierCopyWait at most.
+func (f *follower) awaitPeers(ctx context.Context) {
+	for end := time.Now().Add(earlierCopyWait); f.table.Load() == nil && time.Now().Before(end); {
+		if clock.Sleep(ctx, tablePollInterval) != nil {
+			return
+		}
+	}
+}
+
+// keepCopy updates the copy that starting nodes read, if it is older than the configuration in force, or may be lost since the store has
+// another generation.
+func (f *follower) keepCopy(ctx context.Context, generation int64) {
+	if generation != f.generation {
+		f.generation, f.copyVersion, f.copiedAt = generation, 0, time.Time{}
+	}
 	t := f.table.Load()
 	if t == nil || t.Document.Version <= f.copyVersion || time.Since(f.copiedAt) < copyInterval || !f.isWriter() {
 		return
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -52,6 +52,8 @@
 
 	directoryReads int
 	published      chan struct{}
+	generation     int64           // number of times that it came back from a copy
+	earlierCopy    bool            // the copy was written before it last did
 	holdLeave      <-chan struct{} // Remove returns when it is closed, whatever its context says; nil: at once
 }
 
@@ -80,7 +82,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.position++
-	p.orders = []rollout.Order{{Service: "s", Target: target, Duration: duration, Position: p.position}}
+	p.orders = []rollout.Order{{Service: "s", Target: target, Duration: duration, Position: StorePosition{p.generation + 1, p.position}.Ordinal()}}
+	close(p.published)
+	p.published = make(chan struct{})
+}
+
+// restore makes the store come back from a copy: it has the given configuration, copy and states, and gives out positions again.
+func (p *fakePlatform) restore(d *routing.Document, copied []byte, states []rollout.State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.document, p.copied, p.rollouts = d, copied, states
+	p.position--
+	p.generation, p.earlierCopy = p.generation+1, true
 	close(p.published)
 	p.published = make(chan struct{})
 }
@@ -88,9 +101,23 @@
 // forNode is the fake platform as seen by one node.
 type forNode struct {
 	*fakePlatform
-	id string
+	id          string
+	generations *Generations
 }
 
+func (p *forNode) SetGenerations(g *Generations) { p.generations = g }
+
+// check returns an error if the result of a call that is based on a generation of the store must not be used.
+func (p *forNode) check(basis int64) error {
+	if err := p.refused(); err != nil {
+		return err
+	}
+	_, err := p.generations.Check(basis, strconv.FormatInt(p.generation+1, 10))
+	return err
+}
+
+func (p *forNode) end(offset int64) StorePosition { return StorePosition{p.generation + 1, offset} }
+
 func (p *forNode) refused() error {
 	if p.refusing[p.id] {
 		return apierror.New(apierror.Unavailable, "store is down", "try again")
@@ -116,24 +143,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls = append(p.calls, "newest")
-	return Published{p.document, p.orders, p.position}, p.refused()
+	return Published{p.document, p.orders, p.end(p.position)}, p.check(p.generations.Current())
 }
 
-func (p *forNode) Next(ctx context.Context, position int64, wait time.Duration) (Published, error) {
+func (p *forNode) Next(ctx context.Context, position StorePosition, wait time.Duration) (Published, error) {
 	p.mu.Lock()
 	p.calls = append(p.calls, "next")
 	p.pollers[p.id] = true
 	p.waits[p.id] = max(p.waits[p.id], wait)
-	published, now, err := p.published, Published{p.document, p.orders, p.position}, p.refused()
+	published, now, err := p.published, Published{p.document, p.orders, p.end(p.position)}, p.check(position.Generation)
 	p.mu.Unlock()
-	if err != nil || now.Position > position {
+	if err != nil || now.Position.Offset > position.Offset {
 		return now, err
 	}
 	select {
 	case <-published:
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return Published{p.document, p.orders, p.position}, p.refused()
+		return Published{p.document, p.orders, p.end(p.position)}, p.check(position.Generation)
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
@@ -147,19 +174,19 @@
 	if p.noCopies[p.id] {
 		return Copy{}, apierror.New(apierror.Unavailable, "store is down", "try again")
 	}
-	return Copy{Document: p.copied, Rollouts: slices.Clone(p.rollouts), End: p.copyEnd}, p.refused()
+	return Copy{Document: p.copied, IsEarlier: p.earlierCopy, Rollouts: slices.Clone(p.rollouts), End: p.end(p.copyEnd)}, p.check(p.generations.Current())
 }
 
-func (p *forNode) PutRollout(_ context.Context, state rollout.State, end int64) (int64, error) {
+func (p *forNode) PutRollout(_ context.Context, state rollout.State, end StorePosition) (int64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := p.refused(); err != nil {
+	if err := p.check(end.Generation); err != nil {
 		return 0, err
 	}
-	if end != p.copyEnd {
+	if end.Offset != p.copyEnd {
 		return 0, apierror.New(apierror.Conflict, "changed", "read again")
 	}
-	state.Epoch = p.copyEnd
+	state.Epoch = p.end(p.copyEnd).Ordinal()
 	p.copyEnd++
 	p.rollouts = append(slices.DeleteFunc(p.rollouts, func(s rollout.State) bool { return s.Order.Service == state.Order.Service }), state)
 	return state.Epoch, nil
@@ -178,10 +205,10 @@
 func (p *forNode) PutCopy(_ context.Context, data []byte) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := p.refused(); err != nil {
+	if err := p.check(p.generations.Current()); err != nil {
 		return err
 	}
-	p.copied = data
+	p.copied, p.earlierCopy = data, false
 	p.copyEnd++
 	return nil
 }
@@ -426,7 +453,7 @@
 func (m *mesh) startNode(s *Settings, b *backendServer) *testNode {
 	logger, err := logging.New(&m.log, "info")
 	require.NoError(m.t, err)
-	n, err := New(s, &forNode{m.platform, s.ID}, logger)
+	n, err := New(s, &forNode{m.platform, s.ID, nil}, logger)
 	require.NoError(m.t, err)
 	if m.adjust != nil {
 		m.adjust(n)
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -63,6 +63,7 @@
 	rpcClient  *rpc.Client
 	membership *membership.Service
 	follower   *follower
+	rollouts   *rollouts
 	link       *link.Link
 	buffers    *hop.BufferBudget // for long responses of the backend server
 	inbound    *inbound
@@ -130,7 +131,11 @@
 	n.rpcServer.Handle(changeMethod, r.serveChange)
 	n.follower.isReader, n.follower.isStandby, n.follower.isWriter, n.follower.hasPeers = r.isReader, r.isStandby, r.isWriter, r.hasPeers
 	n.follower.onChange = r.broadcast
-	n.follower.onOrders, n.follower.onRollouts = n.newRollouts(r).observe, n.observeRollouts
+	n.rollouts = n.newRollouts(r)
+	n.follower.onOrders, n.follower.onRollouts = n.rollouts.observe, n.observeRollouts
+	generations := NewGenerations(n.metrics, n.logger)
+	generations.OnChange(n.rollouts.storeRestored)
+	n.platform.SetGenerations(generations)
 }
 
 func (n *Node) self() membership.Member {
--- a/pkg/sidecar/platform.go
+++ b/pkg/sidecar/platform.go
@@ -38,17 +38,20 @@
 type Published struct {
 	Document *routing.Document // nil: nothing has been published, or the published configuration is malformed
 	Orders   []rollout.Order   // of roll-outs, each with its position; an order without a target withdraws the earlier one
-	Position int64             // to pass to Next
+	Position StorePosition     // to pass to Next
 }
 
 // Source is where operators publish full configurations, and where nodes keep a compressed copy of the newest for starting nodes: on a
 // low-bandwidth link the published one takes half a second. Errors are of type *apierror.Error.
 type Source interface {
+	// SetGenerations sets what checks the generation of the store in each response before its result is used. It is called before any call.
+	SetGenerations(g *Generations)
+
 	// Newest returns the newest configuration.
 	Newest(ctx context.Context) (Published, error)
 	// Next waits at most the duration wait for configurations published since position and returns the newest of them. Its Document is nil if there is
 	// none. An error of kind NotFound means that the position is no longer kept; call Newest instead.
-	Next(ctx context.Context, position int64, wait time.Duration) (Published, error)
+	Next(ctx context.Context, position StorePosition, wait time.Duration) (Published, error)
 
 	// Copy returns what nodes keep at the source.
 	Copy(ctx context.Context) (Copy, error)
@@ -57,16 +60,17 @@
 
 	// PutRollout replaces the state of the service's roll-out if nothing was put since a Copy whose End is given. It returns the epoch of
 	// the state. An error of kind Conflict means that something was put; after any other error the state may have been replaced.
-	PutRollout(ctx context.Context, state rollout.State, end int64) (epoch int64, err error)
+	PutRollout(ctx context.Context, state rollout.State, end StorePosition) (epoch int64, err error)
 	// PutRolloutStatus tells the operators the phase of a roll-out.
 	PutRolloutStatus(ctx context.Context, order rollout.Order, phase rollout.Phase) error
 }
 
 // Copy is what nodes keep at the source.
 type Copy struct {
-	Document []byte          // that any node last passed to PutCopy, or nil
-	Rollouts []rollout.State // of all services that had one
-	End      int64           // to pass to PutRollout
+	Document  []byte          // that any node last passed to PutCopy, or nil
+	IsEarlier bool            // the document was written to an earlier generation of the store; newer ones may be lost
+	Rollouts  []rollout.State // of all services that had one
+	End       StorePosition   // to pass to PutRollout
 }
 
 // Contact is a node's entry in the directory.
--- a/pkg/sidecar/rollout.go
+++ b/pkg/sidecar/rollout.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,20 +53,17 @@
 	metrics  *metrics.Registry
 	logger   *zap.Logger
 
-	mu     sync.Mutex
-	latest map[string]rollout.Order // by service
+	mu       sync.Mutex
+	latest   map[string]rollout.Order   // by service
+	seen     map[string][]rollout.Order // earlier ones, by service
+	states   map[string]rollout.State   // latest state that this node wrote or read, by service
+	restored chan struct{}              // capacity 1; the store has come back from a copy
 }
 
 // observe records orders and starts to work on those that are new.
 func (r *rollouts) observe(ctx context.Context, orders []rollout.Order) {
 	for _, o := range orders {
-		r.mu.Lock()
-		known, ok := r.latest[o.Service]
-		isNew := !ok || o.Position > known.Position && !o.IsSame(&known)
-		if isNew {
-			r.latest[o.Service] = o
-		}
-		r.mu.Unlock()
+		known, isNew := r.record(o)
 		if !isNew {
 			if o.Position > known.Position {
 				r.metrics.Inc("rollout_order", "verdict", "repeated")
@@ -82,7 +81,97 @@
 			continue
 		}
 		r.metrics.Inc("rollout_order", "verdict", "accepted")
-		go r.run(ctx, o, ok && known.IsWithdrawal())
+		go r.run(ctx, o, known.Service != "" && known.IsWithdrawal())
+	}
+}
+
+// maxSeenOrders bounds the memory for earlier orders of a service.
+const maxSeenOrders = 32
+
+// record records an order. It returns the one before, if any, and whether it is a new one. After the store has come back from a copy, an
+// order that another one had replaced may be the newest there for a while.
+func (r *rollouts) record(o rollout.Order) (known rollout.Order, isNew bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.latest[o.Service]
+	switch {
+	case !ok:
+	case o.Position <= known.Position, o.IsSame(&known):
+		return known, false
+	case o.Position>>offsetBits > known.Position>>offsetBits &&
+		slices.ContainsFunc(r.seen[o.Service], func(earlier rollout.Order) bool { return earlier.IsSame(&o) }):
+		return known, false
+	default:
+		r.seen[o.Service] = append(r.seen[o.Service], known)
+		if extra := len(r.seen[o.Service]) - maxSeenOrders; extra > 0 {
+			r.seen[o.Service] = slices.Delete(r.seen[o.Service], 0, extra)
+		}
+	}
+	r.latest[o.Service] = o
+	return known, true
+}
+
+// remember keeps a state to write it again if the store loses it.
+func (r *rollouts) remember(s rollout.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.states[s.Order.Service] = s
+}
+
+// Run writes the last phases of roll-outs again when the store has come back from a copy, until ctx ends. The decider of one that still runs
+// does so itself.
+func (r *rollouts) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.restored:
+		}
+		r.mu.Lock()
+		states := slices.Collect(maps.Values(r.states))
+		r.mu.Unlock()
+		_ = clock.Sleep(ctx, time.Duration(r.rank())*claimDelay)
+		for _, s := range states {
+			if s.Phase.IsFinal() {
+				r.restore(ctx, s)
+			}
+		}
+	}
+}
+
+// storeRestored makes Run look what the store has lost.
+func (r *rollouts) storeRestored() {
+	select {
+	case r.restored <- struct{}{}:
+	default: // Run has not begun yet to look after an earlier change
+	}
+}
+
+// restore makes the store and the operators know the last phase of a roll-out again.
+func (r *rollouts) restore(ctx context.Context, s rollout.State) {
+	for ; ctx.Err() == nil; _ = clock.Sleep(ctx, agreeRetryDelay) {
+		stored, err := r.source.Copy(ctx)
+		if err != nil {
+			continue // logged by the other calls to the store
+		}
+		state := stored.rolloutOf(s.Order.Service)
+		if state.Order.Position > s.Order.Position {
+			return
+		}
+		isWritten := state.Order.Position == s.Order.Position && state.Phase == s.Phase
+		if isWritten && state.Decider != r.self && r.rank() > 0 {
+			return // the operators are told by its decider, or the first node
+		}
+		if !isWritten {
+			s.Decider = r.self
+			if _, err = r.put(ctx, s, stored.End); err != nil {
+				continue
+			}
+		}
+		if err = r.source.PutRolloutStatus(ctx, s.Order, s.Phase); err == nil {
+			return
+		}
+		r.logger.Info("rollout_status_not_written", zap.String("service", s.Order.Service), zap.Error(err))
 	}
 }
 
@@ -124,6 +213,7 @@
 		case state.Order.Position > o.Position, !r.isLatest(o) && state.Order.Position < o.Position:
 			return // a later order replaced this one
 		case state.Order.Position == o.Position && state.Phase.IsFinal():
+			r.remember(state)
 			return
 		case state.Order.Position == o.Position && state.Decider != r.self && !r.isGone(state.Decider, time.Since(seen)):
 			_ = clock.Sleep(ctx, standbyInterval)
@@ -164,13 +254,14 @@
 }
 
 // put writes a state to the store and returns it with its epoch.
-func (r *rollouts) put(ctx context.Context, s rollout.State, end int64) (rollout.State, error) {
+func (r *rollouts) put(ctx context.Context, s rollout.State, end StorePosition) (rollout.State, error) {
 	epoch, err := r.source.PutRollout(ctx, s, end)
 	if err != nil {
 		r.metrics.Inc("rollout_state_not_written")
 		return s, err
 	}
 	s.Epoch = epoch
+	r.remember(s)
 	r.metrics.Inc("rollout_phase", "phase", string(s.Phase))
 	r.logger.Info("rollout_agreed", zap.String("service", s.Order.Service), zap.String("target", s.Order.Target), zap.String("phase", string(s.Phase)),
 		zap.String("cause", s.Cause), zap.Int64("epoch", s.Epoch))
@@ -317,7 +408,7 @@
 	return &rollouts{
 		self: n.settings.ID, source: n.platform, limits: rollout.Limits{Share: n.settings.Bounds.ExposureShare, Slack: n.settings.Bounds.ExposureSlack},
 		members: n.membership.SharedMembers, rank: relay.indexInFleet, client: n.rpcClient, onPermit: n.applyPermit, metrics: n.metrics, logger: n.logger,
-		latest: make(map[string]rollout.Order),
+		latest: make(map[string]rollout.Order), seen: make(map[string][]rollout.Order), states: make(map[string]rollout.State), restored: make(chan struct{}, 1),
 	}
 }
 
