--- a/pkg/sidecar/rollout.go
+++ b/pkg/sidecar/rollout.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -32,9 +31,6 @@
 	claimDelay      = 150 * time.Millisecond // a node waits this long for each node that may decide before it
 	standbyInterval = time.Second            // between checks of the node that decides
 	joinTimeout     = 5 * time.Second        // by then a node that has started knows the others
-	learnInterval   = 500 * time.Millisecond // between attempts to learn the states after a start
-	storeAttempts   = 4                      // every so many attempts, the store is asked as well
-	maxAskedPeers   = 3                      // in one attempt
 )
 
 // errSuperseded is returned if another node decides, or a later order replaced the one at hand.
@@ -111,70 +107,6 @@
 	return known, true
 }
 
-// remember keeps a state to write it again if the store loses it.
-func (r *rollouts) remember(s rollout.State) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.states[s.Order.Service] = s
-}
-
-// Run writes the last phases of roll-outs again when the store has come back from a copy, until ctx ends. The decider of one that still runs
-// does so itself.
-func (r *rollouts) Run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.restored:
-		}
-		r.mu.Lock()
-		states := slices.Collect(maps.Values(r.states))
-		r.mu.Unlock()
-		_ = clock.Sleep(ctx, time.Duration(r.rank())*claimDelay)
-		for _, s := range states {
-			if s.Phase.IsFinal() {
-				r.restore(ctx, s)
-			}
-		}
-	}
-}
-
-// storeRestored makes Run look what the store has lost.
-func (r *rollouts) storeRestored() {
-	select {
-	case r.restored <- struct{}{}:
-	default: // Run has not begun yet to look after an earlier change
-	}
-}
-
-// restore makes the store and the operators know the last phase of a roll-out again.
-func (r *rollouts) restore(ctx context.Context, s rollout.State) {
-	for ; ctx.Err() == nil; _ = clock.Sleep(ctx, agreeRetryDelay) {
-		stored, err := r.source.Copy(ctx)
-		if err != nil {
-			continue // logged by the other calls to the store
-		}
-		state := stored.rolloutOf(s.Order.Service)
-		if state.Order.Position > s.Order.Position {
-			return
-		}
-		isWritten := state.Order.Position == s.Order.Position && state.Phase == s.Phase
-		if isWritten && state.Decider != r.self && r.rank() > 0 {
-			return // the operators are told by its decider, or the first node
-		}
-		if !isWritten {
-			s.Decider = r.self
-			if _, err = r.put(ctx, s, stored.End); err != nil {
-				continue
-			}
-		}
-		if err = r.source.PutRolloutStatus(ctx, s.Order, s.Phase); err == nil {
-			return
-		}
-		r.logger.Info("rollout_status_not_written", zap.String("service", s.Order.Service), zap.Error(err))
-	}
-}
-
 // adopt makes an order, as the fleet agreed on it, the latest one if it is the same, and returns it.
 func (r *rollouts) adopt(agreed rollout.Order) rollout.Order {
 	r.mu.Lock()
@@ -411,115 +343,3 @@
 		latest: make(map[string]rollout.Order), seen: make(map[string][]rollout.Order), states: make(map[string]rollout.State), restored: make(chan struct{}, 1),
 	}
 }
-
-// applyPermit applies a permit and returns what this node has counted.
-func (n *Node) applyPermit(p rollout.Permit) *rollout.Report {
-	p.State.Epoch = p.Epoch
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	gate := n.inbound.gate.Load()
-	current := n.tracker.Current()
-	version := ""
-	if current != nil {
-		version = current.Version
-	}
-	isUnknown := gate == nil || gate.State().Order.Position < p.State.Order.Position || gate.State().Order.Service != p.State.Order.Service
-	if isUnknown && p.IsInquiry() {
-		return &rollout.Report{Process: n.started.UnixMilli(), Version: version}
-	}
-	if isUnknown {
-		gate = rollout.NewGate(p.State, n.started.UnixMilli())
-		n.inbound.gate.Store(gate)
-	}
-	if !p.IsInquiry() {
-		gate.Apply(p)
-	}
-	if current != nil {
-		n.publishBackend(current, "roll-out")
-	}
-	return gate.Report(version)
-}
-
-// observeRollouts applies the states of roll-outs that a starting node has learnt: its backend server may be one that gets no requests.
-func (n *Node) observeRollouts(states []rollout.State) {
-	n.rolloutsKnown.Store(true)
-	for _, s := range states {
-		if s.Order.Service == *n.service.Load() {
-			n.inbound.gate.CompareAndSwap(nil, rollout.NewGate(s, n.started.UnixMilli()))
-		}
-	}
-}
-
-// knownRollout is what a node knows of the roll-out of its service.
-type knownRollout struct {
-	Service string         `json:"service"`
-	Known   bool           `json:"known"`
-	State   *rollout.State `json:"state,omitempty"` // nil: there is none
-	Epoch   int64          `json:"epoch,omitempty"` // of the state
-}
-
-// serveKnownRollout answers knownMethod.
-func (n *Node) serveKnownRollout(context.Context, json.RawMessage) (any, error) {
-	known := knownRollout{Service: *n.service.Load(), Known: n.rolloutsKnown.Load()}
-	if gate := n.inbound.gate.Load(); gate != nil {
-		state := gate.State()
-		known.Known, known.State, known.Epoch = true, &state, state.Epoch
-	}
-	return known, nil
-}
-
-// learnRollouts learns the states of roll-outs if they could not be read at the start: a decider tells a node only as long as a roll-out
-// runs. It asks other nodes of the service, and the store less often.
-func (n *Node) learnRollouts(ctx context.Context) {
-	if n.settings.FirstStart {
-		n.rolloutsKnown.Store(true) // there is none yet
-	}
-	for attempt := 1; clock.Sleep(ctx, learnInterval) == nil && !n.rolloutsKnown.Load(); attempt++ {
-		if n.askForRollout(ctx) || attempt%storeAttempts != 0 {
-			continue
-		}
-		stored, err := n.platform.Copy(ctx)
-		if err != nil {
-			n.logger.Info("rollouts_not_read", zap.Error(err))
-			continue
-		}
-		n.observeRollouts(stored.Rollouts)
-		n.logger.Info("rollouts_learnt", zap.String("from", "store"))
-	}
-}
-
-// askForRollout asks a few other nodes of the service, and reports whether one knew.
-func (n *Node) askForRollout(ctx context.Context) bool {
-	service, asked := *n.service.Load(), 0
-	for _, m := range n.membership.SharedMembers() {
-		if asked == maxAskedPeers {
-			break
-		}
-		if m.ID == n.settings.ID || m.Status != membership.Alive || m.Endpoint == nil || m.Endpoint.Service != service {
-			continue
-		}
-		asked++
-		known, err := n.knownRolloutOf(ctx, m.ControlAddress)
-		if err != nil || !known.Known || known.Service != service {
-			n.metrics.Inc("rollout_not_learnt")
-			continue
-		}
-		var states []rollout.State
-		if known.State != nil {
-			known.State.Epoch = known.Epoch
-			states = append(states, *known.State)
-		}
-		n.observeRollouts(states)
-		n.logger.Info("rollouts_learnt", zap.String("from", m.ID))
-		return true
-	}
-	return false
-}
-
-func (n *Node) knownRolloutOf(ctx context.Context, address string) (knownRollout, error) {
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
-	defer cancel()
-	var known knownRollout
-	err := n.rpcClient.Call(ctx, address, knownMethod, struct{}{}, &known)
-	return known, err
-}
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -81,11 +81,14 @@
 	}, nil},
 	{"exposes more than granted", []guarantee{guaranteeRollout}, []replacement{
 		{"pkg/rollout/gate.go", "if v.Forwarded >= g.permit.Limit {", "if v.Forwarded < 0 {"},
-	}, runRollout},
+	}, runLateBadRollout},
 	{"completes with requests on the base version", []guarantee{guaranteeRollout}, []replacement{
 		{"pkg/rollout/decider.go", "if version != d.state.Order.Target && v.InFlight > 0 {", "if version == \"\" && v.InFlight > 0 {"},
 		{"pkg/rollout/decider.go", "if !d.isConfirmed(now, n) || n.latest.Base != Closed || d.hasBaseRequest(n) {", "if n == nil {"},
 	}, runGoodRollout},
+	{"does not notice a restored store", []guarantee{guaranteeConfigApplied}, []replacement{
+		{"pkg/sidecar/generation.go", "number, err := strconv.ParseInt(stated, 10, 64)", "number, err := strconv.ParseInt(\"\", 10, 64)"},
+	}, runRestoredStore},
 	{"keeps the first instance", []guarantee{guaranteeRecovery, guaranteeBackendsUsed}, []replacement{
 		{"pkg/sidecar/inbound.go", "if old == nil || old.ID != a.ID || old.StartTimeMS != a.StartTimeMS {", "if old == nil {"},
 	}, nil},
--- a/test/soak/rollout_test.go
+++ b/test/soak/rollout_test.go
@@ -150,6 +150,11 @@
 	return runRolloutWith(t, program, correct, false, nil)
 }
 
+// runLateBadRollout runs a roll-out of a version that turns bad after a while without faults, and returns the violations.
+func runLateBadRollout(t *testing.T, program string, _ uint64, _ int) []violation {
+	return runRolloutWith(t, program, respondsWith500, true, nil)
+}
+
 // runRolloutWith runs a roll-out of a version with a fault, which it may only show after a while, and returns the violations.
 func runRolloutWith(t *testing.T, program string, fault misbehaviour, turnsBad bool, events []event) []violation {
 	first, share, slack := fault, exposureShare, float64(exposureSlack)
