--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -16,6 +16,9 @@
 const (
 	exposureUsed   = 0.7                    // part of the limits that is granted; the rest covers requests between two decisions
 	maxCanaryShare = 0.08                   // of the service's instances that get requests at the same time
+	minCanaries    = 2                      // if there are as many, so that a fault of one machine is told from one of the version
+	minOthers      = 20                     // responses of the other canaries that tell it
+	maxOutlierBad  = 25                     // bad responses up to which the others are waited for; half of those that the roll-back is due after
 	permitLease    = 2 * time.Second        // for a limited permit
 	settleTime     = 700 * time.Millisecond // until other nodes know that instances of the target version accept requests
 	moveTime       = 2500 * time.Millisecond
@@ -47,7 +50,8 @@
 	openedAt        time.Time // all targets were open, in phase Moving
 	onlyTargetSince time.Time // no base instance was found; zero: there is one
 	verdict         Judgement
-	ended           Phase // that a node knows of, although the state is an earlier one; "": none does
+	outlier         string // node whose instance differs from the other ones of the target; "": none
+	ended           Phase  // that a node knows of, although the state is an earlier one; "": none does
 }
 
 // nodeRecord is what the decider knows of a node beside a backend server of the service.
@@ -158,7 +162,7 @@
 	if d.state.Phase.IsFinal() {
 		return d.state.Phase, ""
 	}
-	d.verdict = Judge(d.classes(true), d.classes(false))
+	d.verdict = d.judge()
 	onlyTarget := d.hasOnlyTarget(now)
 	end := d.started.Add(max(d.state.Order.Duration/2, d.state.Order.Duration-statusTime))
 	switch {
@@ -187,11 +191,53 @@
 	return d.started.Add(duration - move)
 }
 
-// classes sums the counts of the target version, or of all others, since the nodes were first seen.
-func (d *Decider) classes(target bool) map[string]*Counts {
+// judge compares the versions. A bad verdict that is due to one instance alone is put down to its machine: the instance gets no more requests,
+// and the others are judged.
+func (d *Decider) judge() Judgement {
+	base := d.classes(false, "")
+	all := Judge(d.classes(true, d.outlier), base)
+	if all.Verdict != Bad || d.outlier != "" || len(d.targets()) < minCanaries {
+		return all
+	}
+	outlier, most := "", int64(-1)
+	for _, id := range d.targets() {
+		others := d.classes(true, id)
+		if bad := all.BadCount - judgeLike(all, others, base).BadCount; bad > most {
+			outlier, most = id, bad
+		}
+	}
+	others := d.classes(true, outlier)
+	without := judgeLike(all, others, base)
+	switch {
+	case without.Answered < minOthers && all.BadCount <= maxOutlierBad:
+		all.Verdict = Undecided // one instance is not enough
+	case without.Answered >= minOthers && without.Evidence <= 0:
+		d.outlier = outlier
+		return Judge(others, base)
+	}
+	return all
+}
+
+// judgeLike compares the versions in the class that decided a verdict, or in all classes together.
+func judgeLike(v Judgement, target, base map[string]*Counts) Judgement {
+	if v.Class == "" {
+		return Judge(target, base)
+	}
+	t, b := target[v.Class], base[v.Class]
+	if t == nil {
+		t = &Counts{}
+	}
+	if b == nil {
+		b = &Counts{}
+	}
+	return judgeClass(t, b)
+}
+
+// classes sums the counts of the target version, or of all others, since the nodes were first seen, without those of one node.
+func (d *Decider) classes(target bool, without string) map[string]*Counts {
 	sums := make(map[string]*Counts)
-	for _, n := range d.nodes {
-		if n.latest == nil {
+	for id, n := range d.nodes {
+		if n.latest == nil || id == without {
 			continue
 		}
 		for version, v := range n.latest.Versions {
@@ -352,11 +398,11 @@
 // grant distributes the exposure that is left among the first instances of the target version. The others get no request, so that these
 // few are loaded as they will be later.
 func (d *Decider) grant(permits map[string]Permit) {
-	targets := d.targets()
+	targets := slices.DeleteFunc(d.targets(), func(id string) bool { return id == d.outlier })
 	if len(targets) == 0 {
 		return
 	}
-	canaries := min(len(targets), max(1, int(maxCanaryShare*float64(len(d.nodes)-len(targets)))))
+	canaries := min(len(targets), max(minCanaries, int(maxCanaryShare*float64(len(d.nodes)-len(targets)))))
 	allowed := int64(exposureUsed * (d.limits.Share*float64(d.requests()) + d.limits.Slack))
 	each := max(0, allowed-d.granted) / int64(canaries)
 	for _, id := range targets[:canaries] {
