hop: a discarded response is limited with its chunk headers

A body in chunks of one byte was read up to 1 MiB of its data, a million chunks, before the response was given up. Change: the limit counts the bytes read, as for headers.

--- a/pkg/hop/exchange.go
+++ b/pkg/hop/exchange.go
@@ -24,7 +24,7 @@
 	maxResponseHeaderBytes = 64 << 10
 	// maxMismatchedResponses limits how many responses are read in search of the one that belongs to the request.
 	maxMismatchedResponses = 4
-	// maxMismatchedBodyBytes limits the body of a response to another request that is discarded.
+	// maxMismatchedBodyBytes limits the body of a response to another request that is discarded, with its chunk headers: a chunk may hold one byte.
 	maxMismatchedBodyBytes = 1 << 20
 	// remainingBodyTimeout limits how long the rest of a request body may be written after an early response. When it expires, the
 	// connection is closed instead of reused.
@@ -187,7 +187,7 @@
 		if echo == "" || echo == r.ID {
 			return response, nil
 		}
-		if !discardBody(response) {
+		if !discardBody(cn, response) {
 			break
 		}
 	}
@@ -216,10 +216,12 @@
 }
 
 // discardBody reads the response body to its end. It reports false if the end was not reached.
-func discardBody(response *http.Response) bool {
+func discardBody(cn *conn, response *http.Response) bool {
 	if response.ContentLength < 0 && !isChunked(response) {
 		return false
 	}
+	cn.source.remaining = maxMismatchedBodyBytes
+	defer func() { cn.source.remaining = unbounded }()
 	n, err := io.CopyN(io.Discard, response.Body, maxMismatchedBodyBytes)
 	return err == io.EOF && n < maxMismatchedBodyBytes
 }
--- a/pkg/hop/pool.go
+++ b/pkg/hop/pool.go
@@ -189,9 +189,9 @@
 // unbounded is the value of boundedReader.remaining that disables the limit.
 const unbounded = -1
 
-var errHeaderTooLarge = errors.New("response header exceeds 64 KiB")
+var errResponseTooLong = errors.New("response header exceeds 64 KiB, or a response to discard 1 MiB")
 
-// boundedReader fails with errHeaderTooLarge once remaining bytes have been read.
+// boundedReader fails with errResponseTooLong once remaining bytes have been read.
 type boundedReader struct {
 	io.Reader
 	remaining int64
@@ -202,7 +202,7 @@
 		return b.Reader.Read(p)
 	}
 	if b.remaining == 0 {
-		return 0, errHeaderTooLarge
+		return 0, errResponseTooLong
 	}
 	n, err := b.Reader.Read(p[:min(int64(len(p)), b.remaining)])
 	b.remaining -= int64(n)
