rollout: the version in use is never rolled back, and instances that an earlier roll-back holds are no base

Cause, found while reading the change: an order for the version in use with a duration below 3 s, or one that was withdrawn, ended as rolled back, which closed the only version at all nodes; and an order for the version in use beside instances of a rolled-back one took these for the base and opened them. Change: nodes report whether their version is in use. If no other one is, the state says so (no_base), requests move to the target at once, and neither time, responses nor a withdrawal roll it back. Next and Withdraw return the next state. Tests: TestDecider_VersionInUse with four durations, withdrawn or not, good or failing; TestDecider_BackToTheVersionInUse (both failed on the code before).

--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -157,31 +157,64 @@
 // endedBefore is the reason to end a roll-out whose end the fleet had agreed on.
 const endedBefore = "it had ended before the store came back from a copy"
 
-// Next returns the phase that the roll-out should change to and the reason, or the current phase.
-func (d *Decider) Next(now time.Time) (Phase, string) {
+// Next returns the state that the roll-out should change to, and whether that is another phase.
+func (d *Decider) Next(now time.Time) (next State, changes bool) {
 	if d.state.Phase.IsFinal() {
-		return d.state.Phase, ""
+		return d.state, false
 	}
 	d.verdict = d.judge()
-	onlyTarget := d.hasOnlyTarget(now)
+	isInUse := d.isTargetInUse(now)
 	end := d.started.Add(max(d.state.Order.Duration/2, d.state.Order.Duration-statusTime))
 	switch {
 	case d.ended == RolledBack, d.ended == Completed && d.state.Phase == Moving:
-		return d.ended, endedBefore
+		return d.change(d.ended, endedBefore)
 	case d.ended == Completed:
-		return Moving, endedBefore
-	case d.verdict.Verdict == Bad:
-		return RolledBack, fmt.Sprintf("%d of %d responses of class %q were bad", d.verdict.BadCount, d.verdict.Answered, d.verdict.Class)
+		return d.change(Moving, endedBefore)
 	case d.state.Phase == Moving && d.hasMoved(now):
-		return Completed, "no base version has a request"
-	case d.state.Phase == Canary && onlyTarget:
-		return Moving, "no instance has another version"
+		return d.change(Completed, "no base version has a request")
+	case d.state.NoBase:
+		return d.state, false
+	case d.verdict.Verdict == Bad:
+		return d.change(RolledBack, fmt.Sprintf("%d of %d responses of class %q were bad", d.verdict.BadCount, d.verdict.Answered, d.verdict.Class))
+	case isInUse, !now.Before(end) && d.isOnlyTargetInUse():
+		return d.changeWithoutBase()
 	case !now.Before(end):
-		return RolledBack, "not completed within the duration; the comparison is " + string(d.verdict.Verdict)
+		return d.change(RolledBack, "not completed within the duration; the comparison is "+string(d.verdict.Verdict))
 	case d.state.Phase == Canary && d.verdict.Verdict == Good && !now.Before(d.moveAt()):
-		return Moving, fmt.Sprintf("%d of %d responses were bad", d.verdict.BadCount, d.verdict.Answered)
+		return d.change(Moving, fmt.Sprintf("%d of %d responses were bad", d.verdict.BadCount, d.verdict.Answered))
+	}
+	return d.state, false
+}
+
+// Withdraw returns the state that the roll-out should change to since its order was withdrawn or replaced by a later one, and whether that is
+// another phase.
+func (d *Decider) Withdraw() (next State, changes bool) {
+	switch {
+	case d.state.Phase.IsFinal(), d.state.NoBase:
+		return d.state, false
+	case d.isOnlyTargetInUse():
+		return d.changeWithoutBase()
 	}
-	return d.state.Phase, ""
+	return d.change(RolledBack, "a later order replaced or withdrew this one")
+}
+
+func (d *Decider) change(phase Phase, cause string) (State, bool) {
+	next := d.state
+	next.Phase, next.Cause = phase, cause
+	return next, true
+}
+
+// changeWithoutBase ends a roll-out to the version that is in use.
+func (d *Decider) changeWithoutBase() (State, bool) {
+	next, _ := d.change(Moving, "the version is in use, and no other")
+	next.NoBase = true
+	return next, true
+}
+
+// isOnlyTargetInUse reports, in phase Canary, whether the target has instances and no other version is in use, so that a roll-back would leave
+// none.
+func (d *Decider) isOnlyTargetInUse() bool {
+	return d.state.Phase == Canary && len(d.targets()) > 0 && !d.hasBase()
 }
 
 // moveAt returns when the requests should start to move. Until then the exposure is limited, so it is as late as possible.
@@ -291,16 +324,14 @@
 	return targets
 }
 
-// hasOnlyTarget reports whether all instances have had the target version for a while. Then the limits of the canary phase would only take
-// capacity away.
-func (d *Decider) hasOnlyTarget(now time.Time) bool {
-	targets := d.targets()
+// isTargetInUse reports whether all nodes have confirmed for a while that no other version than the target is in use. Then the limits of the
+// canary phase would only take capacity away.
+func (d *Decider) isTargetInUse(now time.Time) bool {
+	confirmed := d.isOnlyTargetInUse()
 	for _, n := range d.nodes {
-		if n.latest == nil || now.Sub(n.at) > reportTTL {
-			targets = nil
-		}
+		confirmed = confirmed && n.latest != nil && now.Sub(n.at) <= reportTTL
 	}
-	if len(targets) == 0 || len(targets) < len(d.nodes) {
+	if !confirmed {
 		d.onlyTargetSince = time.Time{}
 		return false
 	}
@@ -357,7 +388,7 @@
 
 // baseMode returns the mode of the base versions in phase Moving.
 func (d *Decider) baseMode(now time.Time) Mode {
-	if d.mayCloseBase(now) {
+	if d.state.NoBase || d.mayCloseBase(now) {
 		return Closed
 	}
 	return Open
@@ -388,11 +419,14 @@
 	return permits
 }
 
-// hasBase reports whether an instance of another version than the target is known.
+// hasBase reports whether another version than the target is in use.
 func (d *Decider) hasBase() bool {
-	return slices.ContainsFunc(slices.Collect(maps.Values(d.nodes)), func(n *nodeRecord) bool {
-		return n.latest != nil && n.latest.Version != "" && n.latest.Version != d.state.Order.Target
-	})
+	for _, n := range d.nodes {
+		if n.latest != nil && n.latest.InUse && n.latest.Version != "" && n.latest.Version != d.state.Order.Target {
+			return true
+		}
+	}
+	return false
 }
 
 // grant distributes the exposure that is left among the first instances of the target version. The others get no request, so that these
--- a/pkg/rollout/gate.go
+++ b/pkg/rollout/gate.go
@@ -142,7 +142,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := &Report{
-		Process: g.process, Version: version, Epoch: g.permit.Epoch, Target: g.modeOf(g.permit.State.Order.Target), Base: g.permit.Base,
+		Process: g.process, Version: version, InUse: g.modeOf(version) == Open, Epoch: g.permit.Epoch, Target: g.modeOf(g.permit.State.Order.Target), Base: g.permit.Base,
 		Limit: g.limit, Versions: make(map[string]*VersionReport),
 	}
 	if g.permit.State.Phase.IsFinal() {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -73,9 +73,10 @@
 	Order     Order  `json:"order"`
 	Phase     Phase  `json:"phase"`
 	Cause     string `json:"cause"`
-	Decider   string `json:"decider"`    // ID of the deciding node
-	StartedMS int64  `json:"started_ms"` // Unix ms, when the first decider read the order
-	Epoch     int64  `json:"-"`          // position of this record; a node follows no decider with a lower one than it has seen
+	Decider   string `json:"decider"`           // ID of the deciding node
+	StartedMS int64  `json:"started_ms"`        // Unix ms, when the first decider read the order
+	NoBase    bool   `json:"no_base,omitempty"` // in phase Moving: no other version was in use, so that a roll-back would leave no instance
+	Epoch     int64  `json:"-"`                 // position of this record; a node follows no decider with a lower one than it has seen
 }
 
 // Mode says which requests the instances of a version may get.
@@ -157,6 +158,7 @@
 type Report struct {
 	Process  int64                     `json:"process"`         // start of the process that counted; counts of another process start anew
 	Version  string                    `json:"version"`         // of the backend server; "": none is announced
+	InUse    bool                      `json:"in_use"`          // the version gets requests without a limit
 	Epoch    int64                     `json:"epoch"`           // of the permit that the node follows; higher than the decider's if it was replaced
 	Target   Mode                      `json:"target"`          // that the node enforces
 	Base     Mode                      `json:"base"`            // likewise
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -52,6 +52,8 @@
 	load []int // requests in flight by node
 	step int   // between nodes that are tried one after the other
 
+	withdrawAt time.Duration // after the order; 0: never
+
 	sickFrom int // each tenth node from this one on is three times slower; 0: none
 }
 
@@ -84,10 +86,12 @@
 
 // apply applies a permit to a node and returns its report.
 func (f *fleet) apply(i int, p Permit) *Report {
-	if f.gates[i] == nil && p.IsInquiry() {
-		return &Report{Process: int64(i), Version: f.version[i]}
+	gate := f.gates[i]
+	isUnknown := gate == nil || gate.State().Order.Position < p.State.Order.Position
+	if isUnknown && p.IsInquiry() {
+		return &Report{Process: int64(i), Version: f.version[i], InUse: gate == nil || gate.Mode(f.version[i]) == Open}
 	}
-	if f.gates[i] == nil {
+	if isUnknown {
 		f.gates[i] = NewGate(p.State, int64(i))
 		f.gates[i].now = func() time.Time { return f.now }
 	}
@@ -184,14 +188,17 @@
 			require.True(t, f.send(of, f.now.Sub(start)), "a request finds no instance that accepts it")
 		}
 		if step%int(PollInterval/tick) == 0 {
-			if phase, cause := d.Next(f.now); phase != d.State().Phase {
-				s := d.State()
-				s.Phase, s.Cause, s.Epoch = phase, cause, s.Epoch+1
+			s, changes := d.Next(f.now)
+			if f.withdrawAt > 0 && f.now.Sub(start) >= f.withdrawAt && !s.Phase.IsFinal() {
+				s, changes = d.Withdraw()
+			}
+			if changes {
+				s.Epoch++
 				require.NoError(t, d.Agreed(s))
-				if phase.IsFinal() {
+				if s.Phase.IsFinal() {
 					f.endedAt = f.now.Sub(start)
 				}
-				if phase == Completed {
+				if s.Phase == Completed {
 					for i, g := range f.gates {
 						if f.version[i] == "v1" {
 							require.Equal(t, Closed, g.Mode("v1"))
@@ -268,11 +275,35 @@
 
 // An order whose target is the version in use must not take capacity away: no instance is closed, and the roll-out is completed.
 func TestDecider_VersionInUse(t *testing.T) {
+	for _, duration := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 8 * time.Second} {
+		for _, withdrawAt := range []time.Duration{0, time.Second} {
+			for _, name := range []string{"good", "fails_third"} { // a roll-back would leave no instance, however it responds
+				state := canaryState(duration)
+				f := newFleet(1, 3, state)
+				f.gates, f.version, f.withdrawAt = f.gates[3:], f.version[3:], withdrawAt
+				final := f.play(t, state, 100, behaviours[name].of) // fails if a request finds no instance
+				assert.Equal(t, Completed, final.Phase, "%s, duration %s, withdrawn at %s: %s", name, duration, withdrawAt, final.Cause)
+			}
+		}
+	}
+}
+
+// The operators order the version that is in use while instances of one that was rolled back still run: they must not become the base.
+func TestDecider_BackToTheVersionInUse(t *testing.T) {
+	earlier := canaryState(8 * time.Second)
+	earlier.Order.Target, earlier.Phase = "v1", RolledBack
 	state := canaryState(8 * time.Second)
+	state.Order.Position, state.Epoch = 1, 2
 	f := newFleet(1, 3, state)
-	f.gates, f.version = f.gates[3:], f.version[3:]
-	final := f.play(t, state, 100, behaviours["good"].of) // fails if a request finds no instance
+	for i, version := range f.version {
+		if version == "v1" {
+			f.gates[i] = NewGate(earlier, int64(i))
+			f.gates[i].now = func() time.Time { return f.now }
+		}
+	}
+	final := f.play(t, state, 100, behaviours["good"].of)
 	assert.Equal(t, Completed, final.Phase, final.Cause)
+	assert.Zero(t, f.counts["v1"], "requests to the version that was rolled back")
 }
 
 // A machine that is slow with any version must not have a good version rolled back, also if its instance is tried first; a bad version must
@@ -322,7 +353,7 @@
 	}
 	d.Poll(now, nodes)
 	for i, n := range nodes {
-		d.Observe(now, n.ID, &Report{Process: 1, Version: f.version[i]})
+		d.Observe(now, n.ID, &Report{Process: 1, Version: f.version[i], InUse: true})
 	}
 	dataCentres := make(map[string]bool)
 	permits := d.Poll(now.Add(PollInterval), nodes)
@@ -380,7 +411,7 @@
 	d.Poll(now, []Node{{ID: "b"}, {ID: "c"}})
 	assert.EqualValues(t, 20, d.Granted())
 	d.Observe(now, "b", &Report{Process: 1, Version: "v2"})
-	d.Observe(now, "c", &Report{Process: 1, Version: "v1"})
+	d.Observe(now, "c", &Report{Process: 1, Version: "v1", InUse: true})
 	p := d.Poll(now.Add(PollInterval), []Node{{ID: "b"}, {ID: "c"}})["b"]
 	assert.EqualValues(t, int64(exposureUsed*testLimits.Slack)-20, p.Limit)
 }
--- a/pkg/sidecar/rollout.go
+++ b/pkg/sidecar/rollout.go
@@ -241,15 +241,13 @@
 		if err := r.poll(ctx, d); err != nil {
 			return err
 		}
-		phase, cause := d.Next(time.Now())
-		if !r.isLatest(order) && !d.State().Phase.IsFinal() {
-			phase, cause = rollout.RolledBack, "a later order replaced or withdrew this one"
+		next, changes := d.Next(time.Now())
+		if !r.isLatest(order) && !next.Phase.IsFinal() {
+			next, changes = d.Withdraw()
 		}
-		if before := d.State(); phase != before.Phase {
-			next := before
-			next.Phase, next.Cause = phase, cause
+		if changes {
 			r.logDecision(d, next)
-			agreed, err := r.agree(ctx, before, next)
+			agreed, err := r.agree(ctx, d.State(), next)
 			if err != nil {
 				return err
 			}
--- a/pkg/sidecar/rollout_node.go
+++ b/pkg/sidecar/rollout_node.go
@@ -31,7 +31,7 @@
 	}
 	isUnknown := gate == nil || gate.State().Order.Position < p.State.Order.Position || gate.State().Order.Service != p.State.Order.Service
 	if isUnknown && p.IsInquiry() {
-		return &rollout.Report{Process: n.started.UnixMilli(), Version: version}
+		return &rollout.Report{Process: n.started.UnixMilli(), Version: version, InUse: current != nil && n.inbound.rolloutMode(current) == rollout.Open}
 	}
 	if isUnknown {
 		gate = rollout.NewGate(p.State, n.started.UnixMilli())
