--- a/pkg/sidecar/generation.go
+++ b/pkg/sidecar/generation.go
@@ -20,6 +20,9 @@
 // Ordinal returns a number that is higher for later positions, of any generation.
 func (p StorePosition) Ordinal() int64 { return p.Generation<<offsetBits | p.Offset }
 
+// generationOf returns the generation that an ordinal contains.
+func generationOf(ordinal int64) int64 { return ordinal >> offsetBits }
+
 // Generations follows the generation of the store that its responses state, so that no result is used that is based on an earlier one. It is
 // safe for concurrent use.
 type Generations struct {
--- a/pkg/sidecar/rollout.go
+++ b/pkg/sidecar/rollout.go
@@ -94,7 +94,7 @@
 	case !ok:
 	case o.Position <= known.Position, o.IsSame(&known):
 		return known, false
-	case o.Position>>offsetBits > known.Position>>offsetBits &&
+	case generationOf(o.Position) > generationOf(known.Position) &&
 		slices.ContainsFunc(r.seen[o.Service], func(earlier rollout.Order) bool { return earlier.IsSame(&o) }):
 		return known, false
 	default:
