sidecar: how long a node asks others before it uses an earlier copy is set by tests

TestRestoredStore_StartingNodeAsksOthersFirst failed twice beside a load average of 86: the node joined after the 1.5 s that it asks others, and used the copy, as it should then. The test now sets the time, so that it checks what it is for on a busy machine, too; a node alone that uses the copy has its own test.

--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -70,7 +70,8 @@
 	client     *rpc.Client
 	metrics    *metrics.Registry
 	logger     *zap.Logger
-	firstStart bool // the fleet starts for the first time: the store holds neither a copy nor earlier versions
+	copyWait   time.Duration // before a copy of an earlier generation of the store is used
+	firstStart bool          // the fleet starts for the first time: the store holds neither a copy nor earlier versions
 
 	table         atomic.Pointer[routing.Table]
 	mu            sync.Mutex        // serialises activation
@@ -94,8 +95,8 @@
 func newFollower(source Source, client *rpc.Client, server *rpc.Server, m *metrics.Registry, logger *zap.Logger) *follower {
 	f := &follower{
 		source: source, client: client, metrics: m, logger: logger,
-		fullTransfers: make(chan struct{}, maxFullTransfers),
-		isReader:      func() bool { return true }, isStandby: func() bool { return false }, isWriter: func() bool { return true },
+		fullTransfers: make(chan struct{}, maxFullTransfers), copyWait: earlierCopyWait,
+		isReader: func() bool { return true }, isStandby: func() bool { return false }, isWriter: func() bool { return true },
 		hasPeers: func() bool { return true }, onChange: func(*routing.Change) {},
 		onRollouts: func([]rollout.State) {}, onOrders: func(context.Context, []rollout.Order) {},
 	}
@@ -248,9 +249,9 @@
 	return f.table.Load() != nil
 }
 
-// awaitPeers waits until another node has passed on a configuration, for earlierCopyWait at most.
+// awaitPeers waits until another node has passed on a configuration, for copyWait at most.
 func (f *follower) awaitPeers(ctx context.Context) {
-	for end := time.Now().Add(earlierCopyWait); f.table.Load() == nil && time.Now().Before(end); {
+	for end := time.Now().Add(f.copyWait); f.table.Load() == nil && time.Now().Before(end); {
 		if clock.Sleep(ctx, tablePollInterval) != nil {
 			return
 		}
--- a/pkg/sidecar/generation_test.go
+++ b/pkg/sidecar/generation_test.go
@@ -112,12 +112,24 @@
 		m.platform.mu.Unlock()
 	}
 	m.platform.restore(testDocument(1), stale, nil)
+	m.adjust = func(n *Node) { n.follower.copyWait = testLimit } // also on a busy machine, the others answer sooner
 	n := m.start(2)
 	m.eventually("it has a configuration", func() bool { return n.follower.version() > 0 })
 	assert.EqualValues(t, 2, n.follower.version(), m.log.String())
 	assert.NotContains(t, m.log.String(), "version=1 before=0 from=copy node=node-2")
 }
 
+// A node that starts alone beside such a copy cannot know what was lost. It uses the copy after a while, rather than refuse all requests.
+func TestRestoredStore_NodeAloneUsesTheCopy(t *testing.T) {
+	earlier, err := encodeCompressed(testDocument(1))
+	require.NoError(t, err)
+	m := &mesh{t: t, platform: newFakePlatform(), adjust: func(n *Node) { n.follower.copyWait = 100 * time.Millisecond }}
+	m.platform.restore(nil, earlier, nil)
+	n := m.start(0)
+	m.eventually("the copy is in force", func() bool { return n.follower.version() == 1 })
+	assert.Contains(t, m.log.String(), "event=configuration_copy_earlier")
+}
+
 // The store loses the end of a roll-out: the version that was rolled back gets no request, and the end is written again.
 func TestRestoredStore_RolledBackVersionStaysOut(t *testing.T) {
 	r := newRolloutMesh(t, 3, 2, 20*time.Second, 3)
