rollout: only slow responses are put down to a sick machine

One of two canaries showed the failures, which were put down to its machine. Change: a verdict that is due to failures is put down to the version at once.

--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -224,12 +224,12 @@
 	return d.started.Add(duration - move)
 }
 
-// judge compares the versions. A bad verdict that is due to one instance alone is put down to its machine: the instance gets no more requests,
-// and the others are judged.
+// judge compares the versions. A bad verdict that is due to slow responses of one instance alone is put down to its machine: the instance gets
+// no more requests, and the others are judged. Failures are always put down to the version.
 func (d *Decider) judge() Judgement {
-	base := d.classes(false, "")
-	all := Judge(d.classes(true, d.outlier), base)
-	if all.Verdict != Bad || d.outlier != "" || len(d.targets()) < minCanaries {
+	base, target := d.classes(false, ""), d.classes(true, d.outlier)
+	all := Judge(target, base)
+	if all.Verdict != Bad || d.outlier != "" || len(d.targets()) < minCanaries || 2*failures(target, all.Class) > all.BadCount {
 		return all
 	}
 	outlier, most := "", int64(-1)
@@ -251,6 +251,17 @@
 	return all
 }
 
+// failures returns the number of responses of a class, or of all classes if it is "", that failed.
+func failures(counts map[string]*Counts, class string) int64 {
+	n := int64(0)
+	for name, c := range counts {
+		if class == "" || name == class {
+			n += c.Failed
+		}
+	}
+	return n
+}
+
 // judgeLike compares the versions in the class that decided a verdict, or in all classes together.
 func judgeLike(v Judgement, target, base map[string]*Counts) Judgement {
 	if v.Class == "" {
--- a/pkg/rollout/sweep_test.go
+++ b/pkg/rollout/sweep_test.go
@@ -40,6 +40,12 @@
 		"fails_under_load": func(r *rand.Rand, _ string, _ time.Duration) (bool, float64) {
 			return f.load[f.sentTo] >= loadFrom && r.Float64() < 0.5, 1
 		},
+		"slow_under_load": func(*rand.Rand, string, time.Duration) (bool, float64) {
+			if f.load[f.sentTo] >= loadFrom {
+				return false, 4
+			}
+			return false, 1
+		},
 		"good_sick_nodes": func(r *rand.Rand, _ string, _ time.Duration) (bool, float64) { return false, f.slowdownOf(f.sentTo) },
 	}
 }
@@ -47,7 +53,7 @@
 // Each roll-out stays within the exposure limit, and no request reaches the target after the roll-back bound, whatever the version does, with
 // 12 and 90 nodes, with more seeds also 300, and durations of 8 to 60 s. With -seeds 200 -v it prints the table of docs/design/rollouts.md.
 func TestDecider_Sweep(t *testing.T) {
-	names := []string{"good", "good_noisy", "good_sick_nodes", "fails_third", "fails_tenth", "fails_later", "fails_on_a_route", "fails_under_load", "slow", "slow_later"}
+	names := []string{"good", "good_noisy", "good_sick_nodes", "fails_third", "fails_tenth", "fails_later", "fails_on_a_route", "fails_under_load", "slow_under_load", "slow", "slow_later"}
 	lines := []string{"| version | nodes | completed | rolled back | by comparison | largest share of the limit | decided after, part of the duration |", "|---|---|---|---|---|---|---|"}
 	sizes := []int{12, 90}
 	if *sweepSeeds > 1 {
@@ -68,6 +74,20 @@
 	t.Log("\n" + strings.Join(lines, "\n"))
 }
 
+// Guards against a bad version that is put down to a sick machine since few instances show it: with 12 nodes, 16 of 60 versions that fail under
+// load were completed when failures of one instance were put down to its machine.
+func TestDecider_BadUnderLoadIsNotASickMachine(t *testing.T) {
+	for _, name := range []string{"fails_under_load", "slow_under_load"} {
+		for seed := range uint64(20) {
+			state := canaryState(20 * time.Second)
+			f := newFleet(seed, 6, state)
+			final := f.play(t, state, 240, sweepBehaviours(f)[name])
+			assert.Equal(t, RolledBack, final.Phase, "%s, seed %d", name, seed)
+			assert.False(t, !f.badAt.IsZero() && f.lastAt.Sub(f.badAt) > 5*time.Second, "%s, seed %d: requests after the roll-back bound", name, seed)
+		}
+	}
+}
+
 func sweep(t *testing.T, name string, nodes int) *sweepRow {
 	var row sweepRow
 	var mu sync.Mutex
