--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -45,6 +45,7 @@
 	onResponse     func()       // called when the backend server has responded
 	failedCalls    atomic.Int64 // calls of the backend server that were not answered with a success
 	readLoadReport func(http.Header) (LoadReport, bool, error)
+	readIntake     func(http.Header) (Intake, error)
 
 	logLimit *rate.Limiter
 
@@ -66,6 +67,7 @@
 	admission *admission.Controller
 	draining  atomic.Bool
 	warmAt    time.Time // end of its cold start
+	intake    *intakeState
 
 	mu            sync.Mutex
 	answeredRatio float64 // EWMA of the fraction of calls that it answered
@@ -74,7 +76,7 @@
 func newInbound(p Platform, l *link.Link, buffers *hop.BufferBudget, m *metrics.Registry, logger *zap.Logger, onResponse func()) *inbound {
 	h := p.Headers()
 	return &inbound{
-		headers: h, metrics: m, logger: logger, onResponse: onResponse, readLoadReport: p.Report, link: l, logLimit: rate.NewLimiter(logLinesPerSecond, logBurst), origins: admission.NewOriginTracker(),
+		headers: h, metrics: m, logger: logger, onResponse: onResponse, readLoadReport: p.Report, readIntake: p.Intake, link: l, logLimit: rate.NewLimiter(logLinesPerSecond, logBurst), origins: admission.NewOriginTracker(),
 		client: hop.New(hop.Options{EchoHeader: h.RequestID, IdleTimeout: backendIdleTimeout, MaxBufferedBytes: maxBufferedResponse, BufferBudget: buffers}),
 	}
 }
@@ -95,7 +97,7 @@
 		return
 	}
 	if old == nil || old.ID != a.ID || old.StartTimeMS != a.StartTimeMS {
-		next := &instance{Announcement: *a, admission: admission.New(max(a.Slots, 1)), warmAt: time.Now().Add(a.ColdRemaining), answeredRatio: 1}
+		next := &instance{Announcement: *a, admission: admission.New(max(a.Slots, 1)), warmAt: time.Now().Add(a.ColdRemaining), intake: &intakeState{reported: time.Now()}, answeredRatio: 1}
 		if a.ColdRemaining > 0 {
 			next.admission.SetColdUntil(next.warmAt)
 		}
@@ -117,7 +119,7 @@
 
 // announced returns the instance with what its announcement says, and with its calls.
 func (i *instance) announced(a announce.Announcement) *instance {
-	next := &instance{Announcement: a, admission: i.admission, warmAt: time.Now().Add(a.ColdRemaining)}
+	next := &instance{Announcement: a, admission: i.admission, warmAt: time.Now().Add(a.ColdRemaining), intake: i.intake}
 	i.mu.Lock()
 	next.answeredRatio = i.answeredRatio
 	i.mu.Unlock()
@@ -435,7 +437,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(backendGrace))
 	failedCalls := in.failedCalls.Load()
+	sent := time.Now()
 	response, failed := in.client.Do(ctx, i.Address, r)
+	if failed == nil || failed.Sent {
+		i.intake.countRequest()
+	}
 	if failed != nil {
 		cancel()
 		return in.backendFailure(i, failed)
@@ -445,7 +451,7 @@
 	} else {
 		cancel()
 	}
-	reply, response, result := in.classifyResponse(i, response)
+	reply, response, result := in.classifyResponse(i, sent, response)
 	if response != nil && response.Status == http.StatusInternalServerError && in.failedCalls.Load() == failedCalls {
 		reply.reason = reasonBackendFailed
 	}
@@ -464,7 +470,7 @@
 }
 
 // classifyResponse distinguishes responses that the backend server itself produced from rejections and unsigned responses.
-func (in *inbound) classifyResponse(i *instance, response *hop.Response) (*callReply, *hop.Response, admission.Result) {
+func (in *inbound) classifyResponse(i *instance, sent time.Time, response *hop.Response) (*callReply, *hop.Response, admission.Result) {
 	in.onResponse()
 	report := in.observeLoad(i, response.Header)
 	switch {
@@ -472,6 +478,7 @@
 		discard(response)
 		return &callReply{verdict: verdictNotRun, reason: reasonOtherInstance, arrived: true}, nil, admission.Inconclusive
 	case response.Header.Get(in.headers.NotExecuted) != "":
+		in.observeIntake(i, sent, response.Header)
 		discard(response)
 		i.observeAnswered(false)
 		result := admission.Shed
@@ -484,6 +491,7 @@
 		i.observeAnswered(false)
 		return &callReply{verdict: verdictUnknown, reason: reasonUnsignedResponse, arrived: true}, nil, admission.Inconclusive
 	}
+	in.observeIntake(i, sent, response.Header)
 	i.observeAnswered(response.Status != http.StatusInternalServerError)
 	result := admission.Answered
 	if response.Status >= http.StatusInternalServerError {
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -139,6 +139,21 @@
 	return r, err == nil, err
 }
 
+// Headers of fake backend servers: a limit in requests a second, and "1" while the backend server is leaving.
+const (
+	testLimitHeader   = "Test-Limit"
+	testLeavingHeader = "Test-Leaving"
+)
+
+func (p *forNode) Intake(header http.Header) (intake Intake, err error) {
+	intake.Leaving = header.Get(testLeavingHeader) == "1"
+	if text := header.Get(testLimitHeader); text != "" {
+		intake.Limit, err = strconv.ParseFloat(text, 64)
+		intake.Limited = err == nil
+	}
+	return intake, err
+}
+
 func (p *forNode) Newest(context.Context) (Published, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/sidecar/platform.go
+++ b/pkg/sidecar/platform.go
@@ -19,6 +19,9 @@
 	Headers() Headers
 	// Report decodes the load report in a response header. ok is false if there is none. err is non-nil if the report is malformed.
 	Report(header http.Header) (report LoadReport, ok bool, err error)
+	// Intake decodes what a response header says about the requests that the backend server takes. err is non-nil if the limit is malformed;
+	// the rest of the result is valid then.
+	Intake(header http.Header) (Intake, error)
 	// AnnouncementHandler receives the announcements of the backend server.
 	AnnouncementHandler(Announcer) http.Handler
 	// ReadinessHandler answers readiness checks: whether clients may send requests to this node.
@@ -34,6 +37,13 @@
 // hasFreeSlot reports whether the backend server could have started another call.
 func (r LoadReport) hasFreeSlot() bool { return r.Waiting == 0 && r.Running < r.Slots }
 
+// Intake is what a backend server says in a response about the requests that it takes.
+type Intake struct {
+	Limited bool
+	Limit   float64 // requests a second from all nodes together, if Limited
+	Leaving bool    // it is shutting down
+}
+
 // Published is a configuration and its position in the source.
 type Published struct {
 	Document *routing.Document // nil: nothing has been published, or the published configuration is malformed
