admission, sidecar: no more requests than the rate that a backend server names

Cause: nothing read the limit. The only bounds on what a backend server gets are its slots, and a server in need does not announce fewer of them. Class of fault: a condition that a peer states in its responses and that has no reader. Change: all requests for a backend server pass the node beside it, so a token bucket in its admission is exact for the fleet. It is part of the queue: the most urgent calls get the tokens, waits and Retry-After follow the rate, and load reports show the rate as fewer slots, so that other nodes send calls elsewhere. A response without the limit ends it unless it was overtaken; 0 counts as one request in 2 s, since only responses show the end. Refusals have a reason of their own (backend_limit).

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -11,6 +11,7 @@
 	mu        sync.Mutex
 	scheduler *Scheduler
 	now       func() time.Time
+	timer     *time.Timer // calls tick when the rate limit allows the next queued call
 }
 
 // New returns a controller for a backend server with the given number of slots.
@@ -22,7 +23,46 @@
 func (c *Controller) SetSlots(slots int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.scheduler.SetSlots(c.now(), slots)
+	now := c.now()
+	c.scheduler.SetSlots(now, slots)
+	c.setTimer(now)
+}
+
+// SetRateLimit limits how many calls are granted a second.
+func (c *Controller) SetRateLimit(rate float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	c.scheduler.SetRateLimit(now, rate)
+	c.setTimer(now)
+}
+
+// LiftRateLimit ends the limit of SetRateLimit.
+func (c *Controller) LiftRateLimit() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scheduler.LiftRateLimit(c.now())
+}
+
+// setTimer arranges the call of tick for the next queued call that waits for the rate limit. The caller must hold mu.
+func (c *Controller) setTimer(now time.Time) {
+	at, ok := c.scheduler.NextGrant(now)
+	switch {
+	case !ok:
+	case c.timer == nil:
+		c.timer = time.AfterFunc(at.Sub(now), c.tick)
+	default:
+		c.timer.Reset(at.Sub(now))
+	}
+}
+
+// tick grants queued calls that the rate limit allows.
+func (c *Controller) tick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	c.scheduler.Tick(now)
+	c.setTimer(now)
 }
 
 // SetColdUntil says until when the backend server is slow after its start.
@@ -50,7 +90,9 @@
 func (g *Grant) Release(r Result) {
 	g.controller.mu.Lock()
 	defer g.controller.mu.Unlock()
-	g.controller.scheduler.Finish(g.controller.now(), g.ticket, r)
+	now := g.controller.now()
+	g.controller.scheduler.Finish(now, g.ticket, r)
+	g.controller.setTimer(now)
 }
 
 // Acquire blocks until the call gets a slot or is refused. If ctx ends first, the call is refused with reason Cancelled. A queued call that
@@ -61,6 +103,7 @@
 	c.mu.Lock()
 	now := c.now()
 	c.scheduler.Offer(now, ticket)
+	c.setTimer(now)
 	maxQueueTime := c.scheduler.MaxQueueTime(now, call)
 	c.mu.Unlock()
 	select {
--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -39,6 +39,7 @@
 	DeadlineUnreachable Reason = "hopeless" // the call would end after its deadline
 	Cancelled           Reason = "gone"     // the caller cancelled the call
 	Closed              Reason = "closed"   // the controller is closed
+	RateLimited         Reason = "limited"  // the call would start too late to be in time because of the rate limit
 )
 
 // Refusal is the decision on a call that gets no slot.
@@ -55,6 +56,7 @@
 	Answered     Result = iota // the slot time is a valid sample
 	Shed                       // the backend server did not run the call, presumably for lack of capacity
 	Inconclusive               // no response, or one that says nothing about capacity or slot time
+	NotSent                    // the backend server did not receive the call
 )
 
 // Load describes the load of the backend server, for the endpoint choice of callers.
@@ -74,12 +76,15 @@
 	StarvedSlotShare  float64       // share of the slots, rounded up, that a starved rank gets before more urgent ones
 	FirstAttemptSlack float64       // fraction of its slack that a first attempt may spend in the queue
 	MarginDeviations  float64       // safety margin of a duration estimate, in mean deviations of the class
+	MinRate           float64       // least rate limit, in calls a second
+	RateBurst         time.Duration // calls that a rate limit allows in this time may be granted at once
 }
 
 // DefaultPolicy returns the parameters that the nodes use.
 func DefaultPolicy() Policy {
 	return Policy{
 		QueuedPerSlot: 4, ShedLimitDuration: time.Second, MinRankShare: 0.4, StarvedSlotShare: 0.15, FirstAttemptSlack: 0.5, MarginDeviations: 0.5,
+		MinRate: 0.5, RateBurst: 200 * time.Millisecond,
 	}
 }
 
@@ -133,6 +138,7 @@
 	slotTime  movingAverage             // slot time of all calls, normalised likewise
 	coldUntil time.Time                 // end of the cold start whose slot times the averages contain; zero: none
 	closed    bool
+	pace      pacer
 
 	reportedSlowness float64 // latest reported slowness, relative to the baseline
 	reportedAt       time.Time
@@ -164,6 +170,11 @@
 	return max(1, s.slots)
 }
 
+// canGrant reports whether a slot is free and the rate limit allows a call.
+func (s *Scheduler) canGrant(now time.Time) bool {
+	return s.running < s.limit(now) && s.pace.allows(now)
+}
+
 // ObserveSlowness records a report of how long work takes at the backend server, relative to an average machine.
 func (s *Scheduler) ObserveSlowness(now time.Time, slowness float64) {
 	s.reports++
@@ -190,7 +201,7 @@
 		return
 	}
 	c.due = s.due(now, c)
-	if s.running < s.limit(now) && len(s.queue) == 0 {
+	if s.canGrant(now) && len(s.queue) == 0 {
 		s.grant(now, c)
 		return
 	}
@@ -246,13 +257,18 @@
 	case len(s.queue) >= s.policy.QueuedPerSlot*s.limit(now):
 		return Overloaded
 	case wait > slack && c.Rank != Nested:
-		return Overloaded
+		return s.shortage(now, ahead)
 	}
 	return ""
 }
 
 // estimateWait estimates the time until a call with the given number of queued calls ahead of it gets a slot.
 func (s *Scheduler) estimateWait(now time.Time, ahead int) time.Duration {
+	return max(s.estimateSlotWait(now, ahead), s.pace.wait(now, ahead+1))
+}
+
+// estimateSlotWait is estimateWait without the rate limit.
+func (s *Scheduler) estimateSlotWait(now time.Time, ahead int) time.Duration {
 	limit := s.limit(now)
 	if free := limit - s.running; ahead < free {
 		return 0
@@ -329,7 +345,7 @@
 
 // dispatch grants free slots to queued calls.
 func (s *Scheduler) dispatch(now time.Time) {
-	for s.running < s.limit(now) && len(s.queue) > 0 {
+	for s.canGrant(now) && len(s.queue) > 0 {
 		i := s.nextIndex()
 		c := s.queue[i]
 		s.remove(i)
@@ -338,7 +354,7 @@
 		case !now.Before(c.Deadline) || expectedEnd.After(c.Deadline) && len(s.queue) > 0:
 			s.refuse(now, c, DeadlineUnreachable)
 		case expectedEnd.After(c.Target) && c.Rank != Nested && len(s.queue) > 0:
-			s.refuse(now, c, Overloaded) // leave the slot to a call that can be in time
+			s.refuse(now, c, s.shortage(now, len(s.queue))) // leave the slot to a call that can be in time
 		default:
 			s.grant(now, c)
 		}
@@ -406,6 +422,7 @@
 func (s *Scheduler) grant(now time.Time, c *Ticket) {
 	c.granted, c.slowness = now, s.slowness(now)
 	s.running++
+	s.pace.add(now, -1)
 	s.recordDecision(now, c.Rank, 1)
 	s.ranks[c.Rank].running++
 	c.Decide(nil)
@@ -413,7 +430,7 @@
 
 func (s *Scheduler) refuse(now time.Time, c *Ticket, reason Reason) {
 	r := &Refusal{Reason: reason}
-	if reason == Overloaded || reason == DeadlineUnreachable {
+	if reason == Overloaded || reason == RateLimited || reason == DeadlineUnreachable {
 		s.recordDecision(now, c.Rank, 0)
 		r.RetryAfter = s.retryAfter(now, c)
 	}
@@ -454,6 +471,8 @@
 	case Shed:
 		s.shedAt = s.running
 		s.shedUntil = now.Add(s.policy.ShedLimitDuration)
+	case NotSent:
+		s.pace.add(now, 1)
 	}
 	s.running--
 	s.ranks[c.Rank].running--
@@ -503,6 +522,7 @@
 	if m := s.slotTimes[class]; m != nil {
 		l.ClassTime, l.ClassSpread = m.average, m.spread
 	}
+	s.applyPace(now, &l)
 	if s.closed {
 		l.Limit = 0
 	}
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -106,9 +106,10 @@
 type reason string
 
 const (
-	reasonBusy                reason = "busy"      // no free slot, and the call may not queue
-	reasonFull                reason = "full"      // no slot becomes free in time
-	reasonLinkFull            reason = "link_full" // long responses already queued for the VM's link would make this one late
+	reasonBusy                reason = "busy"          // no free slot, and the call may not queue
+	reasonFull                reason = "full"          // no slot becomes free in time
+	reasonBackendLimit        reason = "backend_limit" // the backend server takes no more requests in time at the rate that it named
+	reasonLinkFull            reason = "link_full"     // long responses already queued for the VM's link would make this one late
 	reasonDeadlineUnreachable reason = "deadline_unreachable"
 	reasonDraining            reason = "draining"
 	reasonNoBackend           reason = "no_backend"    // no backend server has announced itself
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -97,13 +97,7 @@
 		return
 	}
 	if old == nil || old.ID != a.ID || old.StartTimeMS != a.StartTimeMS {
-		next := &instance{Announcement: *a, admission: admission.New(max(a.Slots, 1)), warmAt: time.Now().Add(a.ColdRemaining), intake: &intakeState{reported: time.Now()}, answeredRatio: 1}
-		if a.ColdRemaining > 0 {
-			next.admission.SetColdUntil(next.warmAt)
-		}
-		if a.Draining {
-			next.close()
-		}
+		next := newInstance(a)
 		in.client.CloseIdleTo(a.Address)
 		in.instance.Store(next)
 		if old != nil {
@@ -117,6 +111,19 @@
 	old.admission.SetSlots(max(a.Slots, 1))
 }
 
+func newInstance(a *announce.Announcement) *instance {
+	now := time.Now()
+	i := &instance{Announcement: *a, admission: admission.New(max(a.Slots, 1)), warmAt: now.Add(a.ColdRemaining), answeredRatio: 1}
+	i.intake = &intakeState{admission: i.admission, reported: now}
+	if a.ColdRemaining > 0 {
+		i.admission.SetColdUntil(i.warmAt)
+	}
+	if a.Draining {
+		i.close()
+	}
+	return i
+}
+
 // announced returns the instance with what its announcement says, and with its calls.
 func (i *instance) announced(a announce.Announcement) *instance {
 	next := &instance{Announcement: a, admission: i.admission, warmAt: time.Now().Add(a.ColdRemaining), intake: i.intake}
@@ -209,12 +216,12 @@
 	}
 	// The call may have been queued, or the process paused. Check again before the first byte is sent.
 	if cause := in.lateRefusalReason(ctx, i); cause != "" {
-		grant.Release(admission.Inconclusive)
+		grant.Release(admission.NotSent)
 		return in.completeReply(i, c, r, &callReply{verdict: verdictNotRun, reason: cause}), nil
 	}
 	leaveGate, ok := in.enterGate(i, c.class)
 	if !ok {
-		grant.Release(admission.Inconclusive)
+		grant.Release(admission.NotSent)
 		return in.completeReply(i, c, r, &callReply{verdict: verdictNotRun, reason: reasonVersionHeld}), nil
 	}
 	done := in.link.Expect(in.stats.meanResponseBytes(c.class))
@@ -373,6 +380,8 @@
 		out.reason = reasonBusy
 	case admission.Overloaded:
 		out.reason = reasonFull
+	case admission.RateLimited:
+		out.reason = reasonBackendLimit
 	case admission.DeadlineUnreachable:
 		out.reason = reasonDeadlineUnreachable
 	case admission.Cancelled:
@@ -425,7 +434,7 @@
 func (in *inbound) forward(ctx context.Context, i *instance, c *call, r *hop.Request, deadline time.Time) (*callReply, *hop.Response, admission.Result) {
 	remaining := time.Until(deadline).Milliseconds()
 	if remaining <= 0 {
-		return &callReply{verdict: verdictNotRun, reason: reasonDeadline}, nil, admission.Inconclusive
+		return &callReply{verdict: verdictNotRun, reason: reasonDeadline}, nil, admission.NotSent
 	}
 	r.Header.Set(in.headers.DeadlineMS, strconv.FormatInt(remaining, 10))
 	r.Header.Set(in.headers.ExpectedInstance, i.ID)
@@ -466,7 +475,11 @@
 	if f.Cause != hop.Cancelled && f.Cause != hop.RequestBodyFailed {
 		i.observeAnswered(false)
 	}
-	return &callReply{verdict: failureVerdict(f), reason: failureReason(f, fallback), arrived: f.Sent}, nil, admission.Inconclusive
+	result := admission.Inconclusive
+	if !f.Sent {
+		result = admission.NotSent
+	}
+	return &callReply{verdict: failureVerdict(f), reason: failureReason(f, fallback), arrived: f.Sent}, nil, result
 }
 
 // classifyResponse distinguishes responses that the backend server itself produced from rejections and unsigned responses.
--- a/pkg/sidecar/intake.go
+++ b/pkg/sidecar/intake.go
@@ -7,13 +7,18 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/admission"
 )
 
 // limitLogInterval is the time between log lines while a backend server names a limit.
 const limitLogInterval = 5 * time.Second
 
-// intakeState holds what an instance last said about the requests that it takes, and the requests that it got. It is safe for concurrent use.
+// intakeState holds what an instance last said about the requests that it takes, and the requests that it got. All requests for the instance pass
+// this node, so that the rate limit of its admission is exact for the fleet. It is safe for concurrent use.
 type intakeState struct {
+	admission *admission.Controller
+
 	mu       sync.Mutex
 	limited  bool
 	limit    float64   // requests a second, if limited
@@ -49,7 +54,13 @@
 	case s.limited && sent.After(s.namedAt):
 		s.limited, s.limit = false, 0
 	}
-	if s.limited == previous.limited && s.limit == previous.limit && (!s.limited || now.Sub(s.reported) < limitLogInterval) {
+	changed := s.limited != previous.limited || s.limit != previous.limit
+	switch {
+	case changed && s.limited:
+		s.admission.SetRateLimit(s.limit)
+	case changed:
+		s.admission.LiftRateLimit()
+	case !s.limited, now.Sub(s.reported) < limitLogInterval:
 		return nil
 	}
 	report := &limitReport{limited: s.limited, limit: s.limit, wasLimited: previous.limited, previous: previous.limit, requests: s.requests, over: now.Sub(s.reported)}
--- /dev/null
+++ b/pkg/sidecar/intake_test.go
@@ -0,0 +1,169 @@
+package sidecar
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
+)
+
+// arrivalLog records when a backend server got requests.
+type arrivalLog struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (l *arrivalLog) add() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.times = append(l.times, time.Now())
+}
+
+// most returns the largest number of arrivals in any window of the given length that begins at from or later.
+func (l *arrivalLog) most(from time.Time, window time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most, first := 0, 0
+	for last, t := range l.times {
+		for l.times[first].Before(from) || t.Sub(l.times[first]) > window {
+			if first++; first > last {
+				break
+			}
+		}
+		most = max(most, last-first+1)
+		if first > last {
+			first = last
+		}
+	}
+	return most
+}
+
+// nameLimit makes the backend server of a node name a limit in its responses from now on; "": none. Each request takes the given time.
+func (n *testNode) nameLimit(limit string, work time.Duration) *arrivalLog {
+	l := &arrivalLog{}
+	n.backend.setHandler(func(w http.ResponseWriter, _ *http.Request, _ string) {
+		l.add()
+		time.Sleep(work)
+		if limit != "" {
+			w.Header().Set(testLimitHeader, limit)
+		}
+	})
+	return l
+}
+
+// isLimited reports whether the node applies a limit of its backend server.
+func (n *testNode) isLimited() bool {
+	s := n.inbound.instance.Load().intake
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limited
+}
+
+// keepCalling sends calls to all nodes from a number of callers each, until the test ends or the returned function is called.
+func (m *mesh) keepCalling(callersPerNode int) (stop func()) {
+	done := make(chan struct{})
+	var callers sync.WaitGroup
+	for _, n := range m.nodes {
+		for range callersPerNode {
+			callers.Go(func() {
+				for {
+					select {
+					case <-done:
+						return
+					default:
+						m.call(n, "GET", "/safe/", "")
+					}
+				}
+			})
+		}
+	}
+	stop = sync.OnceFunc(func() { close(done); callers.Wait() })
+	m.t.Cleanup(stop)
+	return stop
+}
+
+const (
+	namedLimit   = 20 // requests a second
+	limitWindow  = 2 * time.Second
+	limitBurst   = 5 // requests that may exceed the limit in a window
+	limitSettles = 200 * time.Millisecond
+)
+
+// Guards against a backend server in need that gets more requests than the limit that it names: all nodes together must keep to it, and serve as
+// much as it allows.
+func TestNamedLimit_HoldsForAllNodes(t *testing.T) {
+	m := newMesh(t, 3)
+	var logs []*arrivalLog
+	for _, n := range m.nodes {
+		logs = append(logs, n.nameLimit("20", 5*time.Millisecond))
+	}
+	m.keepCalling(20)
+	time.Sleep(limitSettles)
+	from := time.Now()
+	time.Sleep(2 * limitWindow)
+	for _, l := range logs {
+		assert.LessOrEqual(t, l.most(from, limitWindow), int(namedLimit*limitWindow.Seconds())+limitBurst)
+		assert.GreaterOrEqual(t, l.most(from, limitWindow), int(namedLimit*limitWindow.Seconds()/2), "the limit is used")
+	}
+	assert.Positive(t, m.nodes[0].metrics.Counter("outbound", "verdict", "not-run", "reason", "backend_limit").Count())
+}
+
+// Guards against a limit that stays in force when the backend server no longer names it.
+func TestNamedLimit_EndsWithTheFirstResponseWithoutIt(t *testing.T) {
+	m := newMesh(t, 1)
+	n := m.nodes[0]
+	n.nameLimit("1", 0)
+	m.call(n, "GET", "/safe/", "")
+	require.True(t, n.isLimited())
+	n.nameLimit("", 0)
+	m.eventually("the limit has ended", func() bool { m.call(n, "GET", "/safe/", ""); return !n.isLimited() })
+	begin := time.Now()
+	for range 10 {
+		a, _ := m.call(n, "GET", "/safe/", "")
+		assert.Equal(t, http.StatusOK, a.status)
+	}
+	assert.Less(t, time.Since(begin), 5*time.Second, "ten requests at one a second take longer")
+}
+
+// Guards against a backend server that is never used again after it named a limit of 0, since only responses show that the limit has ended.
+func TestNamedLimit_Zero(t *testing.T) {
+	m := newMesh(t, 1)
+	n := m.nodes[0]
+	l := n.nameLimit("0", 0)
+	m.call(n, "GET", "/safe/", "")
+	from := time.Now()
+	m.keepCalling(2)
+	m.eventually("a request is forwarded", func() bool { return l.most(from, testLimit) > 0 })
+	assert.LessOrEqual(t, l.most(from, 4*time.Second), limitBurst)
+}
+
+// Guards against a limit that is lifted by a response that was overtaken, or by one with a malformed limit.
+func TestIntakeState_OrderOfResponses(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	s := newInstance(&announce.Announcement{Slots: 4}).intake
+	require.NotNil(t, s.observe(at(100), at(50), Intake{Limited: true, Limit: 5}))
+	assert.Nil(t, s.observe(at(110), at(60), Intake{}), "its request is older than the response with the limit")
+	assert.True(t, s.limited)
+	assert.Nil(t, s.observe(at(200), at(120), Intake{Limited: true, Limit: 5}))
+	assert.NotNil(t, s.observe(at(300), at(210), Intake{}))
+	assert.False(t, s.limited)
+}
+
+// A malformed limit is counted and logged; the limit in force stays, and the response is delivered.
+func TestNamedLimit_MalformedIsIgnored(t *testing.T) {
+	m := newMesh(t, 1)
+	n := m.nodes[0]
+	n.nameLimit("20", 0)
+	m.call(n, "GET", "/safe/", "")
+	n.nameLimit("some", 0)
+	a, _ := m.call(n, "GET", "/safe/", "")
+	assert.Equal(t, http.StatusOK, a.status)
+	assert.True(t, n.isLimited())
+	assert.EqualValues(t, 1, n.metrics.Counter("backend_limit_unreadable").Count())
+}
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -318,7 +318,7 @@
 func attemptOutcome(res *result) retry.Outcome {
 	return retry.Outcome{
 		Answered: res.verdict == verdictAnswered, MayHaveRun: res.verdict == verdictUnknown, Arrived: res.arrived, Nested: res.nested,
-		Full: res.reason == reasonFull || res.reason == reasonDeadlineUnreachable,
+		Full: res.reason == reasonFull || res.reason == reasonBackendLimit || res.reason == reasonDeadlineUnreachable,
 	}
 }
 
