sidecar: a backend server whose responses say that it is leaving gets no more requests

Change: the node beside the backend server takes such a response like the announcement that it drains: at once, for the rest of that process, whatever a delayed announcement says, and also if the process was found by the liveness check of a restarted node. A liveness check that says so does not confirm an instance. The tests failed before: TestLeavingResponse_StopsRequests (40 of 40 requests went to both servers alike), TestLeavingResponse_AfterRestart, TestDrain_IsFinalForAProcess (new method).

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -39,6 +39,7 @@
 // Tracker holds the state of the backend server of a node. It is not safe for concurrent use.
 type Tracker struct {
 	current        *Announcement
+	since          time.Time // when the process of current was first observed
 	lastSeen       time.Time
 	endedProcesses []process
 }
@@ -72,15 +73,36 @@
 		if order := cmp.Or(cmp.Compare(a.StartTimeMS, c.StartTimeMS), t.compareSequences(a, c)); order < 0 {
 			return Stale
 		}
-		if c.ID == a.ID && c.StartTimeMS == a.StartTimeMS && c.Draining {
-			a.Draining = true // draining is final for a process
-		}
+	}
+	if t.isOfCurrentProcess(a) {
+		a.Draining = a.Draining || t.current.Draining // draining is final for a process
+	} else {
+		t.since = now
 	}
 	t.current = &a
 	t.lastSeen = now
 	return Accepted
 }
 
+// isOfCurrentProcess reports whether the announcement is of the current process. If the start of that is unknown, it is of any process that started
+// before it was observed.
+func (t *Tracker) isOfCurrentProcess(a Announcement) bool {
+	c := t.current
+	if c == nil || c.ID != a.ID {
+		return false
+	}
+	return c.StartTimeMS == a.StartTimeMS || c.StartTimeMS == 0 && a.StartTimeMS <= t.since.UnixMilli()
+}
+
+// Drain records that the process of the current announcement is leaving.
+func (t *Tracker) Drain() {
+	if t.current != nil {
+		draining := *t.current
+		draining.Draining = true
+		t.current = &draining
+	}
+}
+
 // compareSequences compares the sequence numbers of two announcements. It returns 0 if they are from different instances.
 func (t *Tracker) compareSequences(a Announcement, c *Announcement) int {
 	if a.ID != c.ID {
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -93,3 +93,19 @@
 	assert.Equal(t, Ended, tracker.Observe(now, Announcement{ID: "i"}), "a start is not reported")
 	assert.Equal(t, Accepted, tracker.Observe(now, Announcement{ID: "i", StartTimeMS: now.UnixMilli() + 5000}), "a later process")
 }
+
+// Guards against a process that said in a response that it is leaving and is used again because of a delayed announcement, also if it was first
+// observed without its start time; the next process is not affected.
+func TestDrain_IsFinalForAProcess(t *testing.T) {
+	for _, start := range []int64{testStart.UnixMilli() - 100, 0} {
+		var tracker Tracker
+		tracker.Drain()
+		tracker.Observe(testStart, Announcement{ID: "a", StartTimeMS: start, Sequence: 1})
+		tracker.Drain()
+		assert.True(t, tracker.Current().Draining)
+		tracker.Observe(testStart, Announcement{ID: "a", StartTimeMS: testStart.UnixMilli() - 100, Sequence: 2})
+		assert.True(t, tracker.Current().Draining)
+		tracker.Observe(testStart, Announcement{ID: "a", StartTimeMS: testStart.UnixMilli() + 100, Sequence: 1})
+		assert.False(t, tracker.Current().Draining)
+	}
+}
--- a/pkg/sidecar/backend.go
+++ b/pkg/sidecar/backend.go
@@ -92,7 +92,13 @@
 		n.logger.Info("liveness_check_failed", zap.String("instance", a.ID), zap.Error(err))
 		return false
 	}
-	return header.Get(n.inbound.headers.Instance) == a.ID
+	return header.Get(n.inbound.headers.Instance) == a.ID && !n.isLeaving(header)
+}
+
+// isLeaving reports whether a response header says that the backend server is leaving. An unreadable limit beside it is reported when calls get it.
+func (n *Node) isLeaving(header http.Header) bool {
+	intake, _ := n.platform.Intake(header)
+	return intake.Leaving
 }
 
 // errNoLivenessPath is returned if the configuration has no liveness check for a service.
@@ -141,8 +147,9 @@
 	}
 	report, ok, err := n.platform.Report(header)
 	a.ID, a.Slots = header.Get(n.inbound.headers.Instance), report.Slots
-	if err != nil || a.ID == "" {
-		n.logger.Info("backend_not_found", zap.String("instance", a.ID), zap.Error(err))
+	leaving := n.isLeaving(header)
+	if err != nil || a.ID == "" || leaving {
+		n.logger.Info("backend_not_found", zap.String("instance", a.ID), zap.Bool("leaving", leaving), zap.Error(err))
 		return
 	}
 	n.mu.Lock()
@@ -200,6 +207,18 @@
 	n.tracker.RecordActivity(time.Now())
 }
 
+// backendLeaves stops the use of an instance whose response says that it is leaving, whether or not it has announced that.
+func (n *Node) backendLeaves(i *instance) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	current := n.tracker.Current()
+	if current == nil || current.Draining || !n.inbound.isCurrent(i) {
+		return
+	}
+	n.tracker.Drain()
+	n.publishBackend(current, "response")
+}
+
 // publishBackend applies the tracker's state: first to the requests that this node forwards, then to the membership table that other nodes
 // see. The caller must hold mu.
 func (n *Node) publishBackend(previous *announce.Announcement, cause string) {
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -42,8 +42,9 @@
 	client         *hop.Client
 	metrics        *metrics.Registry
 	logger         *zap.Logger
-	onResponse     func()       // called when the backend server has responded
-	failedCalls    atomic.Int64 // calls of the backend server that were not answered with a success
+	onResponse     func()          // called when the backend server has responded
+	onLeaving      func(*instance) // called when a response of an instance in use says that it is leaving
+	failedCalls    atomic.Int64    // calls of the backend server that were not answered with a success
 	readLoadReport func(http.Header) (LoadReport, bool, error)
 	readIntake     func(http.Header) (Intake, error)
 
--- a/pkg/sidecar/intake.go
+++ b/pkg/sidecar/intake.go
@@ -82,6 +82,9 @@
 	}
 	if intake.Leaving {
 		in.metrics.Inc("backend_leaving_responses")
+		if !i.draining.Load() {
+			in.onLeaving(i)
+		}
 	}
 }
 
--- a/pkg/sidecar/intake_test.go
+++ b/pkg/sidecar/intake_test.go
@@ -167,3 +167,64 @@
 	assert.True(t, n.isLimited())
 	assert.EqualValues(t, 1, n.metrics.Counter("backend_limit_unreadable").Count())
 }
+
+// sayLeaving makes the backend server of a node say in its responses that it is leaving. It announces nothing.
+func (n *testNode) sayLeaving() {
+	n.backend.setHandler(func(w http.ResponseWriter, _ *http.Request, _ string) { w.Header().Set(testLeavingHeader, "1") })
+}
+
+// Guards against new requests to a backend server that says in its responses that it is leaving, before its announcement or without any, and
+// against a delayed announcement that brings it back.
+func TestLeavingResponse_StopsRequests(t *testing.T) {
+	m := newMesh(t, 2)
+	leaving, other := m.nodes[0], m.nodes[1]
+	leaving.sayLeaving()
+	m.call(leaving, "GET", "/safe/", "")
+	got := len(leaving.backend.requests())
+	require.Positive(t, got)
+	callAll := func() {
+		for range 10 {
+			for _, n := range m.nodes {
+				a, _ := m.call(n, "GET", "/safe/", "")
+				assert.Equal(t, http.StatusOK, a.status)
+			}
+		}
+	}
+	callAll()
+	assert.Equal(t, announce.Accepted, leaving.announce(false), "it was sent before the response")
+	callAll()
+	assert.Len(t, leaving.backend.requests(), got)
+	assert.Len(t, other.backend.requests(), 40)
+	m.eventually("the other node knows it", func() bool { return len(other.endpoints("s")) == 1 })
+
+	leaving.backend.setHandler(nil)
+	leaving.announcements, leaving.backendStart = 0, time.Now().Add(time.Second).UnixMilli()
+	assert.Equal(t, announce.Accepted, leaving.announce(false))
+	m.eventually("the next process is used", func() bool { return len(other.endpoints("s")) == 2 })
+}
+
+// Guards against a restarted node that uses a backend server whose liveness check succeeds but says that it is leaving, and against one whose
+// first announcement after such a response brings it back.
+func TestLeavingResponse_AfterRestart(t *testing.T) {
+	m, n := newRestartedNode(t, http.StatusOK, freeSlots, time.Minute)
+	n.sayLeaving()
+	m.call(n, "GET", "/safe/", "")
+	assert.Equal(t, announce.Accepted, n.announce(false))
+	a, _ := m.call(n, "GET", "/safe/", "")
+	assert.Equal(t, http.StatusServiceUnavailable, a.status)
+	assert.Len(t, n.backend.requests(), 1)
+
+	m, n = newRestartedNode(t, http.StatusOK, freeSlots, time.Minute)
+	id := n.backend.id
+	n.backend.setHealth(func(w http.ResponseWriter) {
+		w.Header().Set(testHeaders.Instance, id)
+		w.Header().Set(testLoadHeader, freeSlots)
+		w.Header().Set(testLeavingHeader, "1")
+	})
+	n = m.restart(n)
+	<-n.found
+	assert.Equal(t, announce.Unconfirmed, n.announce(false))
+	a, _ = m.call(n, "GET", "/safe/", "")
+	assert.Equal(t, http.StatusServiceUnavailable, a.status)
+	assert.Empty(t, n.backend.requests())
+}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -106,6 +106,7 @@
 	n.link = link.New(s.LinkMbps)
 	n.buffers = hop.NewBufferBudget(s.bufferBytes())
 	n.inbound = newInbound(p, n.link, n.buffers, n.metrics, n.logger, n.backendResponded)
+	n.inbound.onLeaving = n.backendLeaves
 	n.membership = membership.New(membership.Options{
 		Self: n.self(), Directory: n.directory, ContactsInterval: contactsInterval, Exclusive: true, Timing: membership.RegionalTiming, Client: n.rpcClient, Server: n.rpcServer,
 		Heartbeat: func() membership.Heartbeat { return membership.Heartbeat{Version: int64(n.follower.version())} },
