sidecar: a restarted node knows the limit that its backend server names

In a test, a node restarted beside a server with 100 slots forwarded 87 requests in 2 s, 45 allowed, until the first response told it the limit again. Cause: the limit is state of the process. The liveness check that a restarted node makes names it as well, and nothing read it there. Change: the response to the liveness check counts like any other. TestNamedLimit_KnownAfterRestart failed before, as above. Without a liveness check that succeeds, as many requests as the backend server has slots may still be forwarded before the first response.

--- a/pkg/sidecar/backend.go
+++ b/pkg/sidecar/backend.go
@@ -165,6 +165,7 @@
 	n.provisional = true
 	n.tracker.Observe(time.Now(), a)
 	n.publishBackend(nil, "liveness check")
+	n.inbound.observeIntake(n.inbound.instance.Load(), n.started, header)
 }
 
 // dropProvisional stops using a provisional instance that has not announced itself.
--- a/pkg/sidecar/intake_test.go
+++ b/pkg/sidecar/intake_test.go
@@ -228,3 +228,22 @@
 	assert.Equal(t, http.StatusServiceUnavailable, a.status)
 	assert.Empty(t, n.backend.requests())
 }
+
+// Guards against a burst of requests to a backend server in need when the node beside it is restarted and has not had a response of it yet.
+func TestNamedLimit_KnownAfterRestart(t *testing.T) {
+	m, n := newRestartedNode(t, http.StatusOK, "0 0 100 1", time.Minute)
+	id := n.backend.id
+	n.backend.setHealth(func(w http.ResponseWriter) {
+		w.Header().Set(testHeaders.Instance, id)
+		w.Header().Set(testLoadHeader, "0 0 100 1")
+		w.Header().Set(testLimitHeader, "20")
+	})
+	n = m.restart(n)
+	m.nodes[0] = n
+	<-n.found
+	l := n.nameLimit("20", 100*time.Millisecond)
+	begin := time.Now()
+	m.keepCalling(50)
+	time.Sleep(limitWindow)
+	assert.LessOrEqual(t, l.most(begin, limitWindow), int(namedLimit*limitWindow.Seconds())+limitBurst)
+}
