--- /dev/null
+++ b/pkg/sidecar/crash.go
@@ -0,0 +1,115 @@
+package sidecar
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
+	"github.com/laburnumcleat/laburnumcleat/pkg/quarantine"
+)
+
+const (
+	// crashProbeTimeout bounds the connection attempt that shows whether a backend server has crashed. It runs on the same VM.
+	crashProbeTimeout = 100 * time.Millisecond
+	// lossCollectTime is how long the requests are collected that an instance lost in a crash. All its connections break at once.
+	lossCollectTime = 5 * time.Millisecond
+	// maxLossWait bounds how long the result of a lost request is held back until it is known whether the instance has crashed.
+	maxLossWait = 150 * time.Millisecond
+)
+
+// lostRequest is a request whose connection to the backend server broke.
+type lostRequest struct {
+	id          string
+	fingerprint quarantine.Fingerprint
+}
+
+// crashDetector finds out whether an instance lost requests because it crashed. It is safe for concurrent use.
+type crashDetector struct {
+	mu      sync.Mutex
+	pending *loss // being investigated; nil: none
+}
+
+// loss is a group of requests that an instance lost at the same time.
+type loss struct {
+	requests []lostRequest
+	done     chan struct{} // closed when it is known whether the instance crashed
+}
+
+// join adds a request to the loss that is being investigated, or begins a new one and reports true.
+func (d *crashDetector) join(q lostRequest) (l *loss, first bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if first = d.pending == nil; first {
+		d.pending = &loss{done: make(chan struct{})}
+	}
+	d.pending.requests = append(d.pending.requests, q)
+	return d.pending, first
+}
+
+// finish ends the investigation and returns the requests that were lost.
+func (d *crashDetector) finish() []lostRequest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	requests := d.pending.requests
+	d.pending = nil
+	return requests
+}
+
+// isLoss reports whether a failed exchange may be due to a crash of the backend server.
+func isLoss(f *hop.Failure) bool {
+	return f.Sent && (f.Cause == hop.ConnectionLost || f.Cause == hop.Truncated)
+}
+
+// investigateLoss finds out whether an instance that lost a request has crashed. It returns when that is known, or after maxLossWait.
+func (in *inbound) investigateLoss(i *instance, c *call, r *hop.Request) {
+	l, first := i.crashes.join(lostRequest{r.ID, fingerprintOf(c, r)})
+	if !first {
+		select {
+		case <-l.done:
+		case <-time.After(maxLossWait):
+		}
+		return
+	}
+	defer close(l.done)
+	crashed := refusesConnections(i.Address)
+	if crashed {
+		time.Sleep(lossCollectTime)
+	}
+	if requests := i.crashes.finish(); crashed {
+		in.reportCrash(i, requests)
+	}
+}
+
+// refusesConnections reports whether nothing listens on an address.
+func refusesConnections(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, crashProbeTimeout)
+	if err == nil {
+		conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// reportCrash counts and logs the crash of an instance and the requests that it was running.
+func (in *inbound) reportCrash(i *instance, requests []lostRequest) {
+	in.metrics.Inc("backend_crashed")
+	var ids, fingerprints []string
+	for _, q := range requests {
+		ids, fingerprints = append(ids, q.id), append(fingerprints, q.fingerprint.String())
+	}
+	in.logger.Info("backend_crashed", zap.String("instance", i.ID), zap.String("service", i.Service), zap.Int("running", len(requests)),
+		zap.Strings("ids", ids), zap.Strings("fingerprints", fingerprints))
+}
+
+// fingerprintOf returns the fingerprint of a call's request. It is the same for all attempts of callers of one service.
+func fingerprintOf(c *call, r *hop.Request) quarantine.Fingerprint {
+	length := int64(len(r.Body))
+	if r.Stream != nil {
+		length = r.Length
+	}
+	return quarantine.Request{Method: r.Method, Host: r.Host, Target: r.Target, Caller: c.caller, Body: r.Body, Length: length}.Fingerprint()
+}
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -69,6 +69,7 @@
 	draining  atomic.Bool
 	warmAt    time.Time // end of its cold start
 	intake    *intakeState
+	crashes   *crashDetector
 
 	mu            sync.Mutex
 	answeredRatio float64 // EWMA of the fraction of calls that it answered
@@ -115,6 +116,7 @@
 func newInstance(a *announce.Announcement) *instance {
 	now := time.Now()
 	i := &instance{Announcement: *a, admission: admission.New(max(a.Slots, 1)), warmAt: now.Add(a.ColdRemaining), answeredRatio: 1}
+	i.crashes = &crashDetector{}
 	i.intake = &intakeState{admission: i.admission, reported: now}
 	if a.ColdRemaining > 0 {
 		i.admission.SetColdUntil(i.warmAt)
@@ -127,7 +129,7 @@
 
 // announced returns the instance with what its announcement says, and with its calls.
 func (i *instance) announced(a announce.Announcement) *instance {
-	next := &instance{Announcement: a, admission: i.admission, warmAt: time.Now().Add(a.ColdRemaining), intake: i.intake}
+	next := &instance{Announcement: a, admission: i.admission, warmAt: time.Now().Add(a.ColdRemaining), intake: i.intake, crashes: i.crashes}
 	i.mu.Lock()
 	next.answeredRatio = i.answeredRatio
 	i.mu.Unlock()
@@ -454,6 +456,9 @@
 	}
 	if failed != nil {
 		cancel()
+		if isLoss(failed) && !i.draining.Load() {
+			in.investigateLoss(i, c, r)
+		}
 		return in.backendFailure(i, failed)
 	}
 	if response.Rest != nil {
