quarantine, sidecar: a request that crashes backend servers is blocked after the second crash

Cause: nothing connects one attempt with the next. Attempts have ids of their own and arrive at different nodes, and a lost connection said nothing about what had run. Class of fault: state about a cause is kept for each attempt, though the cause outlives it. Change: - The node beside a backend server that crashes tells all nodes the fingerprints of the requests that were running, before their callers learn of the loss and send them again. - Suspects run one at a time for each backend server, and all attempts of one at the same backend server (rendezvous hashing), so that the next crash shows which one it was; a crash with several suspects counts for none. - The second crash blocks the request on all nodes, 10 minutes at first: refused at once with Retry-After, not run. An answer clears a suspect, also one that others block. - The table is pushed along the relay tree, and pulled by a node that sees another digest in a heartbeat or has just started.

--- /dev/null
+++ b/pkg/quarantine/table.go
@@ -0,0 +1,322 @@
+package quarantine
+
+import (
+	"encoding/hex"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Verdict says what may be done with a request.
+type Verdict int
+
+// Verdicts on a request.
+const (
+	Clear   Verdict = iota // it may be run
+	Suspect                // it may be run while the backend server runs no other suspect
+	Blocked                // it must not be run
+)
+
+// Policy holds the parameters of the decisions.
+type Policy struct {
+	BlockAfter   int           // crashes of backend servers that ran the request
+	BaseDuration time.Duration // how long a request is first blocked, and how long it stays a suspect
+	// MaxDoublings bounds how often the duration doubles: with each further crash, which shows that the request still crashes backend servers.
+	MaxDoublings int
+	MaxRecords   int // beyond it, the records that changed longest ago are dropped
+}
+
+// DefaultPolicy returns the parameters that the nodes use.
+func DefaultPolicy() Policy {
+	return Policy{BlockAfter: 2, BaseDuration: 10 * time.Minute, MaxDoublings: 3, MaxRecords: 1024}
+}
+
+// Record is what is known of a request.
+type Record struct {
+	Request Fingerprint `json:"request"`
+	Crashed []string    `json:"crashed"`           // processes of backend servers that crashed while they ran it, in ascending order
+	Cleared bool        `json:"cleared,omitempty"` // a backend server has answered it
+	AgeMS   int64       `json:"age_ms,omitempty"`  // time since the latest change
+}
+
+// maxProcessBytes bounds the name of a process in a record of another node.
+const maxProcessBytes = 128
+
+// entry is a record with the time of its latest change.
+type entry struct {
+	crashed []string
+	cleared bool
+	changed time.Time
+}
+
+// Table holds the records of the requests that ran on backend servers when they crashed. It is safe for concurrent use.
+type Table struct {
+	policy Policy
+	size   atomic.Int64
+
+	mu       sync.Mutex
+	entries  map[Fingerprint]*entry
+	digest   string
+	digested bool // digest is of the present entries
+}
+
+// NewTable returns an empty table.
+func NewTable(p Policy) *Table {
+	return &Table{policy: p, entries: make(map[Fingerprint]*entry)}
+}
+
+// IsEmpty reports whether there is no record, so that the verdict on every request is Clear.
+func (t *Table) IsEmpty() bool { return t.size.Load() == 0 }
+
+// blockDuration returns how long the request is blocked after its latest crash.
+func (t *Table) blockDuration(e *entry) time.Duration {
+	doublings := min(len(e.crashed)-t.policy.BlockAfter, t.policy.MaxDoublings)
+	if doublings < 0 {
+		return 0
+	}
+	return t.policy.BaseDuration << doublings
+}
+
+// verdict returns the verdict on a request, and how long it stays blocked.
+func (t *Table) verdict(now time.Time, e *entry) (Verdict, time.Duration) {
+	age := now.Sub(e.changed)
+	blocked := t.blockDuration(e) - age
+	switch {
+	case e.cleared, blocked <= -t.policy.BaseDuration:
+		return Clear, 0
+	case blocked > 0:
+		return Blocked, blocked
+	}
+	return Suspect, 0
+}
+
+// Verdict returns what may be done with the request, and for how long if it is Blocked.
+func (t *Table) Verdict(now time.Time, request Fingerprint) (Verdict, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[request]
+	if e == nil {
+		return Clear, 0
+	}
+	return t.verdict(now, e)
+}
+
+// Crashed records that a process of a backend server crashed while it ran the requests. It returns the records that have changed. If several of
+// them were running at earlier crashes, this one does not show which of them is the cause, and counts for none of these.
+func (t *Table) Crashed(now time.Time, process string, requests []Fingerprint) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	suspects := t.suspectsBefore(now, process, requests)
+	var changed []Record
+	for _, request := range requests {
+		if len(suspects) > 1 && suspects[request] {
+			continue
+		}
+		e := t.entryOf(now, request)
+		if e.add([]string{process}, t.maxCrashes()) {
+			e.changed = now
+			changed = append(changed, e.record(now, request))
+		}
+	}
+	t.sweep(now)
+	return changed
+}
+
+// suspectsBefore returns which of the requests were running when another process crashed, and were not answered since.
+func (t *Table) suspectsBefore(now time.Time, process string, requests []Fingerprint) map[Fingerprint]bool {
+	suspects := make(map[Fingerprint]bool)
+	for _, request := range requests {
+		e := t.entries[request]
+		if e == nil {
+			continue
+		}
+		verdict, _ := t.verdict(now, e)
+		if verdict != Clear && slices.ContainsFunc(e.crashed, func(p string) bool { return p != process }) {
+			suspects[request] = true
+		}
+	}
+	return suspects
+}
+
+// Answered records that a backend server has answered the request. It reports whether that cleared it.
+func (t *Table) Answered(now time.Time, request Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[request]
+	if e == nil || e.cleared {
+		return false
+	}
+	e.cleared, e.changed = true, now
+	t.digested = false
+	return true
+}
+
+// Merge adds the records of another node. It returns the requests that are blocked since, and what the other node lacks about the requests in
+// its records.
+func (t *Table) Merge(now time.Time, records []Record) (blocked []Fingerprint, lacking []Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range records {
+		if !r.valid() {
+			continue
+		}
+		e := t.entryOf(now, r.Request)
+		before, _ := t.verdict(now, e)
+		if t.mergeRecord(now, e, r) {
+			lacking = append(lacking, e.record(now, r.Request))
+		}
+		if after, _ := t.verdict(now, e); after == Blocked && before != Blocked {
+			blocked = append(blocked, r.Request)
+		}
+	}
+	t.sweep(now)
+	return blocked, lacking
+}
+
+// mergeRecord merges a record into the entry of its request, and reports whether the entry contains more than the record.
+func (t *Table) mergeRecord(now time.Time, e *entry, r Record) (more bool) {
+	if len(e.crashed) == 0 {
+		e.changed = now.Add(-r.age()) // the entry is new
+	}
+	more = e.cleared && !r.Cleared || slices.ContainsFunc(e.crashed, func(p string) bool { return !slices.Contains(r.Crashed, p) })
+	e.add(r.Crashed, t.maxCrashes())
+	e.cleared = e.cleared || r.Cleared
+	if changed := now.Add(-r.age()); changed.After(e.changed) {
+		e.changed = changed
+	}
+	return more
+}
+
+func (r Record) age() time.Duration { return time.Duration(r.AgeMS) * time.Millisecond }
+
+func (r Record) valid() bool {
+	return r.AgeMS >= 0 && len(r.Crashed) > 0 && !slices.ContainsFunc(r.Crashed, func(p string) bool { return p == "" || len(p) > maxProcessBytes })
+}
+
+// maxCrashes returns how many processes are kept in a record; more do not change the verdict.
+func (t *Table) maxCrashes() int { return t.policy.BlockAfter + t.policy.MaxDoublings }
+
+// add adds processes, and reports whether that changed the entry.
+func (e *entry) add(processes []string, most int) (changed bool) {
+	for _, p := range processes {
+		if i, found := slices.BinarySearch(e.crashed, p); !found {
+			e.crashed = slices.Insert(e.crashed, i, p)
+			changed = true
+		}
+	}
+	if len(e.crashed) > most {
+		e.crashed = slices.Clone(e.crashed[:most])
+	}
+	return changed
+}
+
+func (e *entry) record(now time.Time, request Fingerprint) Record {
+	return Record{Request: request, Crashed: slices.Clone(e.crashed), Cleared: e.cleared, AgeMS: max(0, now.Sub(e.changed).Milliseconds())}
+}
+
+// entryOf returns the entry of a request, creating it if necessary. The caller must hold mu and call sweep afterwards.
+func (t *Table) entryOf(now time.Time, request Fingerprint) *entry {
+	e := t.entries[request]
+	if e == nil {
+		e = &entry{changed: now}
+		t.entries[request] = e
+	}
+	return e
+}
+
+// sweep drops entries that have expired, and the oldest ones beyond Policy.MaxRecords. The caller must hold mu.
+func (t *Table) sweep(now time.Time) {
+	for request, e := range t.entries {
+		if now.Sub(e.changed) >= t.blockDuration(e)+t.policy.BaseDuration {
+			delete(t.entries, request)
+		}
+	}
+	if excess := len(t.entries) - t.policy.MaxRecords; excess > 0 {
+		requests := t.sorted()
+		slices.SortStableFunc(requests, func(a, b Fingerprint) int { return t.entries[a].changed.Compare(t.entries[b].changed) })
+		for _, request := range requests[:excess] {
+			delete(t.entries, request)
+		}
+	}
+	t.size.Store(int64(len(t.entries)))
+	t.digested = false
+}
+
+// sorted returns the requests in the order of their fingerprints. The caller must hold mu.
+func (t *Table) sorted() []Fingerprint {
+	requests := make([]Fingerprint, 0, len(t.entries))
+	for request := range t.entries {
+		requests = append(requests, request)
+	}
+	slices.SortFunc(requests, func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
+	return requests
+}
+
+// shared reports whether an entry is part of what all nodes must agree on: requests that are blocked, or would be if they were not cleared.
+func (t *Table) shared(e *entry) bool { return len(e.crashed) >= t.policy.BlockAfter }
+
+// Shared returns the records that all nodes must agree on, and drops those that have expired.
+func (t *Table) Shared(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	var records []Record
+	for _, request := range t.sorted() {
+		if e := t.entries[request]; t.shared(e) {
+			records = append(records, e.record(now, request))
+		}
+	}
+	return records
+}
+
+// Digest returns a digest of the records that all nodes must agree on, or "" if there are none.
+func (t *Table) Digest() string {
+	if t.IsEmpty() {
+		return ""
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.digested {
+		t.digest, t.digested = t.computeDigest(), true
+	}
+	return t.digest
+}
+
+func (t *Table) computeDigest() string {
+	digest, isEmpty := fnv.New32a(), true
+	for _, request := range t.sorted() {
+		e := t.entries[request]
+		if !t.shared(e) {
+			continue
+		}
+		isEmpty = false
+		digest.Write(request[:])
+		for _, process := range e.crashed {
+			digest.Write([]byte(process + "\n"))
+		}
+		if e.cleared {
+			digest.Write([]byte("cleared"))
+		}
+	}
+	if isEmpty {
+		return ""
+	}
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
+// Counts returns the number of suspects and of blocked requests.
+func (t *Table) Counts(now time.Time) (suspects, blocked int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		switch verdict, _ := t.verdict(now, e); verdict {
+		case Suspect:
+			suspects++
+		case Blocked:
+			blocked++
+		}
+	}
+	return suspects, blocked
+}
--- /dev/null
+++ b/pkg/sidecar/blocked.go
@@ -0,0 +1,40 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
+	"github.com/laburnumcleat/laburnumcleat/pkg/quarantine"
+)
+
+// updateVerdict determines what may be done with a request, and returns how long it stays blocked.
+func (o *outbound) updateVerdict(q *request) (left time.Duration) {
+	q.verdict = quarantine.Clear
+	if o.local.suspects.IsEmpty() {
+		return 0
+	}
+	q.fingerprint = fingerprintOf(o.service(), q.out)
+	q.verdict, left = o.local.suspects.Verdict(time.Now(), q.fingerprint)
+	return left
+}
+
+// refuseIfBlocked returns a refusal of a request that crashes backend servers, or nil.
+func (o *outbound) refuseIfBlocked(q *request) *result {
+	left := o.updateVerdict(q)
+	if q.verdict != quarantine.Blocked {
+		return nil
+	}
+	res := refuse(0, reasonRequestBlocked)
+	res.retryAfter = left
+	return res
+}
+
+// candidates returns the endpoints that the request may be sent to. All attempts of a suspect go to the same one, where they run one after the
+// other: two that ran on different backend servers could crash both.
+func (o *outbound) candidates(q *request, excluded func(*placement.Endpoint) bool) []placement.Endpoint {
+	endpoints := o.endpoints(q.service)
+	if q.verdict == quarantine.Suspect {
+		return placement.Rendezvous(endpoints, q.fingerprint.String(), excluded)
+	}
+	return endpoints
+}
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -117,10 +117,12 @@
 	reasonOtherNode           reason = "other_node"    // another node now uses the address
 	reasonStopping            reason = "stopping"      // the node is shutting down
 	reasonUnreachable         reason = "backend_unreachable"
-	reasonBackendShed         reason = "backend_shed"   // the backend server rejected the request without executing it
-	reasonBackendFailed       reason = "backend_failed" // the backend server answered with an error of its own
-	reasonVersionHeld         reason = "version_held"   // a roll-out allows the backend server's version no further request
-	reasonOtherInstance       reason = "other_instance" // another instance now uses the backend server's address
+	reasonBackendShed         reason = "backend_shed"    // the backend server rejected the request without executing it
+	reasonBackendFailed       reason = "backend_failed"  // the backend server answered with an error of its own
+	reasonVersionHeld         reason = "version_held"    // a roll-out allows the backend server's version no further request
+	reasonRequestBlocked      reason = "request_blocked" // backend servers that ran the request crashed
+	reasonSuspectWaits        reason = "suspect_waits"   // the request was running when a backend server crashed, and another such request runs
+	reasonOtherInstance       reason = "other_instance"  // another instance now uses the backend server's address
 	reasonDeadline            reason = "deadline"
 	reasonCancelled           reason = "cancelled" // the caller disconnected
 	reasonConnectionLost      reason = "connection_lost"
--- a/pkg/sidecar/crash.go
+++ b/pkg/sidecar/crash.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -19,7 +20,7 @@
 	// lossCollectTime is how long the requests are collected that an instance lost in a crash. All its connections break at once.
 	lossCollectTime = 5 * time.Millisecond
 	// maxLossWait bounds how long the result of a lost request is held back until it is known whether the instance has crashed.
-	maxLossWait = 150 * time.Millisecond
+	maxLossWait = 200 * time.Millisecond
 )
 
 // lostRequest is a request whose connection to the backend server broke.
@@ -65,16 +66,25 @@
 	return f.Sent && (f.Cause == hop.ConnectionLost || f.Cause == hop.Truncated)
 }
 
-// investigateLoss finds out whether an instance that lost a request has crashed. It returns when that is known, or after maxLossWait.
-func (in *inbound) investigateLoss(i *instance, c *call, r *hop.Request) {
-	l, first := i.crashes.join(lostRequest{r.ID, fingerprintOf(c, r)})
-	if !first {
+// investigateLoss finds out whether an instance that lost a request has crashed. It returns when that is known, or after maxLossWait. If the request
+// is blocked then, the reply says so, and its sender does not send it again.
+func (in *inbound) investigateLoss(i *instance, c *call, r *hop.Request, reply *callReply) {
+	l, first := i.crashes.join(lostRequest{r.ID, fingerprintOf(c.caller, r)})
+	if first {
+		in.resolveLoss(i, l)
+	} else {
 		select {
 		case <-l.done:
 		case <-time.After(maxLossWait):
 		}
-		return
 	}
+	if verdict, _ := in.verdict(c, r); verdict == quarantine.Blocked {
+		reply.reason = reasonRequestBlocked
+	}
+}
+
+// resolveLoss reports a crash if the instance no longer accepts connections.
+func (in *inbound) resolveLoss(i *instance, l *loss) {
 	defer close(l.done)
 	crashed := refusesConnections(i.Address)
 	if crashed {
@@ -94,22 +104,27 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// reportCrash counts and logs the crash of an instance and the requests that it was running.
+// reportCrash counts, logs and shares the crash of an instance and the requests that it was running.
 func (in *inbound) reportCrash(i *instance, requests []lostRequest) {
 	in.metrics.Inc("backend_crashed")
-	var ids, fingerprints []string
+	var ids, texts []string
+	var fingerprints []quarantine.Fingerprint
 	for _, q := range requests {
-		ids, fingerprints = append(ids, q.id), append(fingerprints, q.fingerprint.String())
+		ids, texts, fingerprints = append(ids, q.id), append(texts, q.fingerprint.String()), append(fingerprints, q.fingerprint)
 	}
 	in.logger.Info("backend_crashed", zap.String("instance", i.ID), zap.String("service", i.Service), zap.Int("running", len(requests)),
-		zap.Strings("ids", ids), zap.Strings("fingerprints", fingerprints))
+		zap.Strings("ids", ids), zap.Strings("fingerprints", texts))
+	in.onCrash(i.process(), fingerprints)
 }
 
-// fingerprintOf returns the fingerprint of a call's request. It is the same for all attempts of callers of one service.
-func fingerprintOf(c *call, r *hop.Request) quarantine.Fingerprint {
+// process returns a name for the process of the instance. A process crashes once, so the name also identifies the crash.
+func (i *instance) process() string { return i.ID + "@" + strconv.FormatInt(i.StartTimeMS, 36) }
+
+// fingerprintOf returns the fingerprint of a request. It is the same for all attempts of callers of one service.
+func fingerprintOf(caller string, r *hop.Request) quarantine.Fingerprint {
 	length := int64(len(r.Body))
 	if r.Stream != nil {
 		length = r.Length
 	}
-	return quarantine.Request{Method: r.Method, Host: r.Host, Target: r.Target, Caller: c.caller, Body: r.Body, Length: length}.Fingerprint()
+	return quarantine.Request{Method: r.Method, Host: r.Host, Target: r.Target, Caller: caller, Body: r.Body, Length: length}.Fingerprint()
 }
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -17,6 +17,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/link"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
+	"github.com/laburnumcleat/laburnumcleat/pkg/quarantine"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rollout"
 	"github.com/laburnumcleat/laburnumcleat/pkg/socket"
 )
@@ -42,9 +43,11 @@
 	client         *hop.Client
 	metrics        *metrics.Registry
 	logger         *zap.Logger
-	onResponse     func()          // called when the backend server has responded
-	onLeaving      func(*instance) // called when a response of an instance in use says that it is leaving
-	failedCalls    atomic.Int64    // calls of the backend server that were not answered with a success
+	onResponse     func()                                                 // called when the backend server has responded
+	onLeaving      func(*instance)                                        // called when a response of an instance in use says that it is leaving
+	onCrash        func(process string, running []quarantine.Fingerprint) // called when an instance has crashed
+	suspects       *quarantine.Table                                      // requests that were running at crashes of backend servers
+	failedCalls    atomic.Int64                                           // calls of the backend server that were not answered with a success
 	readLoadReport func(http.Header) (LoadReport, bool, error)
 	readIntake     func(http.Header) (Intake, error)
 
@@ -70,6 +73,7 @@
 	warmAt    time.Time // end of its cold start
 	intake    *intakeState
 	crashes   *crashDetector
+	ward      ward
 
 	mu            sync.Mutex
 	answeredRatio float64 // EWMA of the fraction of calls that it answered
@@ -78,7 +82,7 @@
 func newInbound(p Platform, l *link.Link, buffers *hop.BufferBudget, m *metrics.Registry, logger *zap.Logger, onResponse func()) *inbound {
 	h := p.Headers()
 	return &inbound{
-		headers: h, metrics: m, logger: logger, onResponse: onResponse, readLoadReport: p.Report, readIntake: p.Intake, link: l, logLimit: rate.NewLimiter(logLinesPerSecond, logBurst), origins: admission.NewOriginTracker(),
+		headers: h, metrics: m, logger: logger, onResponse: onResponse, suspects: quarantine.NewTable(quarantine.DefaultPolicy()), readLoadReport: p.Report, readIntake: p.Intake, link: l, logLimit: rate.NewLimiter(logLinesPerSecond, logBurst), origins: admission.NewOriginTracker(),
 		client: hop.New(hop.Options{EchoHeader: h.RequestID, IdleTimeout: backendIdleTimeout, MaxBufferedBytes: maxBufferedResponse, BufferBudget: buffers}),
 	}
 }
@@ -116,7 +120,7 @@
 func newInstance(a *announce.Announcement) *instance {
 	now := time.Now()
 	i := &instance{Announcement: *a, admission: admission.New(max(a.Slots, 1)), warmAt: now.Add(a.ColdRemaining), answeredRatio: 1}
-	i.crashes = &crashDetector{}
+	i.crashes, i.ward = &crashDetector{}, newWard()
 	i.intake = &intakeState{admission: i.admission, reported: now}
 	if a.ColdRemaining > 0 {
 		i.admission.SetColdUntil(i.warmAt)
@@ -129,7 +133,7 @@
 
 // announced returns the instance with what its announcement says, and with its calls.
 func (i *instance) announced(a announce.Announcement) *instance {
-	next := &instance{Announcement: a, admission: i.admission, warmAt: time.Now().Add(a.ColdRemaining), intake: i.intake, crashes: i.crashes}
+	next := &instance{Announcement: a, admission: i.admission, warmAt: time.Now().Add(a.ColdRemaining), intake: i.intake, crashes: i.crashes, ward: i.ward}
 	i.mu.Lock()
 	next.answeredRatio = i.answeredRatio
 	i.mu.Unlock()
@@ -206,6 +210,11 @@
 	if in.origins.Observe(c.class, c.caller, i.Service) {
 		rank = admission.Nested
 	}
+	leaveWard, refusal := in.enterWard(ctx, i, c, r)
+	if refusal != nil {
+		return in.completeReply(i, c, r, refusal), nil
+	}
+	defer leaveWard()
 	transmit, linkRefusal := in.transmitDelay(i, c, rank)
 	if linkRefusal != nil {
 		return in.completeReply(i, c, r, linkRefusal), nil
@@ -218,7 +227,7 @@
 		return in.completeReply(i, c, r, admissionReply(refused)), nil
 	}
 	// The call may have been queued, or the process paused. Check again before the first byte is sent.
-	if cause := in.lateRefusalReason(ctx, i); cause != "" {
+	if cause := in.lateRefusalReason(ctx, i, c, r); cause != "" {
 		grant.Release(admission.NotSent)
 		return in.completeReply(i, c, r, &callReply{verdict: verdictNotRun, reason: cause}), nil
 	}
@@ -232,6 +241,7 @@
 	leaveRunning := in.countRunning(c)
 	reply, response, result := in.forward(ctx, i, c, r, now.Add(c.deadlineRemaining))
 	leaveRunning()
+	in.recordAnswer(c, r, reply)
 	in.recordSlotTime(ctx, reply, response, rank, time.Since(granted), now.Add(c.targetRemaining))
 	reply.nested = rank == admission.Nested
 	done()
@@ -322,8 +332,11 @@
 }
 
 // lateRefusalReason returns the reason why a call that was granted a slot must not be forwarded to the instance after all, or "".
-func (in *inbound) lateRefusalReason(ctx context.Context, i *instance) reason {
+func (in *inbound) lateRefusalReason(ctx context.Context, i *instance, c *call, r *hop.Request) reason {
+	verdict, _ := in.verdict(c, r)
 	switch {
+	case verdict == quarantine.Blocked:
+		return reasonRequestBlocked
 	case !in.isCurrent(i):
 		return reasonDraining
 	case socket.CallerLeft(ctx):
@@ -456,10 +469,11 @@
 	}
 	if failed != nil {
 		cancel()
+		reply, response, result := in.backendFailure(i, failed)
 		if isLoss(failed) && !i.draining.Load() {
-			in.investigateLoss(i, c, r)
+			in.investigateLoss(i, c, r, reply)
 		}
-		return in.backendFailure(i, failed)
+		return reply, response, result
 	}
 	if response.Rest != nil {
 		response.Rest = &cancelOnClose{ReadCloser: response.Rest, cancel: cancel}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -27,6 +27,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/membership"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
+	"github.com/laburnumcleat/laburnumcleat/pkg/quarantine"
 	"github.com/laburnumcleat/laburnumcleat/pkg/retry"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
 )
@@ -64,6 +65,7 @@
 	membership *membership.Service
 	follower   *follower
 	rollouts   *rollouts
+	quarantine *quarantines
 	link       *link.Link
 	buffers    *hop.BufferBudget // for long responses of the backend server
 	inbound    *inbound
@@ -107,10 +109,14 @@
 	n.buffers = hop.NewBufferBudget(s.bufferBytes())
 	n.inbound = newInbound(p, n.link, n.buffers, n.metrics, n.logger, n.backendResponded)
 	n.inbound.onLeaving = n.backendLeaves
+	n.inbound.onCrash = func(process string, running []quarantine.Fingerprint) { n.quarantine.crashed(process, running) }
 	n.membership = membership.New(membership.Options{
 		Self: n.self(), Directory: n.directory, ContactsInterval: contactsInterval, Exclusive: true, Timing: membership.RegionalTiming, Client: n.rpcClient, Server: n.rpcServer,
-		Heartbeat: func() membership.Heartbeat { return membership.Heartbeat{Version: int64(n.follower.version())} },
+		Heartbeat: func() membership.Heartbeat {
+			return membership.Heartbeat{Version: int64(n.follower.version()), Digest: n.inbound.suspects.Digest()}
+		},
 		OnHeartbeat: func(from membership.Member, beat membership.Heartbeat) {
+			n.quarantine.observeDigest(beat.Digest, from.ControlAddress)
 			n.follower.observeVersion(context.Background(), uint64(beat.Version), from.ControlAddress, peerDelay)
 		},
 		Metrics: n.metrics, Logger: n.logger,
@@ -133,6 +139,7 @@
 	n.follower.isReader, n.follower.isStandby, n.follower.isWriter, n.follower.hasPeers = r.isReader, r.isStandby, r.isWriter, r.hasPeers
 	n.follower.onChange = r.broadcast
 	n.rollouts = n.newRollouts(r)
+	n.quarantine = newQuarantines(r, n.rpcServer, n.inbound.suspects)
 	n.follower.onOrders, n.follower.onRollouts = n.rollouts.observe, n.observeRollouts
 	generations := NewGenerations(n.metrics, n.logger)
 	generations.OnChange(n.rollouts.storeRestored)
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -22,6 +22,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
 	"github.com/laburnumcleat/laburnumcleat/pkg/pipeline"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
+	"github.com/laburnumcleat/laburnumcleat/pkg/quarantine"
 	"github.com/laburnumcleat/laburnumcleat/pkg/retry"
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 	"github.com/laburnumcleat/laburnumcleat/pkg/socket"
@@ -81,6 +82,8 @@
 	route          *routing.Entry
 	service        string // destination service
 	out            *hop.Request
+	verdict        quarantine.Verdict     // for the next attempt
+	fingerprint    quarantine.Fingerprint // unless the verdict is Clear
 }
 
 // rankLabel returns the metric label of the route's priority.
@@ -168,6 +171,9 @@
 		return res
 	}
 	q.service = q.route.Destination()
+	if res := o.refuseIfBlocked(q); res != nil {
+		return res
+	}
 	return o.sendOrWait(q)
 }
 
@@ -273,6 +279,7 @@
 		o.budget.CountRetries(q.service, o.local.retryShare()) // the call is a retry if that of its parent is one
 	}
 	for attempts.Allowed() {
+		o.updateVerdict(q)
 		if cause := o.stopReason(q, last); cause != "" {
 			if attempts.Sent() == 0 {
 				last.reason = cause
@@ -318,30 +325,44 @@
 func attemptOutcome(res *result) retry.Outcome {
 	return retry.Outcome{
 		Answered: res.verdict == verdictAnswered, MayHaveRun: res.verdict == verdictUnknown, Arrived: res.arrived, Nested: res.nested,
-		Full: res.reason == reasonFull || res.reason == reasonBackendLimit || res.reason == reasonDeadlineUnreachable,
+		Full: lacksCapacity(res.reason),
+	}
+}
+
+// lacksCapacity reports whether a call was refused because the backend server cannot serve it in time now.
+func lacksCapacity(r reason) bool {
+	switch r {
+	case reasonFull, reasonBackendLimit, reasonSuspectWaits, reasonDeadlineUnreachable:
+		return true
 	}
+	return false
 }
 
 // stopReason returns the reason for which the last result or the deadline rules out another attempt, or "" if one is possible.
 func (o *outbound) stopReason(q *request, last *result) reason {
 	switch {
+	case q.verdict == quarantine.Blocked:
+		return reasonRequestBlocked
 	case !time.Now().Add(attemptOverhead).Before(q.deadline):
 		return reasonDeadline
-	case last.reason == reasonCancelled, last.reason == reasonBodyFailed:
+	case last.reason == reasonCancelled, last.reason == reasonBodyFailed, last.reason == reasonRequestBlocked:
 		return last.reason
 	case q.out.Stream != nil && (last.arrived || last.node != "" && last.node != o.self):
 		return last.reason // part of the body may have been sent and cannot be replayed
+	case lacksCapacity(last.reason) && q.verdict == quarantine.Suspect:
+		return last.reason // another copy of the request may be running there
 	}
 	return ""
 }
 
 func (o *outbound) pickEndpoint(q *request, attempted, busy map[string]bool) *placement.Choice {
-	return o.chooser.Pick(o.endpoints(q.service), placement.Requirements{
+	excluded := func(e *placement.Endpoint) bool { return attempted[e.ID] }
+	return o.chooser.Pick(o.candidates(q, excluded), placement.Requirements{
 		Class:        q.route.Name,
 		Bytes:        o.stats.callBytes(q.route.Name) + len(q.out.Body),
 		TimeToTarget: max(time.Until(q.target), time.Millisecond),
 		DelayCost:    o.latencyWeight(q),
-		Excluded:     func(e *placement.Endpoint) bool { return attempted[e.ID] },
+		Excluded:     excluded,
 		Busy:         busy,
 	})
 }
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -108,11 +106,9 @@
 	return peers
 }
 
-// broadcast relays a change to the nodes of its own data centre, and to one node of each other data centre, which forwards it there, since
-// the readers of that data centre may have lost the store.
+// broadcast relays a change to all nodes: the readers of another data centre may have lost the store.
 func (r *relay) broadcast(c *routing.Change) {
-	peers := r.peersByDataCentre()
-	if len(peers) == 0 {
+	if !r.hasPeers() {
 		return // starting nodes read the store or pull from another node
 	}
 	change, err := encodeCompressed(c)
@@ -120,50 +116,24 @@
 		r.logger.Error("configuration_not_relayed", zap.Error(err))
 		return
 	}
-	var wg sync.WaitGroup
-	for dataCentre, members := range peers {
-		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-		var addresses []string
-		for _, m := range members {
-			addresses = append(addresses, m.ControlAddress)
-		}
-		p := &changeParams{To: c.To, Change: change, From: r.address, ForwardTo: addresses}
-		if dataCentre == r.dataCentre {
-			wg.Go(func() { r.fanOut(p) })
-			continue
-		}
-		p.ForwardTo = addresses[1:]
-		wg.Go(func() { r.send(addresses[0], p) })
-	}
-	wg.Wait()
+	p := changeParams{To: c.To, Change: change, From: r.address}
+	r.spread(func(address string, forwardTo []string) { r.send(address, p, forwardTo) })
 }
 
-// fanOut sends the change to up to relayFanout nodes of p.ForwardTo, each with a share of the remaining ones to forward to.
-func (r *relay) fanOut(p *changeParams) {
-	direct := min(relayFanout, len(p.ForwardTo))
-	var wg sync.WaitGroup
-	for i := range direct {
-		var forwardTo []string
-		for j := direct + i; j < len(p.ForwardTo); j += direct {
-			forwardTo = append(forwardTo, p.ForwardTo[j])
-		}
-		wg.Go(func() {
-			r.send(p.ForwardTo[i], &changeParams{To: p.To, Change: p.Change, From: p.From, ForwardTo: forwardTo})
-		})
-	}
-	wg.Wait()
+// forward relays a change to the nodes that its sender left to this one.
+func (r *relay) forward(p changeParams) {
+	fanOut(p.ForwardTo, func(address string, forwardTo []string) { r.send(address, p, forwardTo) })
 }
 
-func (r *relay) send(address string, p *changeParams) {
+func (r *relay) send(address string, p changeParams, forwardTo []string) {
+	p.ForwardTo = forwardTo
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
 	var done bool
-	if err := r.client.Call(ctx, address, changeMethod, p, &done); err != nil {
+	if err := r.client.Call(ctx, address, changeMethod, &p, &done); err != nil {
 		r.metrics.Inc("configuration_relay_failed")
 		r.logger.Debug("configuration_relay_failed", zap.String("to", address), zap.Error(err))
-		if len(p.ForwardTo) > 0 {
-			r.fanOut(p) // take over forwarding from the unreachable node
-		}
+		r.forward(p) // take over forwarding from the unreachable node
 	}
 }
 
@@ -176,9 +146,7 @@
 	if p.To <= r.follower.version() {
 		return true, nil // already in force
 	}
-	if len(p.ForwardTo) > 0 {
-		go r.fanOut(&p)
-	}
+	go r.forward(p)
 	change, err := decodeCompressed[routing.Change](p.Change)
 	if err != nil {
 		return nil, apierror.InvalidField("params.change", err.Error(), "run the same version on all nodes")
--- a/pkg/sidecar/run.go
+++ b/pkg/sidecar/run.go
@@ -42,7 +42,7 @@
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(background)
 	n.serve(group)
-	for _, run := range []func(context.Context){n.follower.Run, n.rollouts.Run, n.membership.Run, n.expireBackend, n.runStart, n.findBackend, n.learnRollouts} {
+	for _, run := range []func(context.Context){n.follower.Run, n.rollouts.Run, n.membership.Run, n.expireBackend, n.runStart, n.findBackend, n.learnRollouts, n.learnQuarantine} {
 		group.Go(func() error { run(groupCtx); return nil })
 	}
 	n.logger.Info("node_started", zap.String("callers", n.settings.Listen.Callers), zap.String("service", n.settings.Backend.Service))
@@ -90,6 +90,13 @@
 	n.outbound.starting.run(ctx, func() uint64 { return n.membership.Version() + n.follower.version() })
 }
 
+// learnQuarantine learns which requests crash backend servers. When the whole fleet starts for the first time, nothing is known.
+func (n *Node) learnQuarantine(ctx context.Context) {
+	if !n.settings.FirstStart {
+		n.quarantine.learn(ctx)
+	}
+}
+
 func (n *Node) serve(group *errgroup.Group) {
 	group.Go(n.callers.serve)
 	group.Go(n.nodes.serve)
