hop: a response without an id is no response on a connection that carried other requests

Here: a copy with the id of the earlier request was discarded. One without an id was taken for the response to the request at hand: in the test an unsafe request got 503 and ran twice. Cause: a missing id counted as a matching one, on the strength of the order on the connection, which a faulty server does not keep. Class: identity by position. Change: with RequireEcho, set for backend servers, a response without an id to a request that has one is accepted only on a connection that carried no other request, and that connection is not used again; otherwise it is a failure after the request was sent.

--- a/pkg/hop/exchange.go
+++ b/pkg/hop/exchange.go
@@ -33,6 +33,7 @@
 
 var (
 	errResponseMismatch = errors.New("response belongs to another request")
+	errUnidentified     = errors.New("response without an id on a connection that carried other requests")
 )
 
 // pastDeadline is an expired deadline that interrupts pending reads and writes.
@@ -184,7 +185,13 @@
 		if c.options.EchoHeader != "" {
 			echo = response.Header.Get(c.options.EchoHeader)
 		}
-		if echo == "" || echo == r.ID {
+		switch {
+		case echo == r.ID:
+			return response, nil
+		case echo == "" && c.options.RequireEcho && cn.reused:
+			return nil, &Failure{Sent: true, Cause: InvalidResponse, Err: errUnidentified}
+		case echo == "":
+			cn.unidentified = c.options.RequireEcho
 			return response, nil
 		}
 		if !discardBody(cn, response) {
@@ -337,7 +344,7 @@
 			return false
 		}
 	}
-	return cn.reader.Buffered() == 0
+	return cn.reader.Buffered() == 0 && !cn.unidentified
 }
 
 // keepAliveTimeout returns how long a connection may be idle according to a Keep-Alive header. This is half the timeout in the
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -86,7 +86,10 @@
 
 // Options configures a Client. Zero values select the defaults.
 type Options struct {
-	EchoHeader  string        // canonical name of the response header that echoes Request.ID; empty: not checked
+	EchoHeader string // canonical name of the response header that echoes Request.ID; empty: not checked
+	// RequireEcho rejects responses without EchoHeader to requests with an ID on connections that carried another request before: it cannot be
+	// told which of the two they belong to.
+	RequireEcho bool
 	DialTimeout time.Duration // default 500 ms, which allows for one lost packet
 	// UserTimeout is how long sent data may stay unacknowledged, for example during a network partition, before the connection is
 	// closed (TCP_USER_TIMEOUT). Default 1 s.
--- a/pkg/hop/hop_test.go
+++ b/pkg/hop/hop_test.go
@@ -381,3 +381,61 @@
 		assert.Equal(t, want, keepAliveTimeout(header), header)
 	}
 }
+
+// Guards against a response without an id, written once more on a connection that is in use again, being taken for the response to the next
+// request: a refusal would report "not run" for a request that runs.
+func TestDo_UnidentifiedResponseOnReusedConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	p := newPeer(t, func(c *net.TCPConn, r *bufio.Reader, _ int32) {
+		for number := 1; ; number++ {
+			id, ok := readRequest(r)
+			if !ok {
+				return
+			}
+			if number > 1 || id == "refused" {
+				io.WriteString(c, refusal)
+			}
+			if id != "refused" {
+				io.WriteString(c, responseTo(id, "mine"))
+			}
+		}
+	})
+	client := New(Options{EchoHeader: "Id", RequireEcho: true, IdleTimeout: testLimit, FreshIdleTimeout: testLimit})
+	t.Cleanup(client.Close)
+	do := func(id string) (*Response, *Failure) { return client.Do(testContext(t), p.address, request(id)) }
+	response, failed := do("refused")
+	require.Nil(t, failed, "on a new connection it can only belong to this request")
+	assert.Equal(t, http.StatusServiceUnavailable, response.Status)
+	response, failed = do("a")
+	require.Nil(t, failed)
+	assert.Equal(t, "mine", string(response.Body))
+	assert.EqualValues(t, 2, p.accepted.Load(), "what follows a response without an id could not be told from it")
+	response, failed = do("b")
+	require.Nil(t, response)
+	assert.Equal(t, InvalidResponse, failed.Cause)
+	assert.True(t, failed.Sent)
+	response, failed = client.Do(testContext(t), p.address, &Request{Method: "GET", Target: "/", Host: "h"})
+	require.Nil(t, failed, "a request without an id gets a response without one")
+	assert.Equal(t, http.StatusOK, response.Status)
+}
+
+// Guards against a response whose header is cut off, at any byte, being delivered as a complete one with an empty or short body.
+func TestDo_ResponseHeaderCutAtEachByte(t *testing.T) {
+	for name, head := range map[string]string{
+		"sized":   "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\nContent-Length: 10\r\n\r\n",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSignature: s\r\nId: a\r\n\r\n",
+		"unsized": "HTTP/1.1 200 OK\r\nSignature: s\r\nConnection: close\r\nId: a\r\n\r\n",
+	} {
+		p := newPeer(t, func(c *net.TCPConn, r *bufio.Reader, number int32) {
+			if _, ok := readRequest(r); ok {
+				io.WriteString(c, head[:number-1])
+			}
+		})
+		client := newClient(t)
+		for cut := range len(head) {
+			response, failed := client.Do(testContext(t), p.address, request("a"))
+			require.Nil(t, response, "%s, %d bytes", name, cut)
+			assert.True(t, failed.Sent)
+		}
+	}
+}
--- a/pkg/hop/pool.go
+++ b/pkg/hop/pool.go
@@ -20,12 +20,14 @@
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
-	source      *boundedReader // underlies reader
-	arrived     *arrivedReader // underlies source
-	reader      *bufio.Reader  // nil while the connection is idle
-	address     string
-	idleSince   time.Time     // when it was returned to the pool
-	idleTimeout time.Duration // from the Keep-Alive header of the peer, in addition to Options.IdleTimeout; 0: none
+	source       *boundedReader // underlies reader
+	arrived      *arrivedReader // underlies source
+	reader       *bufio.Reader  // nil while the connection is idle
+	address      string
+	idleSince    time.Time     // when it was returned to the pool
+	reused       bool          // it carried a request before the present one
+	unidentified bool          // a response on it had no id, so that a copy of that could not be told from the next response
+	idleTimeout  time.Duration // from the Keep-Alive header of the peer, in addition to Options.IdleTimeout; 0: none
 }
 
 // pool keeps idle connections by address.
@@ -49,7 +51,7 @@
 			break
 		}
 		if cn.isUsable() {
-			cn.reader = socket.AcquireReader(cn.source)
+			cn.reader, cn.reused = socket.AcquireReader(cn.source), true
 			return cn, true, nil
 		}
 		cn.Close()
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -83,7 +83,7 @@
 	h := p.Headers()
 	return &inbound{
 		headers: h, metrics: m, logger: logger, onResponse: onResponse, suspects: quarantine.NewTable(quarantine.DefaultPolicy()), readLoadReport: p.Report, readIntake: p.Intake, link: l, logLimit: rate.NewLimiter(logLinesPerSecond, logBurst), origins: admission.NewOriginTracker(),
-		client: hop.New(hop.Options{EchoHeader: h.RequestID, IdleTimeout: backendIdleTimeout, MaxBufferedBytes: maxBufferedResponse, BufferBudget: buffers}),
+		client: hop.New(hop.Options{EchoHeader: h.RequestID, RequireEcho: true, IdleTimeout: backendIdleTimeout, MaxBufferedBytes: maxBufferedResponse, BufferBudget: buffers}),
 	}
 }
 
