platform, membership: odd entries of another writer are skipped

But a contact with the incarnation under the id of a live node hid that node for good: it tried to outrank the contact, and one more than the highest number is 0. Cause: values were checked for their type, not for what they can mean. Class: numbers of a foreign writer taken as ranks.

--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -60,7 +60,7 @@
 // members read the directory too.
 func (s *system) addDirectoryMembers(now time.Time, members []Member) {
 	for _, m := range members {
-		if m.ID == s.self {
+		if m.ID == s.self || m.Incarnation > maxIncarnation {
 			continue
 		}
 		m.Status, m.Endpoint, m.Counter = Alive, nil, 0
--- a/pkg/membership/member.go
+++ b/pkg/membership/member.go
@@ -110,7 +110,7 @@
 }
 
 func (u update) valid() bool {
-	return u.ID != "" && u.Status >= 0 && u.Status < len(statusOrder) && u.AgeMS >= 0
+	return u.ID != "" && u.Status >= 0 && u.Status < len(statusOrder) && u.AgeMS >= 0 && u.Incarnation <= 2*maxIncarnation
 }
 
 func (u update) member() Member {
@@ -167,3 +167,7 @@
 func hashID(id string) uint64 {
 	return xxhash.Sum64String(id)
 }
+
+// maxIncarnation bounds the incarnations in a directory, which are times in ms. Those of members may be higher: a member raises its own above that
+// of an earlier process.
+const maxIncarnation = 1 << 53
--- a/pkg/membership/system_test.go
+++ b/pkg/membership/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -282,3 +283,25 @@
 		require.Equal(t, want, got, "%d members", n)
 	}
 }
+
+// Guards against a member that no process can refute: another writer left a contact with the highest incarnation in the directory, under the id of a
+// live member and with an address that is not its own.
+func TestDirectory_ContactThatOutranksEveryProcess(t *testing.T) {
+	t.Parallel()
+	x := newSimulation(t, 12, 13)
+	x.advance(time.Second)
+	third := x.nodes[nodeID(3)]
+	third.exclusive = true
+	for _, incarnation := range []uint64{math.MaxUint64, maxIncarnation} {
+		odd := third.selfEntry().Member
+		odd.Incarnation, odd.ControlAddress = incarnation, "10.9.9.9:1"
+		x.nodes[nodeID(0)].addDirectoryMembers(x.now, []Member{odd})
+		x.nodes[nodeID(0)].apply(x.now, []update{fullUpdate(odd)})
+		x.advance(5 * time.Second)
+		for id, node := range x.nodes {
+			e := node.table.entries[nodeID(3)]
+			require.Equal(t, third.selfEntry().ControlAddress, e.ControlAddress, id)
+			require.Equal(t, Alive, e.Status, id)
+		}
+	}
+}
