quarantine: blocked requests outlast a restart of all nodes

Cause: the table lived in the processes only. Change: the node that saw the second crash writes the record to the topic of the configuration's copy, which starting nodes read in any case: one call to the store for each blocked request, none more at a start.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -271,6 +271,17 @@
 	return records
 }
 
+// Get returns the record of a request that is blocked or would be if it were not cleared, and whether there is one.
+func (t *Table) Get(now time.Time, request Fingerprint) (Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[request]
+	if e == nil || !t.shared(e) {
+		return Record{}, false
+	}
+	return e.record(now, request), true
+}
+
 // Digest returns a digest of the records that all nodes must agree on, or "" if there are none.
 func (t *Table) Digest() string {
 	if t.IsEmpty() {
--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/compression"
 	"github.com/laburnumcleat/laburnumcleat/pkg/metrics"
+	"github.com/laburnumcleat/laburnumcleat/pkg/quarantine"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rollout"
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rpc"
@@ -88,6 +89,7 @@
 	hasPeers   func() bool                            // whether other nodes are known
 	isWriter   func() bool                            // whether this node also maintains the copy in the store
 	onRollouts func([]rollout.State)                  // called with the states of roll-outs that a starting node reads
+	onBlocked  func([]quarantine.Record)              // called with the requests that crash backend servers, as a starting node reads them
 	onOrders   func(context.Context, []rollout.Order) // called with the orders of roll-outs that were read from the store
 	onChange   func(*routing.Change)                  // called after a version was read from the store or pulled from another node
 }
@@ -98,7 +100,7 @@
 		fullTransfers: make(chan struct{}, maxFullTransfers), copyWait: earlierCopyWait,
 		isReader: func() bool { return true }, isStandby: func() bool { return false }, isWriter: func() bool { return true },
 		hasPeers: func() bool { return true }, onChange: func(*routing.Change) {},
-		onRollouts: func([]rollout.State) {}, onOrders: func(context.Context, []rollout.Order) {},
+		onRollouts: func([]rollout.State) {}, onBlocked: func([]quarantine.Record) {}, onOrders: func(context.Context, []rollout.Order) {},
 	}
 	server.Handle(documentMethod, f.serveDocument)
 	return f
@@ -230,6 +232,7 @@
 		return false
 	}
 	f.onRollouts(stored.Rollouts)
+	f.onBlocked(stored.Blocked)
 	if stored.Document == nil {
 		return false
 	}
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -46,6 +46,7 @@
 	onResponse     func()                                                 // called when the backend server has responded
 	onLeaving      func(*instance)                                        // called when a response of an instance in use says that it is leaving
 	onCrash        func(process string, running []quarantine.Fingerprint) // called when an instance has crashed
+	onCleared      func(request quarantine.Fingerprint)                   // called when a suspect was answered
 	suspects       *quarantine.Table                                      // requests that were running at crashes of backend servers
 	failedCalls    atomic.Int64                                           // calls of the backend server that were not answered with a success
 	readLoadReport func(http.Header) (LoadReport, bool, error)
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -20,6 +21,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/logging"
+	"github.com/laburnumcleat/laburnumcleat/pkg/quarantine"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rollout"
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 	"github.com/stretchr/testify/require"
@@ -52,13 +54,14 @@
 
 	directoryReads int
 	published      chan struct{}
-	generation     int64           // number of times that it came back from a copy
-	earlierCopy    bool            // the copy was written before it last did
+	generation     int64 // number of times that it came back from a copy
+	earlierCopy    bool  // the copy was written before it last did
+	blocked        map[quarantine.Fingerprint]quarantine.Record
 	holdLeave      <-chan struct{} // Remove returns when it is closed, whatever its context says; nil: at once
 }
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{refusing: make(map[string]bool), noCopies: make(map[string]bool), pollers: make(map[string]bool), waits: make(map[string]time.Duration), published: make(chan struct{})}
+	return &fakePlatform{refusing: make(map[string]bool), noCopies: make(map[string]bool), pollers: make(map[string]bool), waits: make(map[string]time.Duration), published: make(chan struct{}), blocked: make(map[quarantine.Fingerprint]quarantine.Record)}
 }
 
 func (p *fakePlatform) publish(d *routing.Document) {
@@ -189,7 +192,7 @@
 	if p.noCopies[p.id] {
 		return Copy{}, apierror.New(apierror.Unavailable, "store is down", "try again")
 	}
-	return Copy{Document: p.copied, IsEarlier: p.earlierCopy, Rollouts: slices.Clone(p.rollouts), End: p.end(p.copyEnd)}, p.check(p.generations.Current())
+	return Copy{Document: p.copied, IsEarlier: p.earlierCopy, Rollouts: slices.Clone(p.rollouts), Blocked: slices.Collect(maps.Values(p.blocked)), End: p.end(p.copyEnd)}, p.check(p.generations.Current())
 }
 
 func (p *forNode) PutRollout(_ context.Context, state rollout.State, end StorePosition) (int64, error) {
@@ -217,6 +220,35 @@
 	return nil
 }
 
+func (p *forNode) PutBlocked(_ context.Context, record quarantine.Record) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.check(p.generations.Current()); err != nil {
+		return err
+	}
+	p.blocked[record.Request] = record
+	p.copyEnd++
+	return nil
+}
+
+func (p *forNode) RemoveBlocked(_ context.Context, request quarantine.Fingerprint) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.check(p.generations.Current()); err != nil {
+		return err
+	}
+	delete(p.blocked, request)
+	p.copyEnd++
+	return nil
+}
+
+// keptBlocked returns the number of requests that the store keeps as blocked.
+func (p *fakePlatform) keptBlocked() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.blocked)
+}
+
 func (p *forNode) PutCopy(_ context.Context, data []byte) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -110,6 +110,7 @@
 	n.inbound = newInbound(p, n.link, n.buffers, n.metrics, n.logger, n.backendResponded)
 	n.inbound.onLeaving = n.backendLeaves
 	n.inbound.onCrash = func(process string, running []quarantine.Fingerprint) { n.quarantine.crashed(process, running) }
+	n.inbound.onCleared = func(request quarantine.Fingerprint) { n.quarantine.cleared(request) }
 	n.membership = membership.New(membership.Options{
 		Self: n.self(), Directory: n.directory, ContactsInterval: contactsInterval, Exclusive: true, Timing: membership.RegionalTiming, Client: n.rpcClient, Server: n.rpcServer,
 		Heartbeat: func() membership.Heartbeat {
@@ -139,10 +140,11 @@
 	n.follower.isReader, n.follower.isStandby, n.follower.isWriter, n.follower.hasPeers = r.isReader, r.isStandby, r.isWriter, r.hasPeers
 	n.follower.onChange = r.broadcast
 	n.rollouts = n.newRollouts(r)
-	n.quarantine = newQuarantines(r, n.rpcServer, n.inbound.suspects)
-	n.follower.onOrders, n.follower.onRollouts = n.rollouts.observe, n.observeRollouts
+	n.quarantine = newQuarantines(n.platform, r, n.rpcServer, n.inbound.suspects)
+	n.follower.onOrders, n.follower.onRollouts, n.follower.onBlocked = n.rollouts.observe, n.observeRollouts, n.quarantine.observeKept
 	generations := NewGenerations(n.metrics, n.logger)
 	generations.OnChange(n.rollouts.storeRestored)
+	generations.OnChange(n.quarantine.keepAll)
 	n.platform.SetGenerations(generations)
 }
 
--- a/pkg/sidecar/platform.go
+++ b/pkg/sidecar/platform.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
+	"github.com/laburnumcleat/laburnumcleat/pkg/quarantine"
 	"github.com/laburnumcleat/laburnumcleat/pkg/rollout"
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 )
@@ -71,16 +72,22 @@
 	// PutRollout replaces the state of the service's roll-out if nothing was put since a Copy whose End is given. It returns the epoch of
 	// the state. An error of kind Conflict means that something was put; after any other error the state may have been replaced.
 	PutRollout(ctx context.Context, state rollout.State, end StorePosition) (epoch int64, err error)
+	// PutBlocked keeps the record of a request that crashes backend servers, in place of an earlier one.
+	PutBlocked(ctx context.Context, record quarantine.Record) error
+	// RemoveBlocked removes the record of a request.
+	RemoveBlocked(ctx context.Context, request quarantine.Fingerprint) error
+
 	// PutRolloutStatus tells the operators the phase of a roll-out.
 	PutRolloutStatus(ctx context.Context, order rollout.Order, phase rollout.Phase) error
 }
 
 // Copy is what nodes keep at the source.
 type Copy struct {
-	Document  []byte          // that any node last passed to PutCopy, or nil
-	IsEarlier bool            // the document was written to an earlier generation of the store; newer ones may be lost
-	Rollouts  []rollout.State // of all services that had one
-	End       StorePosition   // to pass to PutRollout
+	Document  []byte              // that any node last passed to PutCopy, or nil
+	IsEarlier bool                // the document was written to an earlier generation of the store; newer ones may be lost
+	Rollouts  []rollout.State     // of all services that had one
+	Blocked   []quarantine.Record // requests that crash backend servers
+	End       StorePosition       // to pass to PutRollout
 }
 
 // Contact is a node's entry in the directory.
--- a/pkg/sidecar/quarantine.go
+++ b/pkg/sidecar/quarantine.go
@@ -45,17 +45,23 @@
 // that missed it, or has just started, sees from the digest in another node's heartbeat that it lacks something, and pulls it.
 type quarantines struct {
 	table   *quarantine.Table
+	source  Source
 	relay   *relay
 	client  *rpc.Client
 	metrics *metrics.Registry
 	logger  *zap.Logger
 
 	mu       sync.Mutex
-	pulledAt time.Time // start of the latest pull
+	pulledAt time.Time                       // start of the latest pull
+	unkept   map[quarantine.Fingerprint]bool // whose records in the store are to be replaced or removed
+	changed  chan struct{}                   // capacity 1; there are such
 }
 
-func newQuarantines(r *relay, server *rpc.Server, table *quarantine.Table) *quarantines {
-	q := &quarantines{table: table, relay: r, client: r.client, metrics: r.metrics, logger: r.logger}
+func newQuarantines(source Source, r *relay, server *rpc.Server, table *quarantine.Table) *quarantines {
+	q := &quarantines{
+		table: table, source: source, relay: r, client: r.client, metrics: r.metrics, logger: r.logger,
+		unkept: make(map[quarantine.Fingerprint]bool), changed: make(chan struct{}, 1),
+	}
 	server.Handle(quarantineMethod, q.serve)
 	return q
 }
@@ -68,7 +74,9 @@
 		return
 	}
 	for _, r := range changed {
-		q.logIfBlocked(r.Request, "crash")
+		if q.logIfBlocked(r.Request, "crash") {
+			q.keep(r.Request)
+		}
 	}
 	done := make(chan struct{})
 	go func() {
@@ -122,7 +130,10 @@
 	}
 	blocked, lacking := q.table.Merge(time.Now(), records)
 	for _, request := range blocked {
-		q.logIfBlocked(request, from)
+		// If the crashes were seen by several nodes, no one of them may have known of all when it merged its own.
+		if q.logIfBlocked(request, from) && q.relay.indexInFleet() == 0 {
+			q.keep(request)
+		}
 	}
 	q.updateGauges()
 	return lacking
@@ -199,13 +210,24 @@
 	}
 }
 
-// logIfBlocked logs a request that is blocked.
-func (q *quarantines) logIfBlocked(request quarantine.Fingerprint, from string) {
-	if verdict, left := q.table.Verdict(time.Now(), request); verdict == quarantine.Blocked {
-		q.metrics.Inc("request_blocked_after_crashes")
-		q.logger.Warn("request_blocked", zap.Stringer("fingerprint", request), zap.String("from", from), zap.Duration("for", left),
-			zap.String("remedy", "correct the backend server; backend_crashed lines with this fingerprint name the requests"))
+// cleared is called when the backend server beside this node has answered a suspect.
+func (q *quarantines) cleared(request quarantine.Fingerprint) {
+	if _, ok := q.table.Get(time.Now(), request); ok {
+		q.keep(request)
 	}
+	q.updateGauges()
+}
+
+// logIfBlocked logs a request that is blocked, and reports whether it is.
+func (q *quarantines) logIfBlocked(request quarantine.Fingerprint, from string) bool {
+	verdict, left := q.table.Verdict(time.Now(), request)
+	if verdict != quarantine.Blocked {
+		return false
+	}
+	q.metrics.Inc("request_blocked_after_crashes")
+	q.logger.Warn("request_blocked", zap.Stringer("fingerprint", request), zap.String("from", from), zap.Duration("for", left),
+		zap.String("remedy", "correct the backend server; backend_crashed lines with this fingerprint name the requests"))
+	return true
 }
 
 func (q *quarantines) updateGauges() {
--- a/pkg/sidecar/ward.go
+++ b/pkg/sidecar/ward.go
@@ -69,7 +69,11 @@
 
 // recordAnswer clears a suspect that the backend server has answered.
 func (in *inbound) recordAnswer(c *call, r *hop.Request, reply *callReply) {
-	if reply.verdict == verdictAnswered && !in.suspects.IsEmpty() && in.suspects.Answered(time.Now(), fingerprintOf(c.caller, r)) {
+	if reply.verdict != verdictAnswered || in.suspects.IsEmpty() {
+		return
+	}
+	if request := fingerprintOf(c.caller, r); in.suspects.Answered(time.Now(), request) {
 		in.metrics.Inc("suspect_cleared")
+		in.onCleared(request)
 	}
 }
