--- a/test/soak/backend_test.go
+++ b/test/soak/backend_test.go
@@ -78,6 +78,8 @@
 	load           atomic.Int64 // requests running and queued
 	sequence       atomic.Int64
 	draining       atomic.Bool
+	limit          atomic.Int64 // requests a second that it names in its responses; 0: none
+	leaving        atomic.Bool  // it says in its responses that it is leaving
 	drainEnd       atomic.Int64 // Unix ns; end of the drain time; 0: departure not acknowledged
 	executedAt     atomic.Int64 // Unix ns; start of the latest execution of a request
 }
@@ -217,6 +219,7 @@
 // serveHealth reports whether the instance accepts requests. The checker does not count health checks.
 func (i *instance) serveHealth(w http.ResponseWriter) {
 	w.Header().Set(wire.Headers.Instance, i.id)
+	i.setIntake(w.Header())
 	if i.draining.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -245,6 +248,7 @@
 	}
 	w.Header().Set(wire.Headers.RequestID, v.id)
 	w.Header().Set(wire.Headers.Instance, i.id)
+	i.setIntake(w.Header())
 	if expected := r.Header.Get(wire.Headers.ExpectedInstance); expected != "" && expected != i.id {
 		i.refuse(w, v, http.StatusMisdirectedRequest)
 		return
@@ -290,6 +294,10 @@
 	if i.backend.checker.recordArrival(v) == nil {
 		return
 	}
+	if strings.HasPrefix(v.path, deadlyPrefix) {
+		i.backend.crashByRequest(i)
+		return
+	}
 	work := minWork + rand.N(workSpread)
 	if strings.HasPrefix(v.path, slowPath) {
 		work = slowRouteWork
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -29,6 +29,8 @@
 	guaranteeProcessLifetime   guarantee = "a process ends only when it is asked to stop, and then within the grace period"
 	guaranteeRecovery          guarantee = "all nodes serve all routes again within the recovery bound after the last fault"
 	guaranteeRollout           guarantee = "a roll-out exposes little to a bad version, and completes only without requests on the base version"
+	guaranteeLimit             guarantee = "a backend server gets no more requests than the limit that it names allows"
+	guaranteeDeadlyRequests    guarantee = "a request that crashes backend servers reaches few more after the third crash"
 	guaranteeBackendsUsed      guarantee = "every backend server whose service has a route is used again within the recovery bound after the last fault"
 )
 
@@ -48,6 +50,11 @@
 	budgetWindow          = 10 * time.Second
 	budgetRatio           = 0.05
 	budgetSlack           = 5
+	limitWindow           = 4 * time.Second
+	limitFactor           = 1.5 // times what the limit allows in limitWindow, and limitSlack more requests
+	limitSlack            = 5
+	deadlyCrashes         = 3 // crashes after which, and settleTime, at most deadlyRetries more arrivals are allowed
+	deadlyRetries         = 3
 	stallLimit            = 100 * time.Millisecond // longer scheduling gaps of this process suspend the time bounds
 	maxReportedViolations = 20
 )
@@ -97,6 +104,8 @@
 	faults     []interval                 // unplanned faults
 	stalls     []interval                 // periods in which this process was not scheduled
 	responses  map[int]int                // by status
+	limits     map[string]*namedLimit     // in force, by instance
+	deadly     map[string]*deadlyRequest  // by path
 
 	unansweredRequests []string // descriptions of requests without a complete response
 }
@@ -110,6 +119,7 @@
 	return &checker{
 		attempts: make(map[string]*attempt), allowed: make(map[string]map[string]bool),
 		requests: make(map[string][]time.Time), retries: make(map[string][]time.Time), responses: make(map[int]int),
+		limits: make(map[string]*namedLimit), deadly: make(map[string]*deadlyRequest),
 	}
 }
 
@@ -229,6 +239,8 @@
 	if len(a.executions) > 0 {
 		c.retries[v.service] = append(c.retries[v.service], now)
 	}
+	c.checkLimit(now, v, a)
+	c.checkDeadly(now, v, a)
 	if v.refused {
 		return nil
 	}
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -28,10 +28,10 @@
 		{"pkg/sidecar/outbound.go", "case res.verdict == verdictNotRun:\n\t\treturn http.StatusServiceUnavailable", "case true:\n\t\treturn http.StatusServiceUnavailable"},
 	}, nil},
 	{"does not compare echoed ids", []guarantee{guaranteeResponseIntegrity}, []replacement{
-		{"pkg/hop/exchange.go", `if echo == "" || echo == r.ID {`, `if echo != "-" {`},
-		{"pkg/hop/exchange.go", "return cn.reader.Buffered() == 0", "return true"},
+		{"pkg/hop/exchange.go", "case echo == r.ID:", `case echo != "-":`},
+		{"pkg/hop/exchange.go", "return cn.reader.Buffered() == 0 && !cn.unidentified", "return true"},
 		{"pkg/hop/pool.go", "\tsocket.ReleaseReader(cn.reader)\n\tcn.reader = nil\n", ""},
-		{"pkg/hop/pool.go", "\t\t\tcn.reader = socket.AcquireReader(cn.source)\n", ""},
+		{"pkg/hop/pool.go", "\t\t\tcn.reader, cn.reused = socket.AcquireReader(cn.source), true\n", "\t\t\tcn.reused = true\n"},
 		{"pkg/hop/pool.go", "usable = errors.Is(err, unix.EAGAIN)", "usable = err == nil || errors.Is(err, unix.EAGAIN)"},
 	}, nil},
 	{"accepts unsigned responses", []guarantee{guaranteeResponseIntegrity}, []replacement{
@@ -89,6 +89,15 @@
 	{"does not notice a restored store", []guarantee{guaranteeConfigApplied}, []replacement{
 		{"pkg/sidecar/generation.go", "number, err := strconv.ParseInt(stated, 10, 64)", "number, err := strconv.ParseInt(\"\", 10, 64)"},
 	}, runRestoredStore},
+	{"ignores named limits", []guarantee{guaranteeLimit}, []replacement{
+		{"pkg/sidecar/intake.go", "s.admission.SetRateLimit(s.limit)", "_ = s.admission"},
+	}, runNamedLimits},
+	{"ignores responses of leaving backend servers", []guarantee{guaranteeDrain}, []replacement{
+		{"pkg/sidecar/intake.go", "in.onLeaving(i)", "_ = in.onLeaving"},
+	}, runNamedLimits},
+	{"does not block requests that crash backend servers", []guarantee{guaranteeDeadlyRequests}, []replacement{
+		{"pkg/quarantine/table.go", "case blocked > 0:", "case blocked > 0 && len(e.crashed) == 0:"},
+	}, runDeadlyRequests},
 	{"keeps the first instance", []guarantee{guaranteeRecovery, guaranteeBackendsUsed}, []replacement{
 		{"pkg/sidecar/inbound.go", "if old == nil || old.ID != a.ID || old.StartTimeMS != a.StartTimeMS {", "if old == nil {"},
 	}, nil},
@@ -137,7 +146,7 @@
 	for _, g := range []guarantee{
 		guaranteeAtMostOnce, guaranteeNotExecuted, guaranteeResponseIntegrity, guaranteeRequestIntegrity, guaranteeConfiguredService, guaranteeRoutable, guaranteeMonotonicVersion, guaranteeConfigApplied, guaranteeDrain,
 		guaranteeDeadline, guaranteeRetryBudget, guaranteeGracefulStop, guaranteeProcessLifetime, guaranteeRecovery, guaranteeBackendsUsed,
-		guaranteeRollout,
+		guaranteeRollout, guaranteeLimit, guaranteeDeadlyRequests,
 	} {
 		found := slices.ContainsFunc(allMutants, func(m mutant) bool { return slices.Contains(m.violates, g) })
 		if !found {
