sidecar: one fingerprint for each call, and no log line for each change of a limit

Found on reading: a request was hashed again at each step while any suspect was known, and a backend server whose limit changes with each response would have written a line for each. TestIntakeState_LogsChangesAtIntervals.

--- a/pkg/sidecar/blocked.go
+++ b/pkg/sidecar/blocked.go
@@ -13,8 +13,11 @@
 	if o.local.suspects.IsEmpty() {
 		return 0
 	}
-	q.fingerprint = fingerprintOf(o.service(), q.out)
-	q.verdict, left = o.local.suspects.Verdict(time.Now(), q.fingerprint)
+	if q.fingerprint == nil {
+		fingerprint := fingerprintOf(o.service(), q.out)
+		q.fingerprint = &fingerprint
+	}
+	q.verdict, left = o.local.suspects.Verdict(time.Now(), *q.fingerprint)
 	return left
 }
 
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -10,6 +10,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
+	"github.com/laburnumcleat/laburnumcleat/pkg/quarantine"
 )
 
 // Headers holds the canonical names of the header fields that callers and backend servers use. The platform adapter sets them.
@@ -42,6 +43,8 @@
 	noQueue           bool          // reject the call instead of queueing it if no slot is free
 	targetRemaining   time.Duration // time until the call counts as late; may be negative
 	deadlineRemaining time.Duration
+
+	fingerprint *quarantine.Fingerprint // of the request, once it was needed; not encoded
 }
 
 const fieldSeparator = ";"
--- a/pkg/sidecar/crash.go
+++ b/pkg/sidecar/crash.go
@@ -69,7 +69,7 @@
 // investigateLoss finds out whether an instance that lost a request has crashed. It returns when that is known, or after maxLossWait. If the request
 // is blocked then, the reply says so, and its sender does not send it again.
 func (in *inbound) investigateLoss(i *instance, c *call, r *hop.Request, reply *callReply) {
-	l, first := i.crashes.join(lostRequest{r.ID, fingerprintOf(c.caller, r)})
+	l, first := i.crashes.join(lostRequest{r.ID, c.identify(r)})
 	if first {
 		in.resolveLoss(i, l)
 	} else {
@@ -120,6 +120,15 @@
 // process returns a name for the process of the instance. A process crashes once, so the name also identifies the crash.
 func (i *instance) process() string { return i.ID + "@" + strconv.FormatInt(i.StartTimeMS, 36) }
 
+// identify returns the fingerprint of the call's request.
+func (c *call) identify(r *hop.Request) quarantine.Fingerprint {
+	if c.fingerprint == nil {
+		fingerprint := fingerprintOf(c.caller, r)
+		c.fingerprint = &fingerprint
+	}
+	return *c.fingerprint
+}
+
 // fingerprintOf returns the fingerprint of a request. It is the same for all attempts of callers of one service.
 func fingerprintOf(caller string, r *hop.Request) quarantine.Fingerprint {
 	length := int64(len(r.Body))
--- a/pkg/sidecar/intake.go
+++ b/pkg/sidecar/intake.go
@@ -54,13 +54,11 @@
 	case s.limited && sent.After(s.namedAt):
 		s.limited, s.limit = false, 0
 	}
-	changed := s.limited != previous.limited || s.limit != previous.limit
-	switch {
-	case changed && s.limited:
-		s.admission.SetRateLimit(s.limit)
-	case changed:
-		s.admission.LiftRateLimit()
-	case !s.limited, now.Sub(s.reported) < limitLogInterval:
+	if s.limited != previous.limited || s.limit != previous.limit {
+		s.apply()
+	}
+	// A limit that changes with each response is logged as one that holds on.
+	if s.limited == previous.limited && (!s.limited || now.Sub(s.reported) < limitLogInterval) {
 		return nil
 	}
 	report := &limitReport{limited: s.limited, limit: s.limit, wasLimited: previous.limited, previous: previous.limit, requests: s.requests, over: now.Sub(s.reported)}
@@ -68,6 +66,15 @@
 	return report
 }
 
+// apply makes the admission keep to the limit in force. The caller must hold mu.
+func (s *intakeState) apply() {
+	if s.limited {
+		s.admission.SetRateLimit(s.limit)
+	} else {
+		s.admission.LiftRateLimit()
+	}
+}
+
 // observeIntake applies what a response of the backend server says about the requests that it takes. A malformed limit is counted, and the
 // one in force stays.
 func (in *inbound) observeIntake(i *instance, sent time.Time, header http.Header) {
@@ -92,6 +99,10 @@
 func (in *inbound) reportLimit(i *instance, r *limitReport) {
 	const secondsPerMinute = 60
 	in.metrics.Gauge("backend_limit_per_minute").Update(int64(math.Round(r.limit * secondsPerMinute)))
+	if !in.logLimit.Allow() {
+		in.metrics.Inc("log_limited", "event", "backend_limit")
+		return
+	}
 	in.logger.Info("backend_limit", zap.String("instance", i.ID), zap.String("service", i.Service), zap.Bool("limited", r.limited), zap.Float64("limit", r.limit),
 		zap.Bool("was_limited", r.wasLimited), zap.Float64("previous", r.previous), zap.Int64("requests", r.requests), zap.Duration("over", r.over))
 }
--- a/pkg/sidecar/intake_test.go
+++ b/pkg/sidecar/intake_test.go
@@ -155,6 +155,23 @@
 	assert.False(t, s.limited)
 }
 
+// Guards against a log line for each response of a backend server whose limit changes all the time; the latest limit is in force.
+func TestIntakeState_LogsChangesAtIntervals(t *testing.T) {
+	start := time.Now()
+	s := newInstance(&announce.Announcement{Slots: 4}).intake
+	reports := 0
+	const responses = 1000
+	for i := range responses {
+		at := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		if s.observe(at, at, Intake{Limited: true, Limit: float64(10 + i%5)}) != nil {
+			reports++
+		}
+	}
+	assert.LessOrEqual(t, reports, 1+int(responses*20*time.Millisecond/limitLogInterval))
+	assert.Positive(t, reports)
+	assert.InDelta(t, 10+(responses-1)%5, s.limit, 0)
+}
+
 // A malformed limit is counted and logged; the limit in force stays, and the response is delivered.
 func TestNamedLimit_MalformedIsIgnored(t *testing.T) {
 	m := newMesh(t, 1)
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -82,8 +82,8 @@
 	route          *routing.Entry
 	service        string // destination service
 	out            *hop.Request
-	verdict        quarantine.Verdict     // for the next attempt
-	fingerprint    quarantine.Fingerprint // unless the verdict is Clear
+	verdict        quarantine.Verdict      // for the next attempt
+	fingerprint    *quarantine.Fingerprint // once it was needed
 }
 
 // rankLabel returns the metric label of the route's priority.
@@ -381,6 +381,7 @@
 	c := &call{
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.route.Priority,
 		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: isRetry, noQueue: choice.NoQueue && q.out.Stream == nil,
+		fingerprint:     q.fingerprint,
 		targetRemaining: time.Until(q.target) - o.link.EstimateWait(o.stats.meanResponseBytes(q.route.Name)), deadlineRemaining: time.Until(q.deadline),
 	}
 	res := &result{node: choice.ID}
--- a/pkg/sidecar/ward.go
+++ b/pkg/sidecar/ward.go
@@ -64,7 +64,7 @@
 	if in.suspects.IsEmpty() {
 		return quarantine.Clear, 0
 	}
-	return in.suspects.Verdict(time.Now(), fingerprintOf(c.caller, r))
+	return in.suspects.Verdict(time.Now(), c.identify(r))
 }
 
 // recordAnswer clears a suspect that the backend server has answered.
@@ -72,7 +72,7 @@
 	if reply.verdict != verdictAnswered || in.suspects.IsEmpty() {
 		return
 	}
-	if request := fingerprintOf(c.caller, r); in.suspects.Answered(time.Now(), request) {
+	if request := c.identify(r); in.suspects.Answered(time.Now(), request) {
 		in.metrics.Inc("suspect_cleared")
 		in.onCleared(request)
 	}
