--- a/pkg/explain/logs.go
+++ b/pkg/explain/logs.go
@@ -19,7 +19,7 @@
 // stateChangeEvents are the log events that change the state on which a node bases its decisions.
 var stateChangeEvents = []string{
 	"backend_changed", "backend_leaves", "configuration_activated", "configuration_rejected", "store_lost", "store_reached",
-	"node_started", "node_stopping", "member_suspected", "member_declared_dead", "member_refuted",
+	"node_started", "node_stopping", "member_suspected", "member_declared_dead", "member_refuted", "backend_limit", "backend_crashed", "request_blocked",
 }
 
 // changeWindow bounds the time between a state change and a decision that it is reported for.
@@ -34,7 +34,7 @@
 	var decisions, changes []Line
 	err := forEachLine(logs, func(line Line) {
 		switch {
-		case line.Fields["id"] == id:
+		case line.Fields["id"] == id, slices.Contains(splitList(line.Fields["ids"]), id):
 			decisions = append(decisions, line)
 		case slices.Contains(stateChangeEvents, line.Event):
 			changes = append(changes, line)
