--- a/standin/experiment/call.go
+++ b/standin/experiment/call.go
@@ -235,7 +235,7 @@
 		f.after(0, func() {
 			if refusal != nil {
 				respond(reply{
-					status: notRun, busy: refusal.Reason == admission.Busy, full: refusal.Reason == admission.Overloaded || refusal.Reason == admission.DeadlineUnreachable,
+					status: notRun, busy: refusal.Reason == admission.Busy, full: refusal.Reason == admission.Overloaded || refusal.Reason == admission.RateLimited || refusal.Reason == admission.DeadlineUnreachable,
 					nested: isNested, retryAfter: refusal.RetryAfter, load: n.load(c.class.Name),
 				})
 				return
@@ -246,6 +246,7 @@
 	}
 	incarnation, scheduler := n.incarnation, n.scheduler
 	scheduler.Offer(f.now, ticket)
+	n.scheduleGrant()
 	f.after(scheduler.MaxQueueTime(f.now, ticket.Call), func() {
 		if n.incarnation == incarnation {
 			scheduler.Withdraw(f.now, ticket, admission.DeadlineUnreachable)
@@ -354,6 +355,7 @@
 		n.scheduler.ObserveSlowness(f.now, n.workFactor())
 	}
 	n.scheduler.Finish(f.now, e.ticket, result)
+	n.scheduleGrant()
 	f.tally.held(f, e, res.status)
 	res.load, res.nested = n.load(e.call.class.Name), e.isNested
 	e.respond(res)
--- a/standin/experiment/fleet.go
+++ b/standin/experiment/fleet.go
@@ -201,6 +201,8 @@
 		forEach(func(n *node) { n.fail, n.failFrom = e.Factor, e.DataCentre }, func(n *node) { n.fail = 0 })
 	case Slow:
 		forEach(func(n *node) { n.slow = e.Factor }, func(n *node) { n.slow = 1 })
+	case Limit:
+		forEach(func(n *node) { n.nameLimit(e.Factor) }, (*node).liftLimit)
 	case SlowShift:
 		f.slowShift = e
 		end(func() { f.slowShift = nil })
--- a/standin/experiment/node.go
+++ b/standin/experiment/node.go
@@ -35,6 +35,8 @@
 	budget    *retry.Budget
 	refusals  *callerretry.Tracker
 	scheduler *admission.Scheduler
+	limited   bool // the backend server names a limit
+	ticking   bool // the next grant under that limit is scheduled
 	origins   *admission.OriginTracker
 }
 
@@ -52,7 +54,7 @@
 	f := n.fleet
 	n.up, n.gone, n.slow, n.answered = true, false, 1, 1
 	n.incarnation++
-	n.running = nil
+	n.running, n.limited, n.ticking = nil, false, false
 	n.chooser = placement.New(placement.Options{
 		DataCentre: n.dataCentre, Policy: f.policies.placement, Now: func() time.Time { return f.now }, Random: f.random.IntN,
 	})
@@ -92,9 +94,42 @@
 	n.scheduler.Close(n.fleet.now)
 }
 
+// nameLimit makes the backend server name a limit in requests a second.
+func (n *node) nameLimit(rate float64) {
+	n.limited = true
+	n.scheduler.SetRateLimit(n.fleet.now, rate)
+	n.scheduleGrant()
+}
+
+func (n *node) liftLimit() {
+	n.limited = false
+	n.scheduler.LiftRateLimit(n.fleet.now)
+}
+
+// scheduleGrant lets the scheduler grant the next call that waits for the limit only.
+func (n *node) scheduleGrant() {
+	at, ok := n.scheduler.NextGrant(n.fleet.now)
+	if !ok || n.ticking {
+		return
+	}
+	n.ticking = true
+	scheduler := n.scheduler
+	n.fleet.after(at.Sub(n.fleet.now), func() {
+		if n.scheduler != scheduler {
+			return // the process has ended
+		}
+		n.ticking = false
+		scheduler.Tick(n.fleet.now)
+		n.scheduleGrant()
+	})
+}
+
 // load returns the load report for a class.
 func (n *node) load(class string) *placement.Load {
 	l := n.scheduler.Load(n.fleet.now, class)
+	if n.limited && !n.fleet.policies.has(LimitReports) {
+		l.Limit, l.Running, l.SlotTime = n.service.Slots, len(n.running), l.ClassTime
+	}
 	return &placement.Load{
 		Running: l.Running, Queued: l.Queued, Limit: l.Limit, SlotTime: l.SlotTime, ClassTime: l.ClassTime, ClassSpread: l.ClassSpread,
 		Slowness: l.Slowness, Answered: n.answered,
--- a/standin/experiment/pattern_test.go
+++ b/standin/experiment/pattern_test.go
@@ -108,6 +108,14 @@
 	assert.Greater(t, got.WorstClass, 0.9)
 }
 
+// Pattern: half of the servers of a service name a limit far below what they get. Guards against load reports that show free slots at servers which
+// may get no call, so that calls queue and are refused there while others have room.
+func TestNamedLimits_AreReported(t *testing.T) {
+	got := play(t, load(t, "named-limits", 9, Variant{Name: "not reported", Without: []Mechanism{LimitReports}}))
+	assert.Greater(t, got[0].ServedAtAll, got[1].ServedAtAll)
+	assert.Greater(t, got[0].WorstWindows, got[1].WorstWindows)
+}
+
 func TestReport(t *testing.T) {
 	s := load(t, "small-fleet", 4)
 	results, err := Run(t.Context(), s, func(int, int) {})
--- a/standin/experiment/scenario.go
+++ b/standin/experiment/scenario.go
@@ -105,6 +105,7 @@
 	Partition EventKind = "partition"  // DataCentre and the others do not reach each other
 	Leave     EventKind = "leave"      // Share of the servers of a service drain and end
 	Restart   EventKind = "restart"    // Share of all machines, or of a service's, lose power for Seconds
+	Limit     EventKind = "limit"      // Share of the servers of a service name a limit of Factor requests a second
 	SlowShift EventKind = "slow_shift" // each server of a service is slow by Factor at random times of 0.6 s, Share of the time
 )
 
@@ -147,9 +148,10 @@
 	ReturnsRecognised Mechanism = "returns_recognised" // a caller that returns keeps the target of its first attempt
 	DelayCost         Mechanism = "delay_cost"         // nested calls prefer the quickest endpoint while their parent's service is full
 	SlownessReports   Mechanism = "slowness_reports"   // backend servers tell how long work takes
+	LimitReports      Mechanism = "limit_reports"      // load reports show a limit that the backend server names
 )
 
-var mechanisms = []Mechanism{NestedFirst, ReturnsRecognised, DelayCost, SlownessReports}
+var mechanisms = []Mechanism{NestedFirst, ReturnsRecognised, DelayCost, SlownessReports, LimitReports}
 
 // Parse reads and checks a scenario. An error is an apierror.Error, or an apierror.List with all errors of the scenario.
 func Parse(data []byte) (*Scenario, error) {
@@ -252,7 +254,7 @@
 		c.positive(e.Factor, field+".factor")
 	case Shed, Fail:
 		c.fraction(e.Factor, field+".factor")
-	case Slow, SlowShift, Returning:
+	case Slow, SlowShift, Returning, Limit:
 		c.positive(e.Factor, field+".factor")
 	case Partition:
 		c.require(e.DataCentre != "", field+".data_centre", "is missing", "name the data centre to cut off")
