--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,7 @@
 
 // cases maps the name of a case to its scenario, which reports whether the rule was broken.
 var cases = map[string]func(dir string, trouble bool, record *os.File) (broken bool, err error){
-	"crash": crash, "smuggle": smuggle, "rest": rest, "behind": behind, "weights": weights,
+	"crash": crash, "smuggle": smuggle, "rest": rest, "behind": behind, "weights": weights, "leave": leave,
 }
 
 func main() {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -31,6 +31,7 @@
 	beatInterval  = 1500 * time.Millisecond
 	gracePeriod   = 6 * time.Second
 	slots         = 9
+	restartDelay  = time.Second
 	bodyLimit     = 64 << 20 // as the example of the operator's configuration has it
 	segmentBytes  = 1460     // segment size of the backend servers' connections
 	receiveBuffer = 16 << 10 // their receive buffer: the pages say that links have small windows
@@ -49,6 +50,9 @@
 	record   *bufio.Writer
 	requests atomic.Int64
 	done     chan struct{} // closed when the scenario ends
+	restart  bool          // the platform starts a process again that has ended by itself
+	ends     atomic.Int64  // of processes by themselves
+	starting sync.Mutex    // held while a process is started, or the scenario ends
 }
 
 // node is a sidecar process with its backend server.
@@ -178,16 +182,40 @@
 		case <-w.done:
 		default:
 			n.ended.Store(true)
+			w.ends.Add(1)
 			w.logf("%s: the process has ended by itself: %v", n.id, err)
 		}
 		close(exited)
+		if w.restart {
+			time.Sleep(restartDelay)
+			n.startAgain(w)
+		}
 	}()
 	return nil
 }
 
+// startAgain starts the process as the platform does after it has ended, unless the scenario has ended.
+func (n *node) startAgain(w *world) {
+	w.starting.Lock()
+	defer w.starting.Unlock()
+	select {
+	case <-w.done:
+		return
+	default:
+	}
+	n.settings["first_start"] = false
+	err := n.writeSettings()
+	if err == nil {
+		err = n.startProcess(w)
+	}
+	w.logf("%s: the process is started again: %v", n.id, err)
+}
+
 // close ends everything that the scenario started.
 func (w *world) close() {
+	w.starting.Lock()
 	close(w.done)
+	w.starting.Unlock()
 	for _, n := range w.nodes {
 		n.mu.Lock()
 		cmd, exited := n.cmd, n.exited
