hop: a connection is not reused after a request body that was cut off

Cause: a long body is written while the response is read. If the backend server responds shortly before the deadline of the exchange, the response is complete, and the deadline then interrupts the write. writeBody ignored write errors, so the connection looked as if the body had been written, and went back to the pool. A source that ends before the announced length had the same effect.

Ruled out: reuse while the body is still being written. The bytes that the backend server reads behind the foreign request belong to further requests, never to the body; the writer had ended.

The writer now reports whether it has written the entire body, and only then can the connection be reused. The peer sees a truncated body. Related paths: pkg/rpc and pkg/pipeline close a connection after a failed write; pkg/client and laburnumd use net/http.

--- a/pkg/hop/exchange.go
+++ b/pkg/hop/exchange.go
@@ -75,8 +75,9 @@
 // bodyWriter is the state of a request body that is written while the response is read. A nil bodyWriter means that the body has been
 // written in full.
 type bodyWriter struct {
-	done chan struct{}
-	err  error // of Request.Stream; valid after done is closed
+	done      chan struct{}
+	complete  bool  // the entire body was written; valid after done is closed
+	sourceErr error // of Request.Stream; valid after done is closed
 }
 
 func (b *bodyWriter) failed() bool {
@@ -85,12 +86,25 @@
 	}
 	select {
 	case <-b.done:
-		return b.err != nil
+		return b.sourceErr != nil
 	default:
 		return false
 	}
 }
 
+// isWritten waits until writing has ended, for remainingBodyTimeout at most, and reports whether the entire body was written.
+func (b *bodyWriter) isWritten() bool {
+	if b == nil {
+		return true
+	}
+	select {
+	case <-b.done:
+		return b.complete
+	case <-time.After(remainingBodyTimeout):
+		return false
+	}
+}
+
 // writeRequest writes the header and a short body. A long body is written in the background.
 func (c *Client) writeRequest(ctx context.Context, cn *conn, r *Request) (*bodyWriter, *Failure) {
 	header := r.encodeHeader()
@@ -108,7 +122,7 @@
 	b := &bodyWriter{done: make(chan struct{})}
 	go func() {
 		defer close(b.done)
-		b.err = r.writeBody(cn)
+		b.complete, b.sourceErr = r.writeBody(cn)
 	}()
 	return b, nil
 }
@@ -135,29 +149,39 @@
 	return out.Bytes()
 }
 
-// writeBody writes the body and returns the error of its source. If the source fails, the connection is interrupted, so that the
-// peer does not take the partial body for a complete one. Write errors are ignored: they show when the response is read.
-func (r *Request) writeBody(cn *conn) error {
+// writeBody writes the body. It reports whether all of it was written, and the error of its source. If the source fails, the connection is
+// interrupted, so that the peer does not take the partial body for a complete one. Write errors show when the response is read, unless the
+// peer has responded before: the response may be complete although the deadline of the exchange has cut off the body.
+func (r *Request) writeBody(cn *conn) (complete bool, sourceErr error) {
 	if r.Stream == nil {
-		_, _ = cn.Write(r.Body)
-		return nil
+		_, err := cn.Write(r.Body)
+		return err == nil, nil
 	}
 	source := &sourceReader{Reader: io.MultiReader(bytes.NewReader(r.Body), r.Stream)}
-	if r.Length >= 0 {
-		if n, _ := io.Copy(cn, io.LimitReader(source, r.Length)); n < r.Length && source.err == nil {
-			return nil
-		}
-	} else {
-		chunks := httputil.NewChunkedWriter(cn)
-		if _, err := io.Copy(chunks, source); err == nil {
-			_ = chunks.Close()
-			_, _ = io.WriteString(cn, "\r\n")
-		}
+	var err error
+	if r.Length < 0 {
+		err = writeChunked(cn, source)
+	} else if _, err = io.CopyN(cn, source, r.Length); err == io.EOF {
+		source.err = io.ErrUnexpectedEOF // the source has fewer bytes than Length
 	}
 	if source.err != nil {
+		// An error means that the connection is already closed.
 		_ = cn.SetDeadline(pastDeadline)
 	}
-	return source.err
+	return err == nil, source.err
+}
+
+// writeChunked writes the source to its end with chunked encoding.
+func writeChunked(w io.Writer, source io.Reader) error {
+	chunks := httputil.NewChunkedWriter(w)
+	if _, err := io.Copy(chunks, source); err != nil {
+		return err
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(w, "\r\n")
+	return err
 }
 
 // sourceReader records the read error of the source, so that it can be distinguished from a write error of the destination.
@@ -334,17 +358,7 @@
 	if response.ContentLength < 0 && !isChunked(response) {
 		return false // the body is delimited by the end of the connection
 	}
-	if body != nil {
-		select {
-		case <-body.done:
-		case <-time.After(remainingBodyTimeout):
-			return false
-		}
-		if body.err != nil {
-			return false
-		}
-	}
-	return cn.reader.Buffered() == 0 && !cn.unidentified
+	return body.isWritten() && cn.reader.Buffered() == 0 && !cn.unidentified
 }
 
 // keepAliveTimeout returns how long a connection may be idle according to a Keep-Alive header. This is half the timeout in the
