hop: the failure of a request body's source is recorded before it interrupts the exchange

A request whose caller stopped sending its body was at times reported as "lost", a failure of the backend server, instead of "body_failed".

Cause: writeBody interrupted the reader of the response before its own result was visible, so the reader could look for the reason too early. The result is now published first.

--- a/pkg/hop/exchange.go
+++ b/pkg/hop/exchange.go
@@ -105,7 +105,8 @@
 	}
 }
 
-// writeRequest writes the header and a short body. A long body is written in the background.
+// writeRequest writes the header and a short body. A long body is written in the background. If its source fails, the exchange is interrupted
+// after the failure is recorded.
 func (c *Client) writeRequest(ctx context.Context, cn *conn, r *Request) (*bodyWriter, *Failure) {
 	header := r.encodeHeader()
 	inline := r.Stream == nil && len(r.Body) <= inlineBodyBytes
@@ -121,8 +122,12 @@
 	}
 	b := &bodyWriter{done: make(chan struct{})}
 	go func() {
-		defer close(b.done)
 		b.complete, b.sourceErr = r.writeBody(cn)
+		close(b.done)
+		if b.sourceErr != nil {
+			// The peer must not take the partial body for a complete one. An error means that the connection is already closed.
+			_ = cn.SetDeadline(pastDeadline)
+		}
 	}()
 	return b, nil
 }
@@ -149,9 +154,8 @@
 	return out.Bytes()
 }
 
-// writeBody writes the body. It reports whether all of it was written, and the error of its source. If the source fails, the connection is
-// interrupted, so that the peer does not take the partial body for a complete one. Write errors show when the response is read, unless the
-// peer has responded before: the response may be complete although the deadline of the exchange has cut off the body.
+// writeBody writes the body. It reports whether all of it was written, and the error of its source. Write errors show when the response is
+// read, unless the peer has responded before: the response may be complete although the deadline of the exchange has cut off the body.
 func (r *Request) writeBody(cn *conn) (complete bool, sourceErr error) {
 	if r.Stream == nil {
 		_, err := cn.Write(r.Body)
@@ -164,11 +168,7 @@
 	} else if _, err = io.CopyN(cn, source, r.Length); err == io.EOF {
 		source.err = io.ErrUnexpectedEOF // the source has fewer bytes than Length
 	}
-	if source.err != nil {
-		// An error means that the connection is already closed.
-		_ = cn.SetDeadline(pastDeadline)
-	}
-	return err == nil, source.err
+	return err == nil && source.err == nil, source.err
 }
 
 // writeChunked writes the source to its end with chunked encoding.
