routing: the time to compile a configuration does not depend on its weights

Cause: newEntry advanced the smooth weighted round robin of each weighted route by a random number of steps up to the sum of the weights, under the lock of the follower. The sum could also overflow, which rejected a valid configuration.

Ruled out: the version not reaching the nodes, or being rejected. Compile by itself does not end within 5 s for such a document.

A weighted split now assigns calls by earliest deadline first: each destination has calls due at intervals of 1/weight, from a random fraction of an interval on.

--- a/pkg/routing/document.go
+++ b/pkg/routing/document.go
@@ -1,7 +1,7 @@
 // Package routing represents complete routing configurations and looks up the route and destination service of a call.
 //
 // A Document is published by operators and distributed between nodes. Compile validates the complete document and builds a Table, which is
-// immutable apart from the round-robin state of weighted destinations. An invalid document gives no table.
+// immutable apart from the positions of weighted splits. An invalid document gives no table.
 package routing
 
 import (
@@ -125,7 +125,7 @@
 	if len(r.Destinations) == 0 {
 		fault("destinations", "missing", "list at least one service")
 	}
-	total := 0
+	hasWeight := false
 	for i, d := range r.Destinations {
 		if !services[d.Service] {
 			fault(fmt.Sprintf("destinations[%d].service", i), fmt.Sprintf("unknown service %q", d.Service), "use a service of the same configuration")
@@ -133,9 +133,9 @@
 		if d.Weight < 0 {
 			fault(fmt.Sprintf("destinations[%d].weight", i), "negative", "use 0 or more")
 		}
-		total += d.Weight
+		hasWeight = hasWeight || d.Weight > 0
 	}
-	if len(r.Destinations) > 0 && total <= 0 {
+	if len(r.Destinations) > 0 && !hasWeight {
 		fault("destinations", "all weights are 0", "give at least one service a weight above 0")
 	}
 	return errs
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -1,10 +1,8 @@
 package routing
 
 import (
-	"math/rand/v2"
 	"net"
 	"strings"
-	"sync"
 )
 
 // Table looks up the route of a call. It is safe for concurrent use.
@@ -15,13 +13,11 @@
 	services map[string]*Service
 }
 
-// Entry is a route with the state of its weighted round robin.
+// Entry is a route with the state of its weighted split.
 type Entry struct {
 	*Route
 
-	mu             sync.Mutex
-	currentWeights []int // per destination, for smooth weighted round robin; nil for a single destination
-	totalWeight    int   // sum of the weights
+	split *weightedSplit // nil for a single destination
 }
 
 // Compile validates a document and builds its table. The table shares the routes and services of the document, which must not be modified
@@ -49,16 +45,8 @@
 
 func newEntry(r *Route) *Entry {
 	e := &Entry{Route: r}
-	for _, d := range r.Destinations {
-		e.totalWeight += d.Weight
-	}
-	if len(r.Destinations) < 2 {
-		return e
-	}
-	e.currentWeights = make([]int, len(r.Destinations))
-	// Start at a random position. Otherwise the first calls of all nodes go to the same destination.
-	for range rand.IntN(e.totalWeight) {
-		e.nextDestination()
+	if len(r.Destinations) > 1 {
+		e.split = newWeightedSplit(r.Destinations)
 	}
 	return e
 }
@@ -92,24 +80,8 @@
 // Destination returns the service for the next call of the route. The shares of the destinations are exact over any sequence of calls
 // whose length is the sum of the weights.
 func (e *Entry) Destination() string {
-	if len(e.currentWeights) == 0 {
+	if e.split == nil {
 		return e.Destinations[0].Service
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.Destinations[e.nextDestination()].Service
-}
-
-// nextDestination performs one step of smooth weighted round robin and returns the index of the destination: every current weight grows by
-// the weight of its destination, and the highest one is reduced by totalWeight.
-func (e *Entry) nextDestination() int {
-	best := 0
-	for i := range e.currentWeights {
-		e.currentWeights[i] += e.Destinations[i].Weight
-		if e.currentWeights[i] > e.currentWeights[best] {
-			best = i
-		}
-	}
-	e.currentWeights[best] -= e.totalWeight
-	return best
+	return e.Destinations[e.split.next()].Service
 }
