sidecar: a reader notices in time that the store has dropped its calls

Cause: a call that the store drops silently is noticed when it times out. The first reader of a data centre polled with a wait of 2 s and a timeout of 1 s, then paused for up to 1.5 s; a call that was dropped just before the store recovered delayed the next version by up to 4.5 s, on all nodes. A second reader that becomes the first one went on waiting for a dropped poll of 9 s.

Ruled out: a relay that misses nodes (all nodes get the version within 20 ms of each other), a rejected version.

A poll's wait and timeout now stay 0.5 s below bounds.store_recovery, which the deploy template takes from the platform; while the store does not respond, reads do not wait and are not followed by a further pause; a second reader that becomes the first one reads again. store_reached states how long the reader was without the store.

--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -23,18 +22,11 @@
 )
 
 const (
-	// pollWait bounds a long poll for the next configuration. If the store silently drops a node's requests, a pending poll stays
-	// unanswered even after the store recovers; pollWait plus the call timeout bounds how long that goes undetected.
-	pollWait = 2 * time.Second
-	// standbyPollWait is the same for the readers of a data centre other than the first one.
-	standbyPollWait     = 8 * time.Second
 	pollPause           = 800 * time.Millisecond // after a configuration was read, so that a burst of versions takes few reads
 	minBurstVersions    = 2                      // if one read skips at least this many versions, the next read fetches the newest version directly
 	copyInterval        = 3 * time.Second        // between writes of the copy; a node that starts with a stale one soon learns of the newer version
 	readerCheckInterval = 500 * time.Millisecond // between checks whether this node has become a reader
 	firstRelayTimeout   = 3 * time.Second        // when the whole fleet starts for the first time, for the first configuration from a reader
-	minBackoff          = 100 * time.Millisecond
-	maxBackoff          = time.Second // bounds the delay until a recovered store is read again
 	// peerDelay is how long a node that learns of a newer version from a probe waits to receive it from the store or the relay before it
 	// pulls it.
 	peerDelay   = 300 * time.Millisecond
@@ -74,6 +66,8 @@
 	copyWait   time.Duration // before a copy of an earlier generation of the store is used
 	firstStart bool          // the fleet starts for the first time: the store holds neither a copy nor earlier versions
 
+	storeRecovery time.Duration // Bounds.StoreRecovery
+
 	table         atomic.Pointer[routing.Table]
 	mu            sync.Mutex        // serialises activation
 	changes       []*routing.Change // between the latest active versions, the latest last; guarded by mu
@@ -83,6 +77,7 @@
 	copiedAt      time.Time         // when it last wrote the copy; used by Run only
 	pulling       atomic.Bool
 	storeUp       atomic.Bool
+	storeLostAt   atomic.Int64 // clock.Now of the first failed call since the store was last reached; 0: never
 
 	isReader   func() bool                            // whether this node reads the store
 	isStandby  func() bool                            // whether another node of the data centre notices sooner that the store drops requests
@@ -176,7 +171,7 @@
 	if f.firstStart || f.readCopy(ctx) {
 		_ = clock.Sleep(ctx, readerCheckInterval) // by then the other members are known, which determine the readers
 	}
-	backoff := minBackoff
+	poll := newPoller(f.source, f.storeRecovery, f.isStandby)
 	for ctx.Err() == nil {
 		if !f.isReader() && (f.table.Load() != nil || time.Now().Before(readAlone)) {
 			positionKnown = f.firstStart && f.table.Load() == nil
@@ -185,20 +180,20 @@
 		}
 		var p Published
 		var err error
+		callStarted := time.Now()
 		if positionKnown {
-			p, err = f.source.Next(ctx, position, f.pollWait())
+			p, err = poll.next(ctx, position)
 		} else {
 			p, err = f.source.Newest(ctx)
 		}
 		if err != nil {
 			positionKnown = positionKnown && apierror.KindOf(err) != apierror.NotFound
 			f.storeFailed(err)
-			_ = clock.Sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
-			backoff = min(2*backoff, maxBackoff)
+			poll.failed(ctx, callStarted)
 			continue
 		}
 		f.storeReached()
-		backoff = minBackoff
+		poll.succeeded()
 		f.onOrders(ctx, p.Orders)
 		// After a burst of versions, read the newest instead of each in turn.
 		positionKnown = p.Position.Offset-position.Offset < minBurstVersions || !positionKnown
@@ -215,14 +210,6 @@
 	}
 }
 
-// pollWait returns how long the next poll of the store may wait.
-func (f *follower) pollWait() time.Duration {
-	if f.isStandby() {
-		return standbyPollWait
-	}
-	return pollWait
-}
-
 // readCopy activates the copy of the newest configuration that a node has left in the store. The copy may be slightly stale; the readers
 // detect that within a second and relay the newer version. It reports whether a usable copy was found.
 func (f *follower) readCopy(ctx context.Context) bool {
@@ -286,13 +273,14 @@
 func (f *follower) storeFailed(err error) {
 	f.metrics.Inc("store_failed")
 	if f.storeUp.Swap(false) {
+		f.storeLostAt.Store(int64(clock.Now()))
 		f.logger.Warn("store_lost", zap.Error(err), zap.String("remedy", "the configuration in force is kept; newer versions are pulled from other nodes"))
 	}
 }
 
 func (f *follower) storeReached() {
 	if !f.storeUp.Swap(true) {
-		f.logger.Info("store_reached")
+		f.logger.Info("store_reached", zap.Duration("lost_for", clock.Now()-time.Duration(f.storeLostAt.Load())))
 	}
 }
 
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -58,10 +58,34 @@
 	earlierCopy    bool  // the copy was written before it last did
 	blocked        map[quarantine.Fingerprint]quarantine.Record
 	holdLeave      <-chan struct{} // Remove returns when it is closed, whatever its context says; nil: at once
+	dropping       chan struct{}   // closed while the store silently drops polls, pending ones included
+	polled         chan struct{}   // closed when the next poll arrives
 }
 
+// fakeCallTimeout is how long an adapter waits for a response of the store, beyond the wait of a poll.
+const fakeCallTimeout = time.Second
+
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{refusing: make(map[string]bool), noCopies: make(map[string]bool), pollers: make(map[string]bool), waits: make(map[string]time.Duration), published: make(chan struct{}), blocked: make(map[quarantine.Fingerprint]quarantine.Record)}
+	return &fakePlatform{refusing: make(map[string]bool), noCopies: make(map[string]bool), pollers: make(map[string]bool), waits: make(map[string]time.Duration), published: make(chan struct{}), blocked: make(map[quarantine.Fingerprint]quarantine.Record), dropping: make(chan struct{}), polled: make(chan struct{})}
+}
+
+// dropPolls makes the store drop polls silently, or not any more.
+func (p *fakePlatform) dropPolls(drop bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if drop {
+		close(p.dropping)
+	} else {
+		p.dropping = make(chan struct{})
+	}
+}
+
+// awaitPoll waits until the next poll arrives.
+func (p *fakePlatform) awaitPoll() {
+	p.mu.Lock()
+	polled := p.polled
+	p.mu.Unlock()
+	<-polled
 }
 
 func (p *fakePlatform) publish(d *routing.Document) {
@@ -169,12 +193,23 @@
 	p.calls = append(p.calls, "next")
 	p.pollers[p.id] = true
 	p.waits[p.id] = max(p.waits[p.id], wait)
+	dropping := p.dropping
+	close(p.polled)
+	p.polled = make(chan struct{})
 	published, now, err := p.published, Published{p.document, p.orders, p.end(p.position)}, p.check(position.Generation)
 	p.mu.Unlock()
+	called := time.Now()
+	select {
+	case <-dropping:
+		return Published{}, awaitTimeout(ctx, called, wait)
+	default:
+	}
 	if err != nil || now.Position.Offset > position.Offset {
 		return now, err
 	}
 	select {
+	case <-dropping:
+		return Published{}, awaitTimeout(ctx, called, wait)
 	case <-published:
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -185,6 +220,14 @@
 	return Published{Position: position}, ctx.Err()
 }
 
+// awaitTimeout returns the error of a poll that gets no response, when the adapter gives it up.
+func awaitTimeout(ctx context.Context, called time.Time, wait time.Duration) error {
+	ctx, cancel := context.WithDeadline(ctx, called.Add(wait+fakeCallTimeout))
+	defer cancel()
+	<-ctx.Done()
+	return apierror.New(apierror.Unavailable, "store: "+ctx.Err().Error(), "try again")
+}
+
 func (p *forNode) Copy(context.Context) (Copy, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -104,7 +104,7 @@
 	n.rpcClient = rpc.NewClient(bytes, nil)
 	n.rpcClient.OverrideAddresses(s.DialOverrides)
 	n.follower = newFollower(p, n.rpcClient, n.rpcServer, n.metrics, n.logger)
-	n.follower.firstStart = s.FirstStart
+	n.follower.firstStart, n.follower.storeRecovery = s.FirstStart, time.Duration(s.Bounds.StoreRecovery)
 	n.link = link.New(s.LinkMbps)
 	n.buffers = hop.NewBufferBudget(s.bufferBytes())
 	n.inbound = newInbound(p, n.link, n.buffers, n.metrics, n.logger, n.backendResponded)
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -55,11 +55,12 @@
 
 // Bounds holds the time limits and retry limits that the platform's operators require.
 type Bounds struct {
-	GracePeriod       Duration `json:"grace_period"` // from SIGTERM to SIGKILL
-	Drain             Duration `json:"drain"`        // how long requests may still arrive after a departure was acknowledged
-	ConfigApply       Duration `json:"config_apply"` // deadline for a configuration to be in force on all nodes
-	RetryRatio        float64  `json:"retry_ratio"`  // retry budget as a fraction of the requests to a service
-	RetrySlack        float64  `json:"retry_slack"`  // additional retries per window, across all nodes
+	GracePeriod       Duration `json:"grace_period"`   // from SIGTERM to SIGKILL
+	Drain             Duration `json:"drain"`          // how long requests may still arrive after a departure was acknowledged
+	ConfigApply       Duration `json:"config_apply"`   // deadline for a configuration to be in force on all nodes
+	StoreRecovery     Duration `json:"store_recovery"` // after a fault of the store, until configurations are again in force in time; default 3 s
+	RetryRatio        float64  `json:"retry_ratio"`    // retry budget as a fraction of the requests to a service
+	RetrySlack        float64  `json:"retry_slack"`    // additional retries per window, across all nodes
 	RetryWindow       Duration `json:"retry_window"`
 	ReadinessInterval Duration `json:"ready_checked_in"` // interval between readiness checks
 	ExposureShare     float64  `json:"exposure_share"`   // fraction of a service's requests that a version may get before it is known to be good
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -29,7 +29,7 @@
 	}, nil},
 	{"does not compare echoed ids", []guarantee{guaranteeResponseIntegrity}, []replacement{
 		{"pkg/hop/exchange.go", "case echo == r.ID:", `case echo != "-":`},
-		{"pkg/hop/exchange.go", "return cn.reader.Buffered() == 0 && !cn.unidentified", "return true"},
+		{"pkg/hop/exchange.go", "cn.reader.Buffered() == 0 && !cn.unidentified", "true"},
 		{"pkg/hop/pool.go", "\tsocket.ReleaseReader(cn.reader)\n\tcn.reader = nil\n", ""},
 		{"pkg/hop/pool.go", "\t\t\tcn.reader, cn.reused = socket.AcquireReader(cn.source), true\n", "\t\t\tcn.reused = true\n"},
 		{"pkg/hop/pool.go", "usable = errors.Is(err, unix.EAGAIN)", "usable = err == nil || errors.Is(err, unix.EAGAIN)"},
@@ -89,6 +89,11 @@
 	{"does not notice a restored store", []guarantee{guaranteeConfigApplied}, []replacement{
 		{"pkg/sidecar/generation.go", "number, err := strconv.ParseInt(stated, 10, 64)", "number, err := strconv.ParseInt(\"\", 10, 64)"},
 	}, runRestoredStore},
+	{"waits for responses that a silent store has dropped", []guarantee{guaranteeConfigApplied}, []replacement{
+		{"pkg/sidecar/poll.go", "recovery-StoreCallTimeout-recoveryMargin", "recovery-StoreCallTimeout"},
+		{"pkg/sidecar/poll.go", "case !p.responding:", "case p.source == nil:"},
+		{"pkg/sidecar/poll.go", "interval-time.Since(callStarted)", "interval"},
+	}, runSilentStore},
 	{"ignores named limits", []guarantee{guaranteeLimit}, []replacement{
 		{"pkg/sidecar/intake.go", "s.admission.SetRateLimit(s.limit)", "_ = s.admission"},
 	}, runNamedLimits},
