sidecar: a stopping node cuts no late requests

- A stopping node waited for the requests of its own callers before it told other nodes to stop using its backend server.
With one long request of its own caller, it still took requests of other nodes shortly before the end, and cut them: their callers got 502.
- A request that came behind a long one on a kept connection was passed on however late, and its connection closed without an answer.

The node now leaves early enough for the requests of other nodes to be answered: the longest route timeout before the cut, if its callers are not served by then. After the two readiness checks it refuses requests whose deadline lies after the cut (503, Retry-After, reason "stopping"): nothing has run, and their callers can still go elsewhere.

A stop also logged store_lost for the poll that it interrupts itself. It does not any more, and store_reached states no duration if the store was not reached before.

--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -186,6 +186,9 @@
 		} else {
 			p, err = f.source.Newest(ctx)
 		}
+		if ctx.Err() != nil {
+			return // the call was interrupted
+		}
 		if err != nil {
 			positionKnown = positionKnown && apierror.KindOf(err) != apierror.NotFound
 			f.storeFailed(err)
@@ -279,9 +282,14 @@
 }
 
 func (f *follower) storeReached() {
-	if !f.storeUp.Swap(true) {
-		f.logger.Info("store_reached", zap.Duration("lost_for", clock.Now()-time.Duration(f.storeLostAt.Load())))
+	if f.storeUp.Swap(true) {
+		return
+	}
+	var lostFor time.Duration // 0: it was not reached before
+	if lostAt := f.storeLostAt.Swap(0); lostAt > 0 {
+		lostFor = clock.Now() - time.Duration(lostAt)
 	}
+	f.logger.Info("store_reached", zap.Duration("lost_for", lostFor))
 }
 
 // observeVersion records that another node has a version. If the version is newer and has not arrived otherwise after the delay, it is
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,6 +66,7 @@
 	stats     routeStats
 	refusals  callerretry.Tracker
 	starting  *starting
+	cutAt     atomic.Int64 // clock.Now at which a stopping process cuts the requests in flight; 0: not stopping
 	logLimit  *rate.Limiter
 }
 
@@ -167,6 +169,9 @@
 	if !o.setDeadlines(q) {
 		return refuse(http.StatusBadRequest, reasonBadRequest)
 	}
+	if o.mayOutlastProcess(q) {
+		return refuse(http.StatusServiceUnavailable, reasonStopping)
+	}
 	if res := o.readBody(w, q, table.Document.Limits.BodyBytes); res != nil {
 		return res
 	}
--- a/pkg/sidecar/run.go
+++ b/pkg/sidecar/run.go
@@ -108,7 +108,7 @@
 
 // shutdown performs a graceful shutdown until the deadline. The node first reports that it is not ready, and keeps serving until its
 // clients use other nodes and in-flight requests are answered. Only then does it tell other nodes to stop using its backend server, which
-// may keep running while this process is replaced.
+// may keep running while this process is replaced; but early enough for the requests that they have sent to be answered before the deadline.
 func (n *Node) shutdown(deadline time.Time) {
 	n.logger.Info("node_stopping")
 	n.stopping.Store(true)
@@ -117,7 +117,16 @@
 	n.shutdownStep.Store("clients to use other nodes")
 	time.Sleep(maxReadinessMisses * time.Duration(n.settings.Bounds.ReadinessInterval))
 	n.shutdownStep.Store("requests of callers")
-	n.stopServer(ctx, n.callers, "callers")
+	n.outbound.refuseBeyond(deadline)
+	callersServed := make(chan struct{})
+	go func() {
+		defer close(callersServed)
+		n.stopServer(ctx, n.callers, "callers")
+	}()
+	select {
+	case <-callersServed:
+	case <-time.After(time.Until(deadline.Add(-n.longestTimeout()))):
+	}
 	n.shutdownStep.Store("leave")
 	n.leave(ctx)
 	n.inbound.stop()
@@ -128,6 +137,8 @@
 		stopping.Go(func() { n.stopServer(ctx, server, "others") })
 	}
 	stopping.Wait()
+	n.shutdownStep.Store("requests of callers")
+	<-callersServed
 }
 
 // leave tells the other nodes that the backend server is no longer reachable through this node, and removes the node from the directory.
