soak: endless responses of backend servers, with the memory of each process

Another operator's report: a faulty backend server sent bytes that were no response, without end, in a header or in a body; the machine that had called it kept them all and ran out of memory. What prevents it: a header is read up to 64 KiB, a body is buffered within an eighth of the memory and otherwise streamed, and a response that nobody reads holds 64 KiB (pkg/hop, pkg/pipeline).

--- a/test/soak/backend_test.go
+++ b/test/soak/backend_test.go
@@ -34,6 +34,9 @@
 	respondsWith500          misbehaviour = "fails"
 	omitsSignature           misbehaviour = "unsigned" // sends a success without a signature
 	sendsGarbage             misbehaviour = "noise"    // sends bytes that are not HTTP
+	sendsEndlessHeader       misbehaviour = "endless-header"
+	sendsEndlessBody         misbehaviour = "endless-body"   // without Content-Length
+	sendsEndlessChunks       misbehaviour = "endless-chunks" // of one byte each
 )
 
 const (
@@ -46,7 +49,8 @@
 	maxResponseBytes        = 20_000
 	minWork                 = 4 * time.Millisecond
 	workSpread              = 12 * time.Millisecond
-	misbehaviourProbability = 0.7                    // share of the responses
+	misbehaviourProbability = 0.7 // share of the responses
+	endlessBlockBytes       = 32 << 10
 	extraResponseLinger     = 200 * time.Millisecond // time for which the connection stays open after an extra response
 )
 
@@ -315,7 +319,7 @@
 	switch fault {
 	case omitsSignature:
 		w.Header().Del(wire.Headers.Signature)
-	case truncatesResponse, truncatesUnsizedResponse, sendsExtraResponse, resetsConnection, sendsGarbage:
+	case truncatesResponse, truncatesUnsizedResponse, sendsExtraResponse, resetsConnection, sendsGarbage, sendsEndlessHeader, sendsEndlessBody, sendsEndlessChunks:
 		if err := writeFaultyResponse(w, fault, v.id, body); err != nil && !errors.Is(err, net.ErrClosed) {
 			panic(http.ErrAbortHandler)
 		}
@@ -355,10 +359,26 @@
 		return err
 	case sendsGarbage:
 		return send(buffered, "\x00\x01 not a response \r\n\r\n")
+	case sendsEndlessHeader:
+		return sendEndlessly(buffered, head+"X-Noise: ", "x")
+	case sendsEndlessBody:
+		return sendEndlessly(buffered, head+"\r\n", "x")
+	case sendsEndlessChunks:
+		return sendEndlessly(buffered, head+"Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n")
 	}
 	return setResetOnClose(conn)
 }
 
+// sendEndlessly sends a prefix and then the same text again and again until the node closes the connection.
+func sendEndlessly(w *bufio.ReadWriter, prefix, repeated string) error {
+	block := strings.Repeat(repeated, endlessBlockBytes/len(repeated))
+	for err := send(w, prefix); ; err = send(w, block) {
+		if err != nil {
+			return net.ErrClosed
+		}
+	}
+}
+
 func send(w *bufio.ReadWriter, text string) error {
 	if _, err := w.WriteString(text); err != nil {
 		return err
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -31,6 +31,7 @@
 	guaranteeRollout           guarantee = "a roll-out exposes little to a bad version, and completes only without requests on the base version"
 	guaranteeLimit             guarantee = "a backend server gets no more requests than the limit that it names allows"
 	guaranteeDeadlyRequests    guarantee = "a request that crashes backend servers reaches few more after the third crash"
+	guaranteeMemory            guarantee = "a process stays within the memory of its VM"
 	guaranteeBackendsUsed      guarantee = "every backend server whose service has a route is used again within the recovery bound after the last fault"
 )
 
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -103,6 +103,9 @@
 	{"does not block requests that crash backend servers", []guarantee{guaranteeDeadlyRequests}, []replacement{
 		{"pkg/quarantine/table.go", "case blocked > 0:", "case blocked > 0 && len(e.crashed) == 0:"},
 	}, runDeadlyRequests},
+	{"keeps 64 MiB of a response header", []guarantee{guaranteeMemory}, []replacement{
+		{"pkg/hop/exchange.go", "maxResponseHeaderBytes = 64 << 10", "maxResponseHeaderBytes = 64 << 20"},
+	}, runEndlessResponses},
 	{"keeps the first instance", []guarantee{guaranteeRecovery, guaranteeBackendsUsed}, []replacement{
 		{"pkg/sidecar/inbound.go", "if old == nil || old.ID != a.ID || old.StartTimeMS != a.StartTimeMS {", "if old == nil {"},
 	}, nil},
@@ -151,7 +154,7 @@
 	for _, g := range []guarantee{
 		guaranteeAtMostOnce, guaranteeNotExecuted, guaranteeResponseIntegrity, guaranteeRequestIntegrity, guaranteeConfiguredService, guaranteeRoutable, guaranteeMonotonicVersion, guaranteeConfigApplied, guaranteeDrain,
 		guaranteeDeadline, guaranteeRetryBudget, guaranteeGracefulStop, guaranteeProcessLifetime, guaranteeRecovery, guaranteeBackendsUsed,
-		guaranteeRollout, guaranteeLimit, guaranteeDeadlyRequests,
+		guaranteeRollout, guaranteeLimit, guaranteeDeadlyRequests, guaranteeMemory,
 	} {
 		found := slices.ContainsFunc(allMutants, func(m mutant) bool { return slices.Contains(m.violates, g) })
 		if !found {
