rpc, platform: connections that go silent together are replaced together

The same cause as a dropped poll, on related paths: a platform's network may silence all open connections at once.

Cause: after a call to the store had timed out, the next one was sent on another idle connection, silent too; and readers relayed the change to nodes on connections whose silence nobody had noticed yet, where each call times out after 2 s.

Ruled out: a relay that gives up. The late nodes got the version by a pull after a probe.

After an unresponsive call between nodes, pkg/rpc opens new connections to the addresses from which nothing has arrived since that call began, at most once in 5 s; pending calls on the old ones go on.

--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -5,7 +5,9 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,14 +34,17 @@
 	ctx       context.Context    // cancelled by Close
 	cancel    context.CancelFunc
 
-	mu    sync.Mutex
-	conns map[string]*peer
+	mu        sync.Mutex
+	conns     map[string]*peer
+	retired   map[*peer]struct{} // serve pending calls only, until they are idle
+	retiredAt time.Time          // when connections were last retired
 }
 
 // peer is the connection to one address.
 type peer struct {
 	*jsonrpc2.Conn
 	socket *timedConn
+	opened time.Duration // clock.Now
 }
 
 // NewClient returns a client that updates counters. A nil tlsConfig means plain TCP.
@@ -51,7 +56,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		counters: counters, tlsConfig: tlsConfig, dialer: dial.Dialer{Timeout: dialTimeout}, ctx: ctx, cancel: cancel,
-		conns: make(map[string]*peer),
+		conns: make(map[string]*peer), retired: make(map[*peer]struct{}),
 	}
 }
 
@@ -99,6 +104,29 @@
 	if silence >= minSilence && conn.socket.lastRead.Load() < int64(clock.SinceStart(start)) {
 		c.removeConn(address, conn)
 		conn.Close()
+		c.retireQuiet(start)
+	}
+}
+
+// retireInterval is the minimum time between two retirements, so that an unresponsive node does not make the client reconnect to all others
+// again and again.
+const retireInterval = 5 * time.Second
+
+// retireQuiet makes further calls use new connections to the addresses from which nothing was received since a time. A network that has
+// dropped one connection silently may have dropped others at the same moment, and each would otherwise be noticed only by a call that
+// times out.
+func (c *Client) retireQuiet(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.retiredAt.IsZero() && time.Since(c.retiredAt) < retireInterval {
+		return
+	}
+	c.retiredAt = time.Now()
+	for address, conn := range c.conns {
+		if max(conn.opened, time.Duration(conn.socket.lastRead.Load())) < clock.SinceStart(since) {
+			delete(c.conns, address)
+			c.retired[conn] = struct{}{}
+		}
 	}
 }
 
@@ -207,7 +235,7 @@
 		socket.Close()
 		return nil, errors.New("the client is closed")
 	}
-	conn := &peer{socket: socket}
+	conn := &peer{socket: socket, opened: clock.Now()}
 	conn.Conn = newConn(socket, jsonrpc2.HandlerWithError(refuseRequests), func() { c.removeConn(address, conn) })
 	c.conns[address] = conn
 	return conn, nil
@@ -216,6 +244,7 @@
 func (c *Client) removeConn(address string, conn *peer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	delete(c.retired, conn)
 	if c.conns[address] == conn {
 		delete(c.conns, address)
 	}
@@ -230,8 +259,8 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	c.cancel()
-	conns := c.conns
-	c.conns = make(map[string]*peer)
+	conns := slices.AppendSeq(slices.Collect(maps.Values(c.conns)), maps.Keys(c.retired))
+	c.conns, c.retired = make(map[string]*peer), make(map[*peer]struct{})
 	c.mu.Unlock()
 	for _, conn := range conns {
 		conn.Close()
--- a/test/soak/cluster_test.go
+++ b/test/soak/cluster_test.go
@@ -120,7 +120,7 @@
 	return newAdjustedCluster(t, program, size, func(*sidecar.Settings) {})
 }
 
-// newAdjustedCluster starts a cluster whose nodes have adjusted settings.
+// newAdjustedCluster starts a cluster whose nodes have adjusted settings, data centre included.
 func newAdjustedCluster(t *testing.T, program string, size int, adjust func(*sidecar.Settings)) *cluster {
 	cl := &cluster{
 		t: t, program: program, store: standin.NewStore(), checker: newChecker(),
@@ -135,6 +135,7 @@
 	for i := range size {
 		n := cl.newNode(i, fmt.Sprintf("127.%d.%d.%d", network, i/250, i%250+1))
 		adjust(n.settings)
+		n.dataCentre = n.settings.DataCentre
 		cl.nodes = append(cl.nodes, n)
 	}
 	cl.connect()
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -94,6 +94,10 @@
 		{"pkg/sidecar/poll.go", "case !p.responding:", "case p.source == nil:"},
 		{"pkg/sidecar/poll.go", "interval-time.Since(callStarted)", "interval"},
 	}, runSilentStore},
+	{"relays on connections that went silent with others", []guarantee{guaranteeConfigApplied}, []replacement{
+		{"pkg/rpc/client.go", "c.retireQuiet(start)", "_ = start"},
+		{"platform/store.go", "s.client.CloseIdleConnections()", "_ = ctx"},
+	}, runSilentConnections},
 	{"ignores named limits", []guarantee{guaranteeLimit}, []replacement{
 		{"pkg/sidecar/intake.go", "s.admission.SetRateLimit(s.limit)", "_ = s.admission"},
 	}, runNamedLimits},
