sidecar: a quarter of a second more is left for reading the store again and relaying

A poll's wait and timeout stay 0.75 s instead of 0.5 s below bounds.store_recovery: on machines with 0.16 of a core a version that was read needs some hundred milliseconds to be compiled, relayed and compiled again. A first reader polls every 1.25 s at a recovery time of 3 s. A test states the waits that follow from the setting. The stand-in's fault that drops calls for good is named after that.

--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -59,14 +59,13 @@
 
 // follower keeps the node's configuration up to date. The version never decreases within the lifetime of the process.
 type follower struct {
-	source     Source
-	client     *rpc.Client
-	metrics    *metrics.Registry
-	logger     *zap.Logger
-	copyWait   time.Duration // before a copy of an earlier generation of the store is used
-	firstStart bool          // the fleet starts for the first time: the store holds neither a copy nor earlier versions
-
+	source        Source
+	client        *rpc.Client
+	metrics       *metrics.Registry
+	logger        *zap.Logger
+	copyWait      time.Duration // before a copy of an earlier generation of the store is used
 	storeRecovery time.Duration // Bounds.StoreRecovery
+	firstStart    bool          // the fleet starts for the first time: the store holds neither a copy nor earlier versions
 
 	table         atomic.Pointer[routing.Table]
 	mu            sync.Mutex        // serialises activation
--- a/pkg/sidecar/poll.go
+++ b/pkg/sidecar/poll.go
@@ -14,7 +14,7 @@
 const (
 	defaultStoreRecovery = 3 * time.Second
 	// recoveryMargin is the part of Bounds.StoreRecovery that is left for reading the store again and relaying what it holds.
-	recoveryMargin = 500 * time.Millisecond
+	recoveryMargin = 750 * time.Millisecond
 	minPollWait    = 500 * time.Millisecond
 	maxPollWait    = 3 * time.Second
 	// standbyPollWait is the wait of the readers of a data centre other than the first one.
--- a/pkg/sidecar/silent_store_test.go
+++ b/pkg/sidecar/silent_store_test.go
@@ -62,3 +62,13 @@
 	m.stop(first)
 	assert.Less(t, m.activationTime(second, 2), testStoreRecovery)
 }
+
+// Guards against polls that outlast the recovery time that the operators require, and against ones that follow each other without need.
+func TestPoller_WaitFitsRecoveryTime(t *testing.T) {
+	for recovery, want := range map[time.Duration]time.Duration{
+		0: 1250 * time.Millisecond, 3 * time.Second: 1250 * time.Millisecond, 4 * time.Second: 2250 * time.Millisecond,
+		time.Second: minPollWait, time.Minute: maxPollWait,
+	} {
+		assert.Equal(t, want, newPoller(nil, recovery, nil).wait, "%s", recovery)
+	}
+}
--- a/test/soak/silent_store_test.go
+++ b/test/soak/silent_store_test.go
@@ -68,7 +68,7 @@
 		reader.awaitRead()
 	}
 	end := cl.checker.beginFault()
-	cl.setStoreFault(standin.Fault{Swallow: true})
+	cl.setStoreFault(standin.Fault{DropCalls: true})
 	if !isMomentary {
 		time.Sleep(length / 2)
 		cl.publish(func(*routing.Document) {})
