--- a/test/soak/deadly_test.go
+++ b/test/soak/deadly_test.go
@@ -80,12 +80,7 @@
 
 // Guards against a request that crashes backend server after backend server while nodes are stopped, killed, paused and all restarted.
 func TestDeadlyRequests(t *testing.T) {
-	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			reportViolations(t, runDeadlyRequests(t, program, seed, *size))
-		})
-	}
+	forEachSeed(t, runDeadlyRequests, *size)
 }
 
 // runDeadlyRequests sends requests that crash backend servers beside others, with faults of nodes, and returns the violations.
--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -42,13 +42,10 @@
 func runEndlessResponse(t *testing.T, program string, fault misbehaviour, size int) []violation {
 	cl := newAdjustedCluster(t, program, size, func(s *sidecar.Settings) { s.MemoryMB = smallMemoryMB })
 	endFault := cl.checker.beginFault()
+	cl.startCallers(endlessCallers)
 	var stalled []net.Conn
 	for _, n := range cl.nodes {
 		n.backend.misbehave(fault)
-		for i := range endlessCallers {
-			c := &caller{cluster: cl, node: n, name: fmt.Sprintf("%s-c%d", n.id, i)}
-			cl.callers.Go(c.run)
-		}
 		for i := range stalledConns {
 			stalled = append(stalled, stalledCaller(t, cl, n, i))
 		}
--- a/test/soak/intake_test.go
+++ b/test/soak/intake_test.go
@@ -106,12 +106,7 @@
 // Guards against backend servers in need that get more requests than they take, and leaving ones that get any, while the nodes beside them are
 // stopped, killed and paused.
 func TestNamedLimits(t *testing.T) {
-	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			reportViolations(t, runNamedLimits(t, program, seed, *size))
-		})
-	}
+	forEachSeed(t, runNamedLimits, *size)
 }
 
 // runNamedLimits makes backend servers name limits and leave under load, with faults of nodes, and returns the violations.
@@ -166,6 +161,14 @@
 	}
 }
 
+// startProbes starts a caller at each node that checks which versions are in force.
+func (cl *cluster) startProbes() {
+	for _, n := range cl.nodes {
+		p := &caller{cluster: cl, node: n, name: n.id + "-probe"}
+		cl.callers.Go(p.probe)
+	}
+}
+
 // finish stops the callers and returns the violations.
 func (cl *cluster) finish(t *testing.T, seed uint64) []violation {
 	close(cl.done)
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -17,7 +17,7 @@
 	name     string
 	violates []guarantee // at least one violation of these must be detected
 	changes  []replacement
-	run      func(t *testing.T, program string, seed uint64, size int) []violation // nil: runSeed
+	run      runFunc // nil: runSeed
 }
 
 var allMutants = []mutant{
--- a/test/soak/restore_test.go
+++ b/test/soak/restore_test.go
@@ -24,32 +24,20 @@
 // Guards against a store that comes back from a copy: versions that are in force are lost there, and offsets are given out again, while
 // processes are killed and start. No node returns to an older version, and a version that is published then takes effect on all of them.
 func TestRestoredStore(t *testing.T) {
-	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			reportViolations(t, runRestoredStore(t, program, seed, *size))
-		})
-	}
+	forEachSeed(t, runRestoredStore, *size)
 }
 
 // runRestoredStore sets the store back several times under load and returns the violations.
 func runRestoredStore(t *testing.T, program string, seed uint64, size int) []violation {
 	random := rand.New(rand.NewPCG(seed, 3))
 	cl := newCluster(t, program, size)
-	for _, n := range cl.nodes {
-		c := &caller{cluster: cl, node: n, name: n.id + "-c"}
-		cl.callers.Go(c.run)
-		p := &caller{cluster: cl, node: n, name: n.id + "-probe"}
-		cl.callers.Go(p.probe)
-	}
+	cl.startCallers(1)
+	cl.startProbes()
 	for range storeRestores {
 		cl.restoreStore(random)
 		cl.checkNewestVersion(configApply + settleTime)
 	}
-	close(cl.done)
-	cl.callers.Wait()
-	t.Logf("seed=%d size=%d %s; node logs in %s if it failed", seed, size, cl.checker.summary(), cl.dir)
-	return cl.checker.allViolations()
+	return cl.finish(t, seed)
 }
 
 // restoreStore makes the store unreachable and lets it come back without its newest records, of which a version in force may be one. As many
--- a/test/soak/rollout_test.go
+++ b/test/soak/rollout_test.go
@@ -129,12 +129,7 @@
 // Guards against a roll-out that exposes too much to a bad version, completes while the base version still has requests, or changes its mind,
 // while nodes, links and the store fail. A good version may be rolled back because of the faults.
 func TestRollout_UnderFaults(t *testing.T) {
-	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			reportViolations(t, runRollout(t, program, seed, rolloutSize))
-		})
-	}
+	forEachSeed(t, runRollout, rolloutSize)
 }
 
 // runRollout runs a roll-out of a good or a bad version under the faults of a seed, and returns the violations.
--- a/test/soak/silent_links_test.go
+++ b/test/soak/silent_links_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -114,12 +113,7 @@
 // Guards against configurations that come into force late after all open connections have gone silent, those to the store and those between nodes:
 // each is noticed by a call that times out, and changes are relayed on connections that nothing has noticed yet.
 func TestSilentConnections(t *testing.T) {
-	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			reportViolations(t, runSilentConnections(t, program, seed, silentLinksSize))
-		})
-	}
+	forEachSeed(t, runSilentConnections, silentLinksSize)
 }
 
 // runSilentConnections silences all connections several times and returns the violations. All nodes are in one data centre, where a change is relayed
@@ -149,5 +143,5 @@
 		cl.publish(func(*routing.Document) {})
 		cl.checkNewestVersion(max(time.Until(settled), configApply))
 	}
-	return cl.checker.allViolations()
+	return cl.finish(t, seed)
 }
--- a/test/soak/silent_store_test.go
+++ b/test/soak/silent_store_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"syscall"
@@ -26,12 +25,7 @@
 // Guards against configurations that come into force late on all nodes after the store was silent: it has dropped calls, the last of them just
 // before it recovers, and their senders wait for the responses.
 func TestSilentStore(t *testing.T) {
-	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			reportViolations(t, runSilentStore(t, program, seed, *size))
-		})
-	}
+	forEachSeed(t, runSilentStore, *size)
 }
 
 // runSilentStore silences the store several times and returns the violations. With an odd seed all nodes are in one data centre.
@@ -41,19 +35,12 @@
 		size = oneDataCentreSize
 	}
 	cl := newCluster(t, program, size)
-	for _, n := range cl.nodes {
-		c := &caller{cluster: cl, node: n, name: n.id + "-c"}
-		cl.callers.Go(c.run)
-		p := &caller{cluster: cl, node: n, name: n.id + "-probe"}
-		cl.callers.Go(p.probe)
-	}
+	cl.startCallers(1)
+	cl.startProbes()
 	for range silences {
 		cl.silenceStore(random)
 	}
-	close(cl.done)
-	cl.callers.Wait()
-	t.Logf("seed=%d size=%d %s; node logs in %s if it failed", seed, size, cl.checker.summary(), cl.dir)
-	return cl.checker.allViolations()
+	return cl.finish(t, seed)
 }
 
 // silenceStore makes the store drop all calls, momentarily or for some seconds, until the node that reads it most has just called, and publishes
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -139,14 +139,8 @@
 func runSeed(t *testing.T, program string, seed uint64, size int) []violation {
 	events := schedule(seed, size)
 	cl := newCluster(t, program, size)
-	for _, n := range cl.nodes {
-		for i := range callersPerNode {
-			c := &caller{cluster: cl, node: n, name: fmt.Sprintf("%s-c%d", n.id, i)}
-			cl.callers.Go(c.run)
-		}
-		p := &caller{cluster: cl, node: n, name: n.id + "-probe"}
-		cl.callers.Go(p.probe)
-	}
+	cl.startCallers(callersPerNode)
+	cl.startProbes()
 	cl.runEvents(events)
 	cl.endFaults()
 	recoveryStart := time.Now()
@@ -182,15 +176,23 @@
 	}
 }
 
-func TestSoak(t *testing.T) {
+// runFunc runs one seed against a program and returns the violations.
+type runFunc func(t *testing.T, program string, seed uint64, size int) []violation
+
+// forEachSeed runs the seeds of the command line in parallel and fails for violations.
+func forEachSeed(t *testing.T, run runFunc, size int) {
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			reportViolations(t, runSeed(t, program, seed, *size))
+			reportViolations(t, run(t, program, seed, size))
 		})
 	}
 }
 
+func TestSoak(t *testing.T) {
+	forEachSeed(t, runSeed, *size)
+}
+
 // Seeds that failed once are tests of their own. Both failed with an earlier list of event kinds, so their schedules differ now.
 
 // Guards against a process that ended: data race on the header of a response (pkg/hop).
--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -21,12 +21,7 @@
 // Guards against requests that are cut in a planned stop because the process loses the processor between two steps of it: each request that
 // reached the process or its sockets is answered, and what comes later is refused at the handshake. The process ends within the grace period.
 func TestPausedStops(t *testing.T) {
-	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			reportViolations(t, runPausedStops(t, program, seed, len(services)))
-		})
-	}
+	forEachSeed(t, runPausedStops, len(services))
 }
 
 // runPausedStops stops random nodes one after the other, each with its process paused again and again, and returns the violations.
