--- a/pkg/pipeline/unread_body_test.go
+++ b/pkg/pipeline/unread_body_test.go
@@ -4,7 +4,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -33,3 +35,21 @@
 
 	assert.True(t, <-closing)
 }
+
+// The handler has sent a part of its response and leaves a long body unread. Guards against a rest of the body that is run as requests.
+func TestServer_UnreadBodyBehindFlushedResponse(t *testing.T) {
+	var calls atomic.Int32
+	f := startServer(t, Limits{}, func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		io.WriteString(w, "early")
+		assert.NoError(t, http.NewResponseController(w).Flush())
+	})
+	c := f.dial()
+	body := strings.Repeat(get("/from-the-body"), 2*maxUnreadBodyBytes/len(get("/from-the-body")))
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+	_, text, _ := c.readResponse()
+
+	assert.Equal(t, "early", text)
+	c.requireClosed()
+	assert.EqualValues(t, 1, calls.Load())
+}
