soak: the mutant that does not wait for callers removes both guards

Cause: since 'a stopping node cuts no late requests', a request whose deadline lies after the cut is refused beforehand. Without the wait for callers nothing is left to cut, so the mutant alone breaks no guarantee.

--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -72,6 +72,7 @@
 	}, nil},
 	{"does not wait for callers on shutdown", []guarantee{guaranteeGracefulStop}, []replacement{
 		{"pkg/sidecar/run.go", "\tn.stopServer(ctx, n.callers, \"callers\")\n", ""},
+		{"pkg/sidecar/run.go", "\tn.outbound.refuseBeyond(deadline)\n", ""},
 	}, nil},
 	{"closes connections with unread requests on shutdown", []guarantee{guaranteeGracefulStop}, []replacement{
 		{"pkg/pipeline/conn.go", "if isTimeout(err) && !c.closing && socket.HasUnread(c.socket) {", "if isTimeout(err) && !c.closing && false && socket.HasUnread(c.socket) {"},
