sidecar: entries left in the directory do not count as readers of the store

Cause: nodes that could not remove their directory entries when they stopped counted as alive at the restart, and were the first in the order that determines the readers of all three data centres. Nobody read the store until they were suspected. Change: a member whose endpoint is not known is not counted; at most 8 more readers in a data centre.

--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -20,6 +20,8 @@
 	// readersPerDataCentre is the number of nodes of each data centre that read the store and relay changes to the other nodes. One is
 	// enough; the second covers a reader that crashes, hangs or is refused by the store.
 	readersPerDataCentre = 2
+	// maxExtraReaders bounds the readers of a data centre beyond readersPerDataCentre, while the nodes before them have no known endpoint.
+	maxExtraReaders = 8
 	// relayFanout bounds the nodes that one node sends a change to. Each of them forwards it to its share of the remaining nodes.
 	relayFanout  = 8
 	relayTimeout = 2 * time.Second // a change of many routes takes most of a second on a low-bandwidth link
@@ -49,15 +51,25 @@
 	logger     *zap.Logger
 }
 
-// isReader reports whether this node is one of its data centre's readers of the store.
-func (r *relay) isReader() bool { return r.indexInDataCentre() < readersPerDataCentre }
+// isReader reports whether this node is one of its data centre's readers of the store. Nodes without a known endpoint are not counted: they may
+// be entries that nodes could not remove from the directory when they stopped. If many nodes have none, maxExtraReaders protects the store.
+func (r *relay) isReader() bool {
+	known, all := r.indexInDataCentre()
+	return known < readersPerDataCentre && all < readersPerDataCentre+maxExtraReaders
+}
 
 // isWriter reports whether this node maintains the copy of the configuration in the store. One node of each data centre does, once it
 // knows other nodes.
-func (r *relay) isWriter() bool { return r.hasPeers() && r.indexInDataCentre() == 0 }
+func (r *relay) isWriter() bool {
+	_, all := r.indexInDataCentre()
+	return r.hasPeers() && all == 0
+}
 
 // isStandby reports whether this node is not the first reader of its data centre.
-func (r *relay) isStandby() bool { return r.indexInDataCentre() > 0 }
+func (r *relay) isStandby() bool {
+	known, _ := r.indexInDataCentre()
+	return known > 0
+}
 
 func (r *relay) hasPeers() bool {
 	return slices.ContainsFunc(r.members(), func(m membership.Member) bool { return r.isLivePeer(&m) })
@@ -68,19 +80,23 @@
 	return m.ID != r.self && m.Status == membership.Alive
 }
 
-// indexInDataCentre returns the position of this node among the live nodes of its data centre, ordered by the hash of their IDs. All nodes
-// use the same order.
-func (r *relay) indexInDataCentre() int {
+// indexInDataCentre returns the position of this node among the live nodes of its data centre, ordered by the hash of their IDs: among those
+// whose endpoint is known, and among all. When a fleet starts for the first time, the directory has no other entries than those of its nodes,
+// so that both are the same. All nodes use the same order.
+func (r *relay) indexInDataCentre() (known, all int) {
 	own := xxhash.Sum64String(r.self)
-	index := 0
 	members := r.members()
 	for i := range members {
 		m := &members[i]
-		if m.DataCentre == r.dataCentre && r.isLivePeer(m) && xxhash.Sum64String(m.ID) < own {
-			index++
+		if m.DataCentre != r.dataCentre || !r.isLivePeer(m) || xxhash.Sum64String(m.ID) > own {
+			continue
+		}
+		all++
+		if m.Endpoint != nil || r.follower.firstStart {
+			known++
 		}
 	}
-	return index
+	return known, all
 }
 
 // indexInFleet returns the position of this node among all live nodes, ordered by the hash of their IDs.
