pipeline: discardUnread records the close with updateClosing

startNoFurtherRequest did again what updateClosing does if the response closes the connection. No change of behaviour. TestServer_ConnectionClose and the tests of unread bodies: 240 runs in each of 4 processes with the race detector, none failed; pkg/pipeline passes.

--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -306,13 +306,6 @@
 	return c.closing && last
 }
 
-// startNoFurtherRequest has the connection closed after the pending responses.
-func (c *conn) startNoFurtherRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = true
-}
-
 // responseWritten records that a response was written, or that writing it failed with err.
 func (c *conn) responseWritten(number int, err error) {
 	c.mu.Lock()
@@ -436,5 +429,5 @@
 	}
 	w.Header().Set("Connection", "close")
 	// Before markDone: the reading goroutine would take the rest of the body for the next request.
-	b.conn.startNoFurtherRequest()
+	b.conn.updateClosing(w.number, true)
 }
