relay: one comparison of a member's place for both orders

indexInDataCentre and indexInFleet compared status and hash each for itself, and no longer alike for equal hashes: the former had come to count a member of the same hash. Both call precedes, which counts lower ones only, as before. pkg/sidecar passes with the race detector.

--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -80,6 +80,11 @@
 	return m.ID != r.self && m.Status == membership.Alive
 }
 
+// precedes reports whether the member is another live node whose ID has a lower hash than own, that of this node's ID.
+func (r *relay) precedes(m *membership.Member, own uint64) bool {
+	return r.isLivePeer(m) && xxhash.Sum64String(m.ID) < own
+}
+
 // indexInDataCentre returns the position of this node among the live nodes of its data centre, ordered by the hash of their IDs: among those
 // whose endpoint is known, and among all. When a fleet starts for the first time, the directory has no other entries than those of its nodes,
 // so that both are the same. All nodes use the same order.
@@ -88,7 +93,7 @@
 	members := r.members()
 	for i := range members {
 		m := &members[i]
-		if m.DataCentre != r.dataCentre || !r.isLivePeer(m) || xxhash.Sum64String(m.ID) > own {
+		if m.DataCentre != r.dataCentre || !r.precedes(m, own) {
 			continue
 		}
 		all++
@@ -104,7 +109,7 @@
 	own := xxhash.Sum64String(r.self)
 	index := 0
 	for _, m := range r.members() {
-		if r.isLivePeer(&m) && xxhash.Sum64String(m.ID) < own {
+		if r.precedes(&m, own) {
 			index++
 		}
 	}
