tests: restart of all nodes, wait for the copy and end of a soak run written once

TestRestartOfAllNodes_StaleDirectoryDoesNotDelayVersions repeated the stop and the start of restartAll, and with two other tests the wait for a copy; runEndlessResponse repeated finish. The assertions are the same.

--- a/pkg/sidecar/quarantine_store_test.go
+++ b/pkg/sidecar/quarantine_store_test.go
@@ -12,14 +12,33 @@
 
 // restartAll restarts all nodes, so that none is left that knows what the others knew.
 func (m *mesh) restartAll() {
+	m.stopAll()
+	m.startAllAgain()
+	m.waitReady()
+}
+
+func (m *mesh) stopAll() {
 	for _, n := range m.nodes {
 		m.stop(n)
 	}
+}
+
+// startAllAgain starts all nodes, which have ended, with their backend servers.
+func (m *mesh) startAllAgain() {
 	for i, n := range m.nodes {
 		m.nodes[i] = m.startAgain(n)
 		m.nodes[i].announce(false)
 	}
-	m.waitReady()
+}
+
+// awaitCopy waits until the store has a copy of the configuration.
+func (m *mesh) awaitCopy() {
+	m.t.Helper()
+	m.eventually("the store has a copy of the configuration", func() bool {
+		m.platform.mu.Lock()
+		defer m.platform.mu.Unlock()
+		return m.platform.copied != nil
+	})
 }
 
 // Guards against a request that crashes backend servers again after all nodes were restarted at the same time.
@@ -30,11 +49,7 @@
 	m.reviveBackends()
 	require.EqualValues(t, 2, crashes.Load())
 	m.eventually("the store keeps it", func() bool { return m.platform.keptBlocked() == 1 })
-	m.eventually("the store has a copy of the configuration", func() bool {
-		m.platform.mu.Lock()
-		defer m.platform.mu.Unlock()
-		return m.platform.copied != nil
-	})
+	m.awaitCopy()
 	m.restartAll()
 	for _, n := range m.nodes {
 		m.call(n, "GET", deadlyPath, "")
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -111,11 +111,7 @@
 // the readers detect that and all nodes move to the newer version. A malformed copy must not prevent the start.
 func TestStart_FromConfigurationCopy(t *testing.T) {
 	m := newMesh(t, 2)
-	m.eventually("a copy is written", func() bool {
-		m.platform.mu.Lock()
-		defer m.platform.mu.Unlock()
-		return m.platform.copied != nil
-	})
+	m.awaitCopy()
 	old := m.platform.copied
 	m.platform.publish(testDocument(2))
 	m.eventually("the copy is updated", func() bool {
--- a/pkg/sidecar/stale_directory_test.go
+++ b/pkg/sidecar/stale_directory_test.go
@@ -35,21 +35,12 @@
 	m.start(0)
 	m.start(1)
 	m.waitReady()
-	m.eventually("a copy is kept", func() bool {
-		m.platform.mu.Lock()
-		defer m.platform.mu.Unlock()
-		return m.platform.copied != nil
-	})
-	for _, n := range m.nodes {
-		m.stop(n)
-	}
+	m.awaitCopy()
+	m.stopAll()
 	m.leaveStaleContacts(8)
 
 	started := time.Now()
-	for i, n := range m.nodes {
-		m.nodes[i] = m.startAgain(n)
-		m.nodes[i].announce(false)
-	}
+	m.startAllAgain()
 	time.Sleep(500 * time.Millisecond)
 	m.platform.publish(testDocument(2))
 	for _, n := range m.nodes {
--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -32,14 +32,14 @@
 }
 
 // runEndlessResponses plays each kind of endless response once and returns the violations. Nothing in it depends on a seed.
-func runEndlessResponses(t *testing.T, program string, _ uint64, size int) (found []violation) {
+func runEndlessResponses(t *testing.T, program string, seed uint64, size int) (found []violation) {
 	for _, fault := range []misbehaviour{sendsEndlessHeader, sendsEndlessBody, sendsEndlessChunks} {
-		found = append(found, runEndlessResponse(t, program, fault, min(size, len(services)))...)
+		found = append(found, runEndlessResponse(t, program, fault, seed, min(size, len(services)))...)
 	}
 	return found
 }
 
-func runEndlessResponse(t *testing.T, program string, fault misbehaviour, size int) []violation {
+func runEndlessResponse(t *testing.T, program string, fault misbehaviour, seed uint64, size int) []violation {
 	cl := newAdjustedCluster(t, program, size, func(s *sidecar.Settings) { s.MemoryMB = smallMemoryMB })
 	endFault := cl.checker.beginFault()
 	cl.startCallers(endlessCallers)
@@ -68,9 +68,7 @@
 			cl.checker.addViolation(guaranteeMemory, "%s used %.0f MB while backend servers showed %s", n.id, peak, fault)
 		}
 	}
-	close(cl.done)
-	cl.callers.Wait()
-	return cl.checker.allViolations()
+	return cl.finish(t, seed)
 }
 
 // stalledCaller opens a connection, sends pipelined requests and returns it without reading the responses.
