rpc: a call whose context has ended sends nothing

Call sent the request without a look at the context, and where the response was there first, the select of jsonrpc2's Waiter could choose it. The peer ran requests that nobody waited for. Ruled out: the connection (all other calls of the test passed), the server. Change: Call returns Unavailable before it sends when its context has ended.

--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -67,8 +67,11 @@
 
 // Call sends a request and waits for its result. If ctx has no deadline, the timeout is 3 s. Errors are of type
 // *apierror.Error; kind Unavailable means that the node could not be reached or did not respond in time. A request is
-// sent at most once. If the existing connection is closed before the request is sent, Call opens a new one.
+// sent at most once, and not if ctx has ended. If the existing connection is closed before the request is sent, Call opens a new one.
 func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
+	if err := ctx.Err(); err != nil {
+		return fromWire(address, err)
+	}
 	ctx, cancel := withDefaultTimeout(ctx)
 	defer cancel()
 	encoded, err := encode(params)
--- a/pkg/rpc/rpc_test.go
+++ b/pkg/rpc/rpc_test.go
@@ -102,6 +102,20 @@
 	require.Equal(t, apierror.Unavailable, apierror.KindOf(echo(testContext(t), client, closed.Addr().String(), "x")))
 }
 
+// Guards against requests that are sent, and may succeed, although their caller no longer waits.
+func TestCall_EndedContextSendsNothing(t *testing.T) {
+	_, address := startServer(t, nil)
+	client := startClient(t, nil)
+	require.NoError(t, echo(testContext(t), client, address, "connect"))
+	sent := client.counters.Sent.Load()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 100 {
+		require.Equal(t, apierror.Unavailable, apierror.KindOf(echo(ended, client, address, "late")))
+	}
+	require.Equal(t, sent, client.counters.Sent.Load())
+}
+
 // Guards against responses that reach the wrong caller and against one connection per caller.
 func TestCall_ConcurrentCallersShareConnection(t *testing.T) {
 	server, address := startServer(t, nil)
