logstore: a silent log service leaves time for the next one

With several platform.urls, reads failed as long as the first service was silent: found while looking for the cause of the silent store on related paths.

Cause: all URLs of a read shared one timeout, which the silent first one used up. Each request has its own timeout now; those after a failed one do not wait for an entry, since the wait is over by then.

Test, before: TestRead_SilentServiceIsFollowedByNext fails with a timeout. After: it passes.

--- a/pkg/logstore/httplog.go
+++ b/pkg/logstore/httplog.go
@@ -34,8 +34,8 @@
 }
 
 // NewHTTPLog returns a client of the log service. A read falls back to the next base URL ("http://ip:port") when a request
-// to the previous one fails; an append uses the first one only. The caller passes the transport, so that it can count
-// bytes and use TLS.
+// to the previous one fails or times out; an append uses the first one only. The caller passes the transport, so that it can
+// count bytes and use TLS.
 func NewHTTPLog(baseURLs []string, transport http.RoundTripper) *HTTPLog {
 	trimmed := make([]string, len(baseURLs))
 	for i, u := range baseURLs {
@@ -66,26 +66,34 @@
 	return entry, nil
 }
 
-// Read implements Log.
+// Read implements Log. A request after a failed one does not wait for an entry.
 func (l *HTTPLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Batch, error) {
+	err := errNoURL()
+	for _, base := range l.baseURLs {
+		var batch Batch
+		if batch, err = l.readFrom(ctx, base, stream, from, limit, wait); err == nil || ctx.Err() != nil {
+			return batch, err
+		}
+		wait = 0
+	}
+	return Batch{}, err
+}
+
+// readFrom sends a read to one base URL.
+func (l *HTTPLog) readFrom(ctx context.Context, base, stream string, from int64, limit int, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+requestTimeout)
 	defer cancel()
 	query := url.Values{}
 	query.Set("from", strconv.FormatInt(from, 10))
 	query.Set("limit", strconv.Itoa(limit))
 	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
-	err := errNoURL()
-	for _, base := range l.baseURLs {
-		request, buildErr := http.NewRequestWithContext(ctx, http.MethodGet, l.recordsURL(base, stream)+"?"+query.Encode(), nil)
-		if buildErr != nil {
-			return Batch{}, eris.Wrap(buildErr, "building read request")
-		}
-		var batch Batch
-		if err = l.do(request, &batch); err == nil {
-			return batch, nil
-		}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.recordsURL(base, stream)+"?"+query.Encode(), nil)
+	if err != nil {
+		return Batch{}, eris.Wrap(err, "building read request")
 	}
-	return Batch{}, err
+	var batch Batch
+	err = l.do(request, &batch)
+	return batch, err
 }
 
 // appendError classifies the error of an append: failures before the request was sent and rejections keep a kind that means
--- a/pkg/logstore/httplog_test.go
+++ b/pkg/logstore/httplog_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
@@ -26,6 +28,24 @@
 	})
 }
 
+// Guards against reads that fail as long as the first of several log services is silent.
+func TestRead_SilentServiceIsFollowedByNext(t *testing.T) {
+	silent := make(chan struct{})
+	first := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-silent }))
+	defer first.Close()
+	defer close(silent)
+	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Equal(t, "0", r.URL.Query().Get("wait_ms"), "the change may be there already")
+		_, _ = w.Write([]byte(`{"entries":[],"first":1,"next":7}`))
+	}))
+	defer second.Close()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	batch, err := NewHTTPLog([]string{first.URL, second.URL}, transport).Read(context.Background(), StreamConfig, 1, 10, time.Second)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, batch.Next)
+}
+
 // Guards against an append being reported as not appended although only its response was lost.
 func TestAppend_ErrorKinds(t *testing.T) {
 	for name, test := range map[string]struct {
