--- a/pkg/logstore/httplog.go
+++ b/pkg/logstore/httplog.go
@@ -116,6 +116,9 @@
 func (l *HTTPLog) do(request *http.Request, result any) error {
 	response, err := l.client.Do(request)
 	if err != nil {
+		if request.Context().Err() != nil {
+			l.client.CloseIdleConnections() // a network that has dropped one connection silently may have dropped others
+		}
 		return &transportError{typed: unavailable(err.Error()), cause: err}
 	}
 	defer response.Body.Close()
--- a/pkg/logstore/httplog_test.go
+++ b/pkg/logstore/httplog_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,6 +48,55 @@
 	require.EqualValues(t, 7, batch.Next)
 }
 
+// Guards against requests that time out one after the other after a network has silently dropped all connections: each would be sent on another
+// idle one.
+func TestRead_ReplacesConnectionsThatWentSilentTogether(t *testing.T) {
+	var silent atomic.Bool
+	arrived, hold, release := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if connected, _ := r.Context().Value(connectedBeforeKey{}).(bool); connected && silent.Load() {
+			<-release
+			return
+		}
+		if r.URL.Query().Get("limit") == "2" {
+			close(arrived)
+			<-hold
+		}
+		_, _ = w.Write([]byte(`{"entries":[],"first":1,"next":1}`))
+	}))
+	server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connectedBeforeKey{}, !silent.Load())
+	}
+	server.Start()
+	defer server.Close()
+	defer close(release)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	log := NewHTTPLog([]string{server.URL}, transport)
+	held := make(chan error, 1)
+	go func() {
+		_, err := log.Read(context.Background(), StreamConfig, 1, 2, 0)
+		held <- err
+	}()
+	<-arrived
+	_, err := log.Read(context.Background(), StreamConfig, 1, 1, 0)
+	require.NoError(t, err)
+	close(hold)
+	require.NoError(t, <-held) // two connections are idle now
+	silent.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err = log.Read(ctx, StreamConfig, 1, 1, 0)
+	require.Error(t, err)
+	start := time.Now()
+	_, err = log.Read(context.Background(), StreamConfig, 1, 1, 0)
+	require.NoError(t, err)
+	require.Less(t, time.Since(start), requestTimeout)
+}
+
+// connectedBeforeKey is the context key of whether a connection was opened before the network went silent.
+type connectedBeforeKey struct{}
+
 // Guards against an append being reported as not appended although only its response was lost.
 func TestAppend_ErrorKinds(t *testing.T) {
 	for name, test := range map[string]struct {
