distribution: a reader notices in time that the log has dropped its reads

A data centre that is cut off from the others has its readers only; a read that the log drops silently just before it recovers delayed the next change by 25.1 to 28.6 s, in virtual time (aim: in force in 14 s).

Cause: a poll of 20 s and 5 s of timeout, then a pause of up to 5 s, whose failures were counted over the life of the process, since only the loss of the role reset them.

A poll waits 5 s; reads do not wait as long as the log does not respond; the time of a failed read counts towards the pause, and a successful read ends the count.

Test, before: TestReadLog_NoticesDroppedReadsInTime fails in its three cases (25.1, 25.2, 28.6 s; bound 14 s).

--- a/pkg/distribution/reader.go
+++ b/pkg/distribution/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -13,7 +14,8 @@
 
 const readLimit = 500 // maximum number of entries in one read of the log
 
-// readLog long-polls the log while this node is a reader of its data centre.
+// readLog long-polls the log while this node is a reader of its data centre. The log may silently drop a read, which is noticed when it
+// times out. As long as the log does not respond, reads do not wait for the next record, so that they time out sooner.
 func (d *Distributor) readLog(ctx context.Context) error {
 	for ctx.Err() == nil {
 		r := d.currentRoles()
@@ -21,7 +23,7 @@
 			return nil
 		}
 		from := d.State().Offset + 1
-		batch, err := d.options.Log.Read(ctx, logstore.StreamConfig, from, readLimit, d.timing.PollWait)
+		batch, err := d.options.Log.Read(ctx, logstore.StreamConfig, from, readLimit, d.startLogRead())
 		if err == nil {
 			err = d.applyBatch(ctx, fromLog, from, batch)
 		}
@@ -33,6 +35,17 @@
 	return ctx.Err()
 }
 
+// startLogRead records that a read of the log starts and returns its wait.
+func (d *Distributor) startLogRead() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.readStarted = time.Now()
+	if d.scheduler.logFailures > 0 {
+		return 0
+	}
+	return d.timing.PollWait
+}
+
 // recordLogRead counts consecutive failed reads of the log and logs the first one.
 func (d *Distributor) recordLogRead(ctx context.Context, err error) {
 	if ctx.Err() != nil {
@@ -41,7 +54,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err == nil {
-		d.scheduler.logFailures = 0
+		d.scheduler.logFailures, d.scheduler.read.failures = 0, 0
 		return
 	}
 	d.scheduler.logFailures++
--- a/pkg/distribution/scheduler.go
+++ b/pkg/distribution/scheduler.go
@@ -55,7 +55,8 @@
 	pull         pullState
 	divergence   divergenceState
 	checkpoint   checkpointState
-	logFailures  int // consecutive failed reads of the log
+	readStarted  time.Time // start of the latest read of the log by a reader
+	logFailures  int       // consecutive failed reads of the log
 }
 
 // scheduleFirstRuns sets the first due times of a run.
--- a/pkg/distribution/tick.go
+++ b/pkg/distribution/tick.go
@@ -73,7 +73,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.scheduler.jobOf(a).finish(err, time.Now(), interval, d.rng, d.timing)
+	finished := time.Now()
+	if a == actRead {
+		finished = d.scheduler.readStarted // a read that has timed out is not followed by a pause as well
+	}
+	d.scheduler.jobOf(a).finish(err, finished, interval, d.rng, d.timing)
 }
 
 // startRetryInterval returns the interval to the next start step, with jitter, so that nodes that started at the same time
--- a/pkg/distribution/timing.go
+++ b/pkg/distribution/timing.go
@@ -10,7 +10,7 @@
 type Timing struct {
 	Tick                time.Duration // default 100 ms; each tick wakes an idle process
 	RoleInterval        time.Duration // interval at which reader, relay and checkpoint roles are computed; default 500 ms
-	PollWait            time.Duration // wait of one long poll of a reader; default 20 s
+	PollWait            time.Duration // wait of one long poll of a reader; default 5 s, since a silently dropped poll delays a change by this and the timeout of the log's client
 	RetryBase           time.Duration // initial backoff of failed actions, doubled per failure up to RetryMax, with full jitter; default 100 ms
 	RetryMax            time.Duration // default 5 s
 	PullDelay           time.Duration // delay of a pull after a heartbeat, at most 1.25 times this, so that a push in flight can arrive; default 150 ms
@@ -38,7 +38,7 @@
 func (t Timing) withDefaults() Timing {
 	t.Tick = cmp.Or(t.Tick, 100*time.Millisecond)
 	t.RoleInterval = cmp.Or(t.RoleInterval, 500*time.Millisecond)
-	t.PollWait = cmp.Or(t.PollWait, 20*time.Second)
+	t.PollWait = cmp.Or(t.PollWait, 5*time.Second)
 	t.RetryBase = cmp.Or(t.RetryBase, 100*time.Millisecond)
 	t.RetryMax = cmp.Or(t.RetryMax, 5*time.Second)
 	t.PullDelay = cmp.Or(t.PullDelay, 150*time.Millisecond)
