soak: callers look at their connection directly before they send

Cause, in the test: callers checked whether the node had closed the idle connection, then prepared the requests (up to 40 KB of body, locks of the checker), then sent them. A caller that got no processor in between sent on a connection whose end had arrived, and read this end some microseconds later. A request that the node had read or that had reached its socket would be answered or reset later than that.

Ruled out: a node that cuts a request after the pause of its process; the end would be seen when the process resumes, not 6 µs after the write.

The check does not wait any more and is made directly before the write; a request that is written counts as before, so the check is as strict.

--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/platform/wire"
@@ -21,7 +22,6 @@
 	maxThinkTime           = 40 * time.Millisecond // between two requests of most callers
 	connectTimeout         = time.Second
 	reconnectPause         = 50 * time.Millisecond
-	closeCheckTime         = 100 * time.Microsecond // for the end of a connection that has already arrived
 	minRequestTimeout      = 600 * time.Millisecond
 	requestTimeoutSpread   = 1200 * time.Millisecond
 	responseGrace          = 500 * time.Millisecond // beyond the stated timeout
@@ -90,13 +90,22 @@
 	return nil
 }
 
-// isClosedByNode reports whether the node has closed the idle connection.
+// isClosedByNode reports whether the node has closed the idle connection. It does not wait, so that a request can be sent directly after it.
 func (c *caller) isClosedByNode() bool {
-	// If setting the deadline fails, so does reading.
-	_ = c.conn.SetReadDeadline(time.Now().Add(closeCheckTime))
-	_, err := c.reader.Peek(1)
-	var networkErr net.Error
-	return err != nil && !(errors.As(err, &networkErr) && networkErr.Timeout())
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var next [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN)
+	})
+	return closed || err != nil
 }
 
 // newAttempts creates requests to be pipelined. Only idempotent requests are pipelined.
@@ -130,7 +139,11 @@
 	return a
 }
 
-// exchange pipelines requests and reads their responses in order.
+// errClosedBeforeSend means that the node closed the idle connection before the requests were sent.
+var errClosedBeforeSend = errors.New("the node has closed the idle connection")
+
+// exchange pipelines requests and reads their responses in order. It sends nothing if the end of the connection has arrived, also while the
+// requests were prepared, which may take long if the test gets no processor.
 func (c *caller) exchange(attempts ...*attempt) []*callerResponse {
 	var text strings.Builder
 	longest := time.Duration(0)
@@ -141,6 +154,10 @@
 	}
 	// If setting the deadline fails, the following write fails as well.
 	_ = c.conn.SetDeadline(time.Now().Add(longest + responseGrace))
+	if c.isClosedByNode() {
+		c.closeConn()
+		return []*callerResponse{{err: errClosedBeforeSend}}
+	}
 	_, writeErr := io.WriteString(c.conn, text.String())
 	written := time.Now()
 	var responses []*callerResponse
