sidecar: one substitute at a time, at most four

A node asks the next one only, or the one behind if that cannot be asked; a lost substitute costs a second more. Four substitutes suffice unless six nodes of each data centre are turned away.

--- a/pkg/sidecar/substitute.go
+++ b/pkg/sidecar/substitute.go
@@ -20,12 +20,12 @@
 
 const (
 	// maxSubstitutes bounds the nodes of a data centre that read the store in place of its readers, since the store may be down for all nodes.
-	maxSubstitutes = 6
-	// substitutesPerNode is the number of nodes that a node asks whose reads fail. The store may turn away one of them as well.
-	substitutesPerNode = 2
+	maxSubstitutes = 4
+	// maxAsked is the number of nodes that a node whose read fails tries to ask.
+	maxAsked = 2
 	// substituteTerm is how long a node reads the store after it was asked. It is longer than askInterval and two failed reads take.
 	substituteTerm = 5 * time.Second
-	// askInterval is the minimum time between two requests to the same substitutes.
+	// askInterval is the minimum time between two requests to the same substitute.
 	askInterval = time.Second
 	askTimeout  = time.Second
 )
@@ -36,8 +36,8 @@
 	Offset     int64 `json:"offset,omitempty"`
 }
 
-// substitute lets other nodes read the store while it does not serve the readers of a data centre. A node whose read fails asks the nodes behind
-// it in the order of readers. Each of them reads for substituteTerm, and asks the ones behind it if its own reads fail.
+// substitute lets other nodes read the store while it does not serve the readers of a data centre. A node whose read fails asks the node behind
+// it in the order of readers, which reads for substituteTerm, and asks the one behind it if its own reads fail.
 type substitute struct {
 	mu       sync.Mutex
 	until    time.Time      // this node reads the store until then
@@ -86,8 +86,9 @@
 	return true
 }
 
-// askSubstitutes asks the next nodes to read the store after a read has failed. position is nil if this node knows none.
-func (r *relay) askSubstitutes(ctx context.Context, position *StorePosition) {
+// askSubstitute asks the next node to read the store after a read has failed. If that node cannot be asked, for example since it runs an earlier
+// build, it asks the one behind it. position is nil if this node knows none.
+func (r *relay) askSubstitute(ctx context.Context, position *StorePosition) {
 	if !r.substitute.mayAsk() {
 		return
 	}
@@ -95,24 +96,33 @@
 	if position != nil {
 		p = substituteParams{Generation: position.Generation, Offset: position.Offset}
 	}
-	for _, m := range r.nextReaders() {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, askTimeout)
-			defer cancel()
-			r.metrics.Inc("substitute_asked")
-			var done bool
-			if err := r.client.Call(ctx, m.ControlAddress, substituteMethod, &p, &done); err != nil {
-				r.metrics.Inc("substitute_ask_failed")
-				r.logger.Debug("substitute_ask_failed", zap.String("to", m.ControlAddress), zap.Error(err))
+	go func() {
+		for _, m := range r.nextReaders() {
+			if r.ask(ctx, m.ControlAddress, &p) {
+				return
 			}
-		}()
+		}
+	}()
+}
+
+// ask reports whether the node has agreed to read the store.
+func (r *relay) ask(ctx context.Context, address string, p *substituteParams) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	r.metrics.Inc("substitute_asked")
+	var agreed bool
+	err := r.client.Call(ctx, address, substituteMethod, p, &agreed)
+	if err != nil {
+		r.metrics.Inc("substitute_ask_failed")
+		r.logger.Debug("substitute_ask_failed", zap.String("to", address), zap.Error(err))
 	}
+	return err == nil && agreed
 }
 
-// nextReaders returns the nodes that this node asks to read the store.
+// nextReaders returns the nodes behind this one in the order of readers that it may ask to read the store.
 func (r *relay) nextReaders() []membership.Member {
 	index, _ := r.indexInDataCentre()
-	count := min(substitutesPerNode, readersPerDataCentre+maxSubstitutes-1-index)
+	count := min(maxAsked, readersPerDataCentre+maxSubstitutes-1-index)
 	own := xxhash.Sum64String(r.self)
 	var behind []membership.Member
 	for _, m := range r.members() {
