sidecar: only a store that does not respond makes a reader ask for a substitute

A reader now asks after two failed reads in a row, unless the store responds that the records are gone; a node that reads as a substitute asks after one.

Test: TestPoller_TurnedAwayAfterTwoFailures. pkg/sidecar TurnedAway and SilentStore pass with the race detector.

--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -86,8 +86,8 @@
 	onBlocked  func([]quarantine.Record)              // called with the requests that crash backend servers, as a starting node reads them
 	onOrders   func(context.Context, []rollout.Order) // called with the orders of roll-outs that were read from the store
 	onChange   func(*routing.Change)                  // called after a version was read from the store or pulled from another node
-	// onReadFailed is called after a reader's read has failed, with the position that it read from, if it is known.
-	onReadFailed func(context.Context, *StorePosition)
+	// onTurnedAway is called while the store does not serve this node, with the position that it reads from, if it is known.
+	onTurnedAway func(context.Context, *StorePosition)
 	substitute   *substitute
 }
 
@@ -97,7 +97,7 @@
 		fullTransfers: make(chan struct{}, maxFullTransfers), copyWait: earlierCopyWait,
 		isReader: func() bool { return true }, isStandby: func() bool { return false }, isWriter: func() bool { return true },
 		hasPeers: func() bool { return true }, onChange: func(*routing.Change) {},
-		onReadFailed: func(context.Context, *StorePosition) {}, substitute: newSubstitute(),
+		onTurnedAway: func(context.Context, *StorePosition) {}, substitute: newSubstitute(),
 		onRollouts: func([]rollout.State) {}, onBlocked: func([]quarantine.Record) {}, onOrders: func(context.Context, []rollout.Order) {},
 	}
 	server.Handle(documentMethod, f.serveDocument)
@@ -198,8 +198,8 @@
 		if err != nil {
 			positionKnown = positionKnown && apierror.KindOf(err) != apierror.NotFound
 			f.storeFailed(err)
-			if f.table.Load() != nil {
-				f.onReadFailed(ctx, knownPosition(position, positionKnown))
+			if f.table.Load() != nil && (poll.isTurnedAway(err) || f.substitute.isActive()) {
+				f.onTurnedAway(ctx, knownPosition(position, positionKnown))
 			}
 			poll.failed(ctx, callStarted)
 			continue
--- a/pkg/sidecar/poll.go
+++ b/pkg/sidecar/poll.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 )
 
@@ -80,6 +81,12 @@
 // succeeded records that a call succeeded.
 func (p *poller) succeeded() { p.backoff, p.responding = minBackoff, true }
 
+// isTurnedAway reports whether the store does not serve this node after a call has failed. One failure may have another cause, such as a link that
+// is full. A store that has deleted the records at a position does respond.
+func (p *poller) isTurnedAway(err error) bool {
+	return !p.responding && apierror.KindOf(err) != apierror.NotFound
+}
+
 // failed records that a call failed, and waits before the next one. The calls start at random intervals that increase up to 1.5 maxBackoff, or
 // when the call before has timed out.
 func (p *poller) failed(ctx context.Context, callStarted time.Time) {
--- a/pkg/sidecar/silent_store_test.go
+++ b/pkg/sidecar/silent_store_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 )
 
 // testStoreRecovery is the time after a fault of the store after which configurations must be in force in time again.
@@ -63,6 +65,18 @@
 	assert.Less(t, m.activationTime(second, 2), testStoreRecovery)
 }
 
+// Guards against nodes that read whole configurations in place of a reader whose link is full, or whose position the store has deleted.
+func TestPoller_TurnedAwayAfterTwoFailures(t *testing.T) {
+	unavailable, deleted := apierror.New(apierror.Unavailable, "store: timeout", ""), apierror.New(apierror.NotFound, "store: deleted", "")
+	p := newPoller(nil, 0, nil)
+	assert.False(t, p.isTurnedAway(unavailable))
+	p.failed(t.Context(), time.Now())
+	assert.True(t, p.isTurnedAway(unavailable))
+	assert.False(t, p.isTurnedAway(deleted))
+	p.succeeded()
+	assert.False(t, p.isTurnedAway(unavailable))
+}
+
 // Guards against polls that outlast the recovery time that the operators require, and against ones that follow each other without need.
 func TestPoller_WaitFitsRecoveryTime(t *testing.T) {
 	for recovery, want := range map[time.Duration]time.Duration{
--- a/pkg/sidecar/substitute.go
+++ b/pkg/sidecar/substitute.go
@@ -21,7 +21,7 @@
 const (
 	// maxSubstitutes bounds the nodes of a data centre that read the store in place of its readers, since the store may be down for all nodes.
 	maxSubstitutes = 4
-	// maxAsked is the number of nodes that a node whose read fails tries to ask.
+	// maxAsked is the number of nodes that a node tries to ask.
 	maxAsked = 2
 	// substituteTerm is how long a node reads the store after it was asked. It is longer than askInterval and two failed reads take.
 	substituteTerm = 5 * time.Second
@@ -36,8 +36,8 @@
 	Offset     int64 `json:"offset,omitempty"`
 }
 
-// substitute lets other nodes read the store while it does not serve the readers of a data centre. A node whose read fails asks the node behind
-// it in the order of readers, which reads for substituteTerm, and asks the one behind it if its own reads fail.
+// substitute lets other nodes read the store while it does not serve the readers of a data centre. A reader that is turned away asks the node
+// behind it in the order of readers, which reads for substituteTerm, and asks the one behind it if its own reads fail.
 type substitute struct {
 	mu       sync.Mutex
 	until    time.Time      // this node reads the store until then
@@ -86,7 +86,7 @@
 	return true
 }
 
-// askSubstitute asks the next node to read the store after a read has failed. If that node cannot be asked, for example since it runs an earlier
+// askSubstitute asks the next node to read the store. If that node cannot be asked, for example since it runs an earlier
 // build, it asks the one behind it. position is nil if this node knows none.
 func (r *relay) askSubstitute(ctx context.Context, position *StorePosition) {
 	if !r.substitute.mayAsk() {
