sidecar: a response that does not arrive in time is no reason for a substitute

The adapter marks such errors, and they do not make a node ask; nor do records that the store has deleted, for substitutes either.

Test: TestPoller_TurnedAwayAfterTwoFailures covers both kinds of errors. platform and the silent store's tests pass with the race detector.

--- a/pkg/sidecar/poll.go
+++ b/pkg/sidecar/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -12,6 +13,9 @@
 // StoreCallTimeout bounds a call to the store, beyond the wait of a long poll. A slow store takes some hundred milliseconds.
 const StoreCallTimeout = time.Second
 
+// ErrIncompleteResponse is wrapped by the error of a call whose response did not arrive completely, for example over a link that is full.
+var ErrIncompleteResponse = errors.New("incomplete response")
+
 const (
 	defaultStoreRecovery = 3 * time.Second
 	// recoveryMargin is the part of Bounds.StoreRecovery that is left for reading the store again and relaying what it holds.
@@ -81,10 +85,11 @@
 // succeeded records that a call succeeded.
 func (p *poller) succeeded() { p.backoff, p.responding = minBackoff, true }
 
-// isTurnedAway reports whether the store does not serve this node after a call has failed. One failure may have another cause, such as a link that
-// is full. A store that has deleted the records at a position does respond.
-func (p *poller) isTurnedAway(err error) bool {
-	return !p.responding && apierror.KindOf(err) != apierror.NotFound
+// isTurnedAway reports whether the store does not serve this node, after a call has failed with err. The failure of a single call may have
+// another cause. It does not matter if another node has asked this one to read, since that node was turned away before.
+func (p *poller) isTurnedAway(err error, wasAsked bool) bool {
+	hasResponded := apierror.KindOf(err) == apierror.NotFound || errors.Is(err, ErrIncompleteResponse)
+	return !hasResponded && (wasAsked || !p.responding)
 }
 
 // failed records that a call failed, and waits before the next one. The calls start at random intervals that increase up to 1.5 maxBackoff, or
--- a/pkg/sidecar/silent_store_test.go
+++ b/pkg/sidecar/silent_store_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,13 +69,18 @@
 // Guards against nodes that read whole configurations in place of a reader whose link is full, or whose position the store has deleted.
 func TestPoller_TurnedAwayAfterTwoFailures(t *testing.T) {
 	unavailable, deleted := apierror.New(apierror.Unavailable, "store: timeout", ""), apierror.New(apierror.NotFound, "store: deleted", "")
+	incomplete := fmt.Errorf("%w: %w", ErrIncompleteResponse, unavailable)
 	p := newPoller(nil, 0, nil)
-	assert.False(t, p.isTurnedAway(unavailable))
+	assert.False(t, p.isTurnedAway(unavailable, false))
+	assert.True(t, p.isTurnedAway(unavailable, true))
 	p.failed(t.Context(), time.Now())
-	assert.True(t, p.isTurnedAway(unavailable))
-	assert.False(t, p.isTurnedAway(deleted))
+	assert.True(t, p.isTurnedAway(unavailable, false))
+	for _, err := range []error{deleted, incomplete} {
+		assert.False(t, p.isTurnedAway(err, false), "%v", err)
+		assert.False(t, p.isTurnedAway(err, true), "%v", err)
+	}
 	p.succeeded()
-	assert.False(t, p.isTurnedAway(unavailable))
+	assert.False(t, p.isTurnedAway(unavailable, false))
 }
 
 // Guards against polls that outlast the recovery time that the operators require, and against ones that follow each other without need.
