--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -139,7 +139,8 @@
 	n.rpcServer.Handle(changeMethod, r.serveChange)
 	n.rpcServer.Handle(substituteMethod, r.serveSubstitute)
 	n.follower.isReader, n.follower.isStandby, n.follower.isWriter, n.follower.hasPeers = r.isReader, r.isStandby, r.isWriter, r.hasPeers
-	n.follower.onChange, n.follower.onTurnedAway, n.follower.substitute = r.broadcast, r.askSubstitute, r.substitute
+	n.follower.onChange = r.broadcast
+	n.follower.onTurnedAway, n.follower.substitute = r.askSubstitute, r.substitute
 	n.rollouts = n.newRollouts(r)
 	n.quarantine = newQuarantines(n.platform, r, n.rpcServer, n.inbound.suspects)
 	n.follower.onOrders, n.follower.onRollouts, n.follower.onBlocked = n.rollouts.observe, n.observeRollouts, n.quarantine.observeKept
