sidecar, soak: one piece for what the change wrote twice

Found by a last reading of the change; no behaviour changes.

- The soak's caller asks pkg/socket whether the node has closed its connection, instead of peeking itself; unread bytes before the close still count as open, as before.
- newDataCentre, startNodes and refuse of pkg/sidecar's tests replace five copies of the start of a mesh in one data centre and four loops that make the store refuse nodes.
- newProbedCluster holds the start that the soak's two tests of the store share.
- One substitute for the follower and the relay of a node; it was made twice.
Its message and a position convert into each other.

--- a/pkg/sidecar/generation_test.go
+++ b/pkg/sidecar/generation_test.go
@@ -106,11 +106,7 @@
 	m.eventually("version 2 is in force", func() bool { return m.nodes[0].follower.version() == 2 && m.nodes[1].follower.version() == 2 })
 	stale, err := encodeCompressed(testDocument(1))
 	require.NoError(t, err)
-	for _, n := range m.nodes {
-		m.platform.mu.Lock()
-		m.platform.refusing[n.settings.ID] = true // they cannot write the copy again
-		m.platform.mu.Unlock()
-	}
+	m.platform.refuse(true, m.nodes...) // they cannot write the copy again
 	m.platform.restore(testDocument(1), stale, nil)
 	m.adjust = func(n *Node) { n.follower.copyWait = testLimit } // also on a busy machine, the others answer sooner
 	n := m.start(2)
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -97,6 +97,15 @@
 	p.published = make(chan struct{})
 }
 
+// refuse makes the store refuse or serve the nodes.
+func (p *fakePlatform) refuse(refusing bool, nodes ...*testNode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range nodes {
+		p.refusing[n.settings.ID] = refusing
+	}
+}
+
 // setNoCopies makes the store refuse a node the copies and states, or serve them again.
 func (p *fakePlatform) setNoCopies(id string, refusing bool) {
 	p.mu.Lock()
@@ -457,12 +466,24 @@
 // newMesh starts nodes of service "s" in data centres dc-0, dc-1, ... and waits until they know each other.
 func newMesh(t testing.TB, count int) *mesh {
 	m := &mesh{t: t, platform: newFakePlatform()}
+	m.startNodes(count)
+	return m
+}
+
+// newDataCentre starts a mesh of which all nodes are in one data centre.
+func newDataCentre(t testing.TB, count int) *mesh {
+	m := &mesh{t: t, platform: newFakePlatform(), dataCentre: "dc"}
+	m.startNodes(count)
+	return m
+}
+
+// startNodes publishes a configuration, starts nodes and waits until they are ready.
+func (m *mesh) startNodes(count int) {
 	m.platform.publish(testDocument(1))
 	for i := range count {
 		m.start(i)
 	}
 	m.waitReady()
-	return m
 }
 
 func testDocument(version uint64) *routing.Document {
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -134,13 +134,13 @@
 func (n *Node) setUpRelay() {
 	r := &relay{
 		self: n.settings.ID, address: n.settings.Listen.Control, dataCentre: n.settings.DataCentre, members: n.membership.SharedMembers, client: n.rpcClient,
-		follower: n.follower, substitute: newSubstitute(), metrics: n.metrics, logger: n.logger,
+		follower: n.follower, substitute: n.follower.substitute, metrics: n.metrics, logger: n.logger,
 	}
 	n.rpcServer.Handle(changeMethod, r.serveChange)
 	n.rpcServer.Handle(substituteMethod, r.serveSubstitute)
 	n.follower.isReader, n.follower.isStandby, n.follower.isWriter, n.follower.hasPeers = r.isReader, r.isStandby, r.isWriter, r.hasPeers
 	n.follower.onChange = r.broadcast
-	n.follower.onTurnedAway, n.follower.substitute = r.askSubstitute, r.substitute
+	n.follower.onTurnedAway = r.askSubstitute
 	n.rollouts = n.newRollouts(r)
 	n.quarantine = newQuarantines(n.platform, r, n.rpcServer, n.inbound.suspects)
 	n.follower.onOrders, n.follower.onRollouts, n.follower.onBlocked = n.rollouts.observe, n.observeRollouts, n.quarantine.observeKept
--- a/pkg/sidecar/poll.go
+++ b/pkg/sidecar/poll.go
@@ -86,7 +86,7 @@
 func (p *poller) succeeded() { p.backoff, p.responding = minBackoff, true }
 
 // isTurnedAway reports whether the store does not serve this node, after a call has failed with err. The failure of a single call may have
-// another cause. It does not matter if another node has asked this one to read, since that node was turned away before.
+// another cause. One suffices if another node has asked this one to read, since that node was turned away before.
 func (p *poller) isTurnedAway(err error, wasAsked bool) bool {
 	hasResponded := apierror.KindOf(err) == apierror.NotFound || errors.Is(err, ErrIncompleteResponse)
 	return !hasResponded && (wasAsked || !p.responding)
--- a/pkg/sidecar/quarantine_store_test.go
+++ b/pkg/sidecar/quarantine_store_test.go
@@ -61,20 +61,13 @@
 func TestBlockedRequest_KeptWhenTheStoreIsBack(t *testing.T) {
 	m := newMesh(t, 2)
 	m.crashesOnDeadlyRequests(0)
-	setRefusing := func(refusing bool) {
-		m.platform.mu.Lock()
-		defer m.platform.mu.Unlock()
-		for _, n := range m.nodes {
-			m.platform.refusing[n.settings.ID] = refusing
-		}
-	}
-	setRefusing(true)
+	m.platform.refuse(true, m.nodes...)
 	m.call(m.nodes[0], "GET", deadlyPath, "")
 	m.eventually("a write has failed", func() bool {
 		return m.nodes[0].metrics.Counter("quarantine_not_kept").Count()+m.nodes[1].metrics.Counter("quarantine_not_kept").Count() > 0
 	})
 	assert.Zero(t, m.platform.keptBlocked())
-	setRefusing(false)
+	m.platform.refuse(false, m.nodes...)
 	m.eventually("it is kept", func() bool { return m.platform.keptBlocked() == 1 })
 
 	m.platform.mu.Lock()
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -187,12 +187,7 @@
 // Guards against polls of the store by all readers of a data centre in the same short intervals: one of them has to notice soon that the store
 // drops its requests, the others have to be there when it fails.
 func TestReaders_OnlyFirstPollsInShortIntervals(t *testing.T) {
-	m := &mesh{t: t, platform: newFakePlatform(), dataCentre: "dc"}
-	m.platform.publish(testDocument(1))
-	for i := range 4 {
-		m.start(i)
-	}
-	m.waitReady()
+	m := newDataCentre(t, 4)
 	m.eventually("both readers poll", func() bool {
 		m.platform.mu.Lock()
 		defer m.platform.mu.Unlock()
@@ -369,9 +364,7 @@
 // A node that the store refuses gets the configuration from another node, and never reverts to an older version.
 func TestConfiguration_FromOtherNodes(t *testing.T) {
 	m := newMesh(t, 3)
-	m.platform.mu.Lock()
-	m.platform.refusing["node-2"] = true
-	m.platform.mu.Unlock()
+	m.platform.refuse(true, m.nodes[2])
 	m.platform.publish(testDocument(2)) // wakes pending long polls
 	m.eventually("the new version is in force everywhere", func() bool {
 		for _, n := range m.nodes {
--- a/pkg/sidecar/silent_store_test.go
+++ b/pkg/sidecar/silent_store_test.go
@@ -45,11 +45,7 @@
 
 // Guards against a second reader that waits for a poll that the store has dropped, after the first reader of its data centre has left.
 func TestSilentStore_PromotedReaderPollsAgain(t *testing.T) {
-	m := &mesh{t: t, platform: newFakePlatform(), dataCentre: "dc"}
-	m.platform.publish(testDocument(1))
-	m.start(0)
-	m.start(1)
-	m.waitReady()
+	m := newDataCentre(t, 2)
 	first, second := m.nodes[0], m.nodes[1]
 	if first.follower.isStandby() {
 		first, second = second, first
--- a/pkg/sidecar/stale_directory_test.go
+++ b/pkg/sidecar/stale_directory_test.go
@@ -30,11 +30,7 @@
 // Guards against a version that is late on all nodes after the whole fleet was restarted: nodes that had left, but are still in the directory,
 // counted as the readers of their data centre until they were declared dead.
 func TestRestartOfAllNodes_StaleDirectoryDoesNotDelayVersions(t *testing.T) {
-	m := &mesh{t: t, platform: newFakePlatform(), dataCentre: "dc"}
-	m.platform.publish(testDocument(1))
-	m.start(0)
-	m.start(1)
-	m.waitReady()
+	m := newDataCentre(t, 2)
 	m.awaitCopy()
 	m.stopAll()
 	m.leaveStaleContacts(8)
--- a/pkg/sidecar/substitute.go
+++ b/pkg/sidecar/substitute.go
@@ -94,7 +94,7 @@
 	}
 	var p substituteParams
 	if position != nil {
-		p = substituteParams{Generation: position.Generation, Offset: position.Offset}
+		p = substituteParams(*position)
 	}
 	go func() {
 		for _, m := range r.nextReaders() {
@@ -145,10 +145,7 @@
 		r.metrics.Inc("substitute_started")
 		r.logger.Info("substitute_started", zap.Duration("for", substituteTerm))
 	}
-	var position *StorePosition
-	if p != (substituteParams{}) {
-		position = &StorePosition{Generation: p.Generation, Offset: p.Offset}
-	}
-	r.substitute.start(position)
+	position := StorePosition(p)
+	r.substitute.start(knownPosition(position, position != StorePosition{}))
 	return true, nil
 }
--- a/pkg/sidecar/substitute_test.go
+++ b/pkg/sidecar/substitute_test.go
@@ -12,14 +12,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// newDataCentre starts a mesh in one data centre and returns its nodes in the order in which they become readers.
-func newDataCentre(t *testing.T, size int) (*mesh, []*testNode) {
-	m := &mesh{t: t, platform: newFakePlatform(), dataCentre: "dc"}
-	m.platform.publish(testDocument(1))
-	for i := range size {
-		m.start(i)
-	}
-	m.waitReady()
+// newReaderOrder starts a mesh in one data centre and returns its nodes in the order in which they become readers.
+func newReaderOrder(t *testing.T, size int) (*mesh, []*testNode) {
+	m := newDataCentre(t, size)
 	order := slices.SortedFunc(slices.Values(m.nodes), func(a, b *testNode) int {
 		return cmp.Compare(xxhash.Sum64String(a.settings.ID), xxhash.Sum64String(b.settings.ID))
 	})
@@ -35,15 +30,6 @@
 	return m, order
 }
 
-// refuse makes the store refuse or serve the nodes.
-func (p *fakePlatform) refuse(nodes []*testNode, refusing bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, n := range nodes {
-		p.refusing[n.settings.ID] = refusing
-	}
-}
-
 // pollersDuring returns the number of nodes that poll the store during a time.
 func (p *fakePlatform) pollersDuring(d time.Duration) int {
 	p.mu.Lock()
@@ -60,8 +46,8 @@
 	for _, turnedAway := range []int{readersPerDataCentre, readersPerDataCentre + 3} {
 		t.Run(fmt.Sprintf("%d of 8 nodes", turnedAway), func(t *testing.T) {
 			t.Parallel()
-			m, order := newDataCentre(t, 8)
-			m.platform.refuse(order[:turnedAway], true)
+			m, order := newReaderOrder(t, 8)
+			m.platform.refuse(true, order[:turnedAway]...)
 			for version := uint64(2); version < 5; version++ {
 				published := time.Now()
 				m.platform.publish(testDocument(version))
@@ -80,13 +66,13 @@
 
 // Guards against a fleet that reads the store with all nodes while it is down, or with more nodes than needed after it has recovered.
 func TestTurnedAwayReaders_SubstitutesAreBounded(t *testing.T) {
-	m, order := newDataCentre(t, 12)
-	m.platform.refuse(order, true)
+	m, order := newReaderOrder(t, 12)
+	m.platform.refuse(true, order...)
 	m.platform.publish(testDocument(2))
 	during := m.platform.pollersDuring(substituteTerm)
 	assert.Greater(t, during, readersPerDataCentre)
 	assert.LessOrEqual(t, during, readersPerDataCentre+maxSubstitutes)
-	m.platform.refuse(order, false)
+	m.platform.refuse(false, order...)
 	m.eventually("the configuration is in force on all nodes", func() bool {
 		return !slices.ContainsFunc(m.nodes, func(n *testNode) bool { return n.follower.version() != 2 })
 	})
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -11,9 +11,9 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/socket"
 	"github.com/laburnumcleat/laburnumcleat/platform/wire"
 )
 
@@ -90,22 +90,10 @@
 	return nil
 }
 
-// isClosedByNode reports whether the node has closed the idle connection. It does not wait, so that a request can be sent directly after it.
+// isClosedByNode reports whether the node has closed the idle connection and nothing is left to read on it. It does not wait, so that a request
+// can be sent directly after it.
 func (c *caller) isClosedByNode() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := false
-	err = raw.Control(func(fd uintptr) {
-		var next [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN)
-	})
-	return closed || err != nil
+	return c.reader.Buffered() == 0 && socket.IsClosedByPeer(c.conn) && !socket.HasUnread(c.conn)
 }
 
 // newAttempts creates requests to be pipelined. Only idempotent requests are pipelined.
--- a/test/soak/silent_store_test.go
+++ b/test/soak/silent_store_test.go
@@ -28,15 +28,21 @@
 	forEachSeed(t, runSilentStore, *size)
 }
 
-// runSilentStore silences the store several times and returns the violations. With an odd seed all nodes are in one data centre.
-func runSilentStore(t *testing.T, program string, seed uint64, size int) []violation {
-	random := rand.New(rand.NewPCG(seed, 5))
+// newProbedCluster starts a cluster with a caller and a probe at each node. With an odd seed all nodes are in one data centre.
+func newProbedCluster(t *testing.T, program string, seed uint64, size int) *cluster {
 	if seed%2 == 1 {
 		size = oneDataCentreSize
 	}
 	cl := newCluster(t, program, size)
 	cl.startCallers(1)
 	cl.startProbes()
+	return cl
+}
+
+// runSilentStore silences the store several times and returns the violations.
+func runSilentStore(t *testing.T, program string, seed uint64, size int) []violation {
+	random := rand.New(rand.NewPCG(seed, 5))
+	cl := newProbedCluster(t, program, seed, size)
 	for range silences {
 		cl.silenceStore(random)
 	}
--- a/test/soak/turned_away_test.go
+++ b/test/soak/turned_away_test.go
@@ -23,15 +23,9 @@
 	forEachSeed(t, runTurnedAwayReaders, *size)
 }
 
-// runTurnedAwayReaders makes the store drop the calls of all readers several times and returns the violations. With an odd seed all nodes are in
-// one data centre.
+// runTurnedAwayReaders makes the store drop the calls of all readers several times and returns the violations.
 func runTurnedAwayReaders(t *testing.T, program string, seed uint64, size int) []violation {
-	if seed%2 == 1 {
-		size = oneDataCentreSize
-	}
-	cl := newCluster(t, program, size)
-	cl.startCallers(1)
-	cl.startProbes()
+	cl := newProbedCluster(t, program, seed, size)
 	for range refusals {
 		cl.publish(func(*routing.Document) {}) // ends all polls, so that each reader reads again
 		readers := cl.readers(calmBeforeSilence)
