--- a/pkg/routing/document.go
+++ b/pkg/routing/document.go
@@ -18,6 +18,7 @@
 	Limits   Limits    `json:"limits"`
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
+	Teams    []Team    `json:"teams,omitempty"` // if there are any, requests need a key unless their route is public
 
 	routesDigest uint64 // cached digest of the routes, if hasDigest
 	hasDigest    bool
@@ -44,6 +45,7 @@
 	Host         string        `json:"host"`        // without port, case-insensitive
 	PathPrefix   string        `json:"path_prefix"` // begins and ends with a slash
 	Idempotent   bool          `json:"idempotent,omitempty"`
+	Public       bool          `json:"public,omitempty"`    // requests need no key
 	Priority     int           `json:"priority"`            // 0 is the most urgent
 	TargetMS     int64         `json:"target_ms,omitempty"` // latency objective; 0: none
 	TimeoutMS    int64         `json:"timeout_ms"`          // how long a caller waits at most
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -22,6 +22,8 @@
 	NotExecuted      string // response header: the request was not executed
 	Instance         string // response header: ID of the instance
 	Caller           string // service of the VM where the request originated
+	Key              string // request header with the caller's key; not forwarded if the configuration has teams
+	Team             string // name of the caller's team; set by nodes only
 }
 
 // Header fields between nodes.
@@ -235,7 +237,7 @@
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", headerCall, headerReply,
+	"Transfer-Encoding", "Upgrade", "Content-Length", headerCall, headerReply, headerExtension,
 }
 
 // endToEndHeader returns a copy of the header without hop-by-hop fields.
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -32,6 +32,7 @@
 var testHeaders = Headers{
 	RequestID: "Test-Id", DeadlineMS: "Test-Deadline", Signature: "Test-Signature", ExpectedInstance: "Test-Expected",
 	NotExecuted: "Test-Not-Executed", Instance: "Test-Instance", Caller: "Test-Caller",
+	Key: "Test-Key", Team: "Test-Team",
 }
 
 // fakePlatform is an in-memory store shared by all nodes of a test.
@@ -163,6 +164,12 @@
 
 func (p *forNode) Headers() Headers { return testHeaders }
 
+// Key returns the value of the test key header.
+func (p *forNode) Key(header http.Header) (string, bool) {
+	key := header.Get(testHeaders.Key)
+	return key, key != ""
+}
+
 const testLoadHeader = "Test-Load"
 
 // Report parses "running waiting slots slowness".
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -82,7 +82,9 @@
 	callerRetry    bool      // the caller is retrying after a refusal
 	version        uint64    // configuration version
 	route          *routing.Entry
-	service        string // destination service
+	team           *routing.Team // nil: none
+	rank           int           // of the team or the route
+	service        string        // destination service
 	out            *hop.Request
 	verdict        quarantine.Verdict      // for the next attempt
 	fingerprint    *quarantine.Fingerprint // once it was needed
@@ -93,7 +95,7 @@
 	if q.route == nil {
 		return "other"
 	}
-	return rankLabel(q.route.Priority)
+	return rankLabel(q.rank)
 }
 
 // rankLabel returns the metric label of a rank.
@@ -128,6 +130,9 @@
 func (o *outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Request: r, id: r.Header.Get(o.headers.RequestID), received: pipeline.ReceivedAt(r)}
 	res := o.serve(w, q)
+	if res.verdict == verdictNotRun && res.arrivals == 0 {
+		o.uncount(q)
+	}
 	res.version = q.version
 	o.metrics.Observe(time.Since(q.received), "outbound_latency", "rank", q.rankLabel(), "verdict", string(res.verdict))
 	o.metrics.Inc("outbound", "verdict", string(res.verdict), "reason", string(res.reason))
@@ -166,9 +171,16 @@
 	if q.route == nil {
 		return refuse(http.StatusNotFound, reasonUnknownRoute)
 	}
+	q.rank = q.route.Priority
+	if res := o.identify(q, table); res != nil {
+		return res
+	}
 	if !o.setDeadlines(q) {
 		return refuse(http.StatusBadRequest, reasonBadRequest)
 	}
+	if res := o.refuseOverLimit(q); res != nil {
+		return res
+	}
 	if o.mayOutlastProcess(q) {
 		return refuse(http.StatusServiceUnavailable, reasonStopping)
 	}
@@ -384,7 +396,7 @@
 // attempt sends the request to one inbound node. isRetry says that a backend server has received it before.
 func (o *outbound) attempt(ctx context.Context, q *request, choice *placement.Choice, isRetry bool) *result {
 	c := &call{
-		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.route.Priority,
+		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.rank,
 		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: isRetry, noQueue: choice.NoQueue && q.out.Stream == nil,
 		fingerprint:     q.fingerprint,
 		targetRemaining: time.Until(q.target) - o.link.EstimateWait(o.stats.meanResponseBytes(q.route.Name)), deadlineRemaining: time.Until(q.deadline),
--- a/pkg/sidecar/platform.go
+++ b/pkg/sidecar/platform.go
@@ -18,6 +18,8 @@
 
 	// Headers returns the names of the header fields that callers and backend servers use.
 	Headers() Headers
+	// Key returns the key that a request presents. ok is false if there is none.
+	Key(header http.Header) (key string, ok bool)
 	// Report decodes the load report in a response header. ok is false if there is none. err is non-nil if the report is malformed.
 	Report(header http.Header) (report LoadReport, ok bool, err error)
 	// Intake decodes what a response header says about the requests that the backend server takes. err is non-nil if the limit is malformed;
