routing, platform: teams in documents, changes and tables

Cause: configurations of the new deployments hold teams with keys; nothing read them.

Change: the adapter decodes teams and turns keys into digests at once; a document with a fault among its teams is rejected whole; tables look up a team by key. Changes carry the teams that differ, the names removed and a digest of teams and public routes of its own, so that builds without teams still apply changes. A change from such a build is not applied to a document with teams.

--- a/pkg/routing/document.go
+++ b/pkg/routing/document.go
@@ -14,13 +14,15 @@
 
 // Document is a complete routing configuration. Times are in milliseconds, sizes in bytes.
 type Document struct {
-	Version  uint64    `json:"version"` // increases with each change, not always by one
+	Version  uint64    `json:"version"`          // increases with each change, not always by one
+	Format   int       `json:"format,omitempty"` // FormatTeams, or 0 from a build without teams
 	Limits   Limits    `json:"limits"`
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Teams    []Team    `json:"teams,omitempty"` // if there are any, requests need a key unless their route is public
 
 	routesDigest uint64 // cached digest of the routes, if hasDigest
+	teamsDigest  uint64 // cached digest of the callers, if hasDigest
 	hasDigest    bool
 }
 
@@ -86,6 +88,7 @@
 		fault("routes", fmt.Sprintf("too many routes: %d", len(d.Routes)), fmt.Sprintf("use at most %d", maxRoutes))
 		return errs
 	}
+	errs = append(errs, d.validateTeams()...)
 	services := make(map[string]bool, len(d.Services))
 	for i, s := range d.Services {
 		if s.Name == "" {
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -11,6 +11,7 @@
 
 	hosts    map[string]map[string]*Entry // by lower-case host and prefix
 	services map[string]*Service
+	teams    map[rawDigest]*Team // by key
 }
 
 // Entry is a route with the state of its weighted split.
@@ -27,8 +28,8 @@
 		return nil, errs
 	}
 	compiled := *d
-	compiled.routesDigest, compiled.hasDigest = d.digest(), true
-	t := &Table{Document: &compiled, hosts: make(map[string]map[string]*Entry), services: make(map[string]*Service, len(d.Services))}
+	compiled.routesDigest, compiled.teamsDigest, compiled.hasDigest = d.digest(), d.callersDigest(), true
+	t := &Table{Document: &compiled, hosts: make(map[string]map[string]*Entry), services: make(map[string]*Service, len(d.Services)), teams: indexTeams(d.Teams)}
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
 	}
