sidecar: requests belong to the team whose key they present

Cause: keys were passed on to backend servers and requests without a valid key ran.

Change: the first node identifies the team before the body is read; 401 with a reason for a missing or unknown key where the route is not public. The key and a team that the client names are removed from what is forwarded, the name of the team is set. Metrics by team name the 20 with most requests.

--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -4,8 +4,10 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
+	"sync"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -14,8 +16,14 @@
 // Registry holds the counters, gauges and timers of one node. It is safe for concurrent use.
 type Registry struct {
 	registry gometrics.Registry
+
+	mu         sync.Mutex
+	collectors []Collector
 }
 
+// Collector reports values that are computed when the metrics are read, for labels that change over time. The number of names must be bounded.
+type Collector func(report func(value int64, base string, labels ...string))
+
 // New returns an empty registry.
 func New() *Registry {
 	return &Registry{registry: gometrics.NewRegistry()}
@@ -49,6 +57,13 @@
 	r.Counter(base, labels...).Inc(1)
 }
 
+// Collect adds a collector.
+func (r *Registry) Collect(c Collector) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.collectors = append(r.collectors, c)
+}
+
 // histogramSampleSize is the number of samples per histogram. 256 samples take 2 KB and suffice for the 99th percentile of recent values.
 const histogramSampleSize = 256
 
@@ -85,6 +100,12 @@
 			}
 		}
 	})
+	r.mu.Lock()
+	collectors := slices.Clone(r.collectors)
+	r.mu.Unlock()
+	for _, collect := range collectors {
+		collect(func(value int64, base string, labels ...string) { values[Name(base, labels...)] = value })
+	}
 	return values
 }
 
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -24,6 +24,7 @@
 	Caller           string // service of the VM where the request originated
 	Key              string // request header with the caller's key; not forwarded if the configuration has teams
 	Team             string // name of the caller's team; set by nodes only
+	Challenge        string // value of WWW-Authenticate in a refusal of a request without a valid key
 }
 
 // Header fields between nodes.
@@ -144,6 +145,8 @@
 	reasonHeaderTooLarge      reason = "header_too_large"
 	reasonBodyTimeout         reason = "body_timeout"
 	reasonBadRequest          reason = "bad_request"
+	reasonKeyMissing          reason = "key_missing" // the route is not public, and the request presents no key
+	reasonKeyUnknown          reason = "key_unknown" // no team holds the key
 )
 
 // failureReason maps a failed exchange to a reason. It returns fallback if the connection was lost or could not be established.
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -32,7 +32,7 @@
 var testHeaders = Headers{
 	RequestID: "Test-Id", DeadlineMS: "Test-Deadline", Signature: "Test-Signature", ExpectedInstance: "Test-Expected",
 	NotExecuted: "Test-Not-Executed", Instance: "Test-Instance", Caller: "Test-Caller",
-	Key: "Test-Key", Team: "Test-Team",
+	Key: "Test-Key", Team: "Test-Team", Challenge: "Test",
 }
 
 // fakePlatform is an in-memory store shared by all nodes of a test.
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -160,8 +160,8 @@
 
 func (n *Node) newOutbound() *outbound {
 	retryBound := retry.Bound{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: time.Duration(n.settings.Bounds.RetryWindow)}
-	return &outbound{
-		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(),
+	o := &outbound{
+		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(), key: n.platform.Key,
 		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(placement.Options{DataCentre: n.settings.DataCentre, Policy: placement.DefaultPolicy()}),
 		budget: retry.New(retry.Options{Bound: retryBound, Policy: retry.DefaultPolicy(), Nodes: func() int { return len(n.membership.SharedMembers()) }}),
 		local:  n.inbound, link: n.link, starting: newStarting(),
@@ -171,6 +171,8 @@
 		}),
 		metrics: n.metrics, logger: n.logger, logLimit: rate.NewLimiter(logLinesPerSecond, logBurst),
 	}
+	n.metrics.Collect(o.teamStats.collect)
+	return o
 }
 
 // endpointView caches the endpoints by service for one version of the membership table.
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -54,6 +54,7 @@
 	self      string        // node ID
 	service   func() string // service of the backend server on this VM
 	headers   Headers
+	key       func(http.Header) (string, bool) // Platform.Key
 	table     func() *routing.Table
 	endpoints func(service string) []placement.Endpoint
 	chooser   *placement.Chooser
@@ -64,6 +65,7 @@
 	metrics   *metrics.Registry
 	logger    *zap.Logger
 	stats     routeStats
+	teamStats teamStats
 	refusals  callerretry.Tracker
 	starting  *starting
 	cutAt     atomic.Int64 // clock.Now at which a stopping process cuts the requests in flight; 0: not stopping
@@ -83,6 +85,7 @@
 	version        uint64    // configuration version
 	route          *routing.Entry
 	team           *routing.Team // nil: none
+	hidesKey       bool          // the backend server must not see the key
 	rank           int           // of the team or the route
 	service        string        // destination service
 	out            *hop.Request
@@ -139,6 +142,9 @@
 	if q.route != nil && o.stats.isNested(q.route.Name) && !res.isSuccess() {
 		o.local.failedCalls.Add(1)
 	}
+	if q.team != nil {
+		o.teamStats.observe(q.team.Name, res.verdict)
+	}
 	if q.callerRetry {
 		o.metrics.Inc("returned", "verdict", string(res.verdict), "reason", string(res.reason))
 	}
@@ -267,6 +273,7 @@
 	out, err := newHopRequest(q.Request, q.id, limit)
 	switch {
 	case err == nil:
+		o.setTeamHeader(q, out.Header)
 		if out.Stream == nil && q.ContentLength != 0 {
 			_ = control.SetReadDeadline(time.Time{})
 		}
@@ -501,6 +508,9 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 		o.recordRefusal(q, after)
 	}
+	if status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", o.headers.Challenge)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	writeHead(w, status, int64(len(body)))
 	// A write error means that the caller has disconnected.
@@ -542,6 +552,9 @@
 		zap.String("verdict", string(res.verdict)), zap.String("reason", string(res.reason)), zap.String("to", res.node), zap.Uint64("version", res.version),
 		zap.Int("tries", res.attempts), zap.Int("arrivals", res.arrivals), zap.Bool("returned", q.callerRetry), zap.Int64("ms", time.Since(q.received).Milliseconds()),
 		zap.Int64("left_ms", time.Until(q.deadline).Milliseconds())}
+	if q.team != nil {
+		fields = append(fields, zap.String("team", q.team.Name))
+	}
 	if late > 0 {
 		fields = append(fields, zap.Int64("late_ms", late.Milliseconds()))
 	}
