routing, sidecar: no build without teams takes teams or keys away

Cause: during an upgrade nodes of both builds pass on configurations; documents and changes of the build before lack teams and public routes.

Change: documents and changes carry a format. One that does not say which teams there are never replaces one that has some; the node reads the store once for what was left out, and a copy without teams is not used. The digest of the routes stays the one that the build before computes.

The whole of pkg/sidecar at a load average of 35 failed in TestDownload_DeliveredCompletely and TestNamedLimit_HoldsForAllNodes; both passed twice when run alone (go test ./pkg/sidecar -run 'TestDownload_D|TestNamedLimit' -count=2).

--- a/pkg/routing/change_test.go
+++ b/pkg/routing/change_test.go
@@ -13,7 +13,10 @@
 )
 
 func drawDocument(t *rapid.T, version uint64) *Document {
-	d := &Document{Version: version, Services: []Service{{Name: "a"}, {Name: "b"}}, Limits: Limits{BodyBytes: int64(version)}}
+	d := &Document{Version: version, Format: FormatTeams, Services: []Service{{Name: "a"}, {Name: "b"}}, Limits: Limits{BodyBytes: int64(version)}}
+	if rapid.Bool().Draw(t, "teams") {
+		d.Teams = drawTeams(t)
+	}
 	if rapid.Bool().Draw(t, "more services") {
 		d.Services = append(d.Services, Service{Name: "c"})
 	}
@@ -23,6 +26,7 @@
 		}
 		r := route(fmt.Sprintf("r%d", i), "H.example", fmt.Sprintf("/%d/", i), Destination{"a", rapid.IntRange(1, 3).Draw(t, "weight")})
 		r.TimeoutMS = int64(rapid.IntRange(1, 2).Draw(t, "timeout"))
+		r.Public = rapid.IntRange(0, 9).Draw(t, "public") == 0
 		d.Routes = append(d.Routes, r)
 	}
 	return d
@@ -38,6 +42,8 @@
 		got, err := change.Apply(from)
 		require.NoError(t, err)
 		assert.ElementsMatch(t, to.Routes, got.Routes)
+		assert.ElementsMatch(t, to.Teams, got.Teams)
+		assert.Equal(t, (&Document{Routes: got.Routes, Teams: got.Teams}).callersDigest(), got.teamsDigest)
 		assert.Equal(t, to.Services, got.Services)
 		assert.Equal(t, to.Limits, got.Limits)
 		assert.Equal(t, to.Version, got.Version)
@@ -58,6 +64,7 @@
 		got, err := Merge(changes).Apply(first)
 		require.NoError(t, err)
 		assert.ElementsMatch(t, last.Routes, got.Routes)
+		assert.ElementsMatch(t, last.Teams, got.Teams)
 		assert.Equal(t, last.Services, got.Services)
 		assert.Equal(t, last.Limits, got.Limits)
 		assert.Equal(t, last.Version, got.Version)
--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -75,6 +75,7 @@
 	generation    int64             // of the store that holds it; used by Run only
 	copiedAt      time.Time         // when it last wrote the copy; used by Run only
 	pulling       atomic.Bool
+	unstated      atomic.Uint64 // highest version that arrived without saying which teams there are; 0: none since the store was last read
 	storeUp       atomic.Bool
 	storeLostAt   atomic.Int64 // clock.Now of the first failed call since the store was last reached; 0: never
 
@@ -133,7 +134,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.version()
-	if d.Version <= before {
+	if d.Version <= before && !f.completes(d) || !f.admits(d, from) {
 		return nil
 	}
 	table, err := routing.Compile(d)
@@ -143,7 +144,7 @@
 			zap.String("remedy", "publish a corrected configuration; the one in force is kept"))
 		return nil
 	}
-	if change == nil || change.From != before {
+	if change == nil || change.From != before || d.Version == before {
 		change = routing.Diff(f.document(), table.Document)
 	}
 	if before > 0 {
@@ -156,10 +157,39 @@
 	f.metrics.Inc("configuration_activated", "from", from)
 	f.metrics.Gauge("configuration_version").Update(int64(d.Version))
 	f.logger.Info("configuration_activated", zap.Uint64("version", d.Version), zap.Uint64("before", before),
-		zap.String("from", from), zap.Int("routes", len(d.Routes)), zap.Int("services", len(d.Services)))
+		zap.String("from", from), zap.Int("routes", len(d.Routes)), zap.Int("services", len(d.Services)), zap.Int("teams", len(d.Teams)))
 	return change
 }
 
+// completes reports whether a configuration says which teams there are, and the one in force is the same version and does not.
+func (f *follower) completes(d *routing.Document) bool {
+	current := f.document()
+	return d.Version > 0 && d.Version == current.Version && d.StatesTeams() && !current.StatesTeams()
+}
+
+// admits reports whether a configuration may come into force. One from a build without teams does not say which teams there are: it never
+// replaces one that has teams, and the store is read for what it left out.
+func (f *follower) admits(d *routing.Document, from string) bool {
+	if d.StatesTeams() {
+		return true
+	}
+	f.unstated.Store(max(f.unstated.Load(), d.Version))
+	f.metrics.Inc("configuration_without_teams", "from", from)
+	if d.MayReplace(f.document()) {
+		return true
+	}
+	f.logger.Warn("configuration_without_teams", zap.Uint64("version", d.Version), zap.Uint64("kept", f.version()), zap.String("from", from),
+		zap.String("remedy", "run the same version on all nodes; this node reads the store for the teams"))
+	return false
+}
+
+// noteUnstated records that a version exists whose teams are not known.
+func (f *follower) noteUnstated(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unstated.Store(max(f.unstated.Load(), version))
+}
+
 // Run reads the source until ctx ends. A node that is not a reader reads it only as long as it has no configuration, and not before
 // firstRelayTimeout if the whole fleet starts for the first time.
 func (f *follower) Run(ctx context.Context) {
@@ -176,12 +206,14 @@
 	}
 	poll := newPoller(f.source, f.storeRecovery, f.isStandby)
 	for ctx.Err() == nil {
-		if !f.isReader() && (f.table.Load() != nil || time.Now().Before(readAlone)) {
+		unstated := f.unstated.Load()
+		if !f.isReader() && unstated == 0 && (f.table.Load() != nil || time.Now().Before(readAlone)) {
 			positionKnown = f.firstStart && f.table.Load() == nil
 			f.awaitReaderCheck(ctx)
 			continue
 		}
-		if start := f.substitute.takePosition(); start != nil && !positionKnown && f.table.Load() != nil {
+		positionKnown = positionKnown && unstated == 0
+		if start := f.substitute.takePosition(); start != nil && !positionKnown && unstated == 0 && f.table.Load() != nil {
 			position, positionKnown = *start, true
 		}
 		var p Published
@@ -205,6 +237,7 @@
 			continue
 		}
 		f.storeReached()
+		f.unstated.CompareAndSwap(unstated, 0) // what the store says is complete; a version that it lacks cannot be completed
 		poll.succeeded()
 		f.onOrders(ctx, p.Orders)
 		// After a burst of versions, read the newest instead of each in turn.
@@ -260,6 +293,12 @@
 		return false
 	}
 	f.copyVersion, f.generation = document.Version, stored.End.Generation
+	if !document.StatesTeams() {
+		f.copyVersion = 0 // to be replaced
+		f.metrics.Inc("configuration_without_teams", "from", "copy")
+		f.logger.Info("configuration_without_teams", zap.Uint64("version", document.Version), zap.String("from", "copy"), zap.String("remedy", "none; the published configuration is read instead"))
+		return false
+	}
 	if stored.IsEarlier {
 		f.metrics.Inc("configuration_copy_earlier")
 		f.logger.Warn("configuration_copy_earlier", zap.Uint64("version", document.Version), zap.String("remedy", "none; other nodes are asked for a newer one first"))
@@ -285,7 +324,7 @@
 		f.generation, f.copyVersion, f.copiedAt = generation, 0, time.Time{}
 	}
 	t := f.table.Load()
-	if t == nil || t.Document.Version <= f.copyVersion || time.Since(f.copiedAt) < copyInterval || !f.isWriter() {
+	if t == nil || !t.Document.StatesTeams() || t.Document.Version <= f.copyVersion || time.Since(f.copiedAt) < copyInterval || !f.isWriter() {
 		return
 	}
 	data, err := encodeCompressed(t.Document)
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -503,7 +503,7 @@
 	short := route("short", true)
 	short.TimeoutMS, short.TargetMS = 200, 100
 	return &routing.Document{
-		Version: version, Limits: routing.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20},
+		Version: version, Format: routing.FormatTeams, Limits: routing.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20},
 		Services: []routing.Service{{Name: "s"}}, Routes: []routing.Route{route("safe", true), route("unsafe", false), short},
 	}
 }
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -188,6 +188,9 @@
 		r.follower.activate(document, c, "relay")
 		return
 	}
+	if c.Format < routing.FormatTeams {
+		r.follower.noteUnstated(c.To)
+	}
 	r.metrics.Inc("configuration_change_unfit")
 	r.logger.Info("configuration_change_unfit", zap.Uint64("to", c.To), zap.Uint64("version", current.Version), zap.Error(err))
 	r.follower.observeVersion(context.Background(), c.To, from, 0)
