hop, sidecar: a status that does not exist is a failure

Cause: net/http reads any three characters that Atoi takes as a status. A status below 100, such as 000, counted as an interim response: its body was read as the next response and the request failed only at its deadline (504); 600 to 999 were passed on to callers; any number of interim responses was skipped.

Change: pkg/hop takes one interim response and final statuses from 200 to 599; anything else is a failure of its own cause, the connection is closed, and the counters name the reason response_status. Callers get 502, which promises nothing; idempotent requests are repeated as after any unusable response.

TestDo_EndlessResponseHeader expected 'garbled' or 'truncated' for endless interim responses; it now expects exactly the new cause, since the second one ends the exchange.

--- a/pkg/hop/endless_response_test.go
+++ b/pkg/hop/endless_response_test.go
@@ -68,7 +68,11 @@
 			response, failed := client.Do(testContext(t), p.address, request("a"))
 			require.Nil(t, response)
 			require.NotNil(t, failed)
-			assert.Contains(t, []Cause{InvalidResponse, Truncated}, failed.Cause)
+			if name == "interim responses" {
+				assert.Equal(t, InvalidStatus, failed.Cause, "the second one ends the exchange")
+			} else {
+				assert.Contains(t, []Cause{InvalidResponse, Truncated}, failed.Cause)
+			}
 			assert.True(t, failed.Sent)
 			assert.Less(t, time.Since(began), maxCallDuration)
 			assert.Less(t, sent.Load(), int64(maxSocketBufferBytes))
--- a/pkg/hop/exchange.go
+++ b/pkg/hop/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httputil"
@@ -225,11 +226,18 @@
 	return nil, &Failure{Sent: true, Cause: InvalidResponse, Err: errResponseMismatch}
 }
 
-// readResponseHeader reads the header of the next final response. It skips 1xx responses.
+// The first and the last status that a response may have.
+const (
+	minStatus, maxStatus = 100, 599
+	firstFinalStatus     = 200
+)
+
+// readResponseHeader reads the header of the next final response. It skips one interim response: requests ask for none, and a peer that sends
+// more, or a status that does not exist, may be out of step with the requests on the connection.
 func (c *Client) readResponseHeader(ctx context.Context, cn *conn, r *Request) (*http.Response, *Failure) {
 	cn.source.remaining = maxResponseHeaderBytes
 	defer func() { cn.source.remaining = unbounded }()
-	for {
+	for interim := 0; ; interim++ {
 		if _, err := cn.reader.Peek(1); err != nil {
 			return nil, &Failure{Sent: true, Cause: causeOf(ctx, err, ConnectionLost), Err: err}
 		}
@@ -237,8 +245,13 @@
 		if err != nil {
 			return nil, &Failure{Sent: true, Cause: causeOf(ctx, err, InvalidResponse), Err: err}
 		}
-		if response.StatusCode >= 200 {
+		switch status := response.StatusCode; {
+		case status < minStatus || status > maxStatus:
+			return nil, &Failure{Sent: true, Cause: InvalidStatus, Err: fmt.Errorf("status %03d does not exist", status)}
+		case status >= firstFinalStatus:
 			return response, nil
+		case interim > 0:
+			return nil, &Failure{Sent: true, Cause: InvalidStatus, Err: errors.New("a second interim response")}
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, &Failure{Sent: true, Cause: InvalidResponse, Err: errors.New("unexpected switch to another protocol")}
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -60,6 +60,7 @@
 	Cancelled         Cause = "cancelled"   // the context was cancelled
 	ConnectionLost    Cause = "lost"        // the connection failed before a response arrived
 	InvalidResponse   Cause = "garbled"     // malformed response, or a response to another request
+	InvalidStatus     Cause = "status"      // the status of the response is not between 100 and 599, or a second interim response
 	Truncated         Cause = "truncated"   // the response body is incomplete
 	RequestBodyFailed Cause = "body_failed" // reading Request.Stream failed
 )
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -133,6 +133,7 @@
 	reasonCancelled           reason = "cancelled" // the caller disconnected
 	reasonConnectionLost      reason = "connection_lost"
 	reasonMalformedResponse   reason = "response_garbled"
+	reasonInvalidStatus       reason = "response_status" // not between 100 and 599, or a second interim response
 	reasonTruncatedResponse   reason = "response_truncated"
 	reasonBodyFailed          reason = "body_failed" // the request body could not be read to its end
 	reasonUnsignedResponse    reason = "response_unsigned"
@@ -158,6 +159,8 @@
 		return reasonDeadline
 	case hop.InvalidResponse:
 		return reasonMalformedResponse
+	case hop.InvalidStatus:
+		return reasonInvalidStatus
 	case hop.Truncated:
 		return reasonTruncatedResponse
 	case hop.RequestBodyFailed:
--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -134,7 +134,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.version()
-	if d.Version <= before && !f.completes(d) || !f.admits(d, from) {
+	if d.Version <= before && !f.completes(d) {
+		return nil
+	}
+	if !f.admits(d, from) {
 		return nil
 	}
 	table, err := routing.Compile(d)
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -464,7 +464,7 @@
 	switch res.reason {
 	case reasonNodeLost:
 		return placement.Unresponsive
-	case reasonMalformedResponse:
+	case reasonMalformedResponse, reasonInvalidStatus:
 		return placement.Failed
 	case reasonDraining, reasonNoBackend, reasonOtherService, reasonOtherNode, reasonStopping, reasonUnreachable, reasonOtherInstance,
 		reasonVersionHeld:
--- a/test/soak/backend_test.go
+++ b/test/soak/backend_test.go
@@ -237,7 +237,7 @@
 	}
 	v := &arrival{
 		id: r.Header.Get(wire.Headers.RequestID), path: r.RequestURI, caller: r.Header.Get(wire.Headers.Caller),
-		deadline: -1, instance: i.id, service: i.service, node: i.backend.node,
+		key: r.Header.Get(wire.Headers.Key), team: r.Header.Get(wire.Headers.Team), deadline: -1, instance: i.id, service: i.service, node: i.backend.node,
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -120,6 +120,8 @@
 		id: fmt.Sprintf("%s-%d", c.name, c.attempts), node: c.node, route: name, idempotent: name != "pay",
 		timeout: minRequestTimeout + rand.N(requestTimeoutSpread),
 	}
+	a.team = teams[c.attempts%len(teams)]
+	a.key = permanentKey(a.team)
 	a.path = prefix + "x%2Fy?caller=" + c.name
 	if withBody {
 		a.body = strings.Repeat("b", rand.IntN(maxBodyBytes))
@@ -171,8 +173,9 @@
 	if a.body != "" || !a.idempotent {
 		method = http.MethodPost
 	}
-	fmt.Fprintf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: forged\r\n",
-		method, a.path, host, wire.Headers.RequestID, a.id, wire.Headers.DeadlineMS, a.timeout.Milliseconds(), wire.Headers.Caller)
+	fmt.Fprintf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: forged\r\n%s: forged\r\n%s: %s %s\r\n",
+		method, a.path, host, wire.Headers.RequestID, a.id, wire.Headers.DeadlineMS, a.timeout.Milliseconds(), wire.Headers.Caller,
+		wire.Headers.Team, wire.Headers.Key, wire.KeyScheme, a.key)
 	switch {
 	case a.body == "" && method == http.MethodPost:
 		text.WriteString("Content-Length: 0\r\n\r\n")
@@ -242,6 +245,24 @@
 			seen = version
 		}
 		c.checkApplied(version, ran, start)
+		c.probeKeys(version)
+	}
+}
+
+// probeKeys sends a request with a key that only one version has, and one with a key that none ever has.
+func (c *caller) probeKeys(version uint64) {
+	own, stranger := c.newAttempt("read", "/read/", false), c.newAttempt("read", "/read/", false)
+	own.team, own.key, own.shortKey = versionKeyTeam, versionKey(version), true
+	stranger.team, stranger.key, stranger.shortKey = "", "no-such-key", true
+	for _, a := range []*attempt{own, stranger} {
+		if c.connect() != nil {
+			return
+		}
+		start, starts := time.Now(), c.node.starts.Load()
+		got := c.exchange(a)[0]
+		if a == own && got.err == nil && c.node.starts.Load() == starts {
+			c.checkApplied(version, got.status == http.StatusOK, start)
+		}
 	}
 }
 
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -32,6 +33,7 @@
 	guaranteeLimit             guarantee = "a backend server gets no more requests than the limit that it names allows"
 	guaranteeDeadlyRequests    guarantee = "a request that crashes backend servers reaches few more after the third crash"
 	guaranteeMemory            guarantee = "a process stays within the memory of its VM"
+	guaranteeTeams             guarantee = "a request runs for the team that holds its key, and no backend server sees a key"
 	guaranteeBackendsUsed      guarantee = "every backend server whose service has a route is used again within the recovery bound after the last fault"
 )
 
@@ -69,6 +71,9 @@
 	body       string
 	idempotent bool
 	timeout    time.Duration // stated in the request
+	key        string
+	team       string // that holds the key, or "" if none ever does
+	shortKey   bool   // some configurations do not have the key
 
 	sentAt     time.Time
 	status     int  // 0: no complete response
@@ -220,6 +225,7 @@
 	deadline               time.Duration // passed with the request; negative: none
 	instance, service      string
 	node                   *node
+	key, team              string
 	drainEnd               time.Time // end of the drain time; zero: no acknowledged departure
 	refused                bool      // the backend server does not execute it
 	status                 int       // of the response that the backend server will send
@@ -242,6 +248,12 @@
 	}
 	c.checkLimit(now, v, a)
 	c.checkDeadly(now, v, a)
+	if v.key != "" {
+		c.addViolationLocked(guaranteeTeams, "id %s: %s got the key", a.id, v.instance)
+	}
+	if v.team != a.team || a.team == "" {
+		c.addViolationLocked(guaranteeTeams, "id %s: %s got the request for team %q, its key belongs to %q", a.id, v.instance, v.team, a.team)
+	}
 	if v.refused {
 		return nil
 	}
@@ -337,6 +349,7 @@
 		if !a.idempotent && len(a.executions) > 0 {
 			c.addViolationLocked(guaranteeNotExecuted, "id %s was answered with %d by %s, but executed by %s", a.id, got.status, a.node.id, a.executions[0].instance)
 		}
+	case got.status == http.StatusUnauthorized && a.shortKey:
 	case got.status/100 == 4 && !strings.HasPrefix(a.route, versionRoutePrefix):
 		c.addViolationLocked(guaranteeRoutable, "id %s of route %s was answered with %d by %s", a.id, a.route, got.status, a.node.id)
 	}
--- a/test/soak/cluster_test.go
+++ b/test/soak/cluster_test.go
@@ -223,10 +223,14 @@
 			d.Routes[i] = versionRoute(d.Version)
 		}
 	}
+	d.Teams = nil
+	for _, name := range teams {
+		d.Teams = append(d.Teams, routing.Team{Name: name})
+	}
 	change(d)
 	cl.checker.recordConfiguration(d)
 	cl.document = d
-	require.NoError(cl.t, cl.store.Publish(d))
+	require.NoError(cl.t, cl.store.PublishWithKeys(d, keysOf(d.Version)))
 }
 
 // version returns the newest published version.
@@ -272,6 +276,27 @@
 	return d
 }
 
+// teams are the teams of all configurations.
+var teams = []string{"red", "green", "blue"}
+
+// versionKeyTeam is the team that has another key in each version.
+const versionKeyTeam = "green"
+
+// versionKey returns a key that only the given version has.
+func versionKey(version uint64) string { return fmt.Sprint("key-of-version-", version) }
+
+func permanentKey(team string) string { return "key-of-" + team }
+
+// keysOf returns the keys of each team in a version.
+func keysOf(version uint64) map[string][]string {
+	keys := make(map[string][]string, len(teams))
+	for _, name := range teams {
+		keys[name] = []string{permanentKey(name)}
+	}
+	keys[versionKeyTeam] = append(keys[versionKeyTeam], versionKey(version))
+	return keys
+}
+
 // permanentRoutes are the routes that every configuration contains.
 var permanentRoutes = []string{"read", "pay", "split", "slow"}
 
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -52,7 +52,7 @@
 	}, nil},
 	// Removing the guard alone violates nothing, because no peer offers an older version; so the mutant activates one itself.
 	{"returns to older versions", []guarantee{guaranteeMonotonicVersion}, []replacement{
-		{"pkg/sidecar/follower.go", "if d.Version <= before {", "if d.Version == before {"},
+		{"pkg/sidecar/follower.go", "if d.Version <= before && !f.completes(d) {", "if d.Version == before {"},
 		{"pkg/sidecar/follower.go", "\tf.table.Store(table)\n", "\tif mutantFirst == nil {\n\t\tmutantFirst = table.Document\n\t}\n\tf.table.Store(table)\n"},
 		{"pkg/sidecar/follower.go", "// documentMethod is", "var mutantFirst *routing.Document\n\n// documentMethod is"},
 		{"pkg/sidecar/follower.go", "\t\t\tf.storeFailed(err)\n", "\t\t\tf.storeFailed(err)\n\t\t\tf.activate(mutantFirst, nil, \"mutant\")\n"},
@@ -114,6 +114,12 @@
 	{"keeps 64 MiB of a response header", []guarantee{guaranteeMemory}, []replacement{
 		{"pkg/hop/exchange.go", "maxResponseHeaderBytes = 64 << 10", "maxResponseHeaderBytes = 64 << 20"},
 	}, runEndlessResponses},
+	{"admits unknown keys", []guarantee{guaranteeTeams}, []replacement{
+		{"pkg/sidecar/teams.go", "\treturn refuse(http.StatusUnauthorized, reasonKeyUnknown)\n", "\treturn nil\n"},
+	}, nil},
+	{"passes keys on", []guarantee{guaranteeTeams}, []replacement{
+		{"pkg/sidecar/teams.go", "delete(header, o.headers.Key)", "_ = o.key"},
+	}, nil},
 	{"keeps the first instance", []guarantee{guaranteeRecovery, guaranteeBackendsUsed}, []replacement{
 		{"pkg/sidecar/inbound.go", "if old == nil || old.ID != a.ID || old.StartTimeMS != a.StartTimeMS {", "if old == nil {"},
 	}, nil},
@@ -162,7 +168,7 @@
 	for _, g := range []guarantee{
 		guaranteeAtMostOnce, guaranteeNotExecuted, guaranteeResponseIntegrity, guaranteeRequestIntegrity, guaranteeConfiguredService, guaranteeRoutable, guaranteeMonotonicVersion, guaranteeConfigApplied, guaranteeDrain,
 		guaranteeDeadline, guaranteeRetryBudget, guaranteeGracefulStop, guaranteeProcessLifetime, guaranteeRecovery, guaranteeBackendsUsed,
-		guaranteeRollout, guaranteeLimit, guaranteeDeadlyRequests, guaranteeMemory,
+		guaranteeRollout, guaranteeLimit, guaranteeDeadlyRequests, guaranteeMemory, guaranteeTeams,
 	} {
 		found := slices.ContainsFunc(allMutants, func(m mutant) bool { return slices.Contains(m.violates, g) })
 		if !found {
