--- a/pkg/sidecar/teams_test.go
+++ b/pkg/sidecar/teams_test.go
@@ -267,3 +267,23 @@
 	assert.LessOrEqual(t, len(labels), 3*(maxTeamLabels+1))
 	assert.EqualValues(t, 5, labels[`["team","team-77","verdict","not-run"]`], "a large team is named")
 }
+
+func BenchmarkIdentify(b *testing.B) {
+	d := teamDocument(1, "m82thhkmgjqnirth5mgj")
+	for i := range 80 {
+		d.Teams = append(d.Teams, routing.Team{Name: fmt.Sprint("team-", i), Keys: []routing.KeyDigest{routing.DigestKey(fmt.Sprint("y5rcpihhacruddedev", i))}})
+	}
+	table, err := routing.Compile(d)
+	require.NoError(b, err)
+	o := &outbound{headers: testHeaders, key: (&forNode{}).Key}
+	q := &request{Request: &http.Request{Header: http.Header{testHeaders.Key: {"m82thhkmgjqnirth5mgj"}}}, route: table.Match("h.example", "/safe/x")}
+	forwarded := http.Header{}
+	b.ReportAllocs()
+	for b.Loop() {
+		if o.identify(q, table) != nil {
+			b.Fatal("refused")
+		}
+		o.setTeamHeader(q, forwarded)
+		o.teamStats.observe(q.team.Name, verdictAnswered)
+	}
+}
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -120,6 +120,10 @@
 	{"passes keys on", []guarantee{guaranteeTeams}, []replacement{
 		{"pkg/sidecar/teams.go", "delete(header, o.headers.Key)", "_ = o.key"},
 	}, nil},
+	{"keeps withdrawn keys", []guarantee{guaranteeConfigApplied}, []replacement{
+		{"pkg/sidecar/teams.go", "\t\tq.team = table.Team(key)\n", "\t\tif q.team = table.Team(key); q.team != nil {\n\t\t\tmutantTeams.Store(key, q.team)\n\t\t} else if held, ok := mutantTeams.Load(key); ok {\n\t\t\tq.team = held.(*routing.Team)\n\t\t}\n"},
+		{"pkg/sidecar/teams.go", "// identify decides", "var mutantTeams sync.Map\n\n// identify decides"},
+	}, nil},
 	{"keeps the first instance", []guarantee{guaranteeRecovery, guaranteeBackendsUsed}, []replacement{
 		{"pkg/sidecar/inbound.go", "if old == nil || old.ID != a.ID || old.StartTimeMS != a.StartTimeMS {", "if old == nil {"},
 	}, nil},
