sidecar: a caller's retry is one of the same team

Change: the team is part of the key. A node that reads the store only for teams that were left out asks no substitute.

Result: go test ./pkg/sidecar -run 'TestCallerRetry|TestTeams|TestFollower' passes.

--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -233,7 +233,7 @@
 		if err != nil {
 			positionKnown = positionKnown && apierror.KindOf(err) != apierror.NotFound
 			f.storeFailed(err)
-			if f.table.Load() != nil && poll.isTurnedAway(err, f.substitute.isActive()) {
+			if f.isReader() && f.table.Load() != nil && poll.isTurnedAway(err, f.substitute.isActive()) {
 				f.onTurnedAway(ctx, knownPosition(position, positionKnown))
 			}
 			poll.failed(ctx, callStarted)
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -249,9 +249,13 @@
 // keySeed is the per-process hash seed of retry keys.
 var keySeed = maphash.MakeSeed()
 
-// retryKey returns a hash of method, host and target, by which a caller's retry is recognised.
+// retryKey returns a hash of method, host, target and team, by which a caller's retry is recognised.
 func (q *request) retryKey() uint64 {
-	return maphash.String(keySeed, q.Method+" "+q.Host+" "+q.RequestURI)
+	key := q.Method + " " + q.Host + " " + q.RequestURI
+	if q.team != nil {
+		key += " " + q.team.Name
+	}
+	return maphash.String(keySeed, key)
 }
 
 // recordRefusal stores what is needed to recognise a retry by the caller.
--- a/pkg/sidecar/teams_test.go
+++ b/pkg/sidecar/teams_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -287,3 +288,19 @@
 		o.teamStats.observe(q.team.Name, verdictAnswered)
 	}
 }
+
+// Teams request the same resources. Guards against a first attempt that counts as the retry of another team's caller, and so has less time.
+func TestCallerRetry_OfTheSameTeamOnly(t *testing.T) {
+	o := &outbound{headers: testHeaders, metrics: metrics.New()}
+	receive := func(team *routing.Team) *request {
+		q := &request{Request: httptest.NewRequest("GET", "/safe/1", nil), received: time.Now(), team: team}
+		q.route = &routing.Entry{Route: &routing.Route{Name: "safe", TimeoutMS: 5000, TargetMS: 300}}
+		require.True(t, o.setDeadlines(q))
+		return q
+	}
+	first, second := &routing.Team{Name: "first"}, &routing.Team{Name: "second"}
+	o.recordRefusal(receive(first), 50*time.Millisecond)
+	assert.False(t, receive(second).callerRetry)
+	assert.False(t, receive(nil).callerRetry)
+	assert.True(t, receive(first).callerRetry)
+}
