transport, inbound, outbound: a status that does not exist is a failure in laburnumd too

Cause: a backend server's status below 100 made laburnumd panic on its inbound side ('invalid WriteHeader code 0'), and one of a node on its outbound side; a status above 599 was passed on.

Change: pkg/transport and the inbound client refuse final statuses outside 200 to 599 and a second interim response, with the outcome unknown and the reason response_status, which counts as a failure of the endpoint. hop.IsFinalStatus is the one definition.

Tests: new cases of TestHandler_InvalidBackendResponses and TestIncompleteResponses failed before (the latter with the panic).

--- a/pkg/callctx/callctx.go
+++ b/pkg/callctx/callctx.go
@@ -103,6 +103,7 @@
 	ConnectionLost     Reason = "connection_lost"     // the connection broke after the call may have been forwarded
 	ResponseTruncated  Reason = "response_truncated"  // the response is shorter than declared
 	ResponseUnchecked  Reason = "response_unchecked"  // the response has no length, so that its completeness cannot be verified
+	ResponseStatus     Reason = "response_status"     // the status is not between 100 and 599, or a second interim response
 	ResponseMismatch   Reason = "response_mismatch"   // the response belongs to another request id
 	DeadlineInBackend  Reason = "deadline_in_backend" // the deadline passed after the call may have been forwarded
 	CancelledInBackend Reason = "cancelled_in_backend"
--- a/pkg/hop/exchange.go
+++ b/pkg/hop/exchange.go
@@ -226,12 +226,15 @@
 	return nil, &Failure{Sent: true, Cause: InvalidResponse, Err: errResponseMismatch}
 }
 
-// The first and the last status that a response may have.
 const (
-	minStatus, maxStatus = 100, 599
-	firstFinalStatus     = 200
+	minStatus      = 100
+	minFinalStatus = 200
+	maxStatus      = 599
 )
 
+// IsFinalStatus reports whether a response with the status can be the answer to a request. net/http reads any three digits as a status.
+func IsFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxStatus }
+
 // readResponseHeader reads the header of the next final response. It skips one interim response: requests ask for none, and a peer that sends
 // more, or a status that does not exist, may be out of step with the requests on the connection.
 func (c *Client) readResponseHeader(ctx context.Context, cn *conn, r *Request) (*http.Response, *Failure) {
@@ -246,10 +249,10 @@
 			return nil, &Failure{Sent: true, Cause: causeOf(ctx, err, InvalidResponse), Err: err}
 		}
 		switch status := response.StatusCode; {
+		case IsFinalStatus(status):
+			return response, nil
 		case status < minStatus || status > maxStatus:
 			return nil, &Failure{Sent: true, Cause: InvalidStatus, Err: fmt.Errorf("status %03d does not exist", status)}
-		case status >= firstFinalStatus:
-			return response, nil
 		case interim > 0:
 			return nil, &Failure{Sent: true, Cause: InvalidStatus, Err: errors.New("a second interim response")}
 		}
--- a/pkg/inbound/backend_client.go
+++ b/pkg/inbound/backend_client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
+	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
+	"github.com/laburnumcleat/laburnumcleat/pkg/transport"
 )
 
 const (
@@ -143,7 +145,7 @@
 		conn.beginRequest()
 		reused.Store(info.Reused)
 		usedConn.Store(conn)
-	}}
+	}, Got1xxResponse: transport.RefuseSecondInterim()}
 	response, err := c.transport.RoundTrip(o.build(httptrace.WithClientTrace(ctx, trace), c.address))
 	conn := usedConn.Load()
 	if err == nil {
@@ -155,7 +157,11 @@
 	written := conn.seal()
 	conn.Close()
 	if written {
-		return nil, false, classifyInterrupted(ctx, callctx.ConnectionLost)
+		reason := callctx.ConnectionLost
+		if errors.Is(err, transport.ErrInvalidStatus) {
+			reason = callctx.ResponseStatus
+		}
+		return nil, false, classifyInterrupted(ctx, reason)
 	}
 	return nil, reused.Load() && ctx.Err() == nil, classifyUnsent(ctx, err)
 }
@@ -189,6 +195,9 @@
 
 // checkResponse rejects a response whose completeness cannot be verified, or that belongs to another request.
 func checkResponse(response *http.Response, requestID string) *failure {
+	if !hop.IsFinalStatus(response.StatusCode) {
+		return &failure{outcome: callctx.Unknown, reason: callctx.ResponseStatus}
+	}
 	if echoed := response.Header.Get(callctx.HeaderRequestID); echoed != "" && echoed != requestID {
 		return &failure{outcome: callctx.Unknown, reason: callctx.ResponseMismatch}
 	}
--- a/pkg/inbound/forward_test.go
+++ b/pkg/inbound/forward_test.go
@@ -65,6 +65,11 @@
 		"truncated chunk":                     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nhalf", callctx.ResponseTruncated},
 		"without the last chunk":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", callctx.ResponseTruncated},
 		"neither length nor chunked encoding": {"HTTP/1.0 200 OK\r\n\r\nwhole or half", callctx.ResponseUnchecked},
+		"status 000":                          {"HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\nok", callctx.ResponseStatus},
+		"status 099":                          {"HTTP/1.1 099 \r\nContent-Length: 2\r\n\r\nok", callctx.ResponseStatus},
+		"status 600":                          {"HTTP/1.1 600 \r\nContent-Length: 2\r\n\r\nok", callctx.ResponseStatus},
+		"status of four digits":               {"HTTP/1.1 2000 \r\nContent-Length: 2\r\n\r\nok", callctx.ConnectionLost},
+		"second interim response":             {"HTTP/1.1 102 \r\n\r\nHTTP/1.1 102 \r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", callctx.ResponseStatus},
 		"response to another request":         {"HTTP/1.1 200 OK\r\nLaburnum-Request-Id: other\r\nContent-Length: 2\r\n\r\nok", callctx.ResponseMismatch},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/outbound/attempt.go
+++ b/pkg/outbound/attempt.go
@@ -116,6 +116,8 @@
 		return &reply{outcome: callctx.Unknown, reason: callctx.DeadlineInBackend, noResponse: true}
 	case sent && ctx.Err() != nil:
 		return &reply{outcome: callctx.Unknown, reason: callctx.CancelledInBackend}
+	case errors.Is(err, transport.ErrInvalidStatus):
+		return &reply{outcome: callctx.Unknown, reason: callctx.ResponseStatus}
 	case sent:
 		return &reply{outcome: callctx.Unknown, reason: callctx.ConnectionLost, noResponse: true}
 	case callerCancelled:
@@ -138,7 +140,8 @@
 			return failure
 		}
 		return neutral
-	case callctx.ConnectionLost, callctx.BackendUnreachable, callctx.ResponseTruncated, callctx.ResponseMismatch, callctx.ResponseUnchecked:
+	case callctx.ConnectionLost, callctx.BackendUnreachable, callctx.ResponseTruncated, callctx.ResponseMismatch, callctx.ResponseUnchecked,
+		callctx.ResponseStatus:
 		return failure
 	}
 	if r.outcome != callctx.Answered {
--- a/pkg/outbound/handler_test.go
+++ b/pkg/outbound/handler_test.go
@@ -182,6 +182,18 @@
 	})
 }
 
+// answerWith returns a node that answers each call with the given status line.
+func answerWith(statusLine string) func(http.ResponseWriter, *http.Request, *scriptedNode) {
+	return func(w http.ResponseWriter, r *http.Request, _ *scriptedNode) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "%sLaburnum-Outcome: answered\r\nLaburnum-Request-Id: %s\r\nContent-Length: 3\r\n\r\nall", statusLine, r.Header.Get(callctx.HeaderRequestID))
+	}
+}
+
 // Guards against forwarding a response as a success although it is truncated, belongs to another request or cannot be
 // verified.
 func TestIncompleteResponses(t *testing.T) {
@@ -219,6 +231,9 @@
 			buffer.Flush()
 			conn.Close()
 		}, callctx.ResponseUnchecked},
+		{"status 000", answerWith("HTTP/1.1 000 \r\n"), callctx.ResponseStatus},
+		{"status 600", answerWith("HTTP/1.1 600 \r\n"), callctx.ResponseStatus},
+		{"second interim response", answerWith("HTTP/1.1 102 \r\n\r\nHTTP/1.1 102 \r\n\r\nHTTP/1.1 200 OK\r\n"), callctx.ResponseStatus},
 		{"refusal by another node", func(w http.ResponseWriter, r *http.Request, n *scriptedNode) {
 			refuse(callctx.NotRun, callctx.Overloaded)(w, r, &scriptedNode{member: membership.Member{ID: "other"}})
 		}, callctx.ResponseMismatch},
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -16,11 +16,13 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/callctx"
 	"github.com/laburnumcleat/laburnumcleat/pkg/dial"
+	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 )
 
 // Options configures a Transport. Zero values select the defaults.
@@ -108,13 +110,33 @@
 // Do sends a request once and returns its response, or an *Error. The request is never sent twice.
 func (t *Transport) Do(request *http.Request) (*http.Response, error) {
 	trace := &connTrace{}
-	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: trace.gotConn})
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: trace.gotConn, Got1xxResponse: RefuseSecondInterim()})
 	request = preventResend(request.WithContext(ctx))
 	response, err := t.http.RoundTrip(request)
-	if err == nil {
-		return response, nil
+	switch {
+	case err != nil:
+		return nil, &Error{Written: trace.seal(), Cause: err}
+	case !hop.IsFinalStatus(response.StatusCode):
+		// net/http has closed the connection, unless the response is complete and its status is above 599.
+		response.Body.Close()
+		return nil, &Error{Written: true, Cause: ErrInvalidStatus}
+	}
+	return response, nil
+}
+
+// ErrInvalidStatus is the cause of the failure of a request whose response has a status that does not exist, or more than one interim response
+// before it.
+var ErrInvalidStatus = errors.New("invalid status of a response")
+
+// RefuseSecondInterim returns an httptrace.ClientTrace.Got1xxResponse that ends a request after its second interim response.
+func RefuseSecondInterim() func(int, textproto.MIMEHeader) error {
+	interim := 0
+	return func(int, textproto.MIMEHeader) error {
+		if interim++; interim > 1 {
+			return ErrInvalidStatus
+		}
+		return nil
 	}
-	return nil, &Error{Written: trace.seal(), Cause: err}
 }
 
 // preventResend gives the request a body that net/http cannot rewind. Without that, net/http sends GET requests and
--- a/pkg/transport/transport_test.go
+++ b/pkg/transport/transport_test.go
@@ -174,3 +174,29 @@
 	_, err := New(Options{}).Do(request(t, "POST", address, "x").WithContext(ctx))
 	requireFailure(t, err, true)
 }
+
+// Guards against a status that does not exist being passed on, where writing it ends the caller's connection, and against a next request that
+// fails because of it.
+func TestDo_InvalidStatus(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 \r\n", "HTTP/1.1 600 \r\n", "HTTP/1.1 102 \r\n\r\nHTTP/1.1 102 \r\n\r\nHTTP/1.1 200 OK\r\n"} {
+		var requests atomic.Int64
+		address := server(t, func(_ int, conn net.Conn) {
+			defer conn.Close()
+			for readRequest(conn) != nil {
+				if requests.Add(1) == 1 {
+					_, _ = io.WriteString(conn, head+"Content-Length: 0\r\n\r\n")
+				} else {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}
+		})
+		transport := New(Options{})
+		defer transport.Close()
+		_, err := transport.Do(request(t, "POST", address, "x"))
+		requireFailure(t, err, true)
+		require.ErrorIs(t, err, ErrInvalidStatus)
+		response, err := transport.Do(request(t, "POST", address, "x"))
+		require.NoError(t, err, "the next request")
+		require.NoError(t, response.Body.Close())
+	}
+}
