sidecar: a node that is behind does not refuse keys for good

Cause: clients do not retry after 401. A node that has heard of a later version and does not have it yet refused a key that the later version adds.

Change: such a node answers 503 with a Retry-After of the time in which it pulls the version (reason=behind), for 5 s after it last heard of one; a later version that only a lost node had is forgotten.

--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -75,6 +75,7 @@
 	generation    int64             // of the store that holds it; used by Run only
 	copiedAt      time.Time         // when it last wrote the copy; used by Run only
 	pulling       atomic.Bool
+	heardLaterAt  atomic.Int64  // clock.Now when another node was last known to have a later version; 0: never
 	unstated      atomic.Uint64 // highest version that arrived without saying which teams there are; 0: none since the store was last read
 	storeUp       atomic.Bool
 	storeLostAt   atomic.Int64 // clock.Now of the first failed call since the store was last reached; 0: never
@@ -157,6 +158,7 @@
 		}
 	}
 	f.table.Store(table)
+	f.heardLaterAt.Store(0) // if there is a still later one, the next probe says so
 	f.metrics.Inc("configuration_activated", "from", from)
 	f.metrics.Gauge("configuration_version").Update(int64(d.Version))
 	f.logger.Info("configuration_activated", zap.Uint64("version", d.Version), zap.Uint64("before", before),
@@ -364,6 +366,7 @@
 // observeVersion records that another node has a version. If the version is newer and has not arrived otherwise after the delay, it is
 // pulled from that node. A node without a configuration pulls immediately.
 func (f *follower) observeVersion(ctx context.Context, version uint64, address string, delay time.Duration) {
+	f.hear(version)
 	if version <= f.version() || !f.pulling.CompareAndSwap(false, true) {
 		return
 	}
@@ -379,6 +382,23 @@
 	}()
 }
 
+// behindMemory is how long a node counts as behind after it has heard of a later version. Other nodes repeat what they have with each probe; a
+// version that only a lost node had is forgotten.
+const behindMemory = 5 * time.Second
+
+// hear records that another node has a version.
+func (f *follower) hear(version uint64) {
+	if version > f.version() {
+		f.heardLaterAt.Store(int64(clock.Now()))
+	}
+}
+
+// isBehind reports whether another node has a later version than the one in force here, as far as is known.
+func (f *follower) isBehind() bool {
+	at := f.heardLaterAt.Load()
+	return at != 0 && clock.Now()-time.Duration(at) < behindMemory
+}
+
 func (f *follower) pull(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -161,7 +161,7 @@
 func (n *Node) newOutbound() *outbound {
 	retryBound := retry.Bound{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: time.Duration(n.settings.Bounds.RetryWindow)}
 	o := &outbound{
-		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(), key: n.platform.Key,
+		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(), key: n.platform.Key, isBehind: n.follower.isBehind,
 		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(placement.Options{DataCentre: n.settings.DataCentre, Policy: placement.DefaultPolicy()}),
 		budget: retry.New(retry.Options{Bound: retryBound, Policy: retry.DefaultPolicy(), Nodes: func() int { return len(n.membership.SharedMembers()) }}),
 		local:  n.inbound, link: n.link, starting: newStarting(),
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -55,6 +55,7 @@
 	service   func() string // service of the backend server on this VM
 	headers   Headers
 	key       func(http.Header) (string, bool) // Platform.Key
+	isBehind  func() bool                      // whether another node has a later configuration
 	table     func() *routing.Table
 	endpoints func(service string) []placement.Endpoint
 	chooser   *placement.Chooser
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -169,6 +169,7 @@
 	if p.To <= r.follower.version() {
 		return true, nil // already in force
 	}
+	r.follower.hear(p.To)
 	go r.forward(p)
 	change, err := decodeCompressed[routing.Change](p.Change)
 	if err != nil {
--- a/pkg/sidecar/teams.go
+++ b/pkg/sidecar/teams.go
@@ -5,10 +5,14 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 )
 
+// behindRetryAfter is the Retry-After value of a node that knows of a later configuration: it pulls that after peerDelay.
+const behindRetryAfter = peerDelay + 100*time.Millisecond
+
 // identify decides which team a request belongs to, before its body is read. It returns a refusal for a request that may not run. Calls of
 // backend servers carry no key and are told from those of clients by nothing: both need a key unless their route is public.
 func (o *outbound) identify(q *request, table *routing.Table) *result {
@@ -28,6 +32,11 @@
 		return nil
 	case q.route.Public:
 		return nil
+	case o.isBehind():
+		// Clients do not retry after 401. The later version may have the key, or may make the route public.
+		res := refuse(http.StatusServiceUnavailable, reasonBehind)
+		res.retryAfter = behindRetryAfter
+		return res
 	case !ok:
 		return refuse(http.StatusUnauthorized, reasonKeyMissing)
 	}
--- a/pkg/sidecar/teams_test.go
+++ b/pkg/sidecar/teams_test.go
@@ -117,6 +117,35 @@
 	assert.Empty(t, seen.Get(testHeaders.Team))
 }
 
+// Guards against a final refusal of a key that was just added: clients do not retry after 401. A node that has heard of a later version, and
+// does not have it yet, cannot say that a key is wrong.
+func TestIdentify_NodeBehindPromisesNothingFinal(t *testing.T) {
+	f := newTestFollower()
+	f.activate(teamDocument(2, "a"), nil, "store")
+	o := &outbound{headers: testHeaders, key: (&forNode{}).Key, isBehind: f.isBehind}
+	status := func(path string, header http.Header) int {
+		q := &request{Request: &http.Request{Header: header}, route: f.Table().Match("h.example", path)}
+		if res := o.identify(q, f.Table()); res != nil {
+			return httpStatus(res)
+		}
+		return http.StatusOK
+	}
+	unknown, none, valid := http.Header{testHeaders.Key: {"b"}}, http.Header{}, http.Header{testHeaders.Key: {"a"}}
+	assert.Equal(t, http.StatusUnauthorized, status("/safe/x", unknown))
+	f.hear(1)
+	assert.Equal(t, http.StatusUnauthorized, status("/safe/x", unknown))
+	f.hear(3)
+	assert.Equal(t, http.StatusServiceUnavailable, status("/safe/x", unknown))
+	assert.Equal(t, http.StatusServiceUnavailable, status("/safe/x", none))
+	assert.Equal(t, http.StatusOK, status("/safe/x", valid))
+	assert.Equal(t, http.StatusOK, status("/unsafe/x", none), "the route is public")
+	f.activate(teamDocument(3, "a"), nil, "relay")
+	assert.Equal(t, http.StatusUnauthorized, status("/safe/x", unknown))
+	f.hear(4)
+	f.heardLaterAt.Add(-int64(behindMemory))
+	assert.Equal(t, http.StatusUnauthorized, status("/safe/x", unknown), "no node repeats it")
+}
+
 // The rank of a team takes precedence over that of the route, also if it is less urgent.
 func TestIdentify_RankOfTheTeam(t *testing.T) {
 	table, err := routing.Compile(teamDocument(1, "k"))
