--- a/pkg/routing/team_test.go
+++ b/pkg/routing/team_test.go
@@ -245,3 +245,40 @@
 		}
 	}
 }
+
+// BenchmarkTeams measures what teams of three keys add to a configuration without routes: building its table, applying a change of one team, and
+// the bytes of the configuration and of the change.
+func BenchmarkTeams(b *testing.B) {
+	for _, count := range []int{82, 820, 8200} {
+		from := &Document{Version: 1, Format: FormatTeams}
+		for i := range count {
+			from.Teams = append(from.Teams, team(fmt.Sprint("team-", i), fmt.Sprint(i, "-0"), fmt.Sprint(i, "-1"), fmt.Sprint(i, "-2")))
+		}
+		to := *from
+		to.Version, to.Teams = 2, append([]Team(nil), from.Teams...)
+		to.Teams[7] = team("team-7", "other")
+		b.Run(fmt.Sprint("compile/", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := Compile(from)
+				require.NoError(b, err)
+			}
+			data, err := json.Marshal(from)
+			require.NoError(b, err)
+			b.ReportMetric(float64(len(data))/float64(count), "bytes/team")
+		})
+		b.Run(fmt.Sprint("apply/", count), func(b *testing.B) {
+			table, err := Compile(from)
+			require.NoError(b, err)
+			change := Diff(from, &to)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := change.Apply(table.Document)
+				require.NoError(b, err)
+			}
+			data, err := json.Marshal(change)
+			require.NoError(b, err)
+			b.ReportMetric(float64(len(data)), "bytes/change")
+		})
+	}
+}
