link: order by remaining time, backlog told to other nodes, late responses in idle time

Responses were sent whole and in the order in which they became ready, each booked ahead: one of 540 KB held up several of 60 KB, time booked for a slow or gone reader stayed unused, and headers were not counted, so that 0.15 of the link was kept free. Replies tell the backlog (extension 'link'), which placement adds for long responses, decayed towards the typical one. A call that each node asked refused for its link goes once more to the one with least backlog, which accepts it if the link had idle time lately and its deadline allows.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -34,6 +34,7 @@
 	ClassTime              time.Duration // the same for the class of the call whose response contained the report; 0: unknown
 	ClassSpread            time.Duration // mean deviation from ClassTime
 	Slowness               float64       // time that work takes on its machine now, relative to the mean there; the times above are given for 1; 0: unknown
+	LinkBacklog            time.Duration // how long the machine's link takes to send what it already has to send
 	Answered               float64       // fraction of the recent calls that its backend server answered, 0 to 1
 }
 
@@ -43,6 +44,7 @@
 	TimeToTarget time.Duration          // time left until its target
 	DelayCost    float64                // score lost by a call that takes all of TimeToTarget; above 0 if other work waits for it
 	Bytes        int                    // of the request and the expected response
+	LongResponse bool                   // its response queues for the link of the endpoint
 	Excluded     func(e *Endpoint) bool // reports endpoints that must not be chosen again; may be nil
 	Busy         map[string]bool        // IDs of the endpoints that were probed for a free slot and had none; may be nil
 }
@@ -151,13 +153,14 @@
 	sweptAt time.Time
 }
 
-// usage is the mean slot usage of the endpoints that serve a class, the mean fraction of calls that they answer, and the mean time for which
-// its calls hold a slot.
+// usage is the mean slot usage of the endpoints that serve a class, the mean fraction of calls that they answer, the mean time for which
+// its calls hold a slot, and the mean backlog of their links.
 type usage struct {
-	mean      float64
-	answered  float64
-	classTime time.Duration
-	at        time.Time // time of the latest report
+	mean        float64
+	answered    float64
+	classTime   time.Duration
+	linkBacklog time.Duration
+	at          time.Time // time of the latest report
 }
 
 // path holds the observations of the network path to another data centre.
@@ -306,6 +309,9 @@
 	times, slowness := s.classTimesOf(e, req.Class, slot), s.slowness(now)
 	wait := max(0, calls+1-limit) / limit * float64(slot)
 	duration := slowness * (wait + float64(times.mean))
+	if req.LongResponse {
+		duration += float64(c.linkBacklog(now, s, req.Class))
+	}
 	inTime := probability(float64(req.TimeToTarget)-duration, slowness*float64(times.spread))
 	inTime *= c.answered(now, s, req.Class)
 	if e.Suspect {
@@ -318,6 +324,19 @@
 	return &Choice{Endpoint: e, chooser: c, state: s, class: req.Class, InTime: inTime, score: inTime - c.policy.BusyCost*calls/limit - req.DelayCost*min(1, duration/float64(req.TimeToTarget))}
 }
 
+// linkBacklog estimates how long the link of an endpoint takes now to send what it has to send. Without a recent report, it assumes that of a typical
+// endpoint of the class.
+func (c *Chooser) linkBacklog(now time.Time, s *endpointState, class string) time.Duration {
+	typical := time.Duration(0)
+	if u := c.usages[class]; u != nil {
+		typical = u.linkBacklog
+	}
+	if s.reportedAt.IsZero() {
+		return typical
+	}
+	return typical + time.Duration(float64(s.report.LinkBacklog-typical)*reportWeight(now, s, c.policy.ReportDecay))
+}
+
 // slowness estimates how long work takes at the endpoint now, relative to the mean there.
 func (s *endpointState) slowness(now time.Time) float64 {
 	if s.report.Slowness == 0 {
@@ -397,6 +416,7 @@
 	}
 	u.answered += (l.Answered - u.answered) * usageWeight
 	u.mean += (float64(l.Running+l.Queued)/float64(max(1, l.Limit)) - u.mean) * usageWeight
+	u.linkBacklog += time.Duration(float64(l.LinkBacklog-u.linkBacklog) * usageWeight)
 	u.at = now
 	switch {
 	case l.ClassTime == 0:
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -45,6 +45,7 @@
 	noQueue           bool          // reject the call instead of queueing it if no slot is free
 	targetRemaining   time.Duration // time until the call counts as late; may be negative
 	deadlineRemaining time.Duration
+	mayBeLate         bool // no node can send the response in time; send it when the link has time for late ones
 
 	fingerprint *quarantine.Fingerprint // of the request, once it was needed; not encoded
 }
@@ -98,6 +99,24 @@
 	}, nil
 }
 
+// Names of optional values in the extension.
+const (
+	extensionMayBeLate   = "late"
+	extensionLinkBacklog = "link" // milliseconds
+)
+
+// extension returns the optional values of the call, or nil.
+func (c *call) extension() url.Values {
+	if !c.mayBeLate {
+		return nil
+	}
+	return url.Values{extensionMayBeLate: {formatBool(true)}}
+}
+
+func (c *call) readExtension(values url.Values) {
+	c.mayBeLate = values.Get(extensionMayBeLate) == formatBool(true)
+}
+
 // verdict is the execution outcome of a call at the inbound node.
 type verdict string
 
@@ -199,6 +218,22 @@
 	return strings.Join(fields, fieldSeparator)
 }
 
+// extension returns the optional values of the reply, or nil.
+func (r *callReply) extension() url.Values {
+	backlog := r.load.LinkBacklog.Milliseconds()
+	if backlog <= 0 {
+		return nil
+	}
+	return url.Values{extensionLinkBacklog: {strconv.FormatInt(backlog, 10)}}
+}
+
+// readExtension reads the optional values of a reply. A value that is not readable counts as absent.
+func (r *callReply) readExtension(values url.Values) {
+	if ms, err := strconv.ParseInt(values.Get(extensionLinkBacklog), 10, 32); err == nil {
+		r.load.LinkBacklog = max(0, time.Duration(ms)*time.Millisecond)
+	}
+}
+
 // Number of fields of an encoded reply, without and with load.
 const (
 	replyFields     = 5
@@ -230,6 +265,7 @@
 			SlotTime: time.Duration(numbers[4]) * time.Millisecond, ClassTime: time.Duration(numbers[5]) * time.Millisecond,
 			ClassSpread: time.Duration(numbers[6]) * time.Millisecond, Answered: float64(numbers[7]) / percent, Slowness: float64(numbers[8]) / percent,
 		}
+		r.readExtension(extensionOf(header))
 	}
 	return r, true
 }
--- a/pkg/sidecar/download_test.go
+++ b/pkg/sidecar/download_test.go
@@ -129,7 +129,7 @@
 	n := m.start(0)
 	m.waitReady()
 	n.inbound.stats.observeResponse("safe", 100_000)
-	slowLink.Reserve(1_000_000) // 8 s at 1 Mbit/s
+	slowLink.CountShort(1_000_000) // 8 s at 1 Mbit/s
 	start := time.Now()
 	a, _ := m.call(n, "GET", "/safe/", "")
 	assert.Equal(t, http.StatusServiceUnavailable, a.status)
@@ -143,6 +143,44 @@
 	assert.Equal(t, http.StatusOK, a.status)
 }
 
+// Pattern: a burst of downloads that no node can send in time, on links that idle otherwise. Guards against refusing what can still be served late, and against
+// accepting it where the response comes after the deadline.
+func TestFullLink_LateResponseIsAcceptedLast(t *testing.T) {
+	m, first, second := newForwardingMesh(t)
+	const megabits, target = 4, time.Second
+	slowLink := link.New(megabits)
+	second.inbound.link = slowLink
+	second.inbound.stats.observeResponse("safe", 100_000)
+	second.backend.setHandler(func(w http.ResponseWriter, _ *http.Request, _ string) {
+		_, _ = io.WriteString(w, "ok")
+	})
+	slowLink.CountShort(int64(target.Seconds() * megabits * 1e6 / 8)) // more than can be sent until the target
+	a, _ := m.call(first, "GET", "/safe/", "")
+	assert.Equal(t, http.StatusOK, a.status)
+	assert.EqualValues(t, 1, second.metrics.Counter("link_late_accepted").Count())
+	assert.EqualValues(t, 1, first.metrics.Counter("outbound_late_attempt").Count())
+	slowLink.CountShort(20_000_000) // more than until the deadline
+	a, _ = m.call(first, "GET", "/safe/", "")
+	assert.Equal(t, http.StatusServiceUnavailable, a.status)
+}
+
+// Guards against news of a full link that does not reach the node that chooses, and against a malformed value that makes a reply unreadable.
+func TestReply_TellsLinkBacklog(t *testing.T) {
+	sent := callReply{verdict: verdictNotRun, reason: reasonLinkFull, hasLoad: true}
+	sent.load.LinkBacklog = 250 * time.Millisecond
+	header := http.Header{}
+	header.Set(headerReply, sent.encode())
+	setExtension(header, sent.extension())
+	got, ok := decodeReply(header)
+	require.True(t, ok)
+	assert.Equal(t, sent.load.LinkBacklog, got.load.LinkBacklog)
+	header.Set(headerExtension, extensionLinkBacklog+"=soon")
+	got, ok = decodeReply(header)
+	require.True(t, ok)
+	assert.Zero(t, got.load.LinkBacklog)
+	assert.Nil(t, (&callReply{hasLoad: true}).extension(), "nothing is sent while the link is idle")
+}
+
 // BenchmarkDownload measures 90 KB downloads through two nodes, and the peak heap in use. Client, nodes and backend server run in this
 // process.
 func BenchmarkDownload(b *testing.B) {
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -216,12 +216,12 @@
 		return in.completeReply(i, c, r, refusal), nil
 	}
 	defer leaveWard()
-	transmit, linkRefusal := in.transmitDelay(i, c, rank)
+	transmit, limit, linkRefusal := in.transmitDelay(i, c, rank)
 	if linkRefusal != nil {
 		return in.completeReply(i, c, r, linkRefusal), nil
 	}
 	grant, refused := i.admission.Acquire(ctx, admission.Call{
-		Class: c.class, Rank: rank, Target: now.Add(c.targetRemaining - transmit), Deadline: now.Add(c.deadlineRemaining - transmit),
+		Class: c.class, Rank: rank, Target: now.Add(limit - transmit), Deadline: now.Add(c.deadlineRemaining - transmit),
 		IsRetry: c.callerRetry, NoQueue: c.noQueue,
 	})
 	if refused != nil {
@@ -294,25 +294,30 @@
 }
 
 // transmitDelay returns the expected time between the end of the backend server's work and the end of the response's transmission, if long
-// responses are queued for the link. It returns a refusal for a call that would miss its target only because of that queue: the caller can
-// still retry, or another node can serve the call.
-func (in *inbound) transmitDelay(i *instance, c *call, rank int) (time.Duration, *callReply) {
+// responses are queued for the link, and the time left for both. It returns a refusal for a call that would miss its target only because of that
+// queue: another node can serve the call, or the caller can retry. A call that no node can serve in time has until its deadline, if the link has
+// time for late responses.
+func (in *inbound) transmitDelay(i *instance, c *call, rank int) (transmit, limit time.Duration, refusal *callReply) {
 	bytes := in.stats.meanResponseBytes(c.class)
 	wait := in.link.EstimateWait(bytes)
 	if wait == 0 {
-		return 0, nil
+		return 0, c.targetRemaining, nil
 	}
 	serviceTime := i.admission.Load(c.class).ClassTime
-	transmit := max(0, wait-serviceTime) + in.link.TransmitTime(bytes)
-	limit := c.targetRemaining
+	transmit = max(0, wait-serviceTime) + in.link.TransmitTime(bytes)
+	limit = c.targetRemaining
 	if rank == admission.Nested {
 		limit = c.deadlineRemaining
 	}
 	if serviceTime+transmit <= limit {
-		return transmit, nil
+		return transmit, c.targetRemaining, nil
+	}
+	if end, ok := in.link.EstimateLateEnd(bytes); ok && c.mayBeLate && serviceTime+end <= c.deadlineRemaining {
+		in.metrics.Inc("link_late_accepted")
+		return end, c.deadlineRemaining, nil
 	}
 	retry := min(wait/2, c.deadlineRemaining/admission.RetryAfterDivisor)
-	return 0, &callReply{verdict: verdictNotRun, reason: reasonLinkFull, retryAfter: retry}
+	return 0, 0, &callReply{verdict: verdictNotRun, reason: reasonLinkFull, retryAfter: retry}
 }
 
 // refusalReason returns the reason why a call cannot be forwarded to the instance, or "".
@@ -416,9 +421,7 @@
 		if in.rolloutMode(&i.Announcement) == rollout.Limited {
 			r.load.Answered = 1 // callers that avoided a failing canary would leave too few responses to judge the version by
 		}
-		if wait := in.link.EstimateWait(in.stats.meanResponseBytes(c.class)); wait > 0 && r.load.ClassTime > 0 {
-			r.load.ClassTime += wait // outbound nodes compare the times at which responses arrive
-		}
+		r.load.LinkBacklog = in.link.Backlog()
 	}
 	in.metrics.Inc("inbound", "verdict", string(r.verdict), "reason", string(r.reason))
 	in.logCall(i, c, request, r)
--- a/pkg/sidecar/nodeserver.go
+++ b/pkg/sidecar/nodeserver.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/link"
@@ -88,31 +89,36 @@
 	c, err := decodeCall(r.Header.Get(headerCall))
 	if err != nil {
 		h.inbound.logger.Warn("forwarded_request_not_readable")
-		h.writeReply(r.Context(), w, &callReply{verdict: verdictNotRun, reason: reasonBadRequest}, nil)
+		h.writeReply(r.Context(), w, link.Due{}, &callReply{verdict: verdictNotRun, reason: reasonBadRequest}, nil)
 		return
 	}
+	c.readExtension(extensionOf(r.Header))
 	if c.node != h.id {
-		h.writeReply(r.Context(), w, &callReply{verdict: verdictNotRun, reason: reasonOtherNode}, nil)
+		h.writeReply(r.Context(), w, link.Due{}, &callReply{verdict: verdictNotRun, reason: reasonOtherNode}, nil)
 		return
 	}
 	request, err := newHopRequest(r, r.Header.Get(h.inbound.headers.RequestID), 0)
 	if err != nil {
-		h.writeReply(r.Context(), w, &callReply{verdict: verdictNotRun, reason: reasonBodyFailed}, nil)
+		h.writeReply(r.Context(), w, link.Due{}, &callReply{verdict: verdictNotRun, reason: reasonBodyFailed}, nil)
 		return
 	}
+	now := time.Now()
+	due := link.Due{Target: now.Add(c.targetRemaining), Deadline: now.Add(c.deadlineRemaining)}
 	reply, response := h.inbound.serve(r.Context(), c, request)
-	h.writeReply(r.Context(), w, reply, response)
+	h.writeReply(r.Context(), w, due, reply, response)
 }
 
-func (h *nodeHandler) writeReply(ctx context.Context, w http.ResponseWriter, reply *callReply, response *hop.Response) {
+func (h *nodeHandler) writeReply(ctx context.Context, w http.ResponseWriter, due link.Due, reply *callReply, response *hop.Response) {
+	if response != nil {
+		copyHeader(w.Header(), response.Header)
+	}
+	w.Header().Set(headerReply, reply.encode())
+	setExtension(w.Header(), reply.extension())
 	if response == nil {
-		w.Header().Set(headerReply, reply.encode())
 		writeHead(w, http.StatusServiceUnavailable, 0)
 		return
 	}
-	copyHeader(w.Header(), response.Header)
-	w.Header().Set(headerReply, reply.encode())
-	if !writeResponse(ctx, w, response, h.link) {
+	if !writeResponse(ctx, w, response, h.link, due) {
 		panic(http.ErrAbortHandler) // the outbound node must see that the response is incomplete
 	}
 }
@@ -139,15 +145,15 @@
 
 // writeResponse sends a response; long responses are paced by the link. It reports false if the body was truncated after its first bytes
 // were sent.
-func writeResponse(ctx context.Context, w http.ResponseWriter, response *hop.Response, l *link.Link) bool {
+func writeResponse(ctx context.Context, w http.ResponseWriter, response *hop.Response, l *link.Link, due link.Due) bool {
 	if response.Rest == nil {
 		writeHead(w, response.Status, response.Length)
-		l.CountShort(int64(len(response.Body)))
+		l.CountShort(headerBytesPerMessage + int64(len(response.Body)))
 		_, _ = w.Write(response.Body) // a failed write means that the caller has disconnected
 		return true
 	}
 	defer response.Rest.Close()
-	reservation := l.Reserve(response.Length)
+	reservation := l.Reserve(response.Length, due)
 	defer reservation.Release()
 	writeHead(w, response.Status, response.Length)
 	body := io.MultiReader(bytes.NewReader(response.Body), response.Rest)
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -86,6 +86,7 @@
 	rank           int           // of the team or the route
 	service        string        // destination service
 	out            *hop.Request
+	mayBeLate      bool                    // no node can serve it in time
 	verdict        quarantine.Verdict      // for the next attempt
 	fingerprint    *quarantine.Fingerprint // once it was needed
 }
@@ -291,6 +292,7 @@
 	defer func() { cancel() }()
 	attempted, busy := map[string]bool{}, map[string]bool{}
 	last := refuse(0, reasonNoEndpoint)
+	var links linkRefusals
 	attempts := o.budget.Attempts(retry.Call{Service: q.service, Idempotent: q.route.Idempotent, Returned: q.callerRetry, MaxArrivals: q.route.MaxAttempts})
 	if o.stats.isNested(q.route.Name) {
 		o.budget.CountRetries(q.service, o.local.retryShare()) // the call is a retry if that of its parent is one
@@ -322,6 +324,13 @@
 		}
 		attempted[choice.ID] = true
 		attempts.Observe(attemptOutcome(last))
+		links.observe(last)
+	}
+	if choice := o.pickForLateResponse(q, last, attempts, &links); choice != nil {
+		q.mayBeLate = true
+		o.metrics.Inc("outbound_late_attempt")
+		last = o.attempt(ctx, q, choice, false)
+		attempts.Observe(attemptOutcome(last))
 	}
 	last.attempts, last.arrivals = attempts.Sent(), attempts.Arrivals()
 	if last.verdict == verdictAnswered {
@@ -338,6 +347,31 @@
 	return last
 }
 
+// linkRefusals holds what the nodes told that refused a request because of their links.
+type linkRefusals struct {
+	roomiest string // ID of the node with the least backlog; empty: none
+	backlog  time.Duration
+}
+
+func (l *linkRefusals) observe(res *result) {
+	if res.reason != reasonLinkFull || l.roomiest != "" && res.load.LinkBacklog >= l.backlog {
+		return
+	}
+	l.roomiest, l.backlog = res.node, res.load.LinkBacklog
+}
+
+// pickForLateResponse returns the node with the least link backlog for a request that no node can answer in time because of the links, or nil if its
+// response cannot arrive before the deadline either. That node sends it when it has no response to send that can be in time.
+func (o *outbound) pickForLateResponse(q *request, last *result, attempts *retry.Attempts, links *linkRefusals) *placement.Choice {
+	if last.reason != reasonLinkFull || attempts.Arrivals() > 0 || attempts.MayHaveRun() || o.stopReason(q, last) != "" || links.backlog >= time.Until(q.deadline) {
+		return nil
+	}
+	return o.chooser.Pick(o.candidates(q, func(*placement.Endpoint) bool { return false }), placement.Requirements{
+		Class: q.route.Name, TimeToTarget: max(time.Until(q.deadline), time.Millisecond), LongResponse: true,
+		Excluded: func(e *placement.Endpoint) bool { return e.ID != links.roomiest },
+	})
+}
+
 // attemptOutcome returns what the result of an attempt shows about the call.
 func attemptOutcome(res *result) retry.Outcome {
 	return retry.Outcome{
@@ -377,13 +411,19 @@
 	return o.chooser.Pick(o.candidates(q, excluded), placement.Requirements{
 		Class:        q.route.Name,
 		Bytes:        o.stats.callBytes(q.route.Name) + len(q.out.Body),
-		TimeToTarget: max(time.Until(q.target), time.Millisecond),
+		LongResponse: o.stats.meanResponseBytes(q.route.Name) > link.MaxShortBytes,
+		TimeToTarget: max(o.timeToTarget(q), time.Millisecond),
 		DelayCost:    o.latencyWeight(q),
 		Excluded:     excluded,
 		Busy:         busy,
 	})
 }
 
+// timeToTarget returns the time left until the response must reach this node's link to be in time.
+func (o *outbound) timeToTarget(q *request) time.Duration {
+	return time.Until(q.target) - o.link.EstimateWait(o.stats.meanResponseBytes(q.route.Name))
+}
+
 // latencyWeight returns the weight of latency in the choice of an endpoint: 1 if the call is nested and the backend server on this
 // VM has no free slot, since the parent call occupies one meanwhile; otherwise 0.
 func (o *outbound) latencyWeight(q *request) float64 {
@@ -399,7 +439,7 @@
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.rank,
 		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: isRetry, noQueue: choice.NoQueue && q.out.Stream == nil,
 		fingerprint:     q.fingerprint,
-		targetRemaining: time.Until(q.target) - o.link.EstimateWait(o.stats.meanResponseBytes(q.route.Name)), deadlineRemaining: time.Until(q.deadline),
+		targetRemaining: o.timeToTarget(q), deadlineRemaining: time.Until(q.deadline), mayBeLate: q.mayBeLate,
 	}
 	res := &result{node: choice.ID}
 	out := *q.out
@@ -412,6 +452,8 @@
 		res.callReply = callReply{verdict: verdictNotRun, reason: reasonCancelled}
 	default:
 		out.Header.Set(headerCall, c.encode())
+		setExtension(out.Header, c.extension())
+		o.link.CountShort(headerBytesPerMessage + int64(len(out.Body)))
 		out.FreshOnly = !q.route.Idempotent
 		response, failed := o.client.Do(ctx, choice.Address, &out)
 		o.readReply(res, response, failed)
@@ -486,7 +528,7 @@
 			writeHead(w, res.response.Status, res.response.Length)
 			return true
 		}
-		return writeResponse(q.Context(), w, res.response, o.link)
+		return writeResponse(q.Context(), w, res.response, o.link, link.Due{Target: q.target, Deadline: q.deadline})
 	}
 	body, err := json.Marshal(refusalBody{res.verdict, res.reason})
 	if err != nil {
--- a/pkg/sidecar/route_stats.go
+++ b/pkg/sidecar/route_stats.go
@@ -3,8 +3,10 @@
 import "sync"
 
 const (
-	// headerBytesPerCall is the approximate size of the request and response headers of a call between two nodes.
-	headerBytesPerCall = 700
+	// headerBytesPerMessage is the approximate size of the header of a request or response between two nodes.
+	headerBytesPerMessage = 350
+	// headerBytesPerCall is that of both headers of a call.
+	headerBytesPerCall = 2 * headerBytesPerMessage
 	// responseAverageWindow is the number of responses over which the moving average of their length extends.
 	responseAverageWindow = 8
 	// maxRouteStats bounds the number of tracked routes, since configuration changes replace routes. Beyond it, all records are reset.
