placement: a refused call isn't sent to endpoints that did not respond

All ejected endpoints counted as a last resort, as if nothing else had responded. Change: the last resort leaves out endpoints that did not respond once an endpoint has refused the call; their own calls after the ejection find out.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -130,6 +130,7 @@
 	failures         int // consecutive
 	ejections        int // consecutive
 	ejectedUntil     time.Time
+	unresponsive     bool // it was ejected because it did not respond, and has not responded since
 	unavailableUntil time.Time
 	usedAt           time.Time
 }
@@ -231,7 +232,8 @@
 }
 
 func (c *Chooser) pick(now time.Time, endpoints []Endpoint, req Requirements, skipEjected bool) *Choice {
-	near, far := c.candidates(now, endpoints, req, skipEjected)
+	// A call that was refused elsewhere does not wait for an endpoint that probably does not respond.
+	near, far := c.candidates(now, endpoints, req, skipEjected, req.excludesAny(endpoints))
 	local, remote := c.bestOf(now, near, req), c.bestOf(now, far, req)
 	switch {
 	case local == nil:
@@ -242,14 +244,25 @@
 	return remote
 }
 
+// excludesAny reports whether one of the endpoints must not be chosen again.
+func (r *Requirements) excludesAny(endpoints []Endpoint) bool {
+	for i := range endpoints {
+		if r.Excluded != nil && r.Excluded(&endpoints[i]) {
+			return true
+		}
+	}
+	return false
+}
+
 // remoteCost returns the score lost by sending the call to another data centre.
 func (c *Chooser) remoteCost(req Requirements) float64 {
 	const bytesPerKB = 1000
 	return max(c.policy.MinRemoteCost, min(c.policy.MaxRemoteCost, c.policy.RemoteCostPerKB*float64(req.Bytes)/bytesPerKB))
 }
 
-// candidates returns the eligible endpoints of the own data centre and of the others.
-func (c *Chooser) candidates(now time.Time, endpoints []Endpoint, req Requirements, skipEjected bool) (near, far []*Endpoint) {
+// candidates returns the eligible endpoints of the own data centre and of the others. skipEjected leaves out those that are ejected or unavailable,
+// skipUnresponsive those that are ejected because they did not respond.
+func (c *Chooser) candidates(now time.Time, endpoints []Endpoint, req Requirements, skipEjected, skipUnresponsive bool) (near, far []*Endpoint) {
 	for i := range endpoints {
 		e := &endpoints[i]
 		if req.Excluded != nil && req.Excluded(e) {
@@ -260,6 +273,7 @@
 		probe := p.isPartitioned() && now.Sub(p.probedAt) >= probeInterval
 		switch {
 		case p.isPartitioned() && !probe:
+		case skipUnresponsive && !probe && s.unresponsive && now.Before(s.ejectedUntil):
 		case skipEjected && !probe && (now.Before(s.ejectedUntil) || now.Before(s.unavailableUntil)):
 		case e.DataCentre == c.dataCentre:
 			near = append(near, e)
@@ -469,7 +483,7 @@
 	}
 	switch o {
 	case Healthy:
-		s.failures, s.ejections = 0, 0
+		s.failures, s.ejections, s.unresponsive = 0, 0, false
 		s.answeredAt = now
 		c.recordResponse(now, ch.DataCentre)
 	case Unavailable:
@@ -481,6 +495,7 @@
 		}
 	case Unresponsive:
 		c.recordLoss(now, ch.DataCentre, s)
+		s.unresponsive = true
 		c.eject(now, s)
 	}
 }
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -325,3 +325,34 @@
 	f.report(slower, l)
 	assert.Greater(t, f.shares([]Endpoint{slower, fast}, time.Second)[slower.ID], 0.2)
 }
+
+// Pattern: a data centre is cut off, and the one endpoint of a service that is left is full, so that each call is refused there. Guards against calls that
+// are then sent to endpoints that did not respond, one after the other, instead of being refused at once; and against never trying these again.
+func TestPick_RefusedCallsAreNotSentToUnresponsiveEndpoints(t *testing.T) {
+	f := newFixture()
+	left, cutOff := endpoint("seeb", 1), []Endpoint{endpoint("nizwa", 2), endpoint("sohar", 3)}
+	endpoints := append([]Endpoint{left}, cutOff...)
+	lost := 0
+	const cut, interval = 6 * time.Second, 10 * time.Millisecond
+	for range int(cut / interval) {
+		f.now = f.now.Add(interval)
+		tried := map[string]bool{}
+		for {
+			choice := f.Pick(endpoints, Requirements{TimeToTarget: 500 * time.Millisecond, Excluded: func(e *Endpoint) bool { return tried[e.ID] }})
+			if choice == nil {
+				break
+			}
+			tried[choice.ID] = true
+			if choice.ID == left.ID {
+				load := fastLoad(30)
+				choice.Done(Healthy, &load)
+				continue
+			}
+			lost++
+			choice.Done(Unresponsive, nil)
+		}
+	}
+	perEndpoint := 4 // ejected for 1, 2 and 4 s in turn
+	assert.LessOrEqual(t, lost, perEndpoint*len(cutOff))
+	assert.GreaterOrEqual(t, lost, 2*len(cutOff))
+}
