--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -173,6 +173,7 @@
 type Reservation struct {
 	link             *Link
 	target, deadline time.Duration // on the clock of the link
+	due              time.Duration // the target, or the deadline if it gives way to others
 	remaining        int64         // bytes that are not granted yet
 	wanted           int           // length of the chunk that its writer waits for; 0: it does not wait
 	granted          chan struct{}
