laburnumctl where: where a request would go now, and why

A node answers on its control address (sidecar.where) from its table, its chooser and its link: route, team by name, rank, candidates with the parts of their scores and the age of what is known of each. The chooser evaluates copies of its states, so that nothing later choices base on changes; nothing is sent or counted, and no key is accepted. limit_left stays absent until the limits are known here.

--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -33,7 +33,7 @@
 		publishVerb(), amendVerb(), retireVerb(), rollbackVerb(),
 		getVerb(), listVerb(), historyVerb(), diffVerb(),
 		validateVerb(), renderVerb(),
-		statusVerb(), explainVerb(), lossesVerb(), rolloutsVerb(), crashesVerb(), membersVerb(), drainVerb(),
+		statusVerb(), explainVerb(), lossesVerb(), rolloutsVerb(), crashesVerb(), membersVerb(), whereVerb(), drainVerb(),
 	}
 }
 
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -21,6 +21,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
 	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
+	"github.com/laburnumcleat/laburnumcleat/pkg/dryrun"
 	"github.com/laburnumcleat/laburnumcleat/pkg/graceful"
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/link"
@@ -124,6 +125,7 @@
 	})
 	n.setUpRelay()
 	n.outbound = n.newOutbound()
+	n.rpcServer.Handle(dryrun.Method, n.serveWhere)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
