--- a/pkg/dependency/dependency_test.go
+++ b/pkg/dependency/dependency_test.go
@@ -23,9 +23,9 @@
 		held += admitted
 		served := min(1, float64(room)/float64(max(1, 2*admitted)))
 		for range admitted {
-			ok := random.Float64() < served && random.Float64() < served
+			first, second := random.Float64() < served, random.Float64() < served
 			switch {
-			case ok:
+			case first && second:
 				succeeded++
 				if a != nil {
 					a.Succeeded("parent")
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -356,3 +356,30 @@
 	assert.LessOrEqual(t, lost, perEndpoint*len(cutOff))
 	assert.GreaterOrEqual(t, lost, 2*len(cutOff))
 }
+
+// Pattern: downloads on slow links. Guards against sending them to an endpoint whose link is busy for most of their time, against short responses that avoid
+// it as well, and against one that is avoided long after its link is idle.
+func TestPick_LinkBacklogCountsForLongResponses(t *testing.T) {
+	f := newFixture()
+	full, idle := endpoint("seeb", 1), endpoint("seeb", 2)
+	backlog := fastLoad(0)
+	backlog.LinkBacklog = 400 * time.Millisecond
+	f.report(full, backlog)
+	f.report(idle, fastLoad(0))
+	share := func(long bool) float64 {
+		chosen := 0
+		const picks = 200
+		for range picks {
+			choice := f.Pick([]Endpoint{full, idle}, Requirements{Class: "eta", TimeToTarget: 300 * time.Millisecond, LongResponse: long})
+			if choice.ID == full.ID {
+				chosen++
+			}
+			choice.Done(Healthy, nil)
+		}
+		return float64(chosen) / picks
+	}
+	assert.Zero(t, share(true))
+	assert.Greater(t, share(false), 0.3)
+	f.now = f.now.Add(DefaultPolicy().ReportDecay)
+	assert.Greater(t, share(true), 0.3)
+}
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -219,13 +219,15 @@
 	return strings.Join(fields, fieldSeparator)
 }
 
+// minToldBacklog is the shortest backlog of a link that is told. A few short responses cause shorter ones, which do not matter for a choice.
+const minToldBacklog = 10 * time.Millisecond
+
 // extension returns the optional values of the reply, or nil.
 func (r *callReply) extension() url.Values {
-	backlog := r.load.LinkBacklog.Milliseconds()
-	if backlog <= 0 {
+	if r.load.LinkBacklog < minToldBacklog {
 		return nil
 	}
-	return url.Values{extensionLinkBacklog: {strconv.FormatInt(backlog, 10)}}
+	return url.Values{extensionLinkBacklog: {strconv.FormatInt(r.load.LinkBacklog.Milliseconds(), 10)}}
 }
 
 // readExtension reads the optional values of a reply. A value that is not readable counts as absent.
