--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -46,6 +46,7 @@
 	noQueue           bool          // reject the call instead of queueing it if no slot is free
 	targetRemaining   time.Duration // time until the call counts as late; may be negative
 	deadlineRemaining time.Duration
+	mayBeLate         bool // no node can send the response in time; send it when the link has time for late ones
 
 	fingerprint *quarantine.Fingerprint // of the request, once it was needed; not encoded
 }
@@ -99,6 +100,24 @@
 	}, nil
 }
 
+// Names of optional values in the extension.
+const (
+	extensionMayBeLate   = "late"
+	extensionLinkBacklog = "link" // milliseconds
+)
+
+// extension returns the optional values of the call, or nil.
+func (c *call) extension() url.Values {
+	if !c.mayBeLate {
+		return nil
+	}
+	return url.Values{extensionMayBeLate: {formatBool(true)}}
+}
+
+func (c *call) readExtension(values url.Values) {
+	c.mayBeLate = values.Get(extensionMayBeLate) == formatBool(true)
+}
+
 // verdict is the execution outcome of a call at the inbound node.
 type verdict string
 
@@ -116,6 +135,7 @@
 	reasonFull                reason = "full"          // no slot becomes free in time
 	reasonBackendLimit        reason = "backend_limit" // the backend server takes no more requests in time at the rate that it named
 	reasonLinkFull            reason = "link_full"     // long responses already queued for the VM's link would make this one late
+	reasonCallsNoRoom         reason = "calls_no_room" // calls that the backend server makes for such calls are refused for lack of room
 	reasonDeadlineUnreachable reason = "deadline_unreachable"
 	reasonDraining            reason = "draining"
 	reasonNoBackend           reason = "no_backend"    // no backend server has announced itself
@@ -148,6 +168,7 @@
 	reasonBadRequest          reason = "bad_request"
 	reasonKeyMissing          reason = "key_missing" // the route is not public, and the request presents no key
 	reasonKeyUnknown          reason = "key_unknown" // no team holds the key
+	reasonBehind              reason = "behind"      // the key may be valid in a later configuration, which another node has
 )
 
 // failureReason maps a failed exchange to a reason. It returns fallback if the connection was lost or could not be established.
@@ -205,6 +226,24 @@
 	return strings.Join(fields, fieldSeparator)
 }
 
+// minToldBacklog is the shortest backlog of a link that is told. A few short responses cause shorter ones, which do not matter for a choice.
+const minToldBacklog = 10 * time.Millisecond
+
+// extension returns the optional values of the reply, or nil.
+func (r *callReply) extension() url.Values {
+	if r.load.LinkBacklog < minToldBacklog {
+		return nil
+	}
+	return url.Values{extensionLinkBacklog: {strconv.FormatInt(r.load.LinkBacklog.Milliseconds(), 10)}}
+}
+
+// readExtension reads the optional values of a reply. A value that is not readable counts as absent.
+func (r *callReply) readExtension(values url.Values) {
+	if ms, err := strconv.ParseInt(values.Get(extensionLinkBacklog), 10, 32); err == nil {
+		r.load.LinkBacklog = max(0, time.Duration(ms)*time.Millisecond)
+	}
+}
+
 // Number of fields of an encoded reply, without and with load.
 const (
 	replyFields     = 5
@@ -236,6 +275,7 @@
 			SlotTime: time.Duration(numbers[4]) * time.Millisecond, ClassTime: time.Duration(numbers[5]) * time.Millisecond,
 			ClassSpread: time.Duration(numbers[6]) * time.Millisecond, Answered: float64(numbers[7]) / percent, Slowness: float64(numbers[8]) / percent,
 		}
+		r.readExtension(extensionOf(header))
 	}
 	return r, true
 }
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -21,6 +21,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
 	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
+	"github.com/laburnumcleat/laburnumcleat/pkg/dryrun"
 	"github.com/laburnumcleat/laburnumcleat/pkg/graceful"
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/link"
@@ -124,6 +125,7 @@
 	})
 	n.setUpRelay()
 	n.outbound = n.newOutbound()
+	n.rpcServer.Handle(dryrun.Method, n.serveWhere)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -161,7 +163,7 @@
 func (n *Node) newOutbound() *outbound {
 	retryBound := retry.Bound{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: time.Duration(n.settings.Bounds.RetryWindow)}
 	o := &outbound{
-		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(), key: n.platform.Key,
+		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(), key: n.platform.Key, isBehind: n.follower.isBehind,
 		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(placement.Options{DataCentre: n.settings.DataCentre, Policy: placement.DefaultPolicy()}),
 		budget: retry.New(retry.Options{Bound: retryBound, Policy: retry.DefaultPolicy(), Nodes: func() int { return len(n.membership.SharedMembers()) }}),
 		local:  n.inbound, link: n.link, starting: newStarting(),
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -55,6 +55,7 @@
 	service   func() string // service of the backend server on this VM
 	headers   Headers
 	key       func(http.Header) (string, bool) // Platform.Key
+	isBehind  func() bool                      // whether another node has a later configuration
 	table     func() *routing.Table
 	endpoints func(service string) []placement.Endpoint
 	chooser   *placement.Chooser
@@ -89,6 +90,7 @@
 	rank           int           // of the team or the route
 	service        string        // destination service
 	out            *hop.Request
+	mayBeLate      bool                    // no node can serve it in time
 	verdict        quarantine.Verdict      // for the next attempt
 	fingerprint    *quarantine.Fingerprint // once it was needed
 }
@@ -140,7 +142,7 @@
 	o.metrics.Observe(time.Since(q.received), "outbound_latency", "rank", q.rankLabel(), "verdict", string(res.verdict))
 	o.metrics.Inc("outbound", "verdict", string(res.verdict), "reason", string(res.reason))
 	if q.route != nil && o.stats.isNested(q.route.Name) && !res.isSuccess() {
-		o.local.failedCalls.Add(1)
+		o.countFailedCall(res.reason)
 	}
 	if q.team != nil {
 		o.teamStats.observe(q.team.Name, res.verdict)
@@ -154,6 +156,14 @@
 	}
 }
 
+// countFailedCall counts a nested call that was not answered with a success.
+func (o *outbound) countFailedCall(r reason) {
+	o.local.failedCalls.Add(1)
+	if lacksCapacity(r) || r == reasonLinkFull {
+		o.local.callsNoRoom.Add(1)
+	}
+}
+
 func refuse(status int, cause reason) *result {
 	return &result{callReply: callReply{verdict: verdictNotRun, reason: cause}, status: status}
 }
@@ -249,9 +259,13 @@
 // keySeed is the per-process hash seed of retry keys.
 var keySeed = maphash.MakeSeed()
 
-// retryKey returns a hash of method, host and target, by which a caller's retry is recognised.
+// retryKey returns a hash of method, host, target and team, by which a caller's retry is recognised.
 func (q *request) retryKey() uint64 {
-	return maphash.String(keySeed, q.Method+" "+q.Host+" "+q.RequestURI)
+	key := q.Method + " " + q.Host + " " + q.RequestURI
+	if q.team != nil {
+		key += " " + q.team.Name
+	}
+	return maphash.String(keySeed, key)
 }
 
 // recordRefusal stores what is needed to recognise a retry by the caller.
@@ -298,6 +312,7 @@
 	defer func() { cancel() }()
 	attempted, busy := map[string]bool{}, map[string]bool{}
 	last := refuse(0, reasonNoEndpoint)
+	var links linkRefusals
 	attempts := o.budget.Attempts(retry.Call{Service: q.service, Idempotent: q.route.Idempotent, Returned: q.callerRetry, MaxArrivals: q.route.MaxAttempts})
 	if o.stats.isNested(q.route.Name) {
 		o.budget.CountRetries(q.service, o.local.retryShare()) // the call is a retry if that of its parent is one
@@ -329,6 +344,13 @@
 		}
 		attempted[choice.ID] = true
 		attempts.Observe(attemptOutcome(last))
+		links.observe(last)
+	}
+	if choice := o.pickForLateResponse(q, last, attempts, &links); choice != nil {
+		q.mayBeLate = true
+		o.metrics.Inc("outbound_late_attempt")
+		last = o.attempt(ctx, q, choice, false)
+		attempts.Observe(attemptOutcome(last))
 	}
 	last.attempts, last.arrivals = attempts.Sent(), attempts.Arrivals()
 	if last.verdict == verdictAnswered {
@@ -345,6 +367,31 @@
 	return last
 }
 
+// linkRefusals holds what the nodes told that refused a request because of their links.
+type linkRefusals struct {
+	roomiest string // ID of the node with the least backlog; empty: none
+	backlog  time.Duration
+}
+
+func (l *linkRefusals) observe(res *result) {
+	if res.reason != reasonLinkFull || l.roomiest != "" && res.load.LinkBacklog >= l.backlog {
+		return
+	}
+	l.roomiest, l.backlog = res.node, res.load.LinkBacklog
+}
+
+// pickForLateResponse returns the node with the least link backlog for a request that no node can answer in time because of the links, or nil if its
+// response cannot arrive before the deadline either. That node sends it when it has no response to send that can be in time.
+func (o *outbound) pickForLateResponse(q *request, last *result, attempts *retry.Attempts, links *linkRefusals) *placement.Choice {
+	if last.reason != reasonLinkFull || attempts.Arrivals() > 0 || attempts.MayHaveRun() || o.stopReason(q, last) != "" || links.backlog >= time.Until(q.deadline) {
+		return nil
+	}
+	return o.chooser.Pick(o.candidates(q, func(*placement.Endpoint) bool { return false }), placement.Requirements{
+		Class: q.route.Name, TimeToTarget: max(time.Until(q.deadline), time.Millisecond), LongResponse: true,
+		Excluded: func(e *placement.Endpoint) bool { return e.ID != links.roomiest },
+	})
+}
+
 // attemptOutcome returns what the result of an attempt shows about the call.
 func attemptOutcome(res *result) retry.Outcome {
 	return retry.Outcome{
@@ -356,7 +403,7 @@
 // lacksCapacity reports whether a call was refused because the backend server cannot serve it in time now.
 func lacksCapacity(r reason) bool {
 	switch r {
-	case reasonFull, reasonBackendLimit, reasonSuspectWaits, reasonDeadlineUnreachable:
+	case reasonFull, reasonBackendLimit, reasonCallsNoRoom, reasonSuspectWaits, reasonDeadlineUnreachable:
 		return true
 	}
 	return false
@@ -384,13 +431,19 @@
 	return o.chooser.Pick(o.candidates(q, excluded), placement.Requirements{
 		Class:        q.route.Name,
 		Bytes:        o.stats.callBytes(q.route.Name) + len(q.out.Body),
-		TimeToTarget: max(time.Until(q.target), time.Millisecond),
+		LongResponse: o.stats.meanResponseBytes(q.route.Name) > link.MaxShortBytes,
+		TimeToTarget: max(o.timeToTarget(q), time.Millisecond),
 		DelayCost:    o.latencyWeight(q),
 		Excluded:     excluded,
 		Busy:         busy,
 	})
 }
 
+// timeToTarget returns the time left until the response must reach this node's link to be in time.
+func (o *outbound) timeToTarget(q *request) time.Duration {
+	return time.Until(q.target) - o.link.EstimateWait(o.stats.meanResponseBytes(q.route.Name))
+}
+
 // latencyWeight returns the weight of latency in the choice of an endpoint: 1 if the call is nested and the backend server on this
 // VM has no free slot, since the parent call occupies one meanwhile; otherwise 0.
 func (o *outbound) latencyWeight(q *request) float64 {
@@ -406,7 +459,7 @@
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.rank,
 		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: isRetry, noQueue: choice.NoQueue && q.out.Stream == nil,
 		fingerprint:     q.fingerprint,
-		targetRemaining: time.Until(q.target) - o.link.EstimateWait(o.stats.meanResponseBytes(q.route.Name)), deadlineRemaining: time.Until(q.deadline),
+		targetRemaining: o.timeToTarget(q), deadlineRemaining: time.Until(q.deadline), mayBeLate: q.mayBeLate,
 	}
 	res := &result{node: choice.ID}
 	out := *q.out
@@ -419,6 +472,8 @@
 		res.callReply = callReply{verdict: verdictNotRun, reason: reasonCancelled}
 	default:
 		out.Header.Set(headerCall, c.encode())
+		setExtension(out.Header, c.extension())
+		o.link.CountShort(headerBytesPerMessage + int64(len(out.Body)))
 		out.FreshOnly = !q.route.Idempotent
 		response, failed := o.client.Do(ctx, choice.Address, &out)
 		o.readReply(res, response, failed)
@@ -493,7 +548,7 @@
 			writeHead(w, res.response.Status, res.response.Length)
 			return true
 		}
-		return writeResponse(q.Context(), w, res.response, o.link)
+		return writeResponse(q.Context(), w, res.response, o.link, link.Due{Target: q.target, Deadline: q.deadline})
 	}
 	body, err := json.Marshal(refusalBody{res.verdict, res.reason})
 	if err != nil {
--- a/pkg/sidecar/teams_test.go
+++ b/pkg/sidecar/teams_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -116,6 +117,35 @@
 	assert.Empty(t, seen.Get(testHeaders.Team))
 }
 
+// Guards against a final refusal of a key that was just added: clients do not retry after 401. A node that has heard of a later version, and
+// does not have it yet, cannot say that a key is wrong.
+func TestIdentify_NodeBehindPromisesNothingFinal(t *testing.T) {
+	f := newTestFollower()
+	f.activate(teamDocument(2, "a"), nil, "store")
+	o := &outbound{headers: testHeaders, key: (&forNode{}).Key, isBehind: f.isBehind}
+	status := func(path string, header http.Header) int {
+		q := &request{Request: &http.Request{Header: header}, route: f.Table().Match("h.example", path)}
+		if res := o.identify(q, f.Table()); res != nil {
+			return httpStatus(res)
+		}
+		return http.StatusOK
+	}
+	unknown, none, valid := http.Header{testHeaders.Key: {"b"}}, http.Header{}, http.Header{testHeaders.Key: {"a"}}
+	assert.Equal(t, http.StatusUnauthorized, status("/safe/x", unknown))
+	f.hear(1)
+	assert.Equal(t, http.StatusUnauthorized, status("/safe/x", unknown))
+	f.hear(3)
+	assert.Equal(t, http.StatusServiceUnavailable, status("/safe/x", unknown))
+	assert.Equal(t, http.StatusServiceUnavailable, status("/safe/x", none))
+	assert.Equal(t, http.StatusOK, status("/safe/x", valid))
+	assert.Equal(t, http.StatusOK, status("/unsafe/x", none), "the route is public")
+	f.activate(teamDocument(3, "a"), nil, "relay")
+	assert.Equal(t, http.StatusUnauthorized, status("/safe/x", unknown))
+	f.hear(4)
+	f.heardLaterAt.Add(-int64(behindMemory))
+	assert.Equal(t, http.StatusUnauthorized, status("/safe/x", unknown), "no node repeats it")
+}
+
 // The rank of a team takes precedence over that of the route, also if it is less urgent.
 func TestIdentify_RankOfTheTeam(t *testing.T) {
 	table, err := routing.Compile(teamDocument(1, "k"))
@@ -267,3 +297,39 @@
 	assert.LessOrEqual(t, len(labels), 3*(maxTeamLabels+1))
 	assert.EqualValues(t, 5, labels[`["team","team-77","verdict","not-run"]`], "a large team is named")
 }
+
+func BenchmarkIdentify(b *testing.B) {
+	d := teamDocument(1, "m82thhkmgjqnirth5mgj")
+	for i := range 80 {
+		d.Teams = append(d.Teams, routing.Team{Name: fmt.Sprint("team-", i), Keys: []routing.KeyDigest{routing.DigestKey(fmt.Sprint("y5rcpihhacruddedev", i))}})
+	}
+	table, err := routing.Compile(d)
+	require.NoError(b, err)
+	o := &outbound{headers: testHeaders, key: (&forNode{}).Key}
+	q := &request{Request: &http.Request{Header: http.Header{testHeaders.Key: {"m82thhkmgjqnirth5mgj"}}}, route: table.Match("h.example", "/safe/x")}
+	forwarded := http.Header{}
+	b.ReportAllocs()
+	for b.Loop() {
+		if o.identify(q, table) != nil {
+			b.Fatal("refused")
+		}
+		o.setTeamHeader(q, forwarded)
+		o.teamStats.observe(q.team.Name, verdictAnswered)
+	}
+}
+
+// Teams request the same resources. Guards against a first attempt that counts as the retry of another team's caller, and so has less time.
+func TestCallerRetry_OfTheSameTeamOnly(t *testing.T) {
+	o := &outbound{headers: testHeaders, metrics: metrics.New()}
+	receive := func(team *routing.Team) *request {
+		q := &request{Request: httptest.NewRequest("GET", "/safe/1", nil), received: time.Now(), team: team}
+		q.route = &routing.Entry{Route: &routing.Route{Name: "safe", TimeoutMS: 5000, TargetMS: 300}}
+		require.True(t, o.setDeadlines(q))
+		return q
+	}
+	first, second := &routing.Team{Name: "first"}, &routing.Team{Name: "second"}
+	o.recordRefusal(receive(first), 50*time.Millisecond)
+	assert.False(t, receive(second).callerRetry)
+	assert.False(t, receive(nil).callerRetry)
+	assert.True(t, receive(first).callerRetry)
+}
