sidecar: a node that is behind answers 503 for routes that it does not know

Cause: as for keys, clients do not retry after 404, and a later version that another node has may hold the route.

Change: one place decides what a node refuses for good.

Result: go test ./pkg/sidecar -run 'TestTeam|TestIdentify|TestLocalResponses|TestServe_No|TestNoConf' passes.

--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -148,7 +148,7 @@
 	reasonBadRequest          reason = "bad_request"
 	reasonKeyMissing          reason = "key_missing" // the route is not public, and the request presents no key
 	reasonKeyUnknown          reason = "key_unknown" // no team holds the key
-	reasonBehind              reason = "behind"      // the key may be valid in a later configuration, which another node has
+	reasonBehind              reason = "behind"      // a later configuration, which another node has, may have the route or the key
 )
 
 // failureReason maps a failed exchange to a reason. It returns fallback if the connection was lost or could not be established.
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -176,7 +176,7 @@
 	}
 	q.route = table.Match(q.Host, q.URL.Path)
 	if q.route == nil {
-		return refuse(http.StatusNotFound, reasonUnknownRoute)
+		return o.refuseForGood(http.StatusNotFound, reasonUnknownRoute)
 	}
 	q.rank = q.route.Priority
 	if res := o.identify(q, table); res != nil {
--- a/pkg/sidecar/teams.go
+++ b/pkg/sidecar/teams.go
@@ -32,15 +32,21 @@
 		return nil
 	case q.route.Public:
 		return nil
-	case o.isBehind():
-		// Clients do not retry after 401. The later version may have the key, or may make the route public.
-		res := refuse(http.StatusServiceUnavailable, reasonBehind)
-		res.retryAfter = behindRetryAfter
-		return res
 	case !ok:
-		return refuse(http.StatusUnauthorized, reasonKeyMissing)
+		return o.refuseForGood(http.StatusUnauthorized, reasonKeyMissing)
 	}
-	return refuse(http.StatusUnauthorized, reasonKeyUnknown)
+	return o.refuseForGood(http.StatusUnauthorized, reasonKeyUnknown)
+}
+
+// refuseForGood returns a refusal after which clients do not retry. A node that knows of a later configuration cannot tell: that may have the route
+// or the key, or may make the route public.
+func (o *outbound) refuseForGood(status int, cause reason) *result {
+	if !o.isBehind() {
+		return refuse(status, cause)
+	}
+	res := refuse(http.StatusServiceUnavailable, reasonBehind)
+	res.retryAfter = behindRetryAfter
+	return res
 }
 
 // setTeamHeader removes from a header to forward what concerns only nodes, and states the team.
--- a/pkg/sidecar/teams_test.go
+++ b/pkg/sidecar/teams_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -139,8 +140,12 @@
 	assert.Equal(t, http.StatusServiceUnavailable, status("/safe/x", none))
 	assert.Equal(t, http.StatusOK, status("/safe/x", valid))
 	assert.Equal(t, http.StatusOK, status("/unsafe/x", none), "the route is public")
+	o.table = f.Table
+	q := &request{Request: &http.Request{Header: none, Host: "h.example", URL: &url.URL{Path: "/later/x"}}}
+	assert.Equal(t, http.StatusServiceUnavailable, httpStatus(o.serve(nil, q)), "nor that a route does not exist")
 	f.activate(teamDocument(3, "a"), nil, "relay")
 	assert.Equal(t, http.StatusUnauthorized, status("/safe/x", unknown))
+	assert.Equal(t, http.StatusNotFound, httpStatus(o.serve(nil, q)))
 	f.hear(4)
 	f.heardLaterAt.Add(-int64(behindMemory))
 	assert.Equal(t, http.StatusUnauthorized, status("/safe/x", unknown), "no node repeats it")
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -115,7 +115,7 @@
 		{"pkg/hop/exchange.go", "maxResponseHeaderBytes = 64 << 10", "maxResponseHeaderBytes = 64 << 20"},
 	}, runEndlessResponses},
 	{"admits unknown keys", []guarantee{guaranteeTeams}, []replacement{
-		{"pkg/sidecar/teams.go", "\treturn refuse(http.StatusUnauthorized, reasonKeyUnknown)\n", "\treturn nil\n"},
+		{"pkg/sidecar/teams.go", "\treturn o.refuseForGood(http.StatusUnauthorized, reasonKeyUnknown)\n", "\treturn nil\n"},
 	}, nil},
 	{"passes keys on", []guarantee{guaranteeTeams}, []replacement{
 		{"pkg/sidecar/teams.go", "delete(header, o.headers.Key)", "_ = o.key"},
