membership: the end of a partition declares nobody dead

Suspicions that ran out at that moment, with messages of others of their data centre but none of theirs, and those that both sides tell each other then, ended without time for the refutation. Change: a suspicion begins again, twice at most, if its data centre was silent during it or three other suspects turned out to be alive meanwhile.

--- a/pkg/membership/partition_test.go
+++ b/pkg/membership/partition_test.go
@@ -120,3 +120,18 @@
 	x.advance(time.Minute)
 	require.True(t, x.allAlive())
 }
+
+// Pattern: a data centre is cut off for about as long as a suspicion lasts. Guards against members that are declared dead at the moment when the network is back,
+// before their refutations arrive.
+func TestDataCentrePartition_EndsWithoutDeaths(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(40) {
+		x := newSimulation(t, 66, 500+seed)
+		x.advance(3 * time.Second)
+		x.isolate("seeb")
+		x.advance(4*time.Second + time.Duration(seed)*50*time.Millisecond)
+		x.heal()
+		x.advance(5 * time.Second)
+		require.Empty(t, x.deaths(), "seed %d", seed)
+	}
+}
--- a/pkg/membership/suspicion.go
+++ b/pkg/membership/suspicion.go
@@ -18,6 +18,9 @@
 // reminderTransmissions is the number of additional transmissions of a suspicion before the member is declared dead.
 const reminderTransmissions = 3
 
+// maxRenewals bounds how often a suspicion begins again after a disturbance of the network, and so the delay of the detection of a death meanwhile.
+const maxRenewals = 2
+
 // suspicion tracks the refutation period of a suspect.
 type suspicion struct {
 	since          time.Time
@@ -25,6 +28,7 @@
 	remindAt       time.Time // when the suspicion is sent again, so that members that know its refutation reply with it; zero once sent
 	contactChecked bool      // other members of its data centre were probed
 	heldSince      time.Time // start of the assumed partition; zero if none
+	renewals       int       // how often it began again after a disturbance of the network
 }
 
 func (s *system) beginSuspicion(now time.Time, e *entry) {
@@ -68,6 +72,9 @@
 			}
 			continue
 		}
+		if s.renewAfterDisturbance(now, e, pending) {
+			continue
+		}
 		if !s.extendDuringPartition(now, e, pending, r.partitioned() || !contact) {
 			s.declareDead(now, e)
 		}
@@ -148,9 +155,36 @@
 
 // recordContact records the time of a message from a member for its data centre.
 func (s *system) recordContact(now time.Time, id string) {
-	if e := s.table.entries[id]; e != nil {
-		s.lastContact[e.DataCentre] = now
+	e := s.table.entries[id]
+	if e == nil {
+		return
+	}
+	if now.Sub(s.lastContact[e.DataCentre]) > s.timing.suspicionTimeout(s.size()) {
+		s.contactResumed[e.DataCentre] = now
+	}
+	s.lastContact[e.DataCentre] = now
+}
+
+// recordRefutation records that a suspect has turned out to be alive.
+func (s *system) recordRefutation(now time.Time) {
+	copy(s.refuted[1:], s.refuted[:])
+	s.refuted[0] = now
+}
+
+// renewAfterDisturbance gives a suspect another refutation period if the network was disturbed during the first one: its data centre
+// was silent, or several other suspects turned out to be alive, as when a partition ends and both sides tell each other their suspicions. Its refutation may not have
+// arrived yet. It reports whether it did.
+func (s *system) renewAfterDisturbance(now time.Time, e *entry, pending *suspicion) bool {
+	wasSilent := s.contactResumed[e.DataCentre].After(pending.since)
+	othersAreAlive := s.refuted[len(s.refuted)-1].After(pending.since)
+	if pending.renewals == maxRenewals || !wasSilent && !othersAreAlive {
+		return false
 	}
+	timeout := s.timing.suspicionTimeout(s.size())
+	pending.renewals, pending.since, pending.heldSince = pending.renewals+1, now, time.Time{}
+	pending.deadline, pending.remindAt = now.Add(timeout), now.Add(timeout/2)
+	s.hooks.count("membership_renewed")
+	return true
 }
 
 // reachability counts the members and the unreachable members of a data centre.
--- a/pkg/membership/system.go
+++ b/pkg/membership/system.go
@@ -30,9 +30,11 @@
 	probes             map[uint64]*probe
 	lastProbeNumber    uint64
 	suspicions         map[string]*suspicion
-	nextSuspicionCheck time.Time            // earliest time at which a suspicion needs a check
-	lastContact        map[string]time.Time // latest message by data centre
-	contactChecks      map[string]time.Time // latest contact check by data centre
+	nextSuspicionCheck time.Time                   // earliest time at which a suspicion needs a check
+	lastContact        map[string]time.Time        // latest message by data centre
+	contactResumed     map[string]time.Time        // latest message after a silence, by data centre
+	refuted            [partitionMinimum]time.Time // latest refutations of suspicions, the newest first
+	contactChecks      map[string]time.Time        // latest contact check by data centre
 	queue              map[string]*broadcast
 	nextGossip         time.Time
 	gossipRound        int
@@ -61,7 +63,7 @@
 func newSystem(timing Timing, self Member, heartbeat func() Heartbeat, random *rand.Rand, hooks systemHooks) *system {
 	s := &system{
 		timing: timing, table: NewTable(timing.Retention), random: random, self: self.ID, heartbeat: heartbeat, hooks: hooks,
-		probes: make(map[uint64]*probe), suspicions: make(map[string]*suspicion), lastContact: make(map[string]time.Time),
+		probes: make(map[uint64]*probe), suspicions: make(map[string]*suspicion), lastContact: make(map[string]time.Time), contactResumed: make(map[string]time.Time),
 		contactChecks: make(map[string]time.Time), queue: make(map[string]*broadcast),
 	}
 	self.Status = Alive
@@ -260,6 +262,7 @@
 		s.hooks.count("membership_dead")
 		s.explainEvent(now, explain.DeclaredDead, e.ID, "another member declared it dead")
 	case e.Status == Alive && c.previous == Suspect:
+		s.recordRefutation(now)
 		s.explainEvent(now, explain.Refuted, e.ID, "the member refuted the suspicion with a higher counter or incarnation")
 	}
 }
