--- a/pkg/sidecar/download_test.go
+++ b/pkg/sidecar/download_test.go
@@ -15,7 +15,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/link"
+	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
+	"github.com/laburnumcleat/laburnumcleat/pkg/retry"
 )
 
 const downloadBytes = 700_000
@@ -209,3 +212,20 @@
 	b.ReportMetric(float64(peakHeap)/1e6, "peak-heap-MB")
 	require.EqualValues(b, defaultBufferBytes, second.buffers.Available(), "buffers are released")
 }
+
+// Guards against a request that is offered as a late one and then refused because it may not wait for a slot.
+func TestFullLink_LateRequestMayWaitForASlot(t *testing.T) {
+	_, first, second := newForwardingMesh(t)
+	o := first.outbound
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://h.example/safe/x", nil)
+	require.NoError(t, err)
+	q := &request{Request: r, route: o.table().Match("h.example", "/safe/x"), service: "s", out: &hop.Request{}, deadline: time.Now().Add(time.Second)}
+	attempts := o.budget.Attempts(retry.Call{Service: "s"})
+	links := linkRefusals{roomiest: second.settings.ID, backlog: 100 * time.Millisecond}
+	choice := o.pickForLateResponse(q, refuse(0, reasonLinkFull), attempts, &links)
+	require.NotNil(t, choice)
+	defer choice.Done(placement.Healthy, nil)
+	assert.False(t, choice.NoQueue)
+	links.backlog = 2 * time.Second
+	assert.Nil(t, o.pickForLateResponse(q, refuse(0, reasonLinkFull), attempts, &links), "it would end after the deadline")
+}
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -374,10 +374,14 @@
 	if last.reason != reasonLinkFull || attempts.Arrivals() > 0 || attempts.MayHaveRun() || o.stopReason(q, last) != "" || links.backlog >= time.Until(q.deadline) {
 		return nil
 	}
-	return o.chooser.Pick(o.candidates(q, func(*placement.Endpoint) bool { return false }), placement.Requirements{
+	choice := o.chooser.Pick(o.candidates(q, func(*placement.Endpoint) bool { return false }), placement.Requirements{
 		Class: q.route.Name, TimeToTarget: max(time.Until(q.deadline), time.Millisecond), LongResponse: true,
 		Excluded: func(e *placement.Endpoint) bool { return e.ID != links.roomiest },
 	})
+	if choice != nil {
+		choice.NoQueue = false // it is not offered to another node any more
+	}
+	return choice
 }
 
 // attemptOutcome returns what the result of an attempt shows about the call.
