experiment: teams, timeouts of attempts, shares by class

Rules about too little room differ in which class or team pays, which the table of whole scores does not show. Two patterns: exports that hold slots for long beside short urgent views, and nested calls beside first-hand calls of a more urgent rank.

--- a/standin/experiment/call.go
+++ b/standin/experiment/call.go
@@ -31,6 +31,15 @@
 	returns  int       // left
 	returned bool
 	counted  bool
+	team     *Team // nil: none
+}
+
+// rank returns the rank of the request's calls.
+func (r *request) rank() int {
+	if r.team != nil && r.team.Rank != nil {
+		return *r.team.Rank
+	}
+	return r.class.Rank
 }
 
 // status is the outcome of a call.
@@ -45,6 +54,8 @@
 // call is one attempt of a caller, or a call that a backend server makes.
 type call struct {
 	class       *Class
+	rank        int
+	team        string
 	node        *node // that sends it
 	target      time.Time
 	deadline    time.Time
@@ -78,15 +89,22 @@
 	}
 	f.after(path, func() {
 		n := r.node
-		c := &call{class: r.class, node: n, target: f.now.Add(milliseconds(r.class.TargetMS)), deadline: r.deadline.Add(-path)}
-		if refusal, ok := n.refusals.Take(r.key, c.deadline); ok && f.policies.has(ReturnsRecognised) {
+		callerDeadline := r.deadline.Add(-path)
+		c := &call{class: r.class, rank: r.rank(), node: n, target: f.now.Add(milliseconds(r.class.TargetMS)), deadline: callerDeadline}
+		if r.team != nil {
+			c.team = r.team.Name
+		}
+		if timeout := f.now.Add(milliseconds(r.class.TimeoutMS)); r.class.TimeoutMS > 0 && timeout.Before(c.deadline) {
+			c.deadline = timeout
+		}
+		if refusal, ok := n.refusals.Take(r.key, callerDeadline); ok && f.policies.has(ReturnsRecognised) {
 			c.target, c.callerRetry = refusal.FirstAttempt.Add(milliseconds(r.class.TargetMS)), true
 		}
 		received := f.now
 		c.done = func(res reply) {
 			if res.status == notRun {
 				first := c.target.Add(-milliseconds(r.class.TargetMS))
-				n.refusals.Add(f.now, callerretry.Refusal{Key: r.key, FirstAttempt: first, Deadline: c.deadline, RetryAt: f.now.Add(res.retryAfter)})
+				n.refusals.Add(f.now, callerretry.Refusal{Key: r.key, FirstAttempt: first, Deadline: callerDeadline, RetryAt: f.now.Add(res.retryAfter)})
 				f.tally.refusal(r, f.now.Sub(received))
 			}
 			f.after(path, func() {
@@ -221,7 +239,7 @@
 		respond(reply{status: notRun, outcome: placement.Unavailable})
 		return
 	}
-	rank := c.class.Rank
+	rank := c.rank
 	isNested := n.origins.Observe(c.class.Name, c.node.service.Name, n.service.Name)
 	if isNested && f.policies.has(NestedFirst) {
 		rank = admission.Nested
@@ -323,7 +341,7 @@
 	if e.call.deadline.Before(deadline) {
 		deadline = e.call.deadline
 	}
-	c := &call{class: class, node: e.node, nested: true, repeated: e.isRetry, target: f.now.Add(milliseconds(class.TargetMS)), deadline: deadline}
+	c := &call{class: class, rank: class.Rank, team: e.call.team, node: e.node, nested: true, repeated: e.isRetry, target: f.now.Add(milliseconds(class.TargetMS)), deadline: deadline}
 	c.done = func(res reply) {
 		e.failed = e.failed || res.status != succeeded
 		e.finishPart()
--- a/standin/experiment/fleet.go
+++ b/standin/experiment/fleet.go
@@ -44,6 +44,7 @@
 	endpoints map[string][]placement.Endpoint // by service
 	start     time.Time                       // end of the warm-up
 	rates     map[string]float64              // factor on the rate of a class
+	teams     []float64                       // calls of each team, in relation to those of the others
 	cut       string                          // data centre that is cut off
 	returning Event                           // callers that return at once; zero value: none
 	slowShift *Event
@@ -78,6 +79,9 @@
 
 // play runs the load and the events, and returns the result, or the error of ctx if that ends first.
 func (f *fleet) play(ctx context.Context) (*Result, error) {
+	for _, team := range f.scenario.Teams {
+		f.teams = append(f.teams, team.Share)
+	}
 	for i := range f.scenario.Classes {
 		if c := &f.scenario.Classes[i]; c.PerSecond > 0 {
 			f.rates[c.Name] = 1
@@ -110,7 +114,7 @@
 	if !ok {
 		return
 	}
-	f.after(time.Duration(f.random.ExpFloat64()/(c.PerSecond*rate)*float64(time.Second)), func() {
+	f.after(time.Duration(f.random.ExpFloat64()/(c.PerSecond*rate*f.teamFactor())*float64(time.Second)), func() {
 		if f.rates == nil {
 			return
 		}
@@ -122,13 +126,43 @@
 		f.requests++
 		r := &request{
 			class: c, key: f.requests, node: n, first: f.now, deadline: f.now.Add(milliseconds(c.DeadlineMS)),
-			returns: c.Returns, counted: !f.now.Before(f.start),
+			returns: c.Returns, counted: !f.now.Before(f.start), team: f.pickTeam(),
 		}
 		f.tally.asked(f, r)
 		f.send(r)
 	})
 }
 
+// teamFactor returns the calls of all teams, relative to those without a surge of a team.
+func (f *fleet) teamFactor() float64 {
+	now, usual := 0.0, 0.0
+	for i, share := range f.teams {
+		now, usual = now+share, usual+f.scenario.Teams[i].Share
+	}
+	if usual == 0 {
+		return 1
+	}
+	return now / usual
+}
+
+// pickTeam returns the team of a new request, or nil if there are no teams.
+func (f *fleet) pickTeam() *Team {
+	if len(f.teams) == 0 {
+		return nil
+	}
+	sum := 0.0
+	for _, share := range f.teams {
+		sum += share
+	}
+	at := f.random.Float64() * sum
+	for i, share := range f.teams {
+		if at -= share; at < 0 {
+			return &f.scenario.Teams[i]
+		}
+	}
+	return &f.scenario.Teams[len(f.teams)-1]
+}
+
 // updateEndpoints recomputes the endpoints that the nodes know.
 func (f *fleet) updateEndpoints() {
 	clear(f.endpoints)
@@ -186,6 +220,12 @@
 	}
 	switch e.Kind {
 	case Surge:
+		if e.Team != "" {
+			team := f.scenario.team(e.Team)
+			f.teams[team] *= e.Factor
+			end(func() { f.teams[team] /= e.Factor })
+			return
+		}
 		f.rates[e.Class] *= e.Factor
 		end(func() {
 			if f.rates != nil {
--- a/standin/experiment/report.go
+++ b/standin/experiment/report.go
@@ -41,6 +41,7 @@
 	{"worst windows", func(r *Result) float64 { return r.WorstWindows }, "", 3},
 	{"worst class", func(r *Result) float64 { return r.WorstClass }, "", 3},
 	{"worst data centre", func(r *Result) float64 { return r.WorstDataCentre }, "", 3},
+	{"worst teams", func(r *Result) float64 { return r.WorstTeams }, "", 3},
 	{"served", func(r *Result) float64 { return r.ServedAtAll }, "", 3},
 	{"late", total(func(o *Outcomes) int { return o.Late }), "", 0},
 	{"refused", total(func(o *Outcomes) int { return o.Refused }), "", 0},
@@ -80,6 +81,41 @@
 	for _, row := range rows(results) {
 		fmt.Fprintln(writer, strings.Join(row, "\t")+"\t")
 	}
+	if err := writer.Flush(); err != nil {
+		return err
+	}
+	return writeClasses(out, s, results)
+}
+
+// writeClasses writes which share of the calls of each class was in time, late, refused and failed.
+func writeClasses(out io.Writer, s *Scenario, results []VariantResult) error {
+	fmt.Fprintf(out, "\nin time/late/refused/failed, of 100 calls\n\n")
+	writer := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	header := "variant"
+	for _, c := range s.Classes {
+		if c.PerSecond > 0 {
+			header += "\t" + c.Name
+		}
+	}
+	fmt.Fprintln(writer, header+"\t")
+	for i := range results {
+		row := results[i].Variant
+		for _, c := range s.Classes {
+			if c.PerSecond == 0 {
+				continue
+			}
+			share := func(count func(*Outcomes) int) float64 {
+				mean, _ := results[i].Mean(func(r *Result) float64 {
+					o := r.Classes[c.Name]
+					return 100 * float64(count(&o)) / float64(max(1, o.Asked))
+				})
+				return mean
+			}
+			row += fmt.Sprintf("\t%.1f/%.1f/%.1f/%.1f", share(func(o *Outcomes) int { return o.InTime }), share(func(o *Outcomes) int { return o.Late }),
+				share(func(o *Outcomes) int { return o.Refused }), share(func(o *Outcomes) int { return o.Failed }))
+		}
+		fmt.Fprintln(writer, row+"\t")
+	}
 	return writer.Flush()
 }
 
--- a/standin/experiment/scenario.go
+++ b/standin/experiment/scenario.go
@@ -29,6 +29,7 @@
 	Retry       Retry     `json:"retry"`
 	Services    []Service `json:"services"`
 	Classes     []Class   `json:"classes"`
+	Teams       []Team    `json:"teams"` // optional
 	Events      []Event   `json:"events"`
 	Weights     Weights   `json:"weights"`
 	Variants    []Variant `json:"variants"`
@@ -58,6 +59,13 @@
 	ColdFactor float64   `json:"cold_factor"` // on the work of a cold server; default 1
 }
 
+// Team is a group of callers.
+type Team struct {
+	Name  string  `json:"name"`
+	Share float64 `json:"share"` // of the calls of each class, in relation to the shares of the other teams
+	Rank  *int    `json:"rank"`  // replaces the ranks of the classes; default: no change
+}
+
 // Class is a class of calls.
 type Class struct {
 	Name        string       `json:"name"`
@@ -66,9 +74,10 @@
 	Rank        int          `json:"rank"`
 	WorkMS      Distribution `json:"work_ms"`
 	TargetMS    float64      `json:"target_ms"`
-	DeadlineMS  float64      `json:"deadline_ms"`
-	Worth       float64      `json:"worth"`      // of a response in time
-	LateWorth   float64      `json:"late_worth"` // of a late one
+	DeadlineMS  float64      `json:"deadline_ms"` // how long the caller waits
+	TimeoutMS   float64      `json:"timeout_ms"`  // how long one attempt may take; default: until the deadline
+	Worth       float64      `json:"worth"`       // of a response in time
+	LateWorth   float64      `json:"late_worth"`  // of a late one
 	Idempotent  bool         `json:"idempotent"`
 	MaxAttempts int          `json:"max_attempts"` // backend servers that may receive the call
 	Returns     int          `json:"returns"`      // how often a caller returns after a refusal, or after a failure if the call is idempotent
@@ -97,7 +106,7 @@
 
 // Kinds of events.
 const (
-	Surge     EventKind = "surge"      // the rate of a class is multiplied by Factor
+	Surge     EventKind = "surge"      // the rate of a class, or of a team, is multiplied by Factor
 	Returning EventKind = "returning"  // Share of the refused callers return at once and Factor times
 	Shed      EventKind = "shed"       // Share of the servers of a service turn away Factor of their calls, free slots or not
 	Fail      EventKind = "fail"       // Share of the servers of a service fail Factor of their calls; with DataCentre, only those from there
@@ -115,6 +124,7 @@
 	AtS        float64   `json:"at_s"`
 	Seconds    float64   `json:"seconds"`
 	Class      string    `json:"class"`
+	Team       string    `json:"team"`
 	Service    string    `json:"service"` // empty: all services
 	DataCentre string    `json:"data_centre"`
 	Share      float64   `json:"share"`
@@ -215,6 +225,9 @@
 	for i := range s.Classes {
 		s.checkClass(c, fmt.Sprintf("classes[%d]", i), &s.Classes[i])
 	}
+	for i, team := range s.Teams {
+		c.positive(team.Share, fmt.Sprintf("teams[%d].share", i))
+	}
 	for i := range s.Events {
 		s.checkEvent(c, fmt.Sprintf("events[%d]", i), &s.Events[i])
 	}
@@ -250,7 +263,8 @@
 	c.require(e.DataCentre == "" || slices.Contains(s.DataCentres, e.DataCentre), field+".data_centre", fmt.Sprintf("%q is not known", e.DataCentre), "name one of data_centres")
 	switch e.Kind {
 	case Surge:
-		c.require(s.class(e.Class) != nil, field+".class", fmt.Sprintf("%q is not known", e.Class), "name one of classes")
+		c.require(e.Team != "" || s.class(e.Class) != nil, field+".class", fmt.Sprintf("%q is not known", e.Class), "name one of classes")
+		c.require(e.Team == "" || s.team(e.Team) >= 0, field+".team", fmt.Sprintf("%q is not known", e.Team), "name one of teams")
 		c.positive(e.Factor, field+".factor")
 	case Shed, Fail:
 		c.fraction(e.Factor, field+".factor")
@@ -272,6 +286,11 @@
 	return &s.Services[i]
 }
 
+// team returns the index of a team, or -1.
+func (s *Scenario) team(name string) int {
+	return slices.IndexFunc(s.Teams, func(x Team) bool { return x.Name == name })
+}
+
 func (s *Scenario) class(name string) *Class {
 	i := slices.IndexFunc(s.Classes, func(x Class) bool { return x.Name == name })
 	if i < 0 {
--- a/standin/experiment/tally.go
+++ b/standin/experiment/tally.go
@@ -31,6 +31,7 @@
 	scenario *Scenario
 	classes  map[string]*Outcomes
 	centres  map[string]*Outcomes
+	teams    map[string]*Outcomes
 	windows  []*Outcomes
 	services map[string]*serviceTally
 
@@ -54,7 +55,7 @@
 const retryBuckets = 10
 
 func newTally(s *Scenario) *tally {
-	t := &tally{scenario: s, classes: make(map[string]*Outcomes), centres: make(map[string]*Outcomes), services: make(map[string]*serviceTally)}
+	t := &tally{scenario: s, classes: make(map[string]*Outcomes), centres: make(map[string]*Outcomes), teams: make(map[string]*Outcomes), services: make(map[string]*serviceTally)}
 	for _, c := range s.Classes {
 		if c.PerSecond > 0 {
 			t.classes[c.Name] = &Outcomes{}
@@ -63,6 +64,9 @@
 	for _, name := range s.DataCentres {
 		t.centres[name] = &Outcomes{}
 	}
+	for _, team := range s.Teams {
+		t.teams[team.Name] = &Outcomes{}
+	}
 	for range int(seconds(s.Seconds)/windowLength) + 1 {
 		t.windows = append(t.windows, &Outcomes{})
 	}
@@ -80,6 +84,9 @@
 	}
 	count(t.classes[r.class.Name])
 	count(t.centres[r.node.dataCentre])
+	if r.team != nil {
+		count(t.teams[r.team.Name])
+	}
 	count(t.windows[min(int(r.first.Sub(f.start)/windowLength), len(t.windows)-1)])
 }
 
@@ -154,6 +161,7 @@
 	BudgetDenied                                                  int
 	BudgetUsed                                                    float64 // largest share of the retry bound that a service used in a window
 	WastedSlots                                                   float64 // share of the slot time of calls that were late or failed
+	WorstTeams                                                    float64 // mean earned share of the worst tenth of the teams; 1 without teams
 }
 
 func (t *tally) result() *Result {
@@ -185,6 +193,7 @@
 			shares = append(shares, o.Share())
 		}
 	}
+	r.WorstTeams = t.worstTeams()
 	slices.Sort(shares)
 	r.WorstWindows = mean(shares[:min(worstWindows, len(shares))])
 	r.Whole = all.Share()
@@ -201,6 +210,22 @@
 	return r
 }
 
+// worstTeams returns the mean earned share of the worst tenth of the teams that asked.
+func (t *tally) worstTeams() float64 {
+	var shares []float64
+	for _, o := range t.teams {
+		if o.Asked > 0 {
+			shares = append(shares, o.Share())
+		}
+	}
+	if len(shares) == 0 {
+		return 1
+	}
+	slices.Sort(shares)
+	const worstPart = 10
+	return mean(shares[:(len(shares)+worstPart-1)/worstPart])
+}
+
 // budgetUsed returns the largest share of the retry bound that a service used in a window. The bound counts the requests of that window, of
 // the one before it or of the one half a window before it, whichever are most.
 func (t *tally) budgetUsed() float64 {
