--- a/pkg/admission/pace.go
+++ b/pkg/admission/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -71,12 +72,18 @@
 
 // NextGrant returns when a queued call can be granted that waits for the rate limit only. It returns false if there is none.
 func (s *Scheduler) NextGrant(now time.Time) (time.Time, bool) {
-	if !s.pace.limited() || len(s.queue) == 0 || s.running >= s.limit(now) {
+	if !s.pace.limited() || !s.hasWaiting(now) {
 		return time.Time{}, false
 	}
 	return now.Add(s.pace.wait(now, 1)), true
 }
 
+// hasWaiting reports whether a call waits that may have a free slot.
+func (s *Scheduler) hasWaiting(now time.Time) bool {
+	return slices.ContainsFunc(s.queue, func(c *Ticket) bool { return s.mayTakeSlot(now, c) }) ||
+		slices.ContainsFunc(s.late.calls, func(c *Ticket) bool { return s.mayTakeSlot(now, c) })
+}
+
 // Tick grants queued calls that the rate limit allows, and refuses those that have waited too long. Call it at the time of NextGrant.
 func (s *Scheduler) Tick(now time.Time) {
 	s.dispatch(now)
--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -20,13 +20,16 @@
 type Call struct {
 	Class    string    // calls of one class have similar service times
 	Rank     int       // 0 is the most urgent, apart from Nested
+	Nested   bool      // a backend server makes the call while it serves another one
+	Team     string    // of the caller; empty: none
 	Target   time.Time // a response up to then is in time
 	Deadline time.Time // a response after it is useless to the caller
 	IsRetry  bool      // an earlier attempt of its caller was refused
 	NoQueue  bool      // refuse it as Busy instead of queueing it if no slot is free
+	LastNode bool      // if this node refuses the call, no other node is asked
 }
 
-// Nested is the rank of nested calls, which a backend server makes while it serves another call.
+// Nested is the rank of nested calls whose parent's rank is not known.
 const Nested = -1
 
 // Reason says why a call was refused. A refused call has not run and will not run.
@@ -78,13 +81,20 @@
 	MarginDeviations  float64       // safety margin of a duration estimate, in mean deviations of the class
 	MinRate           float64       // least rate limit, in calls a second
 	RateBurst         time.Duration // calls that a rate limit allows in this time may be granted at once
+	RoomGapShare      float64       // room is kept for a class if slots become free less often than once in this share of its slack
+	RoomDeviations    float64       // slots kept beyond the expected number, in standard deviations of the number
+	MaxRoomShare      float64       // most slots that are kept for more urgent classes, as a share of all
+	LatePerSlot       int           // bound of the calls that wait beyond their target
+	LateLoadWindow    time.Duration // averaging time of the load that goes before those calls
+	TeamAllowance     float64       // slot time of a team beyond its share, relative to the share, up to which its calls keep their place
 }
 
 // DefaultPolicy returns the parameters that the nodes use.
 func DefaultPolicy() Policy {
 	return Policy{
 		QueuedPerSlot: 4, ShedLimitDuration: time.Second, MinRankShare: 0.4, StarvedSlotShare: 0.15, FirstAttemptSlack: 0.5, MarginDeviations: 0.5,
-		MinRate: 0.5, RateBurst: 200 * time.Millisecond,
+		MinRate: 0.5, RateBurst: 200 * time.Millisecond, RoomGapShare: 0.25, RoomDeviations: 0.5, MaxRoomShare: 1.0 / 3,
+		LatePerSlot: 8, LateLoadWindow: 3 * time.Second, TeamAllowance: 0.25,
 	}
 }
 
@@ -119,10 +129,22 @@
 	Decide   func(*Refusal) // called exactly once, from a method of the scheduler: nil grants a slot
 	due      time.Time      // by which its place in the queue is determined; not after Target
 	granted  time.Time
-	slowness float64 // at the time of the grant
-	queued   bool
+	slowness float64       // at the time of the grant
+	expected time.Duration // slot time, estimated at the grant
+	state    ticketState
+	demand   *classDemand
 }
 
+// ticketState says where a ticket is.
+type ticketState int
+
+const (
+	undecided  ticketState = iota // offered now
+	queued                        // in Scheduler.queue
+	queuedLate                    // in Scheduler.late
+	decided
+)
+
 // Scheduler implements the admission policy. It reads no clock: its state depends only on the calls and times passed to it. It is not safe
 // for concurrent use.
 type Scheduler struct {
@@ -133,6 +155,9 @@
 
 	running   int
 	queue     []*Ticket // in service order
+	late      lateQueue
+	room      room
+	teams     teamShares
 	ranks     map[int]*rankState
 	slotTimes map[string]*movingAverage // slot time by class, normalised to the mean speed of the machine
 	slotTime  movingAverage             // slot time of all calls, normalised likewise
@@ -159,7 +184,7 @@
 
 // NewScheduler returns a scheduler for a backend server with the given number of slots.
 func NewScheduler(slots int, policy Policy) *Scheduler {
-	return &Scheduler{policy: policy, slots: slots, ranks: make(map[int]*rankState), slotTimes: make(map[string]*movingAverage)}
+	return &Scheduler{policy: policy, slots: slots, ranks: make(map[int]*rankState), slotTimes: make(map[string]*movingAverage), late: lateQueue{window: policy.LateLoadWindow}}
 }
 
 // limit returns how many calls may be in flight.
@@ -200,8 +225,15 @@
 		s.refuse(now, c, DeadlineUnreachable)
 		return
 	}
+	c.Nested = c.Nested || c.Rank == Nested
+	c.demand = s.room.demandOf(c)
 	c.due = s.due(now, c)
-	if s.canGrant(now) && len(s.queue) == 0 {
+	if !c.Nested && s.teams.isOver(now, c.Team, s.policy.TeamAllowance) {
+		c.due = c.due.Add(c.demand.timeToTarget) // behind those of its class that wait now
+	}
+	if s.canGrantTo(now, c) && !s.hasGrantable(now) {
+		s.room.arrived(now, c)
+		s.late.addLoad(now, s.estimateDuration(now, c.Class))
 		s.grant(now, c)
 		return
 	}
@@ -209,10 +241,13 @@
 		s.refuse(now, c, Busy)
 		return
 	}
+	s.room.arrived(now, c)
 	if reason := s.refusalReason(now, c, s.position(c)); reason != "" {
-		s.refuse(now, c, reason)
+		s.refuseOrDefer(now, c, reason)
+		s.dispatchLate(now)
 		return
 	}
+	s.late.addLoad(now, s.estimateDuration(now, c.Class))
 	s.insert(c)
 	s.dispatch(now)
 	s.prune(now)
@@ -221,6 +256,9 @@
 // due returns the time by which the place of a new call in the queue is determined. A call whose target is later than usual for its rank is
 // treated as one with the usual target: otherwise, while slots are short, it would wait behind all later calls with earlier targets.
 func (s *Scheduler) due(now time.Time, c *Ticket) time.Time {
+	if c.Nested {
+		return c.Target
+	}
 	state := s.rank(c.Rank)
 	left := c.Target.Sub(now)
 	if !c.IsRetry {
@@ -256,7 +294,7 @@
 		return DeadlineUnreachable
 	case len(s.queue) >= s.policy.QueuedPerSlot*s.limit(now):
 		return Overloaded
-	case wait > slack && c.Rank != Nested:
+	case wait > slack && !c.Nested:
 		return s.shortage(now, ahead)
 	}
 	return ""
@@ -314,6 +352,9 @@
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
+	if a.Nested != b.Nested {
+		return a.Nested
+	}
 	return a.due.Before(b.due)
 }
 
@@ -335,7 +376,7 @@
 }
 
 func (s *Scheduler) insert(c *Ticket) {
-	c.queued = true
+	c.state = queued
 	i := 0
 	for i < len(s.queue) && !s.precedes(c, s.queue[i]) {
 		i++
@@ -345,35 +386,44 @@
 
 // dispatch grants free slots to queued calls.
 func (s *Scheduler) dispatch(now time.Time) {
-	for s.canGrant(now) && len(s.queue) > 0 {
-		i := s.nextIndex()
+	for s.canGrant(now) {
+		i := s.nextIndex(now)
+		if i < 0 {
+			break
+		}
 		c := s.queue[i]
 		s.remove(i)
 		expectedEnd := now.Add(s.estimateDuration(now, c.Class))
 		switch {
 		case !now.Before(c.Deadline) || expectedEnd.After(c.Deadline) && len(s.queue) > 0:
 			s.refuse(now, c, DeadlineUnreachable)
-		case expectedEnd.After(c.Target) && c.Rank != Nested && len(s.queue) > 0:
-			s.refuse(now, c, s.shortage(now, len(s.queue))) // leave the slot to a call that can be in time
+		case expectedEnd.After(c.Target) && !c.Nested && len(s.queue) > 0:
+			s.refuseOrDefer(now, c, s.shortage(now, len(s.queue))) // leave the slot to a call that can be in time
 		default:
 			s.grant(now, c)
 		}
 	}
+	s.dispatchLate(now)
 }
 
-// nextIndex returns the index of the queued call to grant next: the first call of a starved rank, or else the head of the queue.
-func (s *Scheduler) nextIndex() int {
-	if s.queue[0].Rank == Nested {
-		return 0
-	}
-	last := s.queue[0].Rank
+// nextIndex returns the index of the queued call to grant next, or -1 if there is none: the first call of a starved rank, or else the head of the
+// queue. Calls that must leave the free slots to more urgent ones are passed over.
+func (s *Scheduler) nextIndex(now time.Time) int {
+	first := -1
 	for i, c := range s.queue {
-		if c.Rank != last && s.starved(c.Rank) {
+		if (i == 0 || c.Rank != s.queue[i-1].Rank) && s.starved(c.Rank) && (first < 0 || !s.queue[first].Nested) {
 			return i
 		}
-		last = c.Rank
+		if first < 0 && s.canGrantTo(now, c) {
+			first = i
+		}
 	}
-	return 0
+	return first
+}
+
+// hasGrantable reports whether a queued call may be granted now.
+func (s *Scheduler) hasGrantable(now time.Time) bool {
+	return len(s.queue) > 0 && s.canGrant(now) && s.nextIndex(now) >= 0
 }
 
 // starved reports whether the rank gets a much smaller share of its calls served than a more urgent rank. A rank that overloads the
@@ -401,27 +451,36 @@
 		}
 		if reason := s.refusalReason(now, c, i); reason != "" && (len(s.queue) > 1 || reason == DeadlineUnreachable) {
 			s.remove(i)
-			s.refuse(now, c, reason)
+			s.refuseOrDefer(now, c, reason)
 		}
 	}
+	s.pruneLate(now)
 }
 
 func (s *Scheduler) remove(i int) {
-	s.queue[i].queued = false
+	s.queue[i].state = undecided
 	s.queue = slices.Delete(s.queue, i, i+1)
 }
 
 // Withdraw refuses a queued call. It has no effect on a call that is already decided.
 func (s *Scheduler) Withdraw(now time.Time, c *Ticket, reason Reason) {
-	if c.queued {
+	switch c.state {
+	case queued:
 		s.remove(slices.Index(s.queue, c))
-		s.refuse(now, c, reason)
+	case queuedLate:
+		s.late.remove(slices.Index(s.late.calls, c))
+	default:
+		return
 	}
+	s.refuse(now, c, reason)
 }
 
 func (s *Scheduler) grant(now time.Time, c *Ticket) {
-	c.granted, c.slowness = now, s.slowness(now)
+	c.granted, c.slowness, c.state = now, s.slowness(now), decided
 	s.running++
+	c.demand.running++
+	c.expected = s.estimateDuration(now, c.Class)
+	s.teams.add(now, c.Team, c.expected)
 	s.pace.add(now, -1)
 	s.recordDecision(now, c.Rank, 1)
 	s.ranks[c.Rank].running++
@@ -429,6 +488,7 @@
 }
 
 func (s *Scheduler) refuse(now time.Time, c *Ticket, reason Reason) {
+	c.state = decided
 	r := &Refusal{Reason: reason}
 	if reason == Overloaded || reason == RateLimited || reason == DeadlineUnreachable {
 		s.recordDecision(now, c.Rank, 0)
@@ -475,6 +535,8 @@
 		s.pace.add(now, 1)
 	}
 	s.running--
+	c.demand.running--
+	s.teams.add(now, c.Team, now.Sub(c.granted)-c.expected)
 	s.ranks[c.Rank].running--
 	s.dispatch(now)
 }
@@ -514,6 +576,9 @@
 		s.remove(0)
 		s.refuse(now, c, Closed)
 	}
+	for len(s.late.calls) > 0 {
+		s.refuse(now, s.late.remove(0), Closed)
+	}
 }
 
 // Load returns the current load, with the times of the class.
--- a/pkg/retry/attempts.go
+++ b/pkg/retry/attempts.go
@@ -63,6 +63,11 @@
 	return a.sent < maxAttempts && a.fullRefusals < maxFullRefusals
 }
 
+// LastForCapacity reports whether no further node is asked if the next one refuses the call for lack of capacity.
+func (a *Attempts) LastForCapacity() bool {
+	return a.fullRefusals+1 >= maxFullRefusals || a.sent+1 >= maxAttempts
+}
+
 // Reserve counts the next attempt in the budget if it is a retry, or returns false if the budget does not allow one. A reservation whose
 // attempt is not reported, for example because the endpoint had no free slot, serves the next Reserve.
 func (a *Attempts) Reserve() bool {
--- a/standin/experiment/call.go
+++ b/standin/experiment/call.go
@@ -61,6 +61,7 @@
 	deadline    time.Time
 	callerRetry bool
 	nested      bool // made by a backend server; the nodes find that out by themselves
+	lastNode    bool // if the next node refuses the call for lack of capacity, no other is asked
 	repeated    bool // made by a backend server that serves a retry, so that the call repeats an earlier one
 	attempts    *retry.Attempts
 	attempted   map[string]bool
@@ -220,6 +221,7 @@
 		f.tally.remoteCalls++
 	}
 	isRetry := c.attempts.Arrivals() > 0
+	c.lastNode = c.attempts.LastForCapacity()
 	path := f.latency(n, to)
 	f.after(path, func() {
 		to.admit(c, choice, isRetry, func(res reply) {
@@ -247,6 +249,7 @@
 	arrived := f.now
 	ticket := &admission.Ticket{Call: admission.Call{
 		Class: c.class.Name, Rank: rank, Target: c.target, Deadline: c.deadline, IsRetry: c.callerRetry, NoQueue: choice.NoQueue,
+		Nested: isNested && f.policies.has(NestedFirst), Team: c.team, LastNode: c.lastNode,
 	}}
 	ticket.Decide = func(refusal *admission.Refusal) {
 		// The scheduler must not be called again before it returns.
