admission, sidecar: parent's rank of nested calls beyond a share of the slots, delays counted

The first node of a nested call sends the most urgent rank that its backend server runs, and whether another node is asked after a refusal, in the extension of the header.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -86,6 +86,9 @@
 	ticket     *Ticket
 }
 
+// Delay says which rule put the call behind others before it was granted, or is empty.
+func (g *Grant) Delay() Delay { return g.ticket.delay }
+
 // Release frees the slot and records the result of the call.
 func (g *Grant) Release(r Result) {
 	g.controller.mu.Lock()
--- a/pkg/admission/late.go
+++ b/pkg/admission/late.go
@@ -51,7 +51,7 @@
 		s.refuse(now, c, reason)
 		return
 	}
-	c.state = queuedLate
+	c.state, c.delay = queuedLate, DelayLate
 	s.late.calls = slices.Insert(s.late.calls, s.late.position(c), c)
 }
 
--- a/pkg/admission/room.go
+++ b/pkg/admission/room.go
@@ -39,6 +39,9 @@
 	demandWindow = time.Second
 	// roomRefresh is how long the computed need of the more urgent classes is used.
 	roomRefresh = 50 * time.Millisecond
+	// shortTimeShare is the slot time of a short class, as a share of that of a long one, at most. Classes that hold slots about as long as
+	// each other need no room beside each other: the queue order decides.
+	shortTimeShare = 0.5
 	// urgentSlackShare is the slack of a more urgent class of the same rank, as a share of that of the other class, at most.
 	urgentSlackShare = 0.25
 )
@@ -112,8 +115,9 @@
 		if other == d || rate == 0 || !s.isMoreUrgent(other, d) {
 			continue
 		}
-		if slack := s.slackOf(other); slack > 0 && float64(gap) >= s.policy.RoomGapShare*float64(slack) {
-			expected += rate * s.classTime(other.class).Seconds()
+		short := s.classTime(other.class)
+		if slack := s.slackOf(other); slack > 0 && float64(short) <= shortTimeShare*float64(slotTime) && float64(gap) >= s.policy.RoomGapShare*float64(slack) {
+			expected += rate * short.Seconds()
 			d.moreUrgent = append(d.moreUrgent, other)
 		}
 	}
--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -45,9 +45,20 @@
 	RateLimited         Reason = "limited"  // the call would start too late to be in time because of the rate limit
 )
 
+// Delay says which rule put a call behind others. Without one, it waits only for the calls ahead of it.
+type Delay string
+
+// Delays of calls.
+const (
+	DelayRoom  Delay = "room"  // a slot was free, but kept for more urgent classes
+	DelayShare Delay = "share" // its team has had more than its share
+	DelayLate  Delay = "late"  // it waited beyond its target
+)
+
 // Refusal is the decision on a call that gets no slot.
 type Refusal struct {
 	Reason     Reason
+	Delay      Delay         // empty: none
 	RetryAfter time.Duration // time until a retry is expected to be accepted; 0: not within the deadline
 }
 
@@ -86,6 +97,7 @@
 	MaxRoomShare      float64       // most slots that are kept for more urgent classes, as a share of all
 	LatePerSlot       int           // bound of the calls that wait beyond their target
 	LateLoadWindow    time.Duration // averaging time of the load that goes before those calls
+	NestedShare       float64       // share of the slots up to which nested calls go before all others; beyond it they have their parent's rank
 	TeamAllowance     float64       // slot time of a team beyond its share, relative to the share, up to which its calls keep their place
 }
 
@@ -93,8 +105,8 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		QueuedPerSlot: 4, ShedLimitDuration: time.Second, MinRankShare: 0.4, StarvedSlotShare: 0.15, FirstAttemptSlack: 0.5, MarginDeviations: 0.5,
-		MinRate: 0.5, RateBurst: 200 * time.Millisecond, RoomGapShare: 0.25, RoomDeviations: 0.5, MaxRoomShare: 1.0 / 3,
-		LatePerSlot: 8, LateLoadWindow: 3 * time.Second, TeamAllowance: 0.25,
+		MinRate: 0.5, RateBurst: 200 * time.Millisecond, RoomGapShare: 0.25, RoomDeviations: 1, MaxRoomShare: 1.0 / 3,
+		LatePerSlot: 8, LateLoadWindow: 3 * time.Second, NestedShare: 0.75, TeamAllowance: 0.5,
 	}
 }
 
@@ -132,6 +144,7 @@
 	slowness float64       // at the time of the grant
 	expected time.Duration // slot time, estimated at the grant
 	state    ticketState
+	delay    Delay
 	demand   *classDemand
 }
 
@@ -158,6 +171,7 @@
 	late      lateQueue
 	room      room
 	teams     teamShares
+	nested    nestedCalls
 	ranks     map[int]*rankState
 	slotTimes map[string]*movingAverage // slot time by class, normalised to the mean speed of the machine
 	slotTime  movingAverage             // slot time of all calls, normalised likewise
@@ -225,11 +239,12 @@
 		s.refuse(now, c, DeadlineUnreachable)
 		return
 	}
-	c.Nested = c.Nested || c.Rank == Nested
+	s.rankNested(c)
 	c.demand = s.room.demandOf(c)
 	c.due = s.due(now, c)
 	if !c.Nested && s.teams.isOver(now, c.Team, s.policy.TeamAllowance) {
 		c.due = c.due.Add(c.demand.timeToTarget) // behind those of its class that wait now
+		c.delay = DelayShare
 	}
 	if s.canGrantTo(now, c) && !s.hasGrantable(now) {
 		s.room.arrived(now, c)
@@ -237,6 +252,9 @@
 		s.grant(now, c)
 		return
 	}
+	if c.delay == "" && s.canGrant(now) && !s.canGrantTo(now, c) {
+		c.delay = DelayRoom
+	}
 	if c.NoQueue {
 		s.refuse(now, c, Busy)
 		return
@@ -382,6 +400,7 @@
 		i++
 	}
 	s.queue = slices.Insert(s.queue, i, c)
+	s.nested.queued(c, 1)
 }
 
 // dispatch grants free slots to queued calls.
@@ -459,6 +478,7 @@
 
 func (s *Scheduler) remove(i int) {
 	s.queue[i].state = undecided
+	s.nested.queued(s.queue[i], -1)
 	s.queue = slices.Delete(s.queue, i, i+1)
 }
 
@@ -479,6 +499,7 @@
 	c.granted, c.slowness, c.state = now, s.slowness(now), decided
 	s.running++
 	c.demand.running++
+	s.nested.granted(c)
 	c.expected = s.estimateDuration(now, c.Class)
 	s.teams.add(now, c.Team, c.expected)
 	s.pace.add(now, -1)
@@ -489,7 +510,7 @@
 
 func (s *Scheduler) refuse(now time.Time, c *Ticket, reason Reason) {
 	c.state = decided
-	r := &Refusal{Reason: reason}
+	r := &Refusal{Reason: reason, Delay: c.delay}
 	if reason == Overloaded || reason == RateLimited || reason == DeadlineUnreachable {
 		s.recordDecision(now, c.Rank, 0)
 		r.RetryAfter = s.retryAfter(now, c)
@@ -536,6 +557,7 @@
 	}
 	s.running--
 	c.demand.running--
+	s.nested.finished(c)
 	s.teams.add(now, c.Team, now.Sub(c.granted)-c.expected)
 	s.ranks[c.Rank].running--
 	s.dispatch(now)
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/admission"
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
@@ -46,6 +47,10 @@
 	targetRemaining   time.Duration // time until the call counts as late; may be negative
 	deadlineRemaining time.Duration
 
+	// Values in the extension of the header, which nodes may leave out.
+	lastNode   bool // if the node refuses the call for lack of capacity, no other is asked
+	parentRank int  // most urgent rank that the calling backend server runs, if the call is nested; admission.Nested: unknown
+
 	fingerprint *quarantine.Fingerprint // of the request, once it was needed; not encoded
 }
 
@@ -98,6 +103,34 @@
 	}, nil
 }
 
+// Names of optional values of a call.
+const (
+	extensionLastNode   = "last-node"
+	extensionParentRank = "parent-rank"
+)
+
+// extension returns the optional values of the call.
+func (c *call) extension() url.Values {
+	values := url.Values{}
+	if c.lastNode {
+		values.Set(extensionLastNode, formatBool(true))
+	}
+	if c.parentRank >= 0 {
+		values.Set(extensionParentRank, strconv.Itoa(c.parentRank))
+	}
+	return values
+}
+
+// readExtension reads the optional values of the call.
+func (c *call) readExtension(values url.Values) {
+	c.lastNode = values.Get(extensionLastNode) == formatBool(true)
+	rank, err := strconv.Atoi(values.Get(extensionParentRank))
+	if err != nil || rank < 0 {
+		rank = admission.Nested
+	}
+	c.parentRank = rank
+}
+
 // verdict is the execution outcome of a call at the inbound node.
 type verdict string
 
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -57,8 +57,9 @@
 	link  *link.Link
 	stats routeStats // by call class
 
-	running        atomic.Int64 // calls that hold a slot
-	runningRetries atomic.Int64 // of them, those that a backend server has received before
+	running        atomic.Int64           // calls that hold a slot
+	runningRanks   admission.RunningRanks // of them
+	runningRetries atomic.Int64           // of them, those that a backend server has received before
 
 	origins  *admission.OriginTracker
 	instance atomic.Pointer[instance]
@@ -207,9 +208,9 @@
 	if cause := in.refusalReason(i, c); cause != "" {
 		return in.completeReply(i, c, r, &callReply{verdict: verdictNotRun, reason: cause}), nil
 	}
-	rank := c.rank
+	rank, slotRank := c.rank, c.rank // by kind of call; by which it gets a slot
 	if in.origins.Observe(c.class, c.caller, i.Service) {
-		rank = admission.Nested
+		rank, slotRank = admission.Nested, c.parentRank
 	}
 	leaveWard, refusal := in.enterWard(ctx, i, c, r)
 	if refusal != nil {
@@ -221,9 +222,10 @@
 		return in.completeReply(i, c, r, linkRefusal), nil
 	}
 	grant, refused := i.admission.Acquire(ctx, admission.Call{
-		Class: c.class, Rank: rank, Target: now.Add(c.targetRemaining - transmit), Deadline: now.Add(c.deadlineRemaining - transmit),
-		IsRetry: c.callerRetry, NoQueue: c.noQueue,
+		Class: c.class, Rank: slotRank, Nested: rank == admission.Nested, Team: r.Header.Get(in.headers.Team), Target: now.Add(c.targetRemaining - transmit), Deadline: now.Add(c.deadlineRemaining - transmit),
+		IsRetry: c.callerRetry, NoQueue: c.noQueue, LastNode: c.lastNode,
 	})
+	in.countDelay(grant, refused)
 	if refused != nil {
 		return in.completeReply(i, c, r, admissionReply(refused)), nil
 	}
@@ -240,8 +242,10 @@
 	done := in.link.Expect(in.stats.meanResponseBytes(c.class))
 	granted := time.Now()
 	leaveRunning := in.countRunning(c)
+	in.runningRanks.Add(slotRank, 1)
 	reply, response, result := in.forward(ctx, i, c, r, now.Add(c.deadlineRemaining))
 	leaveRunning()
+	in.runningRanks.Add(slotRank, -1)
 	in.recordAnswer(c, r, reply)
 	in.recordSlotTime(ctx, reply, response, rank, time.Since(granted), now.Add(c.targetRemaining))
 	reply.nested = rank == admission.Nested
@@ -258,6 +262,19 @@
 	return in.completeReply(i, c, r, reply), response
 }
 
+// countDelay counts a call that a rule of the admission has put behind others.
+func (in *inbound) countDelay(grant *admission.Grant, refused *admission.Refusal) {
+	delay, outcome := admission.Delay(""), "granted"
+	if refused != nil {
+		delay, outcome = refused.Delay, "refused"
+	} else {
+		delay = grant.Delay()
+	}
+	if delay != "" {
+		in.metrics.Inc("admission_delay", "cause", string(delay), "outcome", outcome)
+	}
+}
+
 // countRunning counts a call as running until the returned function is called.
 func (in *inbound) countRunning(c *call) (done func()) {
 	retries := int64(0)
--- a/pkg/sidecar/nodeserver.go
+++ b/pkg/sidecar/nodeserver.go
@@ -91,6 +91,7 @@
 		h.writeReply(r.Context(), w, &callReply{verdict: verdictNotRun, reason: reasonBadRequest}, nil)
 		return
 	}
+	c.readExtension(extensionOf(r.Header))
 	if c.node != h.id {
 		h.writeReply(r.Context(), w, &callReply{verdict: verdictNotRun, reason: reasonOtherNode}, nil)
 		return
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -315,7 +315,7 @@
 		if attempts.Sent() > 0 {
 			o.metrics.Inc("outbound_retry", "reason", string(last.reason))
 		}
-		last = o.attempt(ctx, q, choice, attempts.Arrivals() > 0)
+		last = o.attempt(ctx, q, choice, attempts)
 		if last.reason == reasonBusy {
 			busy[choice.ID] = true
 			continue
@@ -393,14 +393,18 @@
 	return 0
 }
 
-// attempt sends the request to one inbound node. isRetry says that a backend server has received it before.
-func (o *outbound) attempt(ctx context.Context, q *request, choice *placement.Choice, isRetry bool) *result {
+// attempt sends the request to one inbound node.
+func (o *outbound) attempt(ctx context.Context, q *request, choice *placement.Choice, attempts *retry.Attempts) *result {
 	c := &call{
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.rank,
-		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: isRetry, noQueue: choice.NoQueue && q.out.Stream == nil,
+		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: attempts.Arrivals() > 0, noQueue: choice.NoQueue && q.out.Stream == nil,
+		lastNode: attempts.LastForCapacity(), parentRank: admission.Nested,
 		fingerprint:     q.fingerprint,
 		targetRemaining: time.Until(q.target) - o.link.EstimateWait(o.stats.meanResponseBytes(q.route.Name)), deadlineRemaining: time.Until(q.deadline),
 	}
+	if o.stats.isNested(q.route.Name) {
+		c.parentRank = o.local.runningRanks.MostUrgent()
+	}
 	res := &result{node: choice.ID}
 	out := *q.out
 	out.Header = q.out.Header.Clone()
@@ -412,6 +416,7 @@
 		res.callReply = callReply{verdict: verdictNotRun, reason: reasonCancelled}
 	default:
 		out.Header.Set(headerCall, c.encode())
+		setExtension(out.Header, c.extension())
 		out.FreshOnly = !q.route.Idempotent
 		response, failed := o.client.Do(ctx, choice.Address, &out)
 		o.readReply(res, response, failed)
--- a/standin/experiment/node.go
+++ b/standin/experiment/node.go
@@ -30,6 +30,7 @@
 	failFrom    string  // data centre of the callers whose calls fail; empty: all
 	answered    float64 // moving average of the share of calls that the backend server answered
 	running     []*execution
+	ranks       admission.RunningRanks // of the calls of running
 
 	chooser   *placement.Chooser
 	budget    *retry.Budget
--- a/standin/experiment/scenario.go
+++ b/standin/experiment/scenario.go
@@ -154,14 +154,15 @@
 
 // Mechanisms that can be switched off.
 const (
-	NestedFirst       Mechanism = "nested_first"       // calls of backend servers go before others
+	NestedFirst       Mechanism = "nested_first"       // calls of backend servers go before others of their rank
+	ParentRank        Mechanism = "parent_rank"        // calls of backend servers have the rank of the calls that they run, not one above all
 	ReturnsRecognised Mechanism = "returns_recognised" // a caller that returns keeps the target of its first attempt
 	DelayCost         Mechanism = "delay_cost"         // nested calls prefer the quickest endpoint while their parent's service is full
 	SlownessReports   Mechanism = "slowness_reports"   // backend servers tell how long work takes
 	LimitReports      Mechanism = "limit_reports"      // load reports show a limit that the backend server names
 )
 
-var mechanisms = []Mechanism{NestedFirst, ReturnsRecognised, DelayCost, SlownessReports, LimitReports}
+var mechanisms = []Mechanism{NestedFirst, ParentRank, ReturnsRecognised, DelayCost, SlownessReports, LimitReports}
 
 // Parse reads and checks a scenario. An error is an apierror.Error, or an apierror.List with all errors of the scenario.
 func Parse(data []byte) (*Scenario, error) {
