--- a/pkg/admission/late.go
+++ b/pkg/admission/late.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -14,6 +15,7 @@
 	calls  []*Ticket // by deadline
 	window time.Duration
 	load   decayingSum // slot time of the calls admitted to be in time, in seconds
+	since  time.Time   // of the first call
 }
 
 // minSpareShare is the least share of the slots that calls in time must leave over for others to wait. Below it, the estimate of what
@@ -22,10 +24,21 @@
 
 // addLoad counts the slot time of a call admitted to be in time.
 func (l *lateQueue) addLoad(now time.Time, slotTime time.Duration) {
-	l.load.window = l.window
+	if l.since.IsZero() {
+		l.since, l.load.window = now, l.window
+	}
 	l.load.add(now, slotTime.Seconds())
 }
 
+// slots returns the mean number of slots that calls in time need.
+func (l *lateQueue) slots(now time.Time) float64 {
+	observed := 1 - math.Exp(-now.Sub(l.since).Seconds()/l.window.Seconds()) // part of the window
+	if l.since.IsZero() || observed <= 0 {
+		return 0
+	}
+	return l.load.value(now) / (observed * l.window.Seconds())
+}
+
 // remove removes and returns a call.
 func (l *lateQueue) remove(i int) *Ticket {
 	c := l.calls[i]
@@ -57,7 +70,7 @@
 
 // mayWaitLate reports whether a call that cannot be in time here may wait for a slot that no call in time needs.
 func (s *Scheduler) mayWaitLate(now time.Time, c *Ticket) bool {
-	if !c.LastNode || c.Nested || len(s.late.calls) >= s.policy.LatePerSlot*s.limit(now) {
+	if !c.LastNode || c.Nested || c.MaxWait > 0 || len(s.late.calls) >= s.policy.LatePerSlot*s.limit(now) {
 		return false
 	}
 	duration := s.estimateDuration(now, c.Class)
@@ -72,7 +85,7 @@
 // leave over. It returns false if they leave none.
 func (s *Scheduler) estimateLateWait(now time.Time, position int) (time.Duration, bool) {
 	limit := float64(s.limit(now))
-	spare := limit - s.late.load.value(now)/s.late.window.Seconds()
+	spare := limit - s.late.slots(now)
 	if spare < minSpareShare*limit {
 		return 0, false
 	}
--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -18,15 +18,16 @@
 
 // Call describes a call to the scheduler.
 type Call struct {
-	Class    string    // calls of one class have similar service times
-	Rank     int       // 0 is the most urgent, apart from Nested
-	Nested   bool      // a backend server makes the call while it serves another one
-	Team     string    // of the caller; empty: none
-	Target   time.Time // a response up to then is in time
-	Deadline time.Time // a response after it is useless to the caller
-	IsRetry  bool      // an earlier attempt of its caller was refused
-	NoQueue  bool      // refuse it as Busy instead of queueing it if no slot is free
-	LastNode bool      // if this node refuses the call, no other node is asked
+	Class    string        // calls of one class have similar service times
+	Rank     int           // 0 is the most urgent, apart from Nested
+	Nested   bool          // a backend server makes the call while it serves another one
+	Team     string        // of the caller; empty: none
+	Target   time.Time     // a response up to then is in time
+	Deadline time.Time     // a response after it is useless to the caller
+	IsRetry  bool          // an earlier attempt of its caller was refused
+	NoQueue  bool          // refuse it as Busy instead of queueing it if no slot is free
+	MaxWait  time.Duration // in the queue, because other calls of its caller wait for its end; 0: not limited
+	LastNode bool          // if this node refuses the call, no other node is asked
 }
 
 // Nested is the rank of nested calls whose parent's rank is not known.
@@ -42,6 +43,7 @@
 	DeadlineUnreachable Reason = "hopeless" // the call would end after its deadline
 	Cancelled           Reason = "gone"     // the caller cancelled the call
 	Closed              Reason = "closed"   // the controller is closed
+	HoldsUpOthers       Reason = "holds_up" // the call would wait so long that more urgent ones behind it on its connection would be late
 	RateLimited         Reason = "limited"  // the call would start too late to be in time because of the rate limit
 )
 
@@ -106,7 +108,7 @@
 	return Policy{
 		QueuedPerSlot: 4, ShedLimitDuration: time.Second, MinRankShare: 0.4, StarvedSlotShare: 0.15, FirstAttemptSlack: 0.5, MarginDeviations: 0.5,
 		MinRate: 0.5, RateBurst: 200 * time.Millisecond, RoomGapShare: 0.25, RoomDeviations: 1, MaxRoomShare: 1.0 / 3,
-		LatePerSlot: 8, LateLoadWindow: 3 * time.Second, NestedShare: 0.75, TeamAllowance: 0.5,
+		LatePerSlot: 8, LateLoadWindow: 10 * time.Second, NestedShare: 0.75, TeamAllowance: 0.5,
 	}
 }
 
@@ -140,6 +142,7 @@
 	Call
 	Decide   func(*Refusal) // called exactly once, from a method of the scheduler: nil grants a slot
 	due      time.Time      // by which its place in the queue is determined; not after Target
+	offered  time.Time
 	granted  time.Time
 	slowness float64       // at the time of the grant
 	expected time.Duration // slot time, estimated at the grant
@@ -241,6 +244,7 @@
 	}
 	s.rankNested(c)
 	c.demand = s.room.demandOf(c)
+	c.offered = now
 	c.due = s.due(now, c)
 	if !c.Nested && s.teams.isOver(now, c.Team, s.policy.TeamAllowance) {
 		c.due = c.due.Add(c.demand.timeToTarget) // behind those of its class that wait now
@@ -314,6 +318,8 @@
 		return Overloaded
 	case wait > slack && !c.Nested:
 		return s.shortage(now, ahead)
+	case c.MaxWait > 0 && now.Add(wait).After(c.offered.Add(c.MaxWait)):
+		return HoldsUpOthers
 	}
 	return ""
 }
@@ -511,7 +517,7 @@
 func (s *Scheduler) refuse(now time.Time, c *Ticket, reason Reason) {
 	c.state = decided
 	r := &Refusal{Reason: reason, Delay: c.delay}
-	if reason == Overloaded || reason == RateLimited || reason == DeadlineUnreachable {
+	if reason == Overloaded || reason == HoldsUpOthers || reason == RateLimited || reason == DeadlineUnreachable {
 		s.recordDecision(now, c.Rank, 0)
 		r.RetryAfter = s.retryAfter(now, c)
 	}
@@ -530,6 +536,9 @@
 		return 0
 	}
 	accepted := s.estimateWait(now, s.position(c)) / 2
+	if c.MaxWait > 0 {
+		accepted = latest / 2 // it waits with its caller instead of in the queue
+	}
 	maxHonoured := c.Deadline.Sub(now) / RetryAfterDivisor
 	return max(minRetryAfter, min(accepted, latest/2, maxHonoured))
 }
--- a/pkg/admission/scheduler_test.go
+++ b/pkg/admission/scheduler_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"container/heap"
 	"math/rand/v2"
 	"testing"
@@ -19,6 +20,10 @@
 	deadline time.Duration
 	tail     float64 // fraction of the calls that take tailFactor times the mean service time
 	retries  bool    // callers retry once after a refusal
+	kind     string  // class of the calls; default: name
+	team     string
+	nested   bool
+	lastNode bool // no other node is asked
 }
 
 // classResult counts the outcomes of the calls of a class.
@@ -63,6 +68,7 @@
 	results         map[string]*classResult
 	countFrom       time.Duration // calls with an earlier first attempt are not counted
 	reportsSlowness bool          // the backend server reports its slowness with each response
+	refusedWaiting  int           // calls that were refused after they waited beyond their target
 }
 
 // simulatedCall is one attempt of a call.
@@ -116,7 +122,10 @@
 func (s *simulation) arrive(c *class, firstAttempt time.Duration, isRetry bool) {
 	call := &simulatedCall{class: c, firstAttempt: firstAttempt, isRetry: isRetry}
 	call.Ticket = &Ticket{
-		Call:   Call{Class: c.name, Rank: c.rank, Target: s.time(firstAttempt + c.target), Deadline: s.time(firstAttempt + c.deadline), IsRetry: isRetry},
+		Call: Call{
+			Class: cmp.Or(c.kind, c.name), Rank: c.rank, Nested: c.nested, Team: c.team, Target: s.time(firstAttempt + c.target), Deadline: s.time(firstAttempt + c.deadline),
+			IsRetry: isRetry, LastNode: c.lastNode,
+		},
 		Decide: func(r *Refusal) { s.handleDecision(call, r) },
 	}
 	if t := s.resultOf(call); t != nil {
@@ -155,6 +164,9 @@
 		})
 		return
 	}
+	if refused.Delay == DelayLate {
+		s.refusedWaiting++
+	}
 	if c.class.retries && !c.isRetry && refused.RetryAfter > 0 {
 		s.schedule(s.now+refused.RetryAfter, func() { s.arrive(c.class, c.firstAttempt, true) })
 		if t != nil {
--- a/pkg/admission/share.go
+++ b/pkg/admission/share.go
@@ -63,7 +63,10 @@
 	if recent <= minTeamUse || all <= 0 {
 		return false
 	}
-	share := max(u.usual.value(now)/max(t.usual.value(now), activeUse), 1/float64(max(1, t.active(now))))
+	share := 1 / float64(max(1, t.active(now)))
+	if before := t.usual.value(now) - all; before > activeUse {
+		share = max(share, (u.usual.value(now)-recent)/before) // the recent time must not make a surge usual
+	}
 	return recent > (1+allowance)*share*all
 }
 
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -32,6 +32,7 @@
 	awaitingRequest  bool // waiting for the first byte of a request
 	exclusive        bool // no other request is served together with the latest one
 
+	neighbours Neighbours
 	receivedAt time.Time // first byte of the latest request; used by the reading goroutine only
 }
 
@@ -64,7 +65,7 @@
 func newConn(s *Server, accepted net.Conn) *conn {
 	c := &conn{server: s, socket: accepted, headerReader: &headerLimitReader{IdleReader: socket.IdleReader{Conn: accepted}, remaining: -1}}
 	c.changed = sync.NewCond(&c.mu)
-	c.ctx, c.cancel = context.WithCancel(socket.WithConn(s.baseContext, accepted))
+	c.ctx, c.cancel = context.WithCancel(context.WithValue(socket.WithConn(s.baseContext, accepted), neighboursKey{}, &c.neighbours))
 	return c
 }
 
@@ -227,6 +228,9 @@
 		return false
 	}
 	number := c.requestsStarted
+	if c.requestsStarted > c.responsesWritten {
+		c.neighbours.pipelined.Store(true)
+	}
 	c.requestsStarted++
 	c.exclusive = exclusive
 	if r.Close || !r.ProtoAtLeast(1, 1) || c.server.isStopping() {
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -48,8 +48,9 @@
 	deadlineRemaining time.Duration
 
 	// Values in the extension of the header, which nodes may leave out.
-	lastNode   bool // if the node refuses the call for lack of capacity, no other is asked
-	parentRank int  // most urgent rank that the calling backend server runs, if the call is nested; admission.Nested: unknown
+	lastNode   bool          // if the node refuses the call for lack of capacity, no other is asked
+	maxWait    time.Duration // in the queue; 0: not limited
+	parentRank int           // most urgent rank that the calling backend server runs, if the call is nested; admission.Nested: unknown
 
 	fingerprint *quarantine.Fingerprint // of the request, once it was needed; not encoded
 }
@@ -107,6 +108,7 @@
 const (
 	extensionLastNode   = "last-node"
 	extensionParentRank = "parent-rank"
+	extensionMaxWaitMS  = "max-wait-ms"
 )
 
 // extension returns the optional values of the call.
@@ -115,6 +117,9 @@
 	if c.lastNode {
 		values.Set(extensionLastNode, formatBool(true))
 	}
+	if c.maxWait > 0 {
+		values.Set(extensionMaxWaitMS, strconv.FormatInt(c.maxWait.Milliseconds(), 10))
+	}
 	if c.parentRank >= 0 {
 		values.Set(extensionParentRank, strconv.Itoa(c.parentRank))
 	}
@@ -129,6 +134,9 @@
 		rank = admission.Nested
 	}
 	c.parentRank = rank
+	if ms, err := strconv.ParseInt(values.Get(extensionMaxWaitMS), 10, 32); err == nil && ms > 0 {
+		c.maxWait = time.Duration(ms) * time.Millisecond
+	}
 }
 
 // verdict is the execution outcome of a call at the inbound node.
@@ -146,6 +154,7 @@
 const (
 	reasonBusy                reason = "busy"          // no free slot, and the call may not queue
 	reasonFull                reason = "full"          // no slot becomes free in time
+	reasonHoldsUpOthers       reason = "holds_up"      // more urgent requests behind it on the caller's connection would wait too long for its response
 	reasonBackendLimit        reason = "backend_limit" // the backend server takes no more requests in time at the rate that it named
 	reasonLinkFull            reason = "link_full"     // long responses already queued for the VM's link would make this one late
 	reasonDeadlineUnreachable reason = "deadline_unreachable"
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -223,7 +223,7 @@
 	}
 	grant, refused := i.admission.Acquire(ctx, admission.Call{
 		Class: c.class, Rank: slotRank, Nested: rank == admission.Nested, Team: r.Header.Get(in.headers.Team), Target: now.Add(c.targetRemaining - transmit), Deadline: now.Add(c.deadlineRemaining - transmit),
-		IsRetry: c.callerRetry, NoQueue: c.noQueue, LastNode: c.lastNode,
+		IsRetry: c.callerRetry, NoQueue: c.noQueue, LastNode: c.lastNode, MaxWait: c.maxWait,
 	})
 	in.countDelay(grant, refused)
 	if refused != nil {
@@ -414,6 +414,8 @@
 		out.reason = reasonBusy
 	case admission.Overloaded:
 		out.reason = reasonFull
+	case admission.HoldsUpOthers:
+		out.reason = reasonHoldsUpOthers
 	case admission.RateLimited:
 		out.reason = reasonBackendLimit
 	case admission.DeadlineUnreachable:
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -75,12 +75,13 @@
 	*http.Request
 	id             string
 	received       time.Time
-	firstAttempt   time.Time // arrival of the caller's first attempt
-	callerDeadline time.Time // when the caller stops waiting
-	deadline       time.Time // the earlier of the caller's deadline and the route's timeout
-	target         time.Time // a response after this time counts as late
-	callerRetry    bool      // the caller is retrying after a refusal
-	version        uint64    // configuration version
+	firstAttempt   time.Time     // arrival of the caller's first attempt
+	callerDeadline time.Time     // when the caller stops waiting
+	deadline       time.Time     // the earlier of the caller's deadline and the route's timeout
+	target         time.Time     // a response after this time counts as late
+	maxWait        time.Duration // in a queue, for the requests behind it on the connection; 0: not limited
+	callerRetry    bool          // the caller is retrying after a refusal
+	version        uint64        // configuration version
 	route          *routing.Entry
 	team           *routing.Team // nil: none
 	rank           int           // of the team or the route
@@ -237,6 +238,11 @@
 		o.metrics.Observe(q.received.Sub(refusal.RetryAt).Abs(), "returned_off")
 	}
 	q.target = q.firstAttempt.Add(q.route.Target())
+	neighbours := pipeline.NeighboursOf(q.Context())
+	neighbours.Observe(q.route.Target())
+	if shortest := neighbours.ShortestTarget(); shortest < q.route.Target() {
+		q.maxWait = admission.WaitBeforeOthers(shortest)
+	}
 	return true
 }
 
@@ -349,7 +355,7 @@
 // lacksCapacity reports whether a call was refused because the backend server cannot serve it in time now.
 func lacksCapacity(r reason) bool {
 	switch r {
-	case reasonFull, reasonBackendLimit, reasonSuspectWaits, reasonDeadlineUnreachable:
+	case reasonFull, reasonHoldsUpOthers, reasonBackendLimit, reasonSuspectWaits, reasonDeadlineUnreachable:
 		return true
 	}
 	return false
@@ -398,7 +404,7 @@
 	c := &call{
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.rank,
 		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: attempts.Arrivals() > 0, noQueue: choice.NoQueue && q.out.Stream == nil,
-		lastNode: attempts.LastForCapacity(), parentRank: admission.Nested,
+		lastNode: attempts.LastForCapacity(), maxWait: q.maxWait, parentRank: admission.Nested,
 		fingerprint:     q.fingerprint,
 		targetRemaining: time.Until(q.target) - o.link.EstimateWait(o.stats.meanResponseBytes(q.route.Name)), deadlineRemaining: time.Until(q.deadline),
 	}
