--- a/pkg/admission/short_of_room_test.go
+++ b/pkg/admission/short_of_room_test.go
@@ -201,3 +201,37 @@
 		}
 	})
 }
+
+// Pattern: exports and views of one caller share a connection, on which responses keep the order of the requests. Guards against an export that waits in a
+// queue while the responses of the views behind it become late.
+func TestHoldUp_ACallThatOthersWaitForDoesNotQueueForLong(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewScheduler(1, DefaultPolicy())
+	var refusal *Refusal
+	offer := func(maxWait time.Duration) *Ticket {
+		ticket := &Ticket{Call: Call{Class: "export", Target: now.Add(2500 * time.Millisecond), Deadline: now.Add(8 * time.Second), MaxWait: maxWait}, Decide: func(r *Refusal) { refusal = r }}
+		s.Offer(now, ticket)
+		return ticket
+	}
+	first := offer(0)
+	now = now.Add(440 * time.Millisecond)
+	s.Finish(now, first, Answered)
+	offer(0)
+	assert.Equal(t, queued, offer(0).state, "no call waits for this one")
+	offer(WaitBeforeOthers(250 * time.Millisecond))
+	require.NotNil(t, refusal)
+	assert.Equal(t, HoldsUpOthers, refusal.Reason)
+	assert.Greater(t, refusal.RetryAfter, 440*time.Millisecond, "its caller returns when the calls ahead have ended")
+}
+
+// Guards against a nested call whose parent's rank is lost, or outlives the parent.
+func TestRunningRanks(t *testing.T) {
+	var r RunningRanks
+	assert.Equal(t, Nested, r.MostUrgent())
+	r.Add(2, 1)
+	r.Add(Nested, 1)
+	r.Add(1000, 1)
+	assert.Equal(t, 2, r.MostUrgent())
+	r.Add(2, -1)
+	assert.Equal(t, maxCountedRank, r.MostUrgent())
+}
--- a/pkg/pipeline/server_test.go
+++ b/pkg/pipeline/server_test.go
@@ -310,3 +310,41 @@
 	_, err = io.ReadAll(response.Body)
 	assert.Error(t, err)
 }
+
+// Pattern: requests of different urgency on one connection. Guards against connections that are taken for pipelined though each request waits for the
+// response to the one before, and the other way round.
+func TestNeighbours_ShortestTargetOfAPipelinedConnection(t *testing.T) {
+	targets := map[string]time.Duration{"/export": 2 * time.Second, "/view": 250 * time.Millisecond}
+	var mu sync.Mutex
+	shortest := map[string]time.Duration{}
+	viewSeen := make(chan struct{})
+	f := startServer(t, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+		n := NeighboursOf(r.Context())
+		n.Observe(targets[r.URL.Path])
+		mu.Lock()
+		shortest[r.URL.RequestURI()] = n.ShortestTarget()
+		mu.Unlock()
+		switch r.URL.RawQuery {
+		case "held":
+			<-viewSeen
+		case "behind":
+			close(viewSeen)
+		}
+	})
+	c := f.dial()
+	c.send("GET /export HTTP/1.1\r\nHost: a\r\n\r\n")
+	readResponse(t, c)
+	c.send("GET /export?held HTTP/1.1\r\nHost: a\r\n\r\nGET /view?behind HTTP/1.1\r\nHost: a\r\n\r\n")
+	readResponse(t, c)
+	readResponse(t, c)
+	assert.Zero(t, shortest["/export"], "the requests are not pipelined yet")
+	assert.Equal(t, 250*time.Millisecond, shortest["/view?behind"])
+	assert.Zero(t, NeighboursOf(context.Background()).ShortestTarget())
+}
+
+func readResponse(t *testing.T, c *client) {
+	response, err := http.ReadResponse(c.reader, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+}
