--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/admission"
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
@@ -48,6 +49,11 @@
 	deadlineRemaining time.Duration
 	mayBeLate         bool // no node can send the response in time; send it when the link has time for late ones
 
+	// Values in the extension of the header, which nodes may leave out.
+	lastNode   bool          // if the node refuses the call for lack of capacity, no other is asked
+	maxWait    time.Duration // in the queue; 0: not limited
+	parentRank int           // most urgent rank that the calling backend server runs, if the call is nested; admission.Nested: unknown
+
 	fingerprint *quarantine.Fingerprint // of the request, once it was needed; not encoded
 }
 
@@ -104,18 +110,41 @@
 const (
 	extensionMayBeLate   = "late"
 	extensionLinkBacklog = "link" // milliseconds
+	extensionLastNode    = "last-node"
+	extensionParentRank  = "parent-rank"
+	extensionMaxWaitMS   = "max-wait-ms"
 )
 
-// extension returns the optional values of the call, or nil.
+// extension returns the optional values of the call.
 func (c *call) extension() url.Values {
-	if !c.mayBeLate {
-		return nil
+	values := url.Values{}
+	if c.mayBeLate {
+		values.Set(extensionMayBeLate, formatBool(true))
+	}
+	if c.lastNode {
+		values.Set(extensionLastNode, formatBool(true))
+	}
+	if c.maxWait > 0 {
+		values.Set(extensionMaxWaitMS, strconv.FormatInt(c.maxWait.Milliseconds(), 10))
 	}
-	return url.Values{extensionMayBeLate: {formatBool(true)}}
+	if c.parentRank >= 0 {
+		values.Set(extensionParentRank, strconv.Itoa(c.parentRank))
+	}
+	return values
 }
 
+// readExtension reads the optional values of the call.
 func (c *call) readExtension(values url.Values) {
 	c.mayBeLate = values.Get(extensionMayBeLate) == formatBool(true)
+	c.lastNode = values.Get(extensionLastNode) == formatBool(true)
+	rank, err := strconv.Atoi(values.Get(extensionParentRank))
+	if err != nil || rank < 0 {
+		rank = admission.Nested
+	}
+	c.parentRank = rank
+	if ms, err := strconv.ParseInt(values.Get(extensionMaxWaitMS), 10, 32); err == nil && ms > 0 {
+		c.maxWait = time.Duration(ms) * time.Millisecond
+	}
 }
 
 // verdict is the execution outcome of a call at the inbound node.
@@ -133,6 +162,7 @@
 const (
 	reasonBusy                reason = "busy"          // no free slot, and the call may not queue
 	reasonFull                reason = "full"          // no slot becomes free in time
+	reasonHoldsUpOthers       reason = "holds_up"      // more urgent requests behind it on the caller's connection would wait too long for its response
 	reasonBackendLimit        reason = "backend_limit" // the backend server takes no more requests in time at the rate that it named
 	reasonLinkFull            reason = "link_full"     // long responses already queued for the VM's link would make this one late
 	reasonCallsNoRoom         reason = "calls_no_room" // calls that the backend server makes for such calls are refused for lack of room
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -78,12 +78,13 @@
 	*http.Request
 	id             string
 	received       time.Time
-	firstAttempt   time.Time // arrival of the caller's first attempt
-	callerDeadline time.Time // when the caller stops waiting
-	deadline       time.Time // the earlier of the caller's deadline and the route's timeout
-	target         time.Time // a response after this time counts as late
-	callerRetry    bool      // the caller is retrying after a refusal
-	version        uint64    // configuration version
+	firstAttempt   time.Time     // arrival of the caller's first attempt
+	callerDeadline time.Time     // when the caller stops waiting
+	deadline       time.Time     // the earlier of the caller's deadline and the route's timeout
+	target         time.Time     // a response after this time counts as late
+	maxWait        time.Duration // in a queue, for the requests behind it on the connection; 0: not limited
+	callerRetry    bool          // the caller is retrying after a refusal
+	version        uint64        // configuration version
 	route          *routing.Entry
 	team           *routing.Team // nil: none
 	hidesKey       bool          // the backend server must not see the key
@@ -253,6 +254,11 @@
 		o.metrics.Observe(q.received.Sub(refusal.RetryAt).Abs(), "returned_off")
 	}
 	q.target = q.firstAttempt.Add(q.route.Target())
+	neighbours := pipeline.NeighboursOf(q.Context())
+	neighbours.Observe(q.route.Target())
+	if shortest := neighbours.ShortestTarget(); shortest < q.route.Target() {
+		q.maxWait = admission.WaitBeforeOthers(shortest)
+	}
 	return true
 }
 
@@ -337,7 +343,7 @@
 		if attempts.Sent() > 0 {
 			o.metrics.Inc("outbound_retry", "reason", string(last.reason))
 		}
-		last = o.attempt(ctx, q, choice, attempts.Arrivals() > 0)
+		last = o.attempt(ctx, q, choice, attempts)
 		if last.reason == reasonBusy {
 			busy[choice.ID] = true
 			continue
@@ -349,7 +355,7 @@
 	if choice := o.pickForLateResponse(q, last, attempts, &links); choice != nil {
 		q.mayBeLate = true
 		o.metrics.Inc("outbound_late_attempt")
-		last = o.attempt(ctx, q, choice, false)
+		last = o.attempt(ctx, q, choice, attempts)
 		attempts.Observe(attemptOutcome(last))
 	}
 	last.attempts, last.arrivals = attempts.Sent(), attempts.Arrivals()
@@ -407,7 +413,7 @@
 // lacksCapacity reports whether a call was refused because the backend server cannot serve it in time now.
 func lacksCapacity(r reason) bool {
 	switch r {
-	case reasonFull, reasonBackendLimit, reasonCallsNoRoom, reasonSuspectWaits, reasonDeadlineUnreachable:
+	case reasonFull, reasonHoldsUpOthers, reasonBackendLimit, reasonCallsNoRoom, reasonSuspectWaits, reasonDeadlineUnreachable:
 		return true
 	}
 	return false
@@ -457,14 +463,18 @@
 	return 0
 }
 
-// attempt sends the request to one inbound node. isRetry says that a backend server has received it before.
-func (o *outbound) attempt(ctx context.Context, q *request, choice *placement.Choice, isRetry bool) *result {
+// attempt sends the request to one inbound node.
+func (o *outbound) attempt(ctx context.Context, q *request, choice *placement.Choice, attempts *retry.Attempts) *result {
 	c := &call{
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.rank,
-		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: isRetry, noQueue: choice.NoQueue && q.out.Stream == nil,
+		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: attempts.Arrivals() > 0, noQueue: choice.NoQueue && q.out.Stream == nil,
+		lastNode: attempts.LastForCapacity(), maxWait: q.maxWait, parentRank: admission.Nested,
 		fingerprint:     q.fingerprint,
 		targetRemaining: o.timeToTarget(q), deadlineRemaining: time.Until(q.deadline), mayBeLate: q.mayBeLate,
 	}
+	if o.stats.isNested(q.route.Name) {
+		c.parentRank = o.local.runningRanks.MostUrgent()
+	}
 	res := &result{node: choice.ID}
 	out := *q.out
 	out.Header = q.out.Header.Clone()
--- a/standin/experiment/call.go
+++ b/standin/experiment/call.go
@@ -31,6 +31,15 @@
 	returns  int       // left
 	returned bool
 	counted  bool
+	team     *Team // nil: none
+}
+
+// rank returns the rank of the request's calls.
+func (r *request) rank() int {
+	if r.team != nil && r.team.Rank != nil {
+		return *r.team.Rank
+	}
+	return r.class.Rank
 }
 
 // status is the outcome of a call.
@@ -45,11 +54,15 @@
 // call is one attempt of a caller, or a call that a backend server makes.
 type call struct {
 	class       *Class
+	rank        int
+	parentRank  int // of a nested call: the most urgent rank that its backend server runs
+	team        string
 	node        *node // that sends it
 	target      time.Time
 	deadline    time.Time
 	callerRetry bool
 	nested      bool // made by a backend server; the nodes find that out by themselves
+	lastNode    bool // if the next node refuses the call for lack of capacity, no other is asked
 	repeated    bool // made by a backend server that serves a retry, so that the call repeats an earlier one
 	attempts    *retry.Attempts
 	attempted   map[string]bool
@@ -78,15 +91,22 @@
 	}
 	f.after(path, func() {
 		n := r.node
-		c := &call{class: r.class, node: n, target: f.now.Add(milliseconds(r.class.TargetMS)), deadline: r.deadline.Add(-path)}
-		if refusal, ok := n.refusals.Take(r.key, c.deadline); ok && f.policies.has(ReturnsRecognised) {
+		callerDeadline := r.deadline.Add(-path)
+		c := &call{class: r.class, rank: r.rank(), node: n, target: f.now.Add(milliseconds(r.class.TargetMS)), deadline: callerDeadline}
+		if r.team != nil {
+			c.team = r.team.Name
+		}
+		if timeout := f.now.Add(milliseconds(r.class.TimeoutMS)); r.class.TimeoutMS > 0 && timeout.Before(c.deadline) {
+			c.deadline = timeout
+		}
+		if refusal, ok := n.refusals.Take(r.key, callerDeadline); ok && f.policies.has(ReturnsRecognised) {
 			c.target, c.callerRetry = refusal.FirstAttempt.Add(milliseconds(r.class.TargetMS)), true
 		}
 		received := f.now
 		c.done = func(res reply) {
 			if res.status == notRun {
 				first := c.target.Add(-milliseconds(r.class.TargetMS))
-				n.refusals.Add(f.now, callerretry.Refusal{Key: r.key, FirstAttempt: first, Deadline: c.deadline, RetryAt: f.now.Add(res.retryAfter)})
+				n.refusals.Add(f.now, callerretry.Refusal{Key: r.key, FirstAttempt: first, Deadline: callerDeadline, RetryAt: f.now.Add(res.retryAfter)})
 				f.tally.refusal(r, f.now.Sub(received))
 			}
 			f.after(path, func() {
@@ -202,6 +222,7 @@
 		f.tally.remoteCalls++
 	}
 	isRetry := c.attempts.Arrivals() > 0
+	c.lastNode = c.attempts.LastForCapacity()
 	path := f.latency(n, to)
 	f.after(path, func() {
 		to.admit(c, choice, isRetry, func(res reply) {
@@ -221,10 +242,13 @@
 		respond(reply{status: notRun, outcome: placement.Unavailable})
 		return
 	}
-	rank := c.class.Rank
+	rank := c.rank
 	isNested := n.origins.Observe(c.class.Name, c.node.service.Name, n.service.Name)
 	if isNested && f.policies.has(NestedFirst) {
 		rank = admission.Nested
+		if f.policies.has(ParentRank) {
+			rank = c.parentRank
+		}
 	}
 	if f.policies.has(ParentAdmission) && !n.parents.Admit(c.class.Name) {
 		respond(reply{status: notRun, full: true, nested: isNested, retryAfter: min(refusedReturn, c.deadline.Sub(f.now)/returnLimit), load: n.load(c.class.Name)})
@@ -233,6 +257,7 @@
 	arrived := f.now
 	ticket := &admission.Ticket{Call: admission.Call{
 		Class: c.class.Name, Rank: rank, Target: c.target, Deadline: c.deadline, IsRetry: c.callerRetry, NoQueue: choice.NoQueue,
+		Nested: isNested && f.policies.has(NestedFirst), Team: c.team, LastNode: c.lastNode,
 	}}
 	ticket.Decide = func(refusal *admission.Refusal) {
 		// The scheduler must not be called again before it returns.
@@ -273,15 +298,24 @@
 	ended    bool
 }
 
+// rank returns the rank of the call, or of the parent of a nested call.
+func (e *execution) rank() int {
+	if e.isNested {
+		return e.call.parentRank
+	}
+	return e.call.rank
+}
+
 // execute runs a call on the backend server.
 func (n *node) execute(e *execution) {
 	f, class := n.fleet, e.call.class
 	e.granted = f.now
 	if !n.up {
-		e.lose()
+		e.lost()
 		return
 	}
 	n.running = append(n.running, e)
+	n.ranks.Add(e.rank(), 1)
 	if e.isRetry || e.call.repeated {
 		f.tally.retry(f, class.Service)
 	}
@@ -328,7 +362,7 @@
 	if e.call.deadline.Before(deadline) {
 		deadline = e.call.deadline
 	}
-	c := &call{class: class, node: e.node, nested: true, repeated: e.isRetry, target: f.now.Add(milliseconds(class.TargetMS)), deadline: deadline}
+	c := &call{class: class, rank: class.Rank, parentRank: e.node.ranks.MostUrgent(), team: e.call.team, node: e.node, nested: true, repeated: e.isRetry, target: f.now.Add(milliseconds(class.TargetMS)), deadline: deadline}
 	c.done = func(res reply) {
 		e.failed = e.failed || res.status != succeeded
 		e.noRoom = e.noRoom || res.full
@@ -375,6 +409,7 @@
 
 // forget removes an execution that has ended.
 func (n *node) forget(e *execution) {
+	n.ranks.Add(e.rank(), -1)
 	n.running = slices.DeleteFunc(n.running, func(other *execution) bool { return other == e })
 }
 
@@ -383,7 +418,12 @@
 	if e.ended {
 		return
 	}
-	e.ended = true
 	e.node.forget(e)
+	e.lost()
+}
+
+// lost lets the caller's node notice that the machine has lost power.
+func (e *execution) lost() {
+	e.ended = true
 	e.node.fleet.after(silenceTimeout, func() { e.respond(reply{status: failed, arrived: true, outcome: placement.Unresponsive}) })
 }
