experiment: load that moves between data centres, and how evenly slots are used

Cause: no pattern showed servers that are overrun while others idle, nor what a refusal costs in tries. Change: a scenario may state a swing of demand (amplitude, period, phase of each data centre). The table shows p50, p99, the spread of slots in use between the servers of a service, calls that waited or ended refused while another server had a free slot, and tries per call.

--- a/standin/experiment/call.go
+++ b/standin/experiment/call.go
@@ -177,6 +177,9 @@
 	if c.attempts.MayHaveRun() && c.last.status == notRun {
 		c.last.status = failed
 	}
+	if c.last.status == notRun && n.fleet.hasIdleSlot(n, n.fleet.scenario.service(c.class.Service)) {
+		n.fleet.tally.refusedBesideIdle++
+	}
 	c.done(c.last)
 }
 
@@ -192,6 +195,7 @@
 // exchange sends a call to the chosen node and passes the reply to done.
 func (n *node) exchange(c *call, choice *placement.Choice, done func(reply)) {
 	f := n.fleet
+	f.tally.tries++
 	to := f.byID[choice.ID]
 	if f.isCut(n, to) || !to.up {
 		f.after(dialTimeout, func() { done(reply{status: notRun, outcome: placement.Unresponsive}) })
@@ -226,7 +230,7 @@
 	if isNested && f.policies.has(NestedFirst) {
 		rank = admission.Nested
 	}
-	arrived := f.now
+	arrived, besideIdle := f.now, false
 	ticket := &admission.Ticket{Call: admission.Call{
 		Class: c.class.Name, Rank: rank, Target: c.target, Deadline: c.deadline, IsRetry: c.callerRetry, NoQueue: choice.NoQueue,
 	}}
@@ -240,11 +244,13 @@
 				})
 				return
 			}
-			f.tally.waited(f.now.Sub(arrived))
+			f.tally.waited(f.now.Sub(arrived), besideIdle)
 			n.execute(&execution{node: n, call: c, ticket: ticket, isNested: isNested, isRetry: isRetry, respond: respond})
 		})
 	}
 	incarnation, scheduler := n.incarnation, n.scheduler
+	load := scheduler.Load(f.now, "")
+	besideIdle = (load.Queued > 0 || load.Running >= load.Limit) && f.hasIdleSlot(c.node, n.service)
 	scheduler.Offer(f.now, ticket)
 	n.scheduleGrant()
 	f.after(scheduler.MaxQueueTime(f.now, ticket.Call), func() {
--- a/standin/experiment/fleet.go
+++ b/standin/experiment/fleet.go
@@ -26,6 +26,8 @@
 	detectionTime = 2 * time.Second
 	// slowShiftInterval is the length of a time in which a machine is slow.
 	slowShiftInterval = 600 * time.Millisecond
+	// usageInterval is the simulated time between two samples of the slots in use.
+	usageInterval = 50 * time.Millisecond
 	// cancelInterval is the simulated time between checks whether the play was cancelled.
 	cancelInterval = 100 * time.Millisecond
 )
@@ -44,6 +46,7 @@
 	endpoints map[string][]placement.Endpoint // by service
 	start     time.Time                       // end of the warm-up
 	rates     map[string]float64              // factor on the rate of a class
+	demand    map[string]float64              // phase of the demand, by data centre
 	cut       string                          // data centre that is cut off
 	returning Event                           // callers that return at once; zero value: none
 	slowShift *Event
@@ -54,7 +57,10 @@
 func newFleet(s *Scenario, p *policies, seed uint64) *fleet {
 	f := &fleet{
 		timeline: timeline{now: epoch}, scenario: s, policies: p, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*node),
-		endpoints: make(map[string][]placement.Endpoint), start: epoch.Add(warmUp), rates: make(map[string]float64), tally: newTally(s),
+		endpoints: make(map[string][]placement.Endpoint), start: epoch.Add(warmUp), rates: make(map[string]float64), demand: make(map[string]float64), tally: newTally(s),
+	}
+	for i, name := range s.DataCentres {
+		f.demand[name] = s.Demand.PhaseStep * float64(i)
 	}
 	placed := 0
 	for i := range s.Services {
@@ -84,6 +90,7 @@
 			f.scheduleArrival(c)
 		}
 	}
+	f.after(warmUp, f.sampleUsage)
 	for i := range f.scenario.Events {
 		if e := &f.scenario.Events[i]; e.AtS < f.scenario.Seconds {
 			f.after(warmUp+seconds(e.AtS), func() { f.begin(e) })
@@ -110,13 +117,14 @@
 	if !ok {
 		return
 	}
-	f.after(time.Duration(f.random.ExpFloat64()/(c.PerSecond*rate)*float64(time.Second)), func() {
+	highest := c.PerSecond * rate * (1 + f.scenario.Demand.Swing)
+	f.after(time.Duration(f.random.ExpFloat64()/highest*float64(time.Second)), func() {
 		if f.rates == nil {
 			return
 		}
 		f.scheduleArrival(c)
 		n := f.nodes[f.random.IntN(len(f.nodes))]
-		if !n.up {
+		if !n.up || !f.isDemanded(n.dataCentre) {
 			return // callers are on the same machines
 		}
 		f.requests++
@@ -129,6 +137,48 @@
 	})
 }
 
+// isDemanded thins out the calls of a data centre that come at the highest rate of its demand.
+func (f *fleet) isDemanded(dataCentre string) bool {
+	d := f.scenario.Demand
+	if d.Swing == 0 {
+		return true
+	}
+	cycles := f.now.Sub(epoch).Seconds()/d.PeriodS - f.demand[dataCentre]
+	return f.random.Float64()*(1+d.Swing) < 1+d.Swing*math.Sin(2*math.Pi*cycles)
+}
+
+// hasIdleSlot reports whether a backend server of the service that the node can reach has a free slot and no queue.
+func (f *fleet) hasIdleSlot(from *node, service *Service) bool {
+	for _, n := range f.nodes {
+		if n.service != service || !n.up || n.draining || f.isCut(from, n) {
+			continue
+		}
+		if l := n.scheduler.Load(f.now, ""); l.Queued == 0 && l.Running < l.Limit {
+			return true
+		}
+	}
+	return false
+}
+
+// sampleUsage records, until the load ends, how evenly the slots of each service are in use.
+func (f *fleet) sampleUsage() {
+	if f.rates == nil {
+		return
+	}
+	for i := range f.scenario.Services {
+		var usages []float64
+		for _, n := range f.nodes {
+			if n.service != &f.scenario.Services[i] || !n.up || n.draining {
+				continue
+			}
+			l := n.scheduler.Load(f.now, "")
+			usages = append(usages, float64(l.Running)/float64(max(1, l.Limit)))
+		}
+		f.tally.usage(usages)
+	}
+	f.after(usageInterval, f.sampleUsage)
+}
+
 // updateEndpoints recomputes the endpoints that the nodes know.
 func (f *fleet) updateEndpoints() {
 	clear(f.endpoints)
--- a/standin/experiment/report.go
+++ b/standin/experiment/report.go
@@ -46,11 +46,18 @@
 	{"refused", total(func(o *Outcomes) int { return o.Refused }), "", 0},
 	{"again", total(func(o *Outcomes) int { return o.ReturnedRefused }), "", 0},
 	{"failed", total(func(o *Outcomes) int { return o.Failed }), "", 0},
+	{"p50", func(r *Result) float64 { return inMilliseconds(r.Median) }, "ms", 0},
+	{"p99", func(r *Result) float64 { return inMilliseconds(r.P99) }, "ms", 0},
+	{"spread", func(r *Result) float64 { return r.UsageSpread }, "", 3},
+	{"waited beside idle", func(r *Result) float64 { return float64(r.WaitedBesideIdle) }, "", 0},
+	{"refused beside idle", func(r *Result) float64 { return float64(r.RefusedBesideIdle) }, "", 0},
+	{"tries", func(r *Result) float64 { return r.TriesPerCall }, "", 2},
 	{"wait", func(r *Result) float64 { return inMilliseconds(r.MeanWait) }, "ms", 1},
 	{"refused after", func(r *Result) float64 { return inMilliseconds(r.MeanRefusalTime) }, "ms", 0},
 	{"slots wasted", func(r *Result) float64 { return r.WastedSlots }, "", 3},
 	{"retry bound used", func(r *Result) float64 { return r.BudgetUsed }, "", 2},
 	{"remote calls", func(r *Result) float64 { return float64(r.RemoteCalls) }, "", 0},
+	{"remote MB", func(r *Result) float64 { return r.RemoteMB }, "", 1},
 }
 
 // rows returns the report as a table with a header.
--- a/standin/experiment/scenario.go
+++ b/standin/experiment/scenario.go
@@ -27,6 +27,7 @@
 	DataCentres []string  `json:"data_centres"`
 	Network     Network   `json:"network"`
 	Retry       Retry     `json:"retry"`
+	Demand      Demand    `json:"demand"`
 	Services    []Service `json:"services"`
 	Classes     []Class   `json:"classes"`
 	Events      []Event   `json:"events"`
@@ -41,6 +42,13 @@
 	ToCallersMS float64 `json:"to_callers_ms"` // between callers and nodes
 }
 
+// Demand is how the load moves between the data centres: each one's share of every class follows a sine.
+type Demand struct {
+	Swing     float64 `json:"swing"`      // amplitude relative to the mean; 0: the load is the same everywhere
+	PeriodS   float64 `json:"period_s"`   // length of a cycle
+	PhaseStep float64 `json:"phase_step"` // by how much of a cycle each data centre is behind the one before
+}
+
 // Retry is the fleet's bound on retries.
 type Retry struct {
 	Ratio   float64 `json:"ratio"`
@@ -204,6 +212,8 @@
 	c.require(len(s.Services) > 0, "services", "is empty", "add at least one")
 	c.require(len(s.Variants) > 0, "variants", "is empty", "add at least one; one without changes is the product as it is")
 	c.positive(s.Retry.WindowS, "retry.window_s")
+	c.fraction(s.Demand.Swing, "demand.swing")
+	c.require(s.Demand.Swing == 0 || s.Demand.PeriodS > 0, "demand.period_s", "is not positive", "state the length of a cycle")
 	servers := 0
 	for i, service := range s.Services {
 		field := fmt.Sprintf("services[%d]", i)
--- a/standin/experiment/tally.go
+++ b/standin/experiment/tally.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -38,6 +39,12 @@
 	budgetDenied             int
 	grants                   int
 	totalWait                time.Duration
+	tries, requests          int             // exchanges between nodes, and the calls that they were made for
+	waitsBesideIdle          int             // grants after a wait that began while another server of the service had a free slot
+	refusedBesideIdle        int             // calls that ended refused at such a time
+	responseTimes            []time.Duration // of callers that were served, from their first attempt
+	usageSpread              float64         // sum over usageSamples of the standard deviation of the slots in use
+	usageSamples             int
 	refusals                 int
 	refusalTime              time.Duration // from the arrival of a call to its refusal, over all refusals
 }
@@ -90,6 +97,7 @@
 func (t *tally) answered(f *fleet, r *request) {
 	inTime := f.now.Sub(r.first) <= milliseconds(r.class.TargetMS)
 	t.counts(f, r, func(o *Outcomes) {
+		t.responseTimes = append(t.responseTimes, f.now.Sub(r.first))
 		if inTime {
 			o.InTime++
 			o.Earned += r.class.Worth
@@ -120,9 +128,25 @@
 	}
 }
 
-func (t *tally) waited(d time.Duration) {
+func (t *tally) waited(d time.Duration, besideIdle bool) {
 	t.grants++
 	t.totalWait += d
+	if d > 0 && besideIdle {
+		t.waitsBesideIdle++
+	}
+}
+
+// usage records the shares of the slots that are in use at the servers of a service.
+func (t *tally) usage(shares []float64) {
+	if len(shares) < 2 {
+		return
+	}
+	average, squares := mean(shares), 0.0
+	for _, share := range shares {
+		squares += (share - average) * (share - average)
+	}
+	t.usageSpread += math.Sqrt(squares / float64(len(shares)))
+	t.usageSamples++
 }
 
 // held records the slot time of an execution.
@@ -138,7 +162,10 @@
 	return int(f.now.Sub(epoch) / (seconds(t.scenario.Retry.WindowS) / retryBuckets))
 }
 
-func (t *tally) firstAttempt(f *fleet, service string) { t.services[service].requests[t.bucket(f)]++ }
+func (t *tally) firstAttempt(f *fleet, service string) {
+	t.requests++
+	t.services[service].requests[t.bucket(f)]++
+}
 
 func (t *tally) retry(f *fleet, service string) { t.services[service].retries[t.bucket(f)]++ }
 
@@ -152,8 +179,12 @@
 	RemoteCalls                                                   int
 	MeanWait, MeanRefusalTime                                     time.Duration
 	BudgetDenied                                                  int
-	BudgetUsed                                                    float64 // largest share of the retry bound that a service used in a window
-	WastedSlots                                                   float64 // share of the slot time of calls that were late or failed
+	BudgetUsed                                                    float64       // largest share of the retry bound that a service used in a window
+	UsageSpread                                                   float64       // standard deviation of the share of slots in use, between the servers of a service
+	WaitedBesideIdle, RefusedBesideIdle                           int           // calls that waited or ended refused while another server had a free slot
+	Median, P99                                                   time.Duration // response times of the callers that were served
+	TriesPerCall                                                  float64       // exchanges between nodes
+	WastedSlots                                                   float64       // share of the slot time of calls that were late or failed
 }
 
 func (t *tally) result() *Result {
@@ -197,6 +228,11 @@
 	if t.refusals > 0 {
 		r.MeanRefusalTime = t.refusalTime / time.Duration(t.refusals)
 	}
+	r.WaitedBesideIdle, r.RefusedBesideIdle = t.waitsBesideIdle, t.refusedBesideIdle
+	r.UsageSpread = t.usageSpread / float64(max(1, t.usageSamples))
+	r.TriesPerCall = float64(t.tries) / float64(max(1, t.requests))
+	slices.Sort(t.responseTimes)
+	r.Median, r.P99 = percentile(t.responseTimes, 0.5), percentile(t.responseTimes, 0.99)
 	r.BudgetUsed, r.WastedSlots = t.budgetUsed(), t.wastedSlots()
 	return r
 }
@@ -242,6 +278,14 @@
 	return wasted.Seconds() / total.Seconds()
 }
 
+// percentile returns the value below which the given fraction of the sorted values lies.
+func percentile(sorted []time.Duration, fraction float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[int(fraction*float64(len(sorted)-1))]
+}
+
 func mean(values []float64) float64 {
 	sum := 0.0
 	for _, v := range values {
