placement: a nearly full server costs a call more, and waiting at home is weighed in time

Cause: the choice gave 0.1 of the score for a full server, less than the spread of its estimates, so that calls queued at fast or near servers while others of the service were idle; a download of 90 KB always paid 0.7 and stayed at its one full server at home. Change: a full server costs 0.5, in proportion below and above. A call leaves its data centre if it would wait longer there than the measured extra way plus 0.1 ms of the caller's time for each KB.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -2,7 +2,7 @@
 // in each response, the number of outstanding calls, and failures. It does not use health or load that backend servers claim themselves.
 //
 // The score of an endpoint is the probability that the call is in time there, minus a cost for a busy endpoint and minus the cost of
-// bytes between data centres. The probability follows from the endpoint's queue and from how long calls of the same class take there,
+// bytes between data centres. A call also leaves its data centre if it would wait longer there than the way and its bytes are worth. The probability follows from the endpoint's queue and from how long calls of the same class take there,
 // which differs between backend servers. Only a few endpoints, sampled at random, are compared (power of d choices), so that callers
 // with the same reports do not all choose the same one.
 package placement
@@ -69,14 +69,21 @@
 	// MaxSlotProbes bounds the endpoints that a call probes for a free slot before it queues at one. Reports are stale, the more so the
 	// more endpoints and callers there are; the results of probes are not. While typically all slots are in use, calls do not probe.
 	MaxSlotProbes int
-	BusyCost      float64 // lost at an endpoint whose slots are all in use
+	// BusyCost is lost at an endpoint whose slots are all in use, in proportion below and above. A call that takes the last slot delays those
+	// that arrive until a slot is free, among them calls of nodes whose reports still show room there.
+	BusyCost float64
 	// EqualScores is the difference up to which scores count as equal, so that an endpoint that seemed a little slower once is not left out
 	// for ever while there is little load.
 	EqualScores float64
 
+	// RemoteCostPerKB, MinRemoteCost and MaxRemoteCost apply to calls that another data centre would serve with a higher probability in time.
 	RemoteCostPerKB float64 // lost per KB between data centres
 	MinRemoteCost   float64 // lost by any call to another data centre
 	MaxRemoteCost   float64 // lost by a late response; the cost of bytes alone never leaves a call unserved
+	// WaitPricePerKB applies to calls that would wait for a slot: how much of the caller's time a KB between data centres is worth. A call
+	// leaves if it waits that much longer at home, on top of the longer way. The way back takes the same difference, so that the choice does
+	// not oscillate. 0: calls do not leave because of a wait alone.
+	WaitPricePerKB time.Duration
 
 	SuspectFactor       float64       // on the probability at endpoints that did not respond recently
 	LossFactor          float64       // on the probability at endpoints without a response since a loss in their data centre
@@ -89,8 +96,8 @@
 // DefaultPolicy returns the parameters that the nodes use.
 func DefaultPolicy() Policy {
 	return Policy{
-		ReportDecay: time.Second, FailureDecay: 5 * time.Second, SampleSize: 8, FullSampleSize: 3, MaxSlotProbes: 2, BusyCost: 0.1, EqualScores: 0.01,
-		RemoteCostPerKB: 0.04, MinRemoteCost: 0.04, MaxRemoteCost: 0.7,
+		ReportDecay: time.Second, FailureDecay: 5 * time.Second, SampleSize: 8, FullSampleSize: 3, MaxSlotProbes: 2, BusyCost: 0.5, EqualScores: 0.01,
+		RemoteCostPerKB: 0.04, MinRemoteCost: 0.04, MaxRemoteCost: 0.7, WaitPricePerKB: 100 * time.Microsecond,
 		SuspectFactor: 0.2, LossFactor: 0.3, LossPenaltyDuration: 3 * time.Second, FailuresToEject: 3, BaseEjection: time.Second, MaxEjection: 8 * time.Second,
 	}
 }
@@ -146,7 +153,8 @@
 
 	mu      sync.Mutex
 	states  map[stateKey]*endpointState
-	paths   map[string]*path  // by data centre
+	paths   map[string]*path  // by data centre, except the own one
+	delays  map[string]*delay // by data centre
 	usages  map[string]*usage // by class
 	sweptAt time.Time
 }
@@ -182,7 +190,7 @@
 func New(o Options) *Chooser {
 	c := &Chooser{
 		dataCentre: o.DataCentre, policy: o.Policy, now: o.Now, random: o.Random,
-		states: make(map[stateKey]*endpointState), paths: make(map[string]*path), usages: make(map[string]*usage),
+		states: make(map[stateKey]*endpointState), paths: make(map[string]*path), delays: make(map[string]*delay), usages: make(map[string]*usage),
 	}
 	if c.now == nil {
 		c.now = time.Now
@@ -199,12 +207,14 @@
 	chooser *Chooser
 	state   *endpointState
 	class   string
+	sentAt  time.Time
 	// InTime is the estimated probability that the call is in time.
 	InTime float64
 	// NoQueue says that the call must not queue at the endpoint. If no slot is free there, add the endpoint to Requirements.Busy and call
 	// Pick again.
 	NoQueue bool
-	score   float64 // InTime minus costs
+	score   float64       // InTime minus costs
+	wait    time.Duration // expected time in the queue
 }
 
 // Pick chooses one of the endpoints, or returns nil if none is eligible.
@@ -219,6 +229,7 @@
 	}
 	if best != nil {
 		best.state.outstanding++
+		best.sentAt = now
 		best.NoQueue = len(req.Busy) < c.policy.MaxSlotProbes && !req.Busy[best.ID] && c.typicalUsage(now, req.Class) < 1
 		if p := c.paths[best.DataCentre]; p.isPartitioned() {
 			p.probedAt = now
@@ -233,15 +244,29 @@
 	switch {
 	case local == nil:
 		return remote
-	case remote == nil || local.score >= remote.score-c.remoteCost(req):
+	case remote == nil:
+		return local
+	case c.leavesQueue(now, local, remote, req):
+		return remote
+	case local.score >= remote.score-c.remoteCost(req):
 		return local
 	}
 	return remote
 }
 
+const bytesPerKB = 1000
+
+// leavesQueue reports whether the call waits so much longer in the own data centre that the way to the other one and its bytes are worth it.
+func (c *Chooser) leavesQueue(now time.Time, local, remote *Choice, req Requirements) bool {
+	if c.policy.WaitPricePerKB == 0 || local.score >= remote.score {
+		return false
+	}
+	price := c.policy.WaitPricePerKB * time.Duration(req.Bytes) / bytesPerKB
+	return local.wait-remote.wait > price+c.extraDelay(now, remote.DataCentre)
+}
+
 // remoteCost returns the score lost by sending the call to another data centre.
 func (c *Chooser) remoteCost(req Requirements) float64 {
-	const bytesPerKB = 1000
 	return max(c.policy.MinRemoteCost, min(c.policy.MaxRemoteCost, c.policy.RemoteCostPerKB*float64(req.Bytes)/bytesPerKB))
 }
 
@@ -304,8 +329,8 @@
 		slot = c.optimisticTime(req.Class)
 	}
 	times, slowness := s.classTimesOf(e, req.Class, slot), s.slowness(now)
-	wait := max(0, calls+1-limit) / limit * float64(slot)
-	duration := slowness * (wait + float64(times.mean))
+	wait := slowness * max(0, calls+1-limit) / limit * float64(slot)
+	duration := wait + slowness*float64(times.mean)
 	inTime := probability(float64(req.TimeToTarget)-duration, slowness*float64(times.spread))
 	inTime *= c.answered(now, s, req.Class)
 	if e.Suspect {
@@ -315,7 +340,8 @@
 		inTime *= c.policy.LossFactor
 	}
 	// BusyCost is not capped, so that of two endpoints that would both be late, the less loaded one has the higher score.
-	return &Choice{Endpoint: e, chooser: c, state: s, class: req.Class, InTime: inTime, score: inTime - c.policy.BusyCost*calls/limit - req.DelayCost*min(1, duration/float64(req.TimeToTarget))}
+	score := inTime - c.policy.BusyCost*calls/limit - req.DelayCost*min(1, duration/float64(req.TimeToTarget))
+	return &Choice{Endpoint: e, chooser: c, state: s, class: req.Class, InTime: inTime, wait: time.Duration(wait), score: score}
 }
 
 // slowness estimates how long work takes at the endpoint now, relative to the mean there.
@@ -452,6 +478,7 @@
 		s.failures, s.ejections = 0, 0
 		s.answeredAt = now
 		c.recordResponse(now, ch.DataCentre)
+		c.observeDelay(now, ch.DataCentre, now.Sub(ch.sentAt))
 	case Unavailable:
 		s.unavailableUntil = now.Add(unavailableDuration)
 	case Failed:
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -325,3 +325,74 @@
 	f.report(slower, l)
 	assert.Greater(t, f.shares([]Endpoint{slower, fast}, time.Second)[slower.ID], 0.2)
 }
+
+// Pattern: downloads from a service with one server in each data centre, while demand moves between them. Guards against callers who wait at
+// the full server at home since a download is large, and against calls that leave before anybody waits.
+func TestPick_DownloadLeavesBeforeItWaits(t *testing.T) {
+	for calls, want := range map[int]string{8: "seeb-1", 9: "nizwa-1", 12: "nizwa-1"} { // running and queued at home, of 9 slots
+		f := newFixture()
+		home, other := endpoint("seeb", 1), endpoint("nizwa", 1)
+		load := fastLoad(min(calls, 9))
+		load.Queued = calls - load.Running
+		f.report(home, load)
+		f.report(other, fastLoad(1))
+		choice := f.Pick([]Endpoint{home, other}, Requirements{Class: "eta", TimeToTarget: 500 * time.Millisecond, Bytes: 90_000})
+		assert.Equal(t, want, choice.ID, "%d calls at home", calls)
+	}
+}
+
+// Pattern: demand recedes after calls have left. Guards against a choice that alternates between data centres with every report, and against calls
+// that stay away from home when it has room.
+func TestPick_ReturnsHomeWithoutOscillation(t *testing.T) {
+	f := newFixture()
+	home, other := endpoint("seeb", 1), endpoint("nizwa", 1)
+	changes, last := 0, ""
+	for calls := 16; calls >= 6; calls-- {
+		load := fastLoad(min(calls, 9))
+		load.Queued = calls - load.Running
+		f.report(home, load)
+		f.report(other, fastLoad(5))
+		choice := f.Pick([]Endpoint{home, other}, Requirements{Class: "eta", TimeToTarget: 500 * time.Millisecond, Bytes: 1500})
+		if last != "" && choice.ID != last {
+			changes++
+		}
+		last = choice.ID
+		choice.Done(Healthy, nil)
+	}
+	assert.Equal(t, home.ID, last)
+	assert.Equal(t, 1, changes)
+}
+
+// Guards against calls that leave for a data centre so far away that the way takes longer than the wait at home.
+func TestPick_CountsTheMeasuredWay(t *testing.T) {
+	for way, want := range map[time.Duration]string{3 * time.Millisecond: "nizwa-1", 70 * time.Millisecond: "seeb-1"} {
+		f := newFixture()
+		home, other := endpoint("seeb", 1), endpoint("nizwa", 1)
+		for _, e := range []Endpoint{home, other} {
+			choice := f.Pick([]Endpoint{e}, Requirements{Class: "eta", TimeToTarget: time.Second})
+			load := fastLoad(9)
+			if e.ID == other.ID {
+				f.now = f.now.Add(way)
+				load = fastLoad(6)
+			} else {
+				f.now = f.now.Add(time.Millisecond)
+				load.Queued = 3 // 44 ms of waiting
+			}
+			choice.Done(Healthy, &load)
+		}
+		choice := f.Pick([]Endpoint{home, other}, Requirements{Class: "eta", TimeToTarget: time.Second, Bytes: 30_000})
+		assert.Equal(t, want, choice.ID, way)
+	}
+}
+
+// Guards against a way that counts as long for ever after the network has changed, and against one unusually short call that is forgotten at once.
+func TestDelay_FollowsTheNetwork(t *testing.T) {
+	d, start := &delay{since: time.Unix(1000, 0)}, time.Unix(1000, 0)
+	d.observe(start, 2*time.Millisecond)
+	d.observe(start.Add(delayWindow), 5*time.Millisecond)
+	assert.Equal(t, 2*time.Millisecond, d.shortest(start.Add(delayWindow)))
+	d.observe(start.Add(2*delayWindow), 5*time.Millisecond)
+	assert.Equal(t, 5*time.Millisecond, d.shortest(start.Add(2*delayWindow)))
+	assert.Zero(t, d.shortest(start.Add(5*delayWindow)))
+	assert.Zero(t, (*delay)(nil).shortest(start))
+}
--- a/standin/experiment/pattern_test.go
+++ b/standin/experiment/pattern_test.go
@@ -116,6 +116,31 @@
 	assert.Greater(t, got[0].WorstWindows, got[1].WorstWindows)
 }
 
+// Pattern: demand moves between data centres, servers differ in speed by three. Guards against servers that are overrun while others idle: a call
+// that takes the last slots costs those which follow.
+func TestShiftingDemand_KeepsServersEvenlyUsed(t *testing.T) {
+	s := load(t, "shifting-demand", 14, Variant{Name: "busy endpoints cost little", Placement: raw("BusyCost", "0.1")})
+	s.Events = s.Events[:1]
+	s.Events[0].AtS = 8
+	got := play(t, s)
+	assert.Less(t, got[0].UsageSpread, 0.9*got[1].UsageSpread)
+	assert.Less(t, got[0].WaitedBesideIdle, got[1].WaitedBesideIdle)
+	assert.Less(t, got[0].RefusedBesideIdle, got[1].RefusedBesideIdle)
+}
+
+// Pattern: downloads from a service with one server in each data centre, while demand moves. Guards against callers who wait at the full server at
+// home while others idle, and against downloads that leave while there is room at home.
+func TestShiftingDownloads_LeaveBeforeCallersWait(t *testing.T) {
+	s, err := Load("shifting-downloads")
+	require.NoError(t, err)
+	s.Seeds, s.Seconds = 1, 17
+	s.Variants = []Variant{{Name: "as it stands"}, {Name: "waits cost nothing", Placement: raw("WaitPricePerKB", `"0s"`)}, {Name: "bytes cost nothing", Placement: map[string]json.RawMessage{"RemoteCostPerKB": json.RawMessage("0"), "MinRemoteCost": json.RawMessage("0")}}}
+	got := play(t, s)
+	assert.Less(t, got[0].WaitedBesideIdle, got[1].WaitedBesideIdle/2)
+	assert.Less(t, got[0].MeanWait, got[1].MeanWait/2)
+	assert.Less(t, got[0].RemoteMB, got[2].RemoteMB)
+}
+
 func TestReport(t *testing.T) {
 	s := load(t, "small-fleet", 4)
 	results, err := Run(t.Context(), s, func(int, int) {})
