placement, sidecar: calls that no endpoint takes are rejected at the first node; calls leave only for free slots

Cause: in a shortage each refused call asked two to four endpoints, some in other data centres; all of them refused it. And where all data centres were full, calls moved between them since estimates of the wait differed by chance. Change: Shortages learns for each service, class and rank which share of the calls the endpoints accepted, and rejects at the first node so that two are sent for each accepted one; a report of a free slot, or 100 ms without a refusal, ends it. Nested calls and returned callers pass. A call leaves its data centre because of a wait only for an endpoint with room, and a server in use counts half as much in that choice.

--- a/pkg/explain/losses.go
+++ b/pkg/explain/losses.go
@@ -87,7 +87,7 @@
 // causes maps the field "reason" of request lines to a cause. Of the requests mapped to CauseSlots, the ones that the caller had
 // already retried count as CauseRetryRefused; see causeOf.
 var causes = map[string]string{
-	"full": CauseSlots, "deadline_unreachable": CauseSlots, "backend_limit": CauseLimit, "request_blocked": CauseBlocked, "suspect_waits": CauseBlocked, "link_full": CauseLink,
+	"full": CauseSlots, "service_full": CauseSlots, "deadline_unreachable": CauseSlots, "backend_limit": CauseLimit, "request_blocked": CauseBlocked, "suspect_waits": CauseBlocked, "link_full": CauseLink,
 	"backend_shed": CauseBackend, "connection_lost": CauseBackend, "response_garbled": CauseBackend, "response_truncated": CauseBackend,
 	"response_unsigned": CauseBackend, "backend_unreachable": CauseBackend, "deadline": CauseBackend, "other_instance": CauseBackend,
 	"node_lost": CauseNode, "other_node": CauseNode,
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -72,6 +72,8 @@
 	// BusyCost is lost at an endpoint whose slots are all in use, in proportion below and above. A call that takes the last slot delays those
 	// that arrive until a slot is free, among them calls of nodes whose reports still show room there.
 	BusyCost float64
+	// RemoteBusyCost replaces BusyCost in the choice between the own data centre and another one: calls stay while there is room.
+	RemoteBusyCost float64
 	// EqualScores is the difference up to which scores count as equal, so that an endpoint that seemed a little slower once is not left out
 	// for ever while there is little load.
 	EqualScores float64
@@ -81,8 +83,8 @@
 	MinRemoteCost   float64 // lost by any call to another data centre
 	MaxRemoteCost   float64 // lost by a late response; the cost of bytes alone never leaves a call unserved
 	// WaitPricePerKB applies to calls that would wait for a slot: how much of the caller's time a KB between data centres is worth. A call
-	// leaves if it waits that much longer at home, on top of the longer way. The way back takes the same difference, so that the choice does
-	// not oscillate. 0: calls do not leave because of a wait alone.
+	// leaves if it would wait that much longer than the way takes, for an endpoint that seems to have room. Where both are full, the estimates
+	// differ by chance, and calls that moved would meet others on the way. 0: calls do not leave because of a wait alone.
 	WaitPricePerKB time.Duration
 
 	SuspectFactor       float64       // on the probability at endpoints that did not respond recently
@@ -96,7 +98,7 @@
 // DefaultPolicy returns the parameters that the nodes use.
 func DefaultPolicy() Policy {
 	return Policy{
-		ReportDecay: time.Second, FailureDecay: 5 * time.Second, SampleSize: 8, FullSampleSize: 3, MaxSlotProbes: 2, BusyCost: 0.5, EqualScores: 0.01,
+		ReportDecay: time.Second, FailureDecay: 5 * time.Second, SampleSize: 8, FullSampleSize: 3, MaxSlotProbes: 2, BusyCost: 0.5, RemoteBusyCost: 0.25, EqualScores: 0.01,
 		RemoteCostPerKB: 0.04, MinRemoteCost: 0.04, MaxRemoteCost: 0.7, WaitPricePerKB: 100 * time.Microsecond,
 		SuspectFactor: 0.2, LossFactor: 0.3, LossPenaltyDuration: 3 * time.Second, FailuresToEject: 3, BaseEjection: time.Second, MaxEjection: 8 * time.Second,
 	}
@@ -214,6 +216,7 @@
 	// Pick again.
 	NoQueue bool
 	score   float64       // InTime minus costs
+	usage   float64       // estimated slots in use and calls queued, relative to the slots
 	wait    time.Duration // expected time in the queue
 }
 
@@ -248,21 +251,26 @@
 		return local
 	case c.leavesQueue(now, local, remote, req):
 		return remote
-	case local.score >= remote.score-c.remoteCost(req):
+	case c.homeScore(local) >= c.homeScore(remote)-c.remoteCost(req):
 		return local
 	}
 	return remote
 }
 
+// homeScore returns the score of a choice for the comparison with another data centre.
+func (c *Chooser) homeScore(ch *Choice) float64 {
+	return ch.score + (c.policy.BusyCost-c.policy.RemoteBusyCost)*ch.usage
+}
+
 const bytesPerKB = 1000
 
-// leavesQueue reports whether the call waits so much longer in the own data centre that the way to the other one and its bytes are worth it.
+// leavesQueue reports whether the call would wait so long in the own data centre that the way to a free slot of another one is worth it.
 func (c *Chooser) leavesQueue(now time.Time, local, remote *Choice, req Requirements) bool {
-	if c.policy.WaitPricePerKB == 0 || local.score >= remote.score {
+	if c.policy.WaitPricePerKB == 0 || remote.wait > 0 || local.score >= remote.score {
 		return false
 	}
 	price := c.policy.WaitPricePerKB * time.Duration(req.Bytes) / bytesPerKB
-	return local.wait-remote.wait > price+c.extraDelay(now, remote.DataCentre)
+	return local.wait > price+c.extraDelay(now, remote.DataCentre)
 }
 
 // remoteCost returns the score lost by sending the call to another data centre.
@@ -341,7 +349,7 @@
 	}
 	// BusyCost is not capped, so that of two endpoints that would both be late, the less loaded one has the higher score.
 	score := inTime - c.policy.BusyCost*calls/limit - req.DelayCost*min(1, duration/float64(req.TimeToTarget))
-	return &Choice{Endpoint: e, chooser: c, state: s, class: req.Class, InTime: inTime, wait: time.Duration(wait), score: score}
+	return &Choice{Endpoint: e, chooser: c, state: s, class: req.Class, InTime: inTime, wait: time.Duration(wait), score: score, usage: calls / limit}
 }
 
 // slowness estimates how long work takes at the endpoint now, relative to the mean there.
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -113,6 +113,7 @@
 const (
 	reasonBusy                reason = "busy"          // no free slot, and the call may not queue
 	reasonFull                reason = "full"          // no slot becomes free in time
+	reasonServiceFull         reason = "service_full"  // other calls of the class were refused by all endpoints lately
 	reasonBackendLimit        reason = "backend_limit" // the backend server takes no more requests in time at the rate that it named
 	reasonLinkFull            reason = "link_full"     // long responses already queued for the VM's link would make this one late
 	reasonDeadlineUnreachable reason = "deadline_unreachable"
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -163,8 +163,9 @@
 	return &outbound{
 		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(),
 		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(placement.Options{DataCentre: n.settings.DataCentre, Policy: placement.DefaultPolicy()}),
-		budget: retry.New(retry.Options{Bound: retryBound, Policy: retry.DefaultPolicy(), Nodes: func() int { return len(n.membership.SharedMembers()) }}),
-		local:  n.inbound, link: n.link, starting: newStarting(),
+		shortages: placement.NewShortages(placement.DefaultShortagePolicy(), nil, nil),
+		budget:    retry.New(retry.Options{Bound: retryBound, Policy: retry.DefaultPolicy(), Nodes: func() int { return len(n.membership.SharedMembers()) }}),
+		local:     n.inbound, link: n.link, starting: newStarting(),
 		client: hop.New(hop.Options{
 			EchoHeader: n.platform.Headers().RequestID, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, DialOverrides: n.settings.DialOverrides,
 			MaxBufferedBytes: link.MaxShortBytes,
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -57,6 +57,7 @@
 	table     func() *routing.Table
 	endpoints func(service string) []placement.Endpoint
 	chooser   *placement.Chooser
+	shortages *placement.Shortages
 	budget    *retry.Budget
 	local     *inbound
 	link      *link.Link
@@ -282,6 +283,9 @@
 
 // sendWithRetries sends the request to inbound nodes until one answers or no further attempt is allowed.
 func (o *outbound) sendWithRetries(q *request) *result {
+	if res := o.rejectEarly(q); res != nil {
+		return res
+	}
 	ctx := q.Context()
 	if !q.route.Idempotent {
 		// A disconnecting caller must not cancel a request that may already have taken effect.
@@ -323,6 +327,7 @@
 		attempted[choice.ID] = true
 		attempts.Observe(attemptOutcome(last))
 	}
+	o.observeShortage(q, attempts.Sent(), last)
 	last.attempts, last.arrivals = attempts.Sent(), attempts.Arrivals()
 	if last.verdict == verdictAnswered {
 		o.stats.observeResponse(q.route.Name, last.response.Length)
@@ -338,6 +343,34 @@
 	return last
 }
 
+// rejectEarly refuses a request that the endpoints of the service would refuse, without asking them. It lets nested calls pass, since the work of
+// their parents would be lost, and callers who have returned, since they will not return again.
+func (o *outbound) rejectEarly(q *request) *result {
+	if q.callerRetry || o.stats.isNested(q.route.Name) {
+		return nil
+	}
+	retryAfter, ok := o.shortages.Reject(shortageKey(q))
+	if !ok {
+		return nil
+	}
+	res := refuse(0, reasonServiceFull)
+	res.retryAfter = retryAfter
+	return res
+}
+
+// observeShortage records whether the endpoints accepted a request. A deadline that cannot be met says nothing about requests with later ones.
+func (o *outbound) observeShortage(q *request, sent int, last *result) {
+	refused := last.reason == reasonFull || last.reason == reasonBackendLimit
+	if sent == 0 || lacksCapacity(last.reason) && !refused {
+		return
+	}
+	o.shortages.ObserveCall(shortageKey(q), !refused, last.retryAfter)
+}
+
+func shortageKey(q *request) placement.ShortageKey {
+	return placement.ShortageKey{Service: q.service, Class: q.route.Name, Rank: q.rank}
+}
+
 // attemptOutcome returns what the result of an attempt shows about the call.
 func attemptOutcome(res *result) retry.Outcome {
 	return retry.Outcome{
@@ -417,6 +450,10 @@
 		o.readReply(res, response, failed)
 	}
 	choice.Done(endpointOutcome(res), reportedLoad(res))
+	if res.hasLoad {
+		o.shortages.ObserveReport(q.service, res.load)
+	}
+	o.metrics.Inc("outbound_tries", "rank", q.rankLabel())
 	return res
 }
 
--- a/standin/experiment/call.go
+++ b/standin/experiment/call.go
@@ -55,14 +55,20 @@
 	attempted   map[string]bool
 	busy        map[string]bool
 	last        reply
+	asked       bool // an endpoint was asked
 	done        func(reply)
 }
 
+func (c *call) shortageKey() placement.ShortageKey {
+	return placement.ShortageKey{Service: c.class.Service, Class: c.class.Name, Rank: c.class.Rank}
+}
+
 // reply is the outcome of an attempt.
 type reply struct {
 	status     status
 	arrived    bool
 	full, busy bool
+	hopeless   bool // refused since the deadline cannot be met
 	nested     bool // according to the inbound node
 	retryAfter time.Duration
 	outcome    placement.Outcome
@@ -126,6 +132,13 @@
 		n.budget.CountRetries(c.class.Service, n.retryShare())
 	}
 	n.fleet.tally.firstAttempt(n.fleet, c.class.Service)
+	if retryAfter, ok := n.shortages.Reject(c.shortageKey()); ok && !c.nested && !c.callerRetry && n.fleet.policies.has(EarlyRejection) {
+		c.last.retryAfter = retryAfter
+		n.fleet.tally.rejected++
+		n.end(c)
+		return
+	}
+	c.asked = true
 	n.next(c)
 }
 
@@ -160,6 +173,9 @@
 	n.exchange(c, choice, func(res reply) {
 		choice.Done(res.outcome, res.load)
 		c.last = res
+		if res.load != nil {
+			n.shortages.ObserveReport(c.class.Service, *res.load)
+		}
 		if res.busy {
 			c.busy[choice.ID] = true
 		} else {
@@ -174,6 +190,9 @@
 }
 
 func (n *node) end(c *call) {
+	if c.asked && c.attempts.Sent() > 0 && !c.last.hopeless {
+		n.shortages.ObserveCall(c.shortageKey(), !c.last.full, c.last.retryAfter)
+	}
 	if c.attempts.MayHaveRun() && c.last.status == notRun {
 		c.last.status = failed
 	}
@@ -239,7 +258,7 @@
 		f.after(0, func() {
 			if refusal != nil {
 				respond(reply{
-					status: notRun, busy: refusal.Reason == admission.Busy, full: refusal.Reason == admission.Overloaded || refusal.Reason == admission.RateLimited || refusal.Reason == admission.DeadlineUnreachable,
+					status: notRun, busy: refusal.Reason == admission.Busy, hopeless: refusal.Reason == admission.DeadlineUnreachable, full: refusal.Reason == admission.Overloaded || refusal.Reason == admission.RateLimited || refusal.Reason == admission.DeadlineUnreachable,
 					nested: isNested, retryAfter: refusal.RetryAfter, load: n.load(c.class.Name),
 				})
 				return
--- a/standin/experiment/node.go
+++ b/standin/experiment/node.go
@@ -32,6 +32,7 @@
 	running     []*execution
 
 	chooser   *placement.Chooser
+	shortages *placement.Shortages
 	budget    *retry.Budget
 	refusals  *callerretry.Tracker
 	scheduler *admission.Scheduler
@@ -58,6 +59,7 @@
 	n.chooser = placement.New(placement.Options{
 		DataCentre: n.dataCentre, Policy: f.policies.placement, Now: func() time.Time { return f.now }, Random: f.random.IntN,
 	})
+	n.shortages = placement.NewShortages(f.policies.shortage, func() time.Time { return f.now }, f.random.Float64)
 	n.budget = retry.New(f.retryOptions())
 	n.refusals = &callerretry.Tracker{}
 	n.scheduler = admission.NewScheduler(n.service.Slots, f.policies.admission)
--- a/standin/experiment/pattern_test.go
+++ b/standin/experiment/pattern_test.go
@@ -119,7 +119,7 @@
 // Pattern: demand moves between data centres, servers differ in speed by three. Guards against servers that are overrun while others idle: a call
 // that takes the last slots costs those which follow.
 func TestShiftingDemand_KeepsServersEvenlyUsed(t *testing.T) {
-	s := load(t, "shifting-demand", 14, Variant{Name: "busy endpoints cost little", Placement: raw("BusyCost", "0.1")})
+	s := load(t, "shifting-demand", 14, Variant{Name: "busy endpoints cost little", Placement: map[string]json.RawMessage{"BusyCost": json.RawMessage("0.1"), "RemoteBusyCost": json.RawMessage("0.1")}})
 	s.Events = s.Events[:1]
 	s.Events[0].AtS = 8
 	got := play(t, s)
@@ -141,6 +141,28 @@
 	assert.Less(t, got[0].RemoteMB, got[2].RemoteMB)
 }
 
+// Pattern: callers of one class exceed by far what all servers can take, then room comes back. Guards against hops between nodes for calls that no
+// server takes, against slots that are left idle because calls are rejected early, and against rejections after room is back.
+func TestRefusedByAll_AreRejectedAtTheFirstNode(t *testing.T) {
+	s, err := Load("refused-by-all")
+	require.NoError(t, err)
+	s.Variants = []Variant{{Name: "as it stands"}, {Name: "endpoints are asked", Without: []Mechanism{EarlyRejection}}}
+	results, err := Run(t.Context(), s, func(int, int) {})
+	require.NoError(t, err)
+	means := func(value func(*Result) float64) (rejecting, asking float64) {
+		rejecting, _ = results[0].Mean(value)
+		asking, _ = results[1].Mean(value)
+		return rejecting, asking
+	}
+	rejecting, asking := means(func(r *Result) float64 { return r.TriesPerCall })
+	assert.Less(t, rejecting, 0.9*asking)
+	rejecting, asking = means(func(r *Result) float64 { return r.ServedAtAll })
+	assert.Greater(t, rejecting, asking-0.01)
+	const afterSurge = 6 // window of 2 s; the surge ends at 9 s, and its last callers return within a second
+	rejecting, asking = means(func(r *Result) float64 { return r.Windows[afterSurge].Share() })
+	assert.Greater(t, rejecting, asking-0.01)
+}
+
 func TestReport(t *testing.T) {
 	s := load(t, "small-fleet", 4)
 	results, err := Run(t.Context(), s, func(int, int) {})
--- a/standin/experiment/policy.go
+++ b/standin/experiment/policy.go
@@ -16,6 +16,7 @@
 type policies struct {
 	admission admission.Policy
 	placement placement.Policy
+	shortage  placement.ShortagePolicy
 	retry     retry.Policy
 	without   []Mechanism
 }
@@ -25,11 +26,11 @@
 
 // policies returns the parameters of the product with the changes of the variant.
 func (v *Variant) policies() (*policies, error) {
-	p := &policies{admission: admission.DefaultPolicy(), placement: placement.DefaultPolicy(), retry: retry.DefaultPolicy(), without: v.Without}
+	p := &policies{admission: admission.DefaultPolicy(), placement: placement.DefaultPolicy(), shortage: placement.DefaultShortagePolicy(), retry: retry.DefaultPolicy(), without: v.Without}
 	for _, change := range []struct {
 		policy any
 		values map[string]json.RawMessage
-	}{{&p.admission, v.Admission}, {&p.placement, v.Placement}, {&p.retry, v.Retry}} {
+	}{{&p.admission, v.Admission}, {&p.placement, v.Placement}, {&p.shortage, v.Shortage}, {&p.retry, v.Retry}} {
 		for name, value := range change.values {
 			if err := setField(reflect.ValueOf(change.policy).Elem(), name, value); err != nil {
 				return nil, err
--- a/standin/experiment/report.go
+++ b/standin/experiment/report.go
@@ -51,6 +51,7 @@
 	{"spread", func(r *Result) float64 { return r.UsageSpread }, "", 3},
 	{"waited beside idle", func(r *Result) float64 { return float64(r.WaitedBesideIdle) }, "", 0},
 	{"refused beside idle", func(r *Result) float64 { return float64(r.RefusedBesideIdle) }, "", 0},
+	{"rejected early", func(r *Result) float64 { return float64(r.Rejected) }, "", 0},
 	{"tries", func(r *Result) float64 { return r.TriesPerCall }, "", 2},
 	{"wait", func(r *Result) float64 { return inMilliseconds(r.MeanWait) }, "ms", 1},
 	{"refused after", func(r *Result) float64 { return inMilliseconds(r.MeanRefusalTime) }, "ms", 0},
--- a/standin/experiment/scenario.go
+++ b/standin/experiment/scenario.go
@@ -143,6 +143,7 @@
 	Name      string                     `json:"name"`
 	Admission map[string]json.RawMessage `json:"admission"` // fields of admission.Policy
 	Placement map[string]json.RawMessage `json:"placement"` // fields of placement.Policy
+	Shortage  map[string]json.RawMessage `json:"shortage"`  // fields of placement.ShortagePolicy
 	Retry     map[string]json.RawMessage `json:"retry"`     // fields of retry.Policy
 	Without   []Mechanism                `json:"without"`
 }
@@ -156,10 +157,11 @@
 	ReturnsRecognised Mechanism = "returns_recognised" // a caller that returns keeps the target of its first attempt
 	DelayCost         Mechanism = "delay_cost"         // nested calls prefer the quickest endpoint while their parent's service is full
 	SlownessReports   Mechanism = "slowness_reports"   // backend servers tell how long work takes
+	EarlyRejection    Mechanism = "early_rejection"    // a node rejects calls that the endpoints would refuse
 	LimitReports      Mechanism = "limit_reports"      // load reports show a limit that the backend server names
 )
 
-var mechanisms = []Mechanism{NestedFirst, ReturnsRecognised, DelayCost, SlownessReports, LimitReports}
+var mechanisms = []Mechanism{NestedFirst, ReturnsRecognised, DelayCost, SlownessReports, LimitReports, EarlyRejection}
 
 // Parse reads and checks a scenario. An error is an apierror.Error, or an apierror.List with all errors of the scenario.
 func Parse(data []byte) (*Scenario, error) {
--- a/standin/experiment/tally.go
+++ b/standin/experiment/tally.go
@@ -40,6 +40,7 @@
 	grants                   int
 	totalWait                time.Duration
 	tries, requests          int             // exchanges between nodes, and the calls that they were made for
+	rejected                 int             // calls that the node rejected without asking an endpoint
 	waitsBesideIdle          int             // grants after a wait that began while another server of the service had a free slot
 	refusedBesideIdle        int             // calls that ended refused at such a time
 	responseTimes            []time.Duration // of callers that were served, from their first attempt
@@ -181,6 +182,7 @@
 	BudgetDenied                                                  int
 	BudgetUsed                                                    float64       // largest share of the retry bound that a service used in a window
 	UsageSpread                                                   float64       // standard deviation of the share of slots in use, between the servers of a service
+	Rejected                                                      int           // calls that a node rejected without asking an endpoint
 	WaitedBesideIdle, RefusedBesideIdle                           int           // calls that waited or ended refused while another server had a free slot
 	Median, P99                                                   time.Duration // response times of the callers that were served
 	TriesPerCall                                                  float64       // exchanges between nodes
@@ -228,6 +230,7 @@
 	if t.refusals > 0 {
 		r.MeanRefusalTime = t.refusalTime / time.Duration(t.refusals)
 	}
+	r.Rejected = t.rejected
 	r.WaitedBesideIdle, r.RefusedBesideIdle = t.waitsBesideIdle, t.refusedBesideIdle
 	r.UsageSpread = t.usageSpread / float64(max(1, t.usageSamples))
 	r.TriesPerCall = float64(t.tries) / float64(max(1, t.requests))
