--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -163,6 +163,7 @@
 	reasonBusy                reason = "busy"          // no free slot, and the call may not queue
 	reasonFull                reason = "full"          // no slot becomes free in time
 	reasonHoldsUpOthers       reason = "holds_up"      // more urgent requests behind it on the caller's connection would wait too long for its response
+	reasonServiceFull         reason = "service_full"  // other calls of the class were refused by all endpoints lately
 	reasonBackendLimit        reason = "backend_limit" // the backend server takes no more requests in time at the rate that it named
 	reasonLinkFull            reason = "link_full"     // long responses already queued for the VM's link would make this one late
 	reasonCallsNoRoom         reason = "calls_no_room" // calls that the backend server makes for such calls are refused for lack of room
--- a/standin/experiment/scenario.go
+++ b/standin/experiment/scenario.go
@@ -27,6 +27,7 @@
 	DataCentres []string  `json:"data_centres"`
 	Network     Network   `json:"network"`
 	Retry       Retry     `json:"retry"`
+	Demand      Demand    `json:"demand"`
 	Services    []Service `json:"services"`
 	Classes     []Class   `json:"classes"`
 	Teams       []Team    `json:"teams"` // optional
@@ -42,6 +43,13 @@
 	ToCallersMS float64 `json:"to_callers_ms"` // between callers and nodes
 }
 
+// Demand is how the load moves between the data centres: each one's share of every class follows a sine.
+type Demand struct {
+	Swing     float64 `json:"swing"`      // amplitude relative to the mean; 0: the load is the same everywhere
+	PeriodS   float64 `json:"period_s"`   // length of a cycle
+	PhaseStep float64 `json:"phase_step"` // by how much of a cycle each data centre is behind the one before
+}
+
 // Retry is the fleet's bound on retries.
 type Retry struct {
 	Ratio   float64 `json:"ratio"`
@@ -145,6 +153,7 @@
 	Name       string                     `json:"name"`
 	Admission  map[string]json.RawMessage `json:"admission"`  // fields of admission.Policy
 	Placement  map[string]json.RawMessage `json:"placement"`  // fields of placement.Policy
+	Shortage   map[string]json.RawMessage `json:"shortage"`   // fields of placement.ShortagePolicy
 	Retry      map[string]json.RawMessage `json:"retry"`      // fields of retry.Policy
 	Dependency map[string]json.RawMessage `json:"dependency"` // fields of dependency.Policy
 	Without    []Mechanism                `json:"without"`
@@ -160,11 +169,12 @@
 	ReturnsRecognised Mechanism = "returns_recognised" // a caller that returns keeps the target of its first attempt
 	DelayCost         Mechanism = "delay_cost"         // nested calls prefer the quickest endpoint while their parent's service is full
 	SlownessReports   Mechanism = "slowness_reports"   // backend servers tell how long work takes
+	EarlyRejection    Mechanism = "early_rejection"    // a node rejects calls that the endpoints would refuse
 	LimitReports      Mechanism = "limit_reports"      // load reports show a limit that the backend server names
 	ParentAdmission   Mechanism = "parent_admission"   // calls whose nested calls are refused for lack of room are admitted as far as these are served
 )
 
-var mechanisms = []Mechanism{NestedFirst, ParentRank, ReturnsRecognised, DelayCost, SlownessReports, LimitReports, ParentAdmission}
+var mechanisms = []Mechanism{NestedFirst, ParentRank, ReturnsRecognised, DelayCost, SlownessReports, LimitReports, ParentAdmission, EarlyRejection}
 
 // Parse reads and checks a scenario. An error is an apierror.Error, or an apierror.List with all errors of the scenario.
 func Parse(data []byte) (*Scenario, error) {
@@ -217,6 +227,8 @@
 	c.require(len(s.Services) > 0, "services", "is empty", "add at least one")
 	c.require(len(s.Variants) > 0, "variants", "is empty", "add at least one; one without changes is the product as it is")
 	c.positive(s.Retry.WindowS, "retry.window_s")
+	c.fraction(s.Demand.Swing, "demand.swing")
+	c.require(s.Demand.Swing == 0 || s.Demand.PeriodS > 0, "demand.period_s", "is not positive", "state the length of a cycle")
 	servers := 0
 	for i, service := range s.Services {
 		field := fmt.Sprintf("services[%d]", i)
