quota: decisions on limits over all nodes, in virtual time

Change: pkg/quota counts by sliding window, exchanges sums along a tree and admits near a limit with a common probability.

--- /dev/null
+++ b/pkg/quota/exchange.go
@@ -0,0 +1,386 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Relation is the place of another node in the tree, as seen from this one.
+type Relation int
+
+// The relations.
+const (
+	Child  Relation = iota // reports to this node
+	Parent                 // this node reports to it
+	Peer                   // both are the first nodes of their data centres
+)
+
+const (
+	// minorChange is the part of a limit by which counts may change before they are reported again; farChange that while the team is far from it.
+	minorChange = 0.02
+	farChange   = 0.08
+	// demandWeight is the weight of demand in the shares of the parts of a tree; the rest goes by the number of nodes, since demand moves.
+	demandWeight = 0.5
+)
+
+// Report holds the counts of a part of the tree. Teams without a change are left out.
+type Report struct {
+	From   string       `json:"from"`
+	Nodes  int          `json:"nodes"`          // in the part
+	NextMS int64        `json:"next"`           // time until the next report
+	Phase  int64        `json:"phase"`          // ms since the newest bucket began
+	Full   bool         `json:"full,omitempty"` // teams that are not listed have no counts
+	Seq    uint64       `json:"seq"`            // of the report, among those to the same receiver
+	Seen   uint64       `json:"seen,omitempty"` // sequence number of the latest report that the sender has received
+	Teams  []TeamReport `json:"teams,omitempty"`
+}
+
+// TeamReport holds the counts of one team, by bucket, newest first.
+type TeamReport struct {
+	Team     string    `json:"t"`
+	Admitted []float64 `json:"a,omitempty"`
+	Refused  []float64 `json:"r,omitempty"`
+	Extra    float64   `json:"x,omitempty"` // estimated beyond what was counted, and set aside for parts out of touch
+}
+
+// source is another part of the tree.
+type source struct {
+	relation Relation
+	heard    time.Duration
+	due      time.Duration // of the next report; later, the part is out of touch
+	nodes    int
+	teams    map[string]*figures
+	seen     uint64              // sequence number of its latest report
+	seq      uint64              // of the latest report to it
+	sent     map[string]*figures // that it has; nil: unknown
+}
+
+// figures are the counts that a source has reported of a team, or that were reported to it.
+type figures struct {
+	admitted history
+	refused  history
+	extra    float64
+	rate     float64 // admitted in a bucket, on average
+	share    float64 // of the limit, while the source is out of touch
+}
+
+func (f *figures) advance(sequence int64) {
+	f.admitted.advance(sequence)
+	f.refused.advance(sequence)
+}
+
+func (f *figures) asked() float64 { return f.admitted.sum + f.refused.sum }
+
+func (s *source) isSilent(now time.Duration) bool { return now > s.due }
+
+// late returns the number of buckets for which nothing of a source is known.
+func (l *Ledger) late(now time.Duration, s *source) float64 {
+	return min(buckets, float64(now-s.heard)/float64(l.clock.bucket))
+}
+
+// estimate returns what a source is taken to use in the window.
+func (l *Ledger) estimate(now time.Duration, s *source, f *figures, target float64) float64 {
+	f.advance(l.clock.sequence(now))
+	used := f.admitted.sum + f.extra + f.rate*l.late(now, s)
+	if s.isSilent(now) {
+		used = max(used, f.share*target)
+	}
+	return used
+}
+
+// viewOf returns what is known of other nodes.
+func (l *Ledger) viewOf(now time.Duration, name string, t *team) *view {
+	if t.view.valid && now-t.view.at < viewAge {
+		return &t.view
+	}
+	v := view{at: now, valid: true, alone: true}
+	target := l.options.Bound.target(t.limit)
+	for _, s := range l.sources {
+		v.alone = v.alone && s.isSilent(now)
+		f, ok := s.teams[name]
+		if !ok {
+			v.used += l.unknown(now, s, target)
+			continue
+		}
+		v.used += l.estimate(now, s, f, target)
+		v.total += f.asked()
+		if !s.isSilent(now) {
+			v.ending += f.admitted.ending(planned)
+			v.asked += f.asked()
+			v.surge += f.admitted.latest(recent) + f.refused.latest(recent)
+			v.recent += f.admitted.latest(recent) + f.rate*l.late(now, s)
+		}
+	}
+	v.used += target * l.nodeShare(l.missing())
+	t.view = v
+	return &t.view
+}
+
+// unknown returns what a source is taken to use of a team's limit that it has reported no requests of.
+func (l *Ledger) unknown(now time.Duration, s *source, target float64) float64 {
+	if !s.isSilent(now) {
+		return 0
+	}
+	return target * l.nodeShare(s.nodes) * (1 - demandWeight)
+}
+
+// missing returns the number of nodes that no part of the tree counts. An equal share of the limit is set aside for each.
+func (l *Ledger) missing() int {
+	missing := l.options.Nodes() - 1
+	for _, s := range l.sources {
+		missing -= s.nodes
+	}
+	return max(0, missing)
+}
+
+func (l *Ledger) nodeShare(nodes int) float64 {
+	return min(1, float64(nodes)/float64(max(1, l.options.Nodes())))
+}
+
+// Report returns what another node does not know yet. next is the time until the next report to it.
+func (l *Ledger) Report(now time.Duration, self, to string, relation Relation, next time.Duration) Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	target := l.source(to, relation)
+	target.seq++
+	r := Report{From: self, Nodes: 1, NextMS: next.Milliseconds(), Phase: l.clock.phase(now).Milliseconds(), Full: target.sent == nil, Seq: target.seq, Seen: target.seen}
+	if r.Full {
+		target.sent = make(map[string]*figures)
+	}
+	var parts []*source
+	for id, s := range l.sources {
+		if id != to && (s.relation == Child || relation == Child) {
+			parts = append(parts, s)
+			r.Nodes += s.nodes
+		}
+	}
+	missing := 0
+	if relation == Child {
+		missing = l.missing()
+		r.Nodes += missing
+	}
+	for name, t := range l.teams {
+		if report, ok := l.reportTeam(now, name, t, parts, r.Nodes, missing, target); ok {
+			r.Teams = append(r.Teams, report)
+		}
+		if relation == Parent || relation == Peer && !l.hasParent() {
+			t.since = 0
+		}
+	}
+	return r
+}
+
+func (l *Ledger) hasParent() bool {
+	for _, s := range l.sources {
+		if s.relation == Parent {
+			return true
+		}
+	}
+	return false
+}
+
+// reportTeam returns the counts of a team in some parts of the tree, and whether the receiver needs them.
+func (l *Ledger) reportTeam(now time.Duration, name string, t *team, parts []*source, nodes, missing int, to *source) (TeamReport, bool) {
+	sequence := l.clock.sequence(now)
+	t.advance(sequence)
+	limit := l.options.Bound.target(t.limit)
+	f := figures{admitted: t.admitted, refused: t.refused, extra: limit * l.nodeShare(missing)}
+	for _, s := range parts {
+		g, ok := s.teams[name]
+		switch {
+		case !ok:
+			f.extra += l.unknown(now, s, limit)
+		case s.isSilent(now):
+			f.extra += l.estimate(now, s, g, limit)
+		default:
+			f.extra += l.estimate(now, s, g, limit) - g.admitted.sum
+			f.admitted.merge(&g.admitted)
+			f.refused.merge(&g.refused)
+		}
+	}
+	before, ok := to.sent[name]
+	if !ok {
+		before = &figures{admitted: history{newest: sequence}, refused: history{newest: sequence}}
+	}
+	before.advance(sequence)
+	change := limit * farChange
+	if f.admitted.sum+f.extra+f.asked()*planned/buckets > nearShare*limit {
+		change = limit * minorChange
+	}
+	change = max(0.5, change*l.nodeShare(nodes))
+	if math.Abs(f.admitted.sum+f.extra-before.admitted.sum-before.extra) < change && math.Abs(f.asked()-before.asked()) < change {
+		return TeamReport{}, false
+	}
+	to.sent[name] = &f
+	return TeamReport{Team: name, Admitted: f.admitted.byAge(), Refused: f.refused.byAge(), Extra: rounded(f.extra)}, true
+}
+
+// source returns the state of another node.
+func (l *Ledger) source(id string, relation Relation) *source {
+	s, ok := l.sources[id]
+	if !ok {
+		s = &source{teams: make(map[string]*figures), due: -1}
+		l.sources[id] = s
+	}
+	s.relation = relation
+	return s
+}
+
+// Merge takes in a report of another node.
+func (l *Ledger) Merge(now time.Duration, r Report, relation Relation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.source(r.From, relation)
+	if r.Seen != s.seq {
+		s.sent = nil // it has missed the latest report, or is another process
+	}
+	if r.Full {
+		clear(s.teams)
+	}
+	next := time.Duration(r.NextMS) * time.Millisecond
+	s.heard, s.due, s.nodes, s.seen = now, now+next+l.options.Timing.Grace, r.Nodes, r.Seq
+	for _, tr := range r.Teams {
+		if _, ok := l.teams[tr.Team]; !ok {
+			continue // the sender has another version of the configuration
+		}
+		s.teams[tr.Team] = l.figuresOf(now, &tr, time.Duration(r.Phase)*time.Millisecond)
+	}
+	for name, t := range l.teams {
+		t.view.valid = false
+		if f, ok := s.teams[name]; ok {
+			f.share = l.shareOf(name, t, s, f)
+		}
+	}
+}
+
+// figuresOf decodes the counts of a team.
+func (l *Ledger) figuresOf(now time.Duration, r *TeamReport, phase time.Duration) *figures {
+	f := &figures{admitted: l.historyOf(now, r.Admitted, phase), refused: l.historyOf(now, r.Refused, phase), extra: r.Extra}
+	f.rate = f.admitted.sum / buckets
+	return f
+}
+
+// historyOf decodes counts. A bucket of the sender goes into the bucket in which its last event can have been, so that no event leaves the
+// window too early.
+func (l *Ledger) historyOf(now time.Duration, counts []float64, phase time.Duration) history {
+	h := history{newest: l.clock.sequence(now)}
+	for age, n := range counts {
+		end := now
+		if age > 0 {
+			end -= phase + time.Duration(age-1)*l.clock.bucket
+		}
+		h.add(l.clock.sequence(end), n)
+	}
+	return h
+}
+
+// shareOf returns the share of the limit that a part of the tree has while it is out of touch.
+func (l *Ledger) shareOf(name string, t *team, s *source, f *figures) float64 {
+	asked := t.asked()
+	for _, other := range l.sources {
+		if g, ok := other.teams[name]; ok {
+			asked += g.asked()
+		}
+	}
+	return mixedShare(f.asked(), asked, l.nodeShare(s.nodes))
+}
+
+// mixedShare returns the share of a part of the tree in the demand, where equal is that by the number of its nodes.
+func mixedShare(asked, total, equal float64) float64 {
+	if total == 0 {
+		return equal
+	}
+	return demandWeight*asked/total + (1-demandWeight)*equal
+}
+
+// Lost notes that another node did not respond: it is out of touch.
+func (l *Ledger) Lost(now time.Duration, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s, ok := l.sources[id]; ok {
+		s.due, s.sent = min(s.due, now-1), nil
+		l.dropViews()
+	}
+}
+
+// Retain drops parents other than the given ones, other peers that are out of touch, and children without a report for a window: their
+// nodes report elsewhere, or count as missing.
+func (l *Ledger) Retain(now time.Duration, uppers map[string]Relation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, s := range l.sources {
+		_, listed := uppers[id]
+		gone := s.isSilent(now)
+		switch s.relation {
+		case Child:
+			gone = now > s.due+l.options.Bound.Window
+		case Parent:
+			gone = true
+		}
+		if gone && !listed {
+			delete(l.sources, id)
+			l.dropViews()
+		}
+	}
+}
+
+func (l *Ledger) dropViews() {
+	for _, t := range l.teams {
+		t.view.valid = false
+	}
+}
+
+// Interval returns the time between exchanges, and starts a new period in which teams may come near their limits.
+func (l *Ledger) Interval(now time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.teams) == 0 {
+		return 0
+	}
+	near := l.near
+	l.near = false
+	if near || l.isCollector() && l.isAnyNear(now) {
+		return l.options.Timing.Near
+	}
+	return l.options.Timing.Rest
+}
+
+// isCollector reports whether other nodes learn from this one.
+func (l *Ledger) isCollector() bool {
+	for _, s := range l.sources {
+		if s.relation != Parent {
+			return true
+		}
+	}
+	return false
+}
+
+// heard returns when the latest report of a node arrived.
+func (l *Ledger) heard(id string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s, ok := l.sources[id]; ok {
+		return s.heard
+	}
+	return 0
+}
+
+func (l *Ledger) isAnyNear(now time.Duration) bool {
+	for name, t := range l.teams {
+		t.advance(l.clock.sequence(now))
+		v := l.viewOf(now, name, t)
+		if t.admitted.sum+v.used+t.demand(v)*planned/buckets > nearShare*l.options.Bound.target(t.limit) {
+			return true
+		}
+	}
+	return false
+}
+
+func highest(all []Usage, n int) []Usage {
+	slices.SortFunc(all, func(a, b Usage) int {
+		return cmp.Or(cmp.Compare(b.Used/max(1, b.Allowed), a.Used/max(1, a.Allowed)), cmp.Compare(a.Team, b.Team))
+	})
+	return all[:min(n, len(all))]
+}
