sidecar, quota: nodes exchange counts of teams' requests and refuse beyond a limit

Change: sidecar.limits exchanges counts; 429 with Retry-After and reason team_limit; gauges and log lines by team; settings of window, overage and slack. A node that starts takes 0.6 of a window as used evenly, the rest at its end.

--- a/pkg/explain/losses.go
+++ b/pkg/explain/losses.go
@@ -75,6 +75,7 @@
 	CauseRetryRefused = "refused again after coming back"
 	CauseLate         = "answered late"
 	CauseLimit        = "limit of the backend server"
+	CauseTeamLimit    = "limit of the team"
 	CauseBlocked      = "crashes backend servers"
 	CauseLink         = "link of the machine full"
 	CauseBackend      = "backend server"
@@ -90,7 +91,8 @@
 	"full": CauseSlots, "deadline_unreachable": CauseSlots, "backend_limit": CauseLimit, "request_blocked": CauseBlocked, "suspect_waits": CauseBlocked, "link_full": CauseLink,
 	"backend_shed": CauseBackend, "connection_lost": CauseBackend, "response_garbled": CauseBackend, "response_truncated": CauseBackend,
 	"response_unsigned": CauseBackend, "backend_unreachable": CauseBackend, "deadline": CauseBackend, "other_instance": CauseBackend,
-	"node_lost": CauseNode, "other_node": CauseNode,
+	"team_limit": CauseTeamLimit,
+	"node_lost":  CauseNode, "other_node": CauseNode,
 	"no_endpoint": CauseNoEndpoint, "no_backend": CauseNoEndpoint, "draining": CauseNoEndpoint, "stopping": CauseNoEndpoint, "other_service": CauseNoEndpoint, "no_configuration": CauseNoEndpoint,
 	"cancelled": CauseCancelled,
 }
--- a/pkg/quota/exchange.go
+++ b/pkg/quota/exchange.go
@@ -62,7 +62,7 @@
 	admitted history
 	refused  history
 	extra    float64
-	rate     float64 // admitted in a bucket, on average
+	rate     float64 // admitted in a bucket
 	share    float64 // of the limit, while the source is out of touch
 }
 
@@ -75,9 +75,9 @@
 
 func (s *source) isSilent(now time.Duration) bool { return now > s.due }
 
-// late returns the number of buckets for which nothing of a source is known.
+// late returns the number of buckets for which the counts of a source are extrapolated: until it is out of touch, and then keeps to its share.
 func (l *Ledger) late(now time.Duration, s *source) float64 {
-	return min(buckets, float64(now-s.heard)/float64(l.clock.bucket))
+	return min(buckets, max(0, float64(min(now, s.due)-s.heard)/float64(l.clock.bucket)))
 }
 
 // estimate returns what a source is taken to use in the window.
@@ -95,7 +95,7 @@
 	if t.view.valid && now-t.view.at < viewAge {
 		return &t.view
 	}
-	v := view{at: now, valid: true, alone: true}
+	v := view{at: now, valid: true, equal: l.nodeShare(1), alone: true}
 	target := l.options.Bound.target(t.limit)
 	for _, s := range l.sources {
 		v.alone = v.alone && s.isSilent(now)
@@ -239,8 +239,11 @@
 	if r.Full {
 		clear(s.teams)
 	}
+	if r.Full || s.seen > 0 {
+		s.seen = r.Seq // otherwise this process has missed earlier ones, and the sender learns it from the next report
+	}
 	next := time.Duration(r.NextMS) * time.Millisecond
-	s.heard, s.due, s.nodes, s.seen = now, now+next+l.options.Timing.Grace, r.Nodes, r.Seq
+	s.heard, s.due, s.nodes = now, now+next+l.options.Timing.Grace, r.Nodes
 	for _, tr := range r.Teams {
 		if _, ok := l.teams[tr.Team]; !ok {
 			continue // the sender has another version of the configuration
@@ -258,7 +261,8 @@
 // figuresOf decodes the counts of a team.
 func (l *Ledger) figuresOf(now time.Duration, r *TeamReport, phase time.Duration) *figures {
 	f := &figures{admitted: l.historyOf(now, r.Admitted, phase), refused: l.historyOf(now, r.Refused, phase), extra: r.Extra}
-	f.rate = f.admitted.sum / buckets
+	latest := f.admitted.latest(recent)
+	f.rate = max(f.admitted.sum/buckets, (latest-2*math.Sqrt(latest))/(recent+1)) // of a surge, what is certain
 	return f
 }
 
@@ -305,21 +309,28 @@
 	}
 }
 
-// Retain drops parents other than the given ones, other peers that are out of touch, and children without a report for a window: their
-// nodes report elsewhere, or count as missing.
+// Retain drops sources that are not needed any more: parents other than the given nodes once one of these is in touch, other peers that are
+// out of touch, and children without a report for a window: their nodes report elsewhere, or count as missing.
 func (l *Ledger) Retain(now time.Duration, uppers map[string]Relation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	isReplaced := len(uppers) == 0
+	for id := range uppers {
+		s, ok := l.sources[id]
+		isReplaced = isReplaced || ok && s.heard > 0 && !s.isSilent(now)
+	}
 	for id, s := range l.sources {
-		_, listed := uppers[id]
+		if _, ok := uppers[id]; ok {
+			continue
+		}
 		gone := s.isSilent(now)
 		switch s.relation {
 		case Child:
 			gone = now > s.due+l.options.Bound.Window
 		case Parent:
-			gone = true
+			gone = isReplaced
 		}
-		if gone && !listed {
+		if gone {
 			delete(l.sources, id)
 			l.dropViews()
 		}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -18,9 +18,12 @@
 	// nearShare is the share of the limit from which nodes exchange their counts often.
 	nearShare = 0.8
 	// planned is the part of the window, in buckets, for which requests are admitted ahead: it outlasts the delay of the counts.
-	planned = 3
+	planned = 5
 	// recent is the number of buckets from which a surge of demand is recognised.
 	recent = 2
+	// steadyShare is the part of a limit that a starting node takes to have been used evenly over the window before; it takes the rest to have
+	// been used at its end, as by a burst. A team that had just used its burst when all nodes restarted stays within an overage of a tenth.
+	steadyShare = 0.6
 	// viewAge is how long the sums of other nodes are used before they are computed again.
 	viewAge = 20 * time.Millisecond
 )
@@ -115,6 +118,7 @@
 	surge  float64 // of those in touch, in the recent buckets
 	recent float64 // admitted in the recent buckets, as far as it was reported or extrapolated
 	total  float64 // asked of all, in touch or not
+	equal  float64 // share of one node, if all are equal
 	alone  bool    // no other node is in touch
 }
 
@@ -138,9 +142,10 @@
 		t, ok := l.teams[name]
 		if !ok {
 			t = &team{admitted: history{newest: sequence}, refused: history{newest: sequence}}
-			used := l.options.Bound.target(limit) / float64(max(1, l.options.Nodes())) / buckets
+			used := l.options.Bound.target(limit) / float64(max(1, l.options.Nodes()))
+			t.admitted.add(sequence, used*(1-steadyShare))
 			for i := range int64(buckets) {
-				t.admitted.add(sequence-i, used)
+				t.admitted.add(sequence-i, used*steadyShare/buckets)
 			}
 			l.teams[name] = t
 		}
@@ -179,24 +184,21 @@
 	t.refused.add(sequence, -1)
 	t.admitted.add(sequence, 1)
 	t.since++
-	l.near = l.near || t.since > 1+(d.Allowed-d.Used)*t.share(v, l.nodeShare(1))/2
+	l.near = l.near || t.since > 1+(d.Allowed-d.Used)*t.share(v)/2
 	return d
 }
 
-// chance returns the probability with which a request is granted.
+// chance returns the probability with which a request is granted, so that the requests of the planned time fit into the room that there is by then.
 func (t *team) chance(v *view, d Decision, demand float64) float64 {
+	coming := demand * planned / buckets
 	if v.alone {
-		// The share of one node may be less than a request, so that only the mean over many windows and nodes can keep to it.
+		// The share of one node may be less than a request, so that only the mean over windows and nodes can keep to it.
 		share := max(0, d.Allowed-v.used)
-		if t.admitted.sum > share+math.Sqrt(share)/2 {
-			return 0
-		}
-		return share / demand
+		return min(share/demand, (max(1, share)-t.admitted.sum+t.admitted.ending(planned))/coming)
 	}
 	if d.Used > d.Allowed {
 		return 0
 	}
-	coming := demand * planned / buckets
 	return (d.Allowed - d.Used + t.admitted.ending(planned) + v.ending) / coming
 }
 
@@ -208,20 +210,20 @@
 	if sure <= 0 || v.alone {
 		return 0
 	}
-	return max(0, sure*v.total/max(1, t.asked())-v.recent)
+	earlier := max(0, t.asked()-own)
+	share := mixedShare(earlier, earlier+v.total, v.equal)
+	return max(0, sure*(1-share)/share-v.recent)
 }
 
 // demand returns the number of requests that the nodes in touch get in a window, at the present rate.
 func (t *team) demand(v *view) float64 {
-	latest := t.admitted.latest(recent) + t.refused.latest(recent) + v.surge
+	latest := t.admitted.latest(recent) + t.refused.latest(recent) + v.surge + t.unseen(v)
 	latest -= 2 * math.Sqrt(latest) // what is certain of it
 	return max(t.asked()+v.asked, latest*buckets/(recent+1))
 }
 
-// share returns the share of this node in the demand, where equal is that of a node on average.
-func (t *team) share(v *view, equal float64) float64 {
-	return mixedShare(t.asked(), t.asked()+v.total, equal)
-}
+// share returns the share of this node in the demand.
+func (t *team) share(v *view) float64 { return mixedShare(t.asked(), t.asked()+v.total, v.equal) }
 
 // retryAfter returns when a refused caller may return: when the window has room again, and then spread over the time in which the limit serves what is
 // refused in a window.
--- a/pkg/quota/tree.go
+++ b/pkg/quota/tree.go
@@ -41,6 +41,7 @@
 	version uint64 // of the members that the order was computed from
 	order   []orderedMember
 	avoided map[string]time.Duration // until when
+	uppers  []Exchange               // with whom this node exchanges of its own accord; nil: to be computed again
 	latest  map[string]period        // with each upper node
 	started bool                     // exchanges were scheduled
 }
@@ -74,12 +75,20 @@
 		return nil // no team has a limit
 	}
 	if s.order == nil || version != s.version {
-		s.version, s.order = version, ordered(members())
+		s.version, s.order, s.uppers = version, ordered(members()), nil
 	}
-	uppers := s.uppers(now)
-	relations := make(map[string]Relation, len(uppers))
+	for id, until := range s.avoided {
+		if now > until {
+			delete(s.avoided, id)
+			s.uppers = nil
+		}
+	}
+	if s.uppers == nil {
+		s.uppers = s.findUppers()
+	}
+	relations := make(map[string]Relation, len(s.uppers))
 	var due []Exchange
-	for _, e := range uppers {
+	for _, e := range s.uppers {
 		relations[e.To.ID] = e.Relation
 		latest, ok := s.latest[e.To.ID]
 		if !ok && !s.started {
@@ -97,7 +106,7 @@
 		e.Next = interval
 		due = append(due, e)
 	}
-	s.started = s.started || len(uppers) > 0
+	s.started = s.started || len(s.uppers) > 0
 	for id := range s.latest {
 		if _, ok := relations[id]; !ok {
 			delete(s.latest, id)
@@ -112,7 +121,7 @@
 	s.ledger.Lost(now, id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.avoided[id] = now + avoidFor
+	s.avoided[id], s.uppers = now+avoidFor, nil
 	delete(s.latest, id)
 }
 
@@ -133,21 +142,16 @@
 	return order
 }
 
-// uppers returns the nodes that this one exchanges with of its own accord: its parent, or the first nodes of the other data centres.
-func (s *Schedule) uppers(now time.Duration) []Exchange {
+// findUppers returns the nodes that this one exchanges with of its own accord: its parent, or the first nodes of the other data centres.
+func (s *Schedule) findUppers() []Exchange {
 	var own string
-	for id, until := range s.avoided {
-		if now > until {
-			delete(s.avoided, id)
-		}
-	}
 	for i := range s.order {
 		if s.order[i].ID == s.self {
 			own = s.order[i].DataCentre
 		}
 	}
 	var group []orderedMember
-	var heads []Exchange
+	heads := []Exchange{}
 	seen := map[string]bool{own: true}
 	nodes := 0
 	for _, m := range s.order {
@@ -170,7 +174,7 @@
 	if parent := parentOf(s.self, group, (nodes+maxChildren-1)/maxChildren); parent != nil {
 		return []Exchange{{To: *parent, Relation: Parent}}
 	}
-	return nil
+	return []Exchange{}
 }
 
 // parentOf returns the node that a node of a data centre reports to: the first one if it is a collector itself, or one of the collectors.
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -145,6 +145,7 @@
 	reasonHeaderTooLarge      reason = "header_too_large"
 	reasonBodyTimeout         reason = "body_timeout"
 	reasonBadRequest          reason = "bad_request"
+	reasonTeamLimit           reason = "team_limit"  // the team has used up its limit
 	reasonKeyMissing          reason = "key_missing" // the route is not public, and the request presents no key
 	reasonKeyUnknown          reason = "key_unknown" // no team holds the key
 )
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -66,6 +66,7 @@
 	follower   *follower
 	rollouts   *rollouts
 	quarantine *quarantines
+	limits     *teamLimits
 	link       *link.Link
 	buffers    *hop.BufferBudget // for long responses of the backend server
 	inbound    *inbound
@@ -123,6 +124,7 @@
 		Metrics: n.metrics, Logger: n.logger,
 	})
 	n.setUpRelay()
+	n.limits = newTeamLimits(n)
 	n.outbound = n.newOutbound()
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -164,7 +166,7 @@
 		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(), key: n.platform.Key,
 		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(placement.Options{DataCentre: n.settings.DataCentre, Policy: placement.DefaultPolicy()}),
 		budget: retry.New(retry.Options{Bound: retryBound, Policy: retry.DefaultPolicy(), Nodes: func() int { return len(n.membership.SharedMembers()) }}),
-		local:  n.inbound, link: n.link, starting: newStarting(),
+		local:  n.inbound, link: n.link, starting: newStarting(), limits: n.limits,
 		client: hop.New(hop.Options{
 			EchoHeader: n.platform.Headers().RequestID, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, DialOverrides: n.settings.DialOverrides,
 			MaxBufferedBytes: link.MaxShortBytes,
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -68,6 +68,7 @@
 	teamStats teamStats
 	refusals  callerretry.Tracker
 	starting  *starting
+	limits    *teamLimits
 	cutAt     atomic.Int64 // clock.Now at which a stopping process cuts the requests in flight; 0: not stopping
 	logLimit  *rate.Limiter
 }
@@ -85,6 +86,7 @@
 	version        uint64    // configuration version
 	route          *routing.Entry
 	team           *routing.Team // nil: none
+	counted        time.Duration // clock.Now at which it was counted towards the limit of the team; 0: it was not
 	hidesKey       bool          // the backend server must not see the key
 	rank           int           // of the team or the route
 	service        string        // destination service
@@ -503,7 +505,7 @@
 		w.Header().Set(o.headers.RequestID, q.id)
 	}
 	status := httpStatus(res)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		after := cmp.Or(max(0, res.retryAfter), defaultRetryAfter)
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 		o.recordRefusal(q, after)
--- a/pkg/sidecar/run.go
+++ b/pkg/sidecar/run.go
@@ -42,7 +42,7 @@
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(background)
 	n.serve(group)
-	for _, run := range []func(context.Context){n.follower.Run, n.rollouts.Run, n.quarantine.Run, n.membership.Run, n.expireBackend, n.runStart, n.findBackend, n.learnRollouts, n.learnQuarantine} {
+	for _, run := range []func(context.Context){n.follower.Run, n.rollouts.Run, n.quarantine.Run, n.limits.Run, n.membership.Run, n.expireBackend, n.runStart, n.findBackend, n.learnRollouts, n.learnQuarantine} {
 		group.Go(func() error { run(groupCtx); return nil })
 	}
 	n.logger.Info("node_started", zap.String("callers", n.settings.Listen.Callers), zap.String("service", n.settings.Backend.Service))
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -65,6 +65,9 @@
 	ReadinessInterval Duration `json:"ready_checked_in"` // interval between readiness checks
 	ExposureShare     float64  `json:"exposure_share"`   // fraction of a service's requests that a version may get before it is known to be good
 	ExposureSlack     float64  `json:"exposure_slack"`   // additional requests that it may get
+	LimitWindow       Duration `json:"limit_window"`     // in which the limits of teams hold; default 5 s
+	LimitOverage      float64  `json:"limit_overage"`    // fraction by which a limit of a team may be exceeded in a window; default 0.1
+	LimitSlack        float64  `json:"limit_slack"`      // requests by which it may be exceeded in addition; default 20
 }
 
 // Duration is a time.Duration that is encoded as a string.
@@ -109,7 +112,9 @@
 	if len(data) > maxSettingsBytes {
 		return nil, apierror.New(apierror.TooLarge, "the settings exceed 1 MiB", "specify a settings file")
 	}
-	s := &Settings{LogLevel: "info"}
+	s := &Settings{LogLevel: "info", Bounds: Bounds{
+		LimitWindow: Duration(defaultLimitBound.Window), LimitOverage: defaultLimitBound.Overage, LimitSlack: defaultLimitBound.Slack,
+	}}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(s); err != nil {
@@ -171,7 +176,7 @@
 	}{
 		{"backend.announcement_interval", s.Backend.AnnouncementInterval}, {"bounds.grace_period", s.Bounds.GracePeriod},
 		{"bounds.drain", s.Bounds.Drain}, {"bounds.config_apply", s.Bounds.ConfigApply}, {"bounds.retry_window", s.Bounds.RetryWindow},
-		{"bounds.ready_checked_in", s.Bounds.ReadinessInterval},
+		{"bounds.ready_checked_in", s.Bounds.ReadinessInterval}, {"bounds.limit_window", s.Bounds.LimitWindow},
 	} {
 		require(f.value > 0, f.field, "missing or 0", "specify a duration, such as \"2s\"")
 	}
@@ -181,5 +186,7 @@
 	require(s.Bounds.RetrySlack >= 0, "bounds.retry_slack", "negative", "use 0 or more")
 	require(s.Bounds.ExposureShare >= 0 && s.Bounds.ExposureShare <= 1, "bounds.exposure_share", "not a fraction", "use 0 to 1")
 	require(s.Bounds.ExposureSlack >= 0, "bounds.exposure_slack", "negative", "use 0 or more")
+	require(s.Bounds.LimitOverage >= 0, "bounds.limit_overage", "negative", "use 0 or more")
+	require(s.Bounds.LimitSlack >= 0, "bounds.limit_slack", "negative", "use 0 or more")
 	return errs
 }
