quota: shares by earlier demand, early reports, unreported requests bounded by a share of the room

Cause: 1.05 of the bound when a third of the nodes was cut off just as a team turned hot: nodes that were cut off kept more than their share, and reported late. Change: shares leave out the recent buckets; a node reports early after a quarter of its share of the room, and admits no more than its share of it before others know; the part of a late source is set aside step by step.

--- a/pkg/quota/exchange.go
+++ b/pkg/quota/exchange.go
@@ -20,7 +20,7 @@
 const (
 	// minorChange is the part of a limit by which counts may change before they are reported again; farChange that while the team is far from it.
 	minorChange = 0.02
-	farChange   = 0.08
+	farChange   = 0.2
 	// demandWeight is the weight of demand in the shares of the parts of a tree; the rest goes by the number of nodes, since demand moves.
 	demandWeight = 0.5
 )
@@ -47,6 +47,7 @@
 
 // source is another part of the tree.
 type source struct {
+	id       string
 	relation Relation
 	heard    time.Duration
 	due      time.Duration // of the next report; later, the part is out of touch
@@ -84,10 +85,19 @@
 func (l *Ledger) estimate(now time.Duration, s *source, f *figures, target float64) float64 {
 	f.advance(l.clock.sequence(now))
 	used := f.admitted.sum + f.extra + f.rate*l.late(now, s)
-	if s.isSilent(now) {
-		used = max(used, f.share*target)
+	return max(used, l.setAside(now, s)*f.share*target)
+}
+
+// setAside returns the part of a source's share that it is taken to have used at least. It grows with the time since its latest report: a part
+// that is cut off just when demand surges uses its share before it counts as out of touch.
+func (l *Ledger) setAside(now time.Duration, s *source) float64 {
+	switch {
+	case s.isSilent(now):
+		return 1
+	case s.relation == Parent:
+		return 0
 	}
-	return used
+	return float64(now-s.heard) / float64(l.options.Timing.Rest+l.options.Timing.Grace)
 }
 
 // viewOf returns what is known of other nodes.
@@ -150,8 +160,8 @@
 		target.sent = make(map[string]*figures)
 	}
 	var parts []*source
-	for id, s := range l.sources {
-		if id != to && (s.relation == Child || relation == Child) {
+	for _, s := range l.sources {
+		if s.id != to && (s.relation == Child || relation == Child) {
 			parts = append(parts, s)
 			r.Nodes += s.nodes
 		}
@@ -166,7 +176,7 @@
 			r.Teams = append(r.Teams, report)
 		}
 		if relation == Parent || relation == Peer && !l.hasParent() {
-			t.since = 0
+			t.reported = t.since
 		}
 	}
 	return r
@@ -206,7 +216,7 @@
 	}
 	before.advance(sequence)
 	change := limit * farChange
-	if f.admitted.sum+f.extra+f.asked()*planned/buckets > nearShare*limit {
+	if l.isNear(t, f.admitted.sum+f.extra, f.asked()) {
 		change = limit * minorChange
 	}
 	change = max(0.5, change*l.nodeShare(nodes))
@@ -219,15 +229,25 @@
 
 // source returns the state of another node.
 func (l *Ledger) source(id string, relation Relation) *source {
-	s, ok := l.sources[id]
-	if !ok {
-		s = &source{teams: make(map[string]*figures), due: -1}
-		l.sources[id] = s
+	s := l.find(id)
+	if s == nil {
+		s = &source{id: id, teams: make(map[string]*figures), due: -1}
+		l.sources = append(l.sources, s)
 	}
 	s.relation = relation
 	return s
 }
 
+// find returns the state of another node, or nil.
+func (l *Ledger) find(id string) *source {
+	for _, s := range l.sources {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
 // Merge takes in a report of another node.
 func (l *Ledger) Merge(now time.Duration, r Report, relation Relation) {
 	l.mu.Lock()
@@ -252,6 +272,9 @@
 	}
 	for name, t := range l.teams {
 		t.view.valid = false
+		if relation != Child {
+			t.since, t.reported = max(0, t.since-t.reported), 0
+		}
 		if f, ok := s.teams[name]; ok {
 			f.share = l.shareOf(name, t, s, f)
 		}
@@ -280,15 +303,21 @@
 	return h
 }
 
-// shareOf returns the share of the limit that a part of the tree has while it is out of touch.
+// shareOf returns the share of the limit that a part of the tree has while it is out of touch. The recent buckets are left out: of a surge, each
+// part knows its own requests earlier than those of others.
 func (l *Ledger) shareOf(name string, t *team, s *source, f *figures) float64 {
-	asked := t.asked()
+	asked := earlier(&t.admitted, &t.refused)
 	for _, other := range l.sources {
 		if g, ok := other.teams[name]; ok {
-			asked += g.asked()
+			asked += earlier(&g.admitted, &g.refused)
 		}
 	}
-	return mixedShare(f.asked(), asked, l.nodeShare(s.nodes))
+	return mixedShare(earlier(&f.admitted, &f.refused), asked, l.nodeShare(s.nodes))
+}
+
+// earlier returns the number of requests in the window before the recent buckets.
+func earlier(admitted, refused *history) float64 {
+	return max(0, admitted.sum+refused.sum-admitted.latest(recent)-refused.latest(recent))
 }
 
 // mixedShare returns the share of a part of the tree in the demand, where equal is that by the number of its nodes.
@@ -303,7 +332,7 @@
 func (l *Ledger) Lost(now time.Duration, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s, ok := l.sources[id]; ok {
+	if s := l.find(id); s != nil {
 		s.due, s.sent = min(s.due, now-1), nil
 		l.dropViews()
 	}
@@ -316,24 +345,24 @@
 	defer l.mu.Unlock()
 	isReplaced := len(uppers) == 0
 	for id := range uppers {
-		s, ok := l.sources[id]
-		isReplaced = isReplaced || ok && s.heard > 0 && !s.isSilent(now)
+		s := l.find(id)
+		isReplaced = isReplaced || s != nil && s.heard > 0 && !s.isSilent(now)
 	}
-	for id, s := range l.sources {
-		if _, ok := uppers[id]; ok {
-			continue
+	before := len(l.sources)
+	l.sources = slices.DeleteFunc(l.sources, func(s *source) bool {
+		if _, ok := uppers[s.id]; ok {
+			return false
 		}
-		gone := s.isSilent(now)
 		switch s.relation {
 		case Child:
-			gone = now > s.due+l.options.Bound.Window
+			return now > s.due+l.options.Bound.Window
 		case Parent:
-			gone = isReplaced
-		}
-		if gone {
-			delete(l.sources, id)
-			l.dropViews()
+			return isReplaced
 		}
+		return s.isSilent(now)
+	})
+	if len(l.sources) < before {
+		l.dropViews()
 	}
 }
 
@@ -372,7 +401,7 @@
 func (l *Ledger) heard(id string) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s, ok := l.sources[id]; ok {
+	if s := l.find(id); s != nil {
 		return s.heard
 	}
 	return 0
@@ -382,7 +411,7 @@
 	for name, t := range l.teams {
 		t.advance(l.clock.sequence(now))
 		v := l.viewOf(now, name, t)
-		if t.admitted.sum+v.used+t.demand(v)*planned/buckets > nearShare*l.options.Bound.target(t.limit) {
+		if l.isNear(t, t.admitted.sum+v.used, t.demand(v)) {
 			return true
 		}
 	}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// nearShare is the share of the limit from which nodes exchange their counts often.
-	nearShare = 0.8
+	// nearShare is the share of the bound from which nodes exchange their counts often.
+	nearShare = 0.75
 	// planned is the part of the window, in buckets, for which requests are admitted ahead: it outlasts the delay of the counts.
 	planned = 5
 	// recent is the number of buckets from which a surge of demand is recognised.
@@ -24,6 +24,8 @@
 	// steadyShare is the part of a limit that a starting node takes to have been used evenly over the window before; it takes the rest to have
 	// been used at its end, as by a burst. A team that had just used its burst when all nodes restarted stays within an overage of a tenth.
 	steadyShare = 0.6
+	// unreportedShare is the part of this node's share of the room after which it reports early.
+	unreportedShare = 0.25
 	// viewAge is how long the sums of other nodes are used before they are computed again.
 	viewAge = 20 * time.Millisecond
 )
@@ -44,9 +46,9 @@
 // Max returns the largest number of requests that may run in a window.
 func (b Bound) Max(l Limit) float64 { return b.Owed(l)*(1+b.Overage) + b.Slack }
 
-// target returns the number of requests at which nodes aim. Half of the slack covers teams of a few requests, whose counts scatter most; the
-// other half and the overage cover the delay of the counts.
-func (b Bound) target(l Limit) float64 { return b.Owed(l) + b.Slack/2 }
+// target returns the number of requests at which nodes aim. A part of the slack covers teams of a few requests, whose counts scatter most; the
+// rest of it and the overage cover the delay of the counts.
+func (b Bound) target(l Limit) float64 { return b.Owed(l) + b.Slack/4 }
 
 // Timing is how often nodes exchange counts.
 type Timing struct {
@@ -86,7 +88,7 @@
 
 	mu      sync.Mutex
 	teams   map[string]*team
-	sources map[string]*source
+	sources []*source
 	near    bool // a team was near its limit since the latest exchange
 }
 
@@ -95,7 +97,8 @@
 	limit    Limit
 	admitted history
 	refused  history
-	since    float64 // admitted since the latest report to an upper node
+	since    float64 // admitted and not reported, as far as is known
+	reported float64 // part of since that the latest report to an upper node holds
 	view     view
 	refusals int64 // since the start
 }
@@ -124,7 +127,7 @@
 
 // New returns a ledger without limits.
 func New(o Options) *Ledger {
-	return &Ledger{options: o, clock: clockOf{o.Bound.Window / buckets}, teams: make(map[string]*team), sources: make(map[string]*source)}
+	return &Ledger{options: o, clock: clockOf{o.Bound.Window / buckets}, teams: make(map[string]*team)}
 }
 
 // SetLimits replaces the limits. Counts of teams that stay are kept, so that a lowered limit counts what ran before. For a new team, the window
@@ -174,7 +177,7 @@
 	d := Decision{Allowed: l.options.Bound.target(t.limit), Used: t.admitted.sum + v.used + t.unseen(v)}
 	t.refused.add(sequence, 1) // until it is granted
 	demand := t.demand(v)
-	l.near = l.near || d.Used+demand*planned/buckets > nearShare*d.Allowed
+	l.near = l.near || l.isNear(t, d.Used, demand)
 	if chance := t.chance(v, d, demand); chance < 1 && l.options.Random() >= chance {
 		t.refusals++
 		d.RetryAfter = l.retryAfter(t, v, d, demand)
@@ -184,7 +187,7 @@
 	t.refused.add(sequence, -1)
 	t.admitted.add(sequence, 1)
 	t.since++
-	l.near = l.near || t.since > 1+(d.Allowed-d.Used)*t.share(v)/2
+	l.near = l.near || t.since > 1+(d.Allowed-d.Used)*t.share(v)*unreportedShare
 	return d
 }
 
@@ -194,12 +197,16 @@
 	if v.alone {
 		// The share of one node may be less than a request, so that only the mean over windows and nodes can keep to it.
 		share := max(0, d.Allowed-v.used)
+		if t.admitted.sum >= max(1, share) {
+			return 0
+		}
 		return min(share/demand, (max(1, share)-t.admitted.sum+t.admitted.ending(planned))/coming)
 	}
-	if d.Used > d.Allowed {
-		return 0
+	room := d.Allowed - d.Used + t.admitted.ending(planned) + v.ending
+	if d.Used > d.Allowed || t.since > 2+t.share(v)*(room+t.since) {
+		return 0 // beyond the room, or this node's share of it until others know of its requests
 	}
-	return (d.Allowed - d.Used + t.admitted.ending(planned) + v.ending) / coming
+	return room / coming
 }
 
 // unseen estimates what other nodes have admitted lately and not reported. If this node gets significantly more requests than its share,
@@ -222,6 +229,11 @@
 	return max(t.asked()+v.asked, latest*buckets/(recent+1))
 }
 
+// isNear reports whether a team may come to its limit within the planned time.
+func (l *Ledger) isNear(t *team, used, demand float64) bool {
+	return used+demand*planned/buckets > nearShare*l.options.Bound.Max(t.limit)
+}
+
 // share returns the share of this node in the demand.
 func (t *team) share(v *view) float64 { return mixedShare(t.asked(), t.asked()+v.total, v.equal) }
 
