--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -67,6 +67,7 @@
 	follower   *follower
 	rollouts   *rollouts
 	quarantine *quarantines
+	limits     *teamLimits
 	link       *link.Link
 	buffers    *hop.BufferBudget // for long responses of the backend server
 	inbound    *inbound
@@ -124,6 +125,7 @@
 		Metrics: n.metrics, Logger: n.logger,
 	})
 	n.setUpRelay()
+	n.limits = newTeamLimits(n)
 	n.outbound = n.newOutbound()
 	n.rpcServer.Handle(dryrun.Method, n.serveWhere)
 	if err := n.listen(); err != nil {
@@ -167,7 +169,7 @@
 		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(placement.Options{DataCentre: n.settings.DataCentre, Policy: placement.DefaultPolicy()}),
 		shortages: placement.NewShortages(placement.DefaultShortagePolicy(), nil, nil),
 		budget:    retry.New(retry.Options{Bound: retryBound, Policy: retry.DefaultPolicy(), Nodes: func() int { return len(n.membership.SharedMembers()) }}),
-		local:     n.inbound, link: n.link, starting: newStarting(),
+		local:     n.inbound, link: n.link, starting: newStarting(), limits: n.limits,
 		client: hop.New(hop.Options{
 			EchoHeader: n.platform.Headers().RequestID, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, DialOverrides: n.settings.DialOverrides,
 			MaxBufferedBytes: link.MaxShortBytes,
