quota: counts are extrapolated at their present rate, each node is counted once

Nodes that learn of others step by step showed it in virtual time: the rate at the time of a report was extrapolated long after its requests had left the window; nodes that changed their parent, or exchanged as peers beside a parent, counted twice. Change: the rate follows the counts; a node takes leave of its earlier parent; peers count only where no parent is in touch; a source whose relation changes starts anew. Nodes of the tests learn of others within 2 s.

--- a/pkg/quota/exchange.go
+++ b/pkg/quota/exchange.go
@@ -63,7 +63,6 @@
 	admitted history
 	refused  history
 	extra    float64
-	rate     float64 // admitted in a bucket
 	share    float64 // of the limit, while the source is out of touch
 }
 
@@ -72,6 +71,12 @@
 	f.refused.advance(sequence)
 }
 
+// rate returns the number of requests that are admitted in a bucket. Of a surge, it holds what is certain.
+func (f *figures) rate() float64 {
+	latest := f.admitted.latest(recent)
+	return max(0, f.admitted.sum/buckets, (latest-2*math.Sqrt(max(0, latest)))/(recent+1))
+}
+
 func (f *figures) asked() float64 { return f.admitted.sum + f.refused.sum }
 
 func (s *source) isSilent(now time.Duration) bool { return now > s.due }
@@ -84,7 +89,7 @@
 // estimate returns what a source is taken to use in the window.
 func (l *Ledger) estimate(now time.Duration, s *source, f *figures, target float64) float64 {
 	f.advance(l.clock.sequence(now))
-	used := f.admitted.sum + f.extra + f.rate*l.late(now, s)
+	used := f.admitted.sum + f.extra + f.rate()*l.late(now, s)
 	return max(used, l.setAside(now, s)*f.share*target)
 }
 
@@ -109,6 +114,9 @@
 	target := l.options.Bound.target(t.limit)
 	for _, s := range l.sources {
 		v.alone = v.alone && s.isSilent(now)
+		if !l.counts(now, s) {
+			continue
+		}
 		f, ok := s.teams[name]
 		if !ok {
 			v.used += l.unknown(now, s, target)
@@ -120,10 +128,10 @@
 			v.ending += f.admitted.ending(planned)
 			v.asked += f.asked()
 			v.surge += f.admitted.latest(recent) + f.refused.latest(recent)
-			v.recent += f.admitted.latest(recent) + f.rate*l.late(now, s)
+			v.recent += f.admitted.latest(recent) + f.rate()*l.late(now, s)
 		}
 	}
-	v.used += target * l.nodeShare(l.missing())
+	v.used += target * l.nodeShare(l.missing(now))
 	t.view = v
 	return &t.view
 }
@@ -137,10 +145,12 @@
 }
 
 // missing returns the number of nodes that no part of the tree counts. An equal share of the limit is set aside for each.
-func (l *Ledger) missing() int {
+func (l *Ledger) missing(now time.Duration) int {
 	missing := l.options.Nodes() - 1
 	for _, s := range l.sources {
-		missing -= s.nodes
+		if l.counts(now, s) {
+			missing -= s.nodes
+		}
 	}
 	return max(0, missing)
 }
@@ -149,6 +159,9 @@
 	return min(1, float64(nodes)/float64(max(1, l.options.Nodes())))
 }
 
+// Leave returns the report that makes its receiver forget this node.
+func (l *Ledger) Leave(self string) Report { return Report{From: self} }
+
 // Report returns what another node does not know yet. next is the time until the next report to it.
 func (l *Ledger) Report(now time.Duration, self, to string, relation Relation, next time.Duration) Report {
 	l.mu.Lock()
@@ -159,38 +172,48 @@
 	if r.Full {
 		target.sent = make(map[string]*figures)
 	}
+	if relation == Peer && l.hasParent(now) {
+		r.Nodes = 0
+		return r // the first node of this data centre counts this node
+	}
 	var parts []*source
 	for _, s := range l.sources {
-		if s.id != to && (s.relation == Child || relation == Child) {
+		if s.id != to && (s.relation == Child || relation == Child && l.counts(now, s)) {
 			parts = append(parts, s)
 			r.Nodes += s.nodes
 		}
 	}
 	missing := 0
 	if relation == Child {
-		missing = l.missing()
+		missing = l.missing(now)
 		r.Nodes += missing
 	}
 	for name, t := range l.teams {
 		if report, ok := l.reportTeam(now, name, t, parts, r.Nodes, missing, target); ok {
 			r.Teams = append(r.Teams, report)
 		}
-		if relation == Parent || relation == Peer && !l.hasParent() {
+		if relation != Child {
 			t.reported = t.since
 		}
 	}
 	return r
 }
 
-func (l *Ledger) hasParent() bool {
+// hasParent reports whether a parent is in touch.
+func (l *Ledger) hasParent(now time.Duration) bool {
 	for _, s := range l.sources {
-		if s.relation == Parent {
+		if s.relation == Parent && !s.isSilent(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// counts reports whether the counts of a source are to be added: a parent has counted peers already.
+func (l *Ledger) counts(now time.Duration, s *source) bool {
+	return s.relation != Peer || !l.hasParent(now)
+}
+
 // reportTeam returns the counts of a team in some parts of the tree, and whether the receiver needs them.
 func (l *Ledger) reportTeam(now time.Duration, name string, t *team, parts []*source, nodes, missing int, to *source) (TeamReport, bool) {
 	sequence := l.clock.sequence(now)
@@ -234,7 +257,10 @@
 		s = &source{id: id, teams: make(map[string]*figures), due: -1}
 		l.sources = append(l.sources, s)
 	}
-	s.relation = relation
+	if s.relation != relation {
+		// Counts from before are those of another part of the tree.
+		*s = source{id: id, relation: relation, teams: make(map[string]*figures), due: -1, seq: s.seq}
+	}
 	return s
 }
 
@@ -252,6 +278,11 @@
 func (l *Ledger) Merge(now time.Duration, r Report, relation Relation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if r.Nodes == 0 && relation == Child {
+		l.sources = slices.DeleteFunc(l.sources, func(s *source) bool { return s.id == r.From && s.relation == Child })
+		l.dropViews()
+		return
+	}
 	s := l.source(r.From, relation)
 	if r.Seen != s.seq {
 		s.sent = nil // it has missed the latest report, or is another process
@@ -284,8 +315,6 @@
 // figuresOf decodes the counts of a team.
 func (l *Ledger) figuresOf(now time.Duration, r *TeamReport, phase time.Duration) *figures {
 	f := &figures{admitted: l.historyOf(now, r.Admitted, phase), refused: l.historyOf(now, r.Refused, phase), extra: r.Extra}
-	latest := f.admitted.latest(recent)
-	f.rate = max(f.admitted.sum/buckets, (latest-2*math.Sqrt(latest))/(recent+1)) // of a surge, what is certain
 	return f
 }
 
--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -20,12 +20,11 @@
 
 // fleet plays nodes that exchange reports, in virtual time.
 type fleet struct {
-	now     time.Duration
-	random  *rand.Rand
-	nodes   []*fleetNode
-	teams   []*fleetTeam
-	version uint64
-	events  map[time.Duration][]func()
+	now    time.Duration
+	random *rand.Rand
+	nodes  []*fleetNode
+	teams  []*fleetTeam
+	events map[time.Duration][]func()
 
 	cut      func(a, b *fleetNode) bool // messages are dropped
 	messages int
@@ -41,6 +40,7 @@
 	ledger   *Ledger
 	schedule *Schedule
 	origin   time.Duration // the node's clock starts here
+	began    time.Duration // start of the process, by the node's clock
 	running  bool
 	paused   time.Duration // until when it neither sends nor handles messages
 	process  int
@@ -77,11 +77,10 @@
 func (n *fleetNode) start() {
 	n.process++
 	n.origin = n.f.now - time.Duration(n.f.random.IntN(5000))*time.Millisecond
-	n.running = true
-	n.ledger = New(Options{Bound: testBound, Timing: DefaultTiming(), Nodes: func() int { return len(n.f.nodes) }, Random: n.f.random.Float64})
+	n.running, n.began = true, n.clock()
+	n.ledger = New(Options{Bound: testBound, Timing: DefaultTiming(), Nodes: n.known, Random: n.f.random.Float64})
 	n.schedule = NewSchedule(n.id, n.ledger)
 	n.setLimits()
-	n.f.version++
 }
 
 func (n *fleetNode) setLimits() {
@@ -100,10 +99,26 @@
 	f.events[at] = append(f.events[at], do)
 }
 
-func (f *fleet) members() []Member {
+// knows reports whether a node knows another one.
+func (n *fleetNode) knows(m *fleetNode) bool {
+	return m == n || n.clock()-n.began >= time.Duration((m.index*7+n.index*3)%20)*100*time.Millisecond
+}
+
+// known returns the number of nodes that a node knows.
+func (n *fleetNode) known() int {
+	if n.clock()-n.began > 2*time.Second {
+		return len(n.f.nodes)
+	}
+	return len(n.members())
+}
+
+// members returns the nodes that a node knows of: some of them only after a while.
+func (n *fleetNode) members() []Member {
 	var all []Member
-	for _, n := range f.nodes {
-		all = append(all, Member{ID: n.id, DataCentre: n.dc, Alive: true})
+	for _, m := range n.f.nodes {
+		if n.knows(m) {
+			all = append(all, Member{ID: m.id, DataCentre: m.dc, Alive: true})
+		}
 	}
 	return all
 }
@@ -153,6 +168,10 @@
 	f := n.f
 	to := f.node(e.To.ID)
 	process, done := n.process, false
+	if e.Leaves {
+		f.send(n, to, n.ledger.Leave(n.id), func(r Report) { to.ledger.Merge(to.clock(), r, Child) }, nil)
+		return
+	}
 	towards := Child
 	if e.Relation == Peer {
 		towards = Peer
@@ -187,7 +206,7 @@
 			if !n.running || n.paused > f.now || (f.now+time.Duration(n.index)*step)%checkInterval != 0 {
 				continue
 			}
-			for _, e := range n.schedule.Due(n.clock(), f.version, f.members) {
+			for _, e := range n.schedule.Due(n.clock(), uint64(n.known()), n.members) {
 				n.exchange(e)
 			}
 		}
@@ -290,7 +309,7 @@
 // eachUpper calls do for the first node of each data centre.
 func (f *fleet) eachUpper(do func(*fleetNode)) {
 	seen := make(map[string]bool)
-	for _, m := range ordered(f.members()) {
+	for _, m := range ordered(f.nodes[0].members()) {
 		if !seen[m.DataCentre] {
 			seen[m.DataCentre] = true
 			do(f.node(m.ID))
--- a/pkg/quota/tree.go
+++ b/pkg/quota/tree.go
@@ -28,6 +28,8 @@
 	To       Member
 	Relation Relation // of To, as seen from this node
 	Next     time.Duration
+	// Leaves says that this node reports elsewhere from now on: To is told not to count it any more.
+	Leaves bool
 }
 
 // Schedule decides with whom a node exchanges reports, and when. It is safe for concurrent use.
@@ -42,6 +44,7 @@
 	order   []orderedMember
 	avoided map[string]time.Duration // until when
 	uppers  []Exchange               // with whom this node exchanges of its own accord; nil: to be computed again
+	parent  *Member                  // that this node reports to
 	latest  map[string]period        // with each upper node
 	started bool                     // exchanges were scheduled
 }
@@ -83,11 +86,12 @@
 			s.uppers = nil
 		}
 	}
+	var due []Exchange
 	if s.uppers == nil {
 		s.uppers = s.findUppers()
+		due = s.leave()
 	}
 	relations := make(map[string]Relation, len(s.uppers))
-	var due []Exchange
 	for _, e := range s.uppers {
 		relations[e.To.ID] = e.Relation
 		latest, ok := s.latest[e.To.ID]
@@ -116,6 +120,21 @@
 	return due
 }
 
+// leave returns the exchange with the earlier parent if this node has another one, or none.
+func (s *Schedule) leave() []Exchange {
+	before := s.parent
+	s.parent = nil
+	for i := range s.uppers {
+		if s.uppers[i].Relation == Parent {
+			s.parent = &s.uppers[i].To
+		}
+	}
+	if before == nil || s.parent != nil && s.parent.ID == before.ID {
+		return nil
+	}
+	return []Exchange{{To: *before, Relation: Parent, Leaves: true}}
+}
+
 // Failed notes that a node did not respond. The next one in order is asked instead at the next call of Due.
 func (s *Schedule) Failed(now time.Duration, id string) {
 	s.ledger.Lost(now, id)
--- a/pkg/sidecar/team_limit.go
+++ b/pkg/sidecar/team_limit.go
@@ -167,6 +167,12 @@
 func (t *teamLimits) exchange(ctx context.Context, e quota.Exchange) {
 	ctx, cancel := context.WithTimeout(ctx, limitExchangeTimeout)
 	defer cancel()
+	if e.Leaves {
+		if err := t.client.Call(ctx, e.To.Address, limitMethod, &limitParams{Report: t.ledger.Leave(t.self)}, nil); err != nil {
+			t.logger.Debug("team_limit_leave_failed", zap.String("with", e.To.ID), zap.Error(err))
+		}
+		return
+	}
 	params := limitParams{Report: t.ledger.Report(clock.Now(), t.self, e.To.ID, e.Relation, e.Next), Peer: e.Relation == quota.Peer}
 	var result quota.Report
 	if err := t.client.Call(ctx, e.To.Address, limitMethod, &params, &result); err != nil {
@@ -185,7 +191,7 @@
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, apierror.InvalidField("params", err.Error(), "run the same version on all nodes")
 	}
-	if p.From == "" || p.Nodes < 1 || p.NextMS < 0 {
+	if p.From == "" || p.Nodes < 0 || p.NextMS < 0 {
 		return nil, apierror.InvalidField("params", "sender, number of nodes or time of the next report are missing", "run the same version on all nodes")
 	}
 	relation := quota.Child
@@ -194,6 +200,9 @@
 	}
 	t.apply(t.table())
 	t.ledger.Merge(clock.Now(), p.Report, relation)
+	if p.Nodes == 0 && !p.Peer {
+		return quota.Report{}, nil // it reports elsewhere
+	}
 	return t.ledger.Report(clock.Now(), t.self, p.From, relation, time.Duration(p.NextMS)*time.Millisecond), nil
 }
 
