--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -133,6 +133,7 @@
 	reasonCancelled           reason = "cancelled" // the caller disconnected
 	reasonConnectionLost      reason = "connection_lost"
 	reasonMalformedResponse   reason = "response_garbled"
+	reasonInvalidStatus       reason = "response_status" // not between 100 and 599, or a second interim response
 	reasonTruncatedResponse   reason = "response_truncated"
 	reasonBodyFailed          reason = "body_failed" // the request body could not be read to its end
 	reasonUnsignedResponse    reason = "response_unsigned"
@@ -148,6 +149,7 @@
 	reasonTeamLimit           reason = "team_limit"  // the team has used up its limit
 	reasonKeyMissing          reason = "key_missing" // the route is not public, and the request presents no key
 	reasonKeyUnknown          reason = "key_unknown" // no team holds the key
+	reasonBehind              reason = "behind"      // a later configuration, which another node has, may have the route or the key
 )
 
 // failureReason maps a failed exchange to a reason. It returns fallback if the connection was lost or could not be established.
@@ -159,6 +161,8 @@
 		return reasonDeadline
 	case hop.InvalidResponse:
 		return reasonMalformedResponse
+	case hop.InvalidStatus:
+		return reasonInvalidStatus
 	case hop.Truncated:
 		return reasonTruncatedResponse
 	case hop.RequestBodyFailed:
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -55,6 +55,7 @@
 	service   func() string // service of the backend server on this VM
 	headers   Headers
 	key       func(http.Header) (string, bool) // Platform.Key
+	isBehind  func() bool                      // whether another node has a later configuration
 	table     func() *routing.Table
 	endpoints func(service string) []placement.Endpoint
 	chooser   *placement.Chooser
@@ -177,7 +178,7 @@
 	}
 	q.route = table.Match(q.Host, q.URL.Path)
 	if q.route == nil {
-		return refuse(http.StatusNotFound, reasonUnknownRoute)
+		return o.refuseForGood(http.StatusNotFound, reasonUnknownRoute)
 	}
 	q.rank = q.route.Priority
 	if res := o.identify(q, table); res != nil {
@@ -251,9 +252,13 @@
 // keySeed is the per-process hash seed of retry keys.
 var keySeed = maphash.MakeSeed()
 
-// retryKey returns a hash of method, host and target, by which a caller's retry is recognised.
+// retryKey returns a hash of method, host, target and team, by which a caller's retry is recognised.
 func (q *request) retryKey() uint64 {
-	return maphash.String(keySeed, q.Method+" "+q.Host+" "+q.RequestURI)
+	key := q.Method + " " + q.Host + " " + q.RequestURI
+	if q.team != nil {
+		key += " " + q.team.Name
+	}
+	return maphash.String(keySeed, key)
 }
 
 // recordRefusal stores what is needed to recognise a retry by the caller.
@@ -466,7 +471,7 @@
 	switch res.reason {
 	case reasonNodeLost:
 		return placement.Unresponsive
-	case reasonMalformedResponse:
+	case reasonMalformedResponse, reasonInvalidStatus:
 		return placement.Failed
 	case reasonDraining, reasonNoBackend, reasonOtherService, reasonOtherNode, reasonStopping, reasonUnreachable, reasonOtherInstance,
 		reasonVersionHeld:
--- a/pkg/sidecar/teams.go
+++ b/pkg/sidecar/teams.go
@@ -5,10 +5,14 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 )
 
+// behindRetryAfter is the Retry-After value of a node that knows of a later configuration: it pulls that after peerDelay.
+const behindRetryAfter = peerDelay + 100*time.Millisecond
+
 // identify decides which team a request belongs to, before its body is read. It returns a refusal for a request that may not run. Calls of
 // backend servers carry no key and are told from those of clients by nothing: both need a key unless their route is public.
 func (o *outbound) identify(q *request, table *routing.Table) *result {
@@ -29,9 +33,20 @@
 	case q.route.Public:
 		return nil
 	case !ok:
-		return refuse(http.StatusUnauthorized, reasonKeyMissing)
+		return o.refuseForGood(http.StatusUnauthorized, reasonKeyMissing)
+	}
+	return o.refuseForGood(http.StatusUnauthorized, reasonKeyUnknown)
+}
+
+// refuseForGood returns a refusal after which clients do not retry. A node that knows of a later configuration cannot tell: that may have the route
+// or the key, or may make the route public.
+func (o *outbound) refuseForGood(status int, cause reason) *result {
+	if !o.isBehind() {
+		return refuse(status, cause)
 	}
-	return refuse(http.StatusUnauthorized, reasonKeyUnknown)
+	res := refuse(http.StatusServiceUnavailable, reasonBehind)
+	res.retryAfter = behindRetryAfter
+	return res
 }
 
 // setTeamHeader removes from a header to forward what concerns only nodes, and states the team.
