--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -390,10 +390,11 @@
 	})
 }
 
-// latencyWeight returns the weight of latency in the choice of an endpoint: 1 if the call is nested and the backend server on this
-// VM has no free slot, since the parent call occupies one meanwhile; otherwise 0.
+// latencyWeight returns the weight of latency in the choice of an endpoint: 1 if other work waits for the call, otherwise 0. That is so if
+// more urgent requests follow it on its connection, or if it is nested and the backend server on this VM has no free slot, since the parent
+// call occupies one meanwhile.
 func (o *outbound) latencyWeight(q *request) float64 {
-	if o.stats.isNested(q.route.Name) && o.local.isFull() {
+	if q.maxWait > 0 || o.stats.isNested(q.route.Name) && o.local.isFull() {
 		return 1
 	}
 	return 0
