--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -107,7 +107,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		QueuedPerSlot: 4, ShedLimitDuration: time.Second, MinRankShare: 0.4, StarvedSlotShare: 0.15, FirstAttemptSlack: 0.5, MarginDeviations: 0.5,
-		MinRate: 0.5, RateBurst: 200 * time.Millisecond, RoomGapShare: 0.25, RoomDeviations: 1, MaxRoomShare: 1.0 / 3,
+		MinRate: 0.5, RateBurst: 200 * time.Millisecond, RoomGapShare: 0.4, RoomDeviations: 1, MaxRoomShare: 1.0 / 3,
 		LatePerSlot: 8, LateLoadWindow: 10 * time.Second, NestedShare: 0.75, TeamAllowance: 0.5,
 	}
 }
