--- a/pkg/admission/scheduler.go
+++ b/pkg/admission/scheduler.go
@@ -5,10 +5,12 @@
 // immediately, with the time after which a retry is expected to be accepted: a caller that learns of the refusal early can still
 // succeed elsewhere or later, and a slot used by a call that ends late is not available to one that could be in time.
 //
-// Queue order: nested calls go first, because refusing them wastes the slot that their parent call holds; then by rank; within a rank by
+// Queue order: nested calls go first, because refusing them wastes the slot that their parent call holds; then by rank, of which a part of the
+// slots is kept for short urgent calls (room) and a team that got more than its share goes behind the others (teamShares); within a rank by
 // earliest target, which also puts retries of refused calls before new calls. A target that is later than usual for the rank counts as the
 // usual one, so that calls with such targets do not starve. A less urgent rank keeps a minimum share relative to the
-// more urgent ones, so that none starves, and is never served a larger share than they are.
+// more urgent ones, so that none starves, and is never served a larger share than they are. Calls that cannot be in time, but can end before
+// their deadline, wait behind all others (lateQueue) if no other node and no return of the caller can serve them in time.
 package admission
 
 import (
@@ -141,7 +143,7 @@
 type Ticket struct {
 	Call
 	Decide   func(*Refusal) // called exactly once, from a method of the scheduler: nil grants a slot
-	due      time.Time      // by which its place in the queue is determined; not after Target
+	due      time.Time      // by which its place in the queue is determined; not after Target, unless its team got more than its share
 	offered  time.Time
 	granted  time.Time
 	slowness float64       // at the time of the grant
