--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -2,7 +2,7 @@
 // in each response, the number of outstanding calls, and failures. It does not use health or load that backend servers claim themselves.
 //
 // The score of an endpoint is the probability that the call is in time there, minus a cost for a busy endpoint and minus the cost of
-// bytes between data centres. The probability follows from the endpoint's queue and from how long calls of the same class take there,
+// bytes between data centres. A call also leaves its data centre if it would wait longer there than the way and its bytes are worth. The probability follows from the endpoint's queue and from how long calls of the same class take there,
 // which differs between backend servers. Only a few endpoints, sampled at random, are compared (power of d choices), so that callers
 // with the same reports do not all choose the same one.
 package placement
@@ -34,6 +34,7 @@
 	ClassTime              time.Duration // the same for the class of the call whose response contained the report; 0: unknown
 	ClassSpread            time.Duration // mean deviation from ClassTime
 	Slowness               float64       // time that work takes on its machine now, relative to the mean there; the times above are given for 1; 0: unknown
+	LinkBacklog            time.Duration // how long the machine's link takes to send what it already has to send
 	Answered               float64       // fraction of the recent calls that its backend server answered, 0 to 1
 }
 
@@ -43,6 +44,7 @@
 	TimeToTarget time.Duration          // time left until its target
 	DelayCost    float64                // score lost by a call that takes all of TimeToTarget; above 0 if other work waits for it
 	Bytes        int                    // of the request and the expected response
+	LongResponse bool                   // its response queues for the link of the endpoint
 	Excluded     func(e *Endpoint) bool // reports endpoints that must not be chosen again; may be nil
 	Busy         map[string]bool        // IDs of the endpoints that were probed for a free slot and had none; may be nil
 }
@@ -69,14 +71,23 @@
 	// MaxSlotProbes bounds the endpoints that a call probes for a free slot before it queues at one. Reports are stale, the more so the
 	// more endpoints and callers there are; the results of probes are not. While typically all slots are in use, calls do not probe.
 	MaxSlotProbes int
-	BusyCost      float64 // lost at an endpoint whose slots are all in use
+	// BusyCost is lost at an endpoint whose slots are all in use, in proportion below and above. A call that takes the last slot delays those
+	// that arrive until a slot is free, among them calls of nodes whose reports still show room there.
+	BusyCost float64
+	// RemoteBusyCost replaces BusyCost in the choice between the own data centre and another one: calls stay while there is room.
+	RemoteBusyCost float64
 	// EqualScores is the difference up to which scores count as equal, so that an endpoint that seemed a little slower once is not left out
 	// for ever while there is little load.
 	EqualScores float64
 
+	// RemoteCostPerKB, MinRemoteCost and MaxRemoteCost apply to calls that another data centre would serve with a higher probability in time.
 	RemoteCostPerKB float64 // lost per KB between data centres
 	MinRemoteCost   float64 // lost by any call to another data centre
 	MaxRemoteCost   float64 // lost by a late response; the cost of bytes alone never leaves a call unserved
+	// WaitPricePerKB applies to calls that would wait for a slot: how much of the caller's time a KB between data centres is worth. A call
+	// leaves if it would wait that much longer than the way takes, for an endpoint that seems to have room. Where both are full, the estimates
+	// differ by chance, and calls that moved would meet others on the way. 0: calls do not leave because of a wait alone.
+	WaitPricePerKB time.Duration
 
 	SuspectFactor       float64       // on the probability at endpoints that did not respond recently
 	LossFactor          float64       // on the probability at endpoints without a response since a loss in their data centre
@@ -89,8 +100,8 @@
 // DefaultPolicy returns the parameters that the nodes use.
 func DefaultPolicy() Policy {
 	return Policy{
-		ReportDecay: time.Second, FailureDecay: 5 * time.Second, SampleSize: 8, FullSampleSize: 3, MaxSlotProbes: 2, BusyCost: 0.1, EqualScores: 0.01,
-		RemoteCostPerKB: 0.04, MinRemoteCost: 0.04, MaxRemoteCost: 0.7,
+		ReportDecay: time.Second, FailureDecay: 5 * time.Second, SampleSize: 8, FullSampleSize: 3, MaxSlotProbes: 2, BusyCost: 0.5, RemoteBusyCost: 0.25, EqualScores: 0.01,
+		RemoteCostPerKB: 0.04, MinRemoteCost: 0.04, MaxRemoteCost: 0.7, WaitPricePerKB: 100 * time.Microsecond,
 		SuspectFactor: 0.2, LossFactor: 0.3, LossPenaltyDuration: 3 * time.Second, FailuresToEject: 3, BaseEjection: time.Second, MaxEjection: 8 * time.Second,
 	}
 }
@@ -128,6 +139,7 @@
 	failures         int // consecutive
 	ejections        int // consecutive
 	ejectedUntil     time.Time
+	unresponsive     bool // it was ejected because it did not respond, and has not responded since
 	unavailableUntil time.Time
 	usedAt           time.Time
 }
@@ -146,18 +158,20 @@
 
 	mu      sync.Mutex
 	states  map[stateKey]*endpointState
-	paths   map[string]*path  // by data centre
+	paths   map[string]*path  // by data centre, except the own one
+	delays  map[string]*delay // by data centre
 	usages  map[string]*usage // by class
 	sweptAt time.Time
 }
 
-// usage is the mean slot usage of the endpoints that serve a class, the mean fraction of calls that they answer, and the mean time for which
-// its calls hold a slot.
+// usage is the mean slot usage of the endpoints that serve a class, the mean fraction of calls that they answer, the mean time for which
+// its calls hold a slot, and the mean backlog of their links.
 type usage struct {
-	mean      float64
-	answered  float64
-	classTime time.Duration
-	at        time.Time // time of the latest report
+	mean        float64
+	answered    float64
+	classTime   time.Duration
+	linkBacklog time.Duration
+	at          time.Time // time of the latest report
 }
 
 // path holds the observations of the network path to another data centre.
@@ -182,7 +196,7 @@
 func New(o Options) *Chooser {
 	c := &Chooser{
 		dataCentre: o.DataCentre, policy: o.Policy, now: o.Now, random: o.Random,
-		states: make(map[stateKey]*endpointState), paths: make(map[string]*path), usages: make(map[string]*usage),
+		states: make(map[stateKey]*endpointState), paths: make(map[string]*path), delays: make(map[string]*delay), usages: make(map[string]*usage),
 	}
 	if c.now == nil {
 		c.now = time.Now
@@ -199,12 +213,15 @@
 	chooser *Chooser
 	state   *endpointState
 	class   string
+	sentAt  time.Time
 	// InTime is the estimated probability that the call is in time.
 	InTime float64
 	// NoQueue says that the call must not queue at the endpoint. If no slot is free there, add the endpoint to Requirements.Busy and call
 	// Pick again.
 	NoQueue bool
-	score   float64 // InTime minus costs
+	score   float64       // InTime minus costs
+	usage   float64       // estimated slots in use and calls queued, relative to the slots
+	wait    time.Duration // expected time in the queue
 }
 
 // Pick chooses one of the endpoints, or returns nil if none is eligible.
@@ -219,6 +236,7 @@
 	}
 	if best != nil {
 		best.state.outstanding++
+		best.sentAt = now
 		best.NoQueue = len(req.Busy) < c.policy.MaxSlotProbes && !req.Busy[best.ID] && c.typicalUsage(now, req.Class) < 1
 		if p := c.paths[best.DataCentre]; p.isPartitioned() {
 			p.probedAt = now
@@ -228,25 +246,56 @@
 }
 
 func (c *Chooser) pick(now time.Time, endpoints []Endpoint, req Requirements, skipEjected bool) *Choice {
-	near, far := c.candidates(now, endpoints, req, skipEjected)
+	// A call that was refused elsewhere does not wait for an endpoint that probably does not respond.
+	near, far := c.candidates(now, endpoints, req, skipEjected, req.excludesAny(endpoints))
 	local, remote := c.bestOf(now, near, req), c.bestOf(now, far, req)
 	switch {
 	case local == nil:
 		return remote
-	case remote == nil || local.score >= remote.score-c.remoteCost(req):
+	case remote == nil:
+		return local
+	case c.leavesQueue(now, local, remote, req):
+		return remote
+	case c.homeScore(local) >= c.homeScore(remote)-c.remoteCost(req):
 		return local
 	}
 	return remote
 }
 
+// excludesAny reports whether one of the endpoints must not be chosen again.
+func (r *Requirements) excludesAny(endpoints []Endpoint) bool {
+	for i := range endpoints {
+		if r.Excluded != nil && r.Excluded(&endpoints[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// homeScore returns the score of a choice for the comparison with another data centre.
+func (c *Chooser) homeScore(ch *Choice) float64 {
+	return ch.score + (c.policy.BusyCost-c.policy.RemoteBusyCost)*ch.usage
+}
+
+const bytesPerKB = 1000
+
+// leavesQueue reports whether the call would wait so long in the own data centre that the way to a free slot of another one is worth it.
+func (c *Chooser) leavesQueue(now time.Time, local, remote *Choice, req Requirements) bool {
+	if c.policy.WaitPricePerKB == 0 || remote.wait > 0 || local.score >= remote.score {
+		return false
+	}
+	price := c.policy.WaitPricePerKB * time.Duration(req.Bytes) / bytesPerKB
+	return local.wait > price+c.extraDelay(now, remote.DataCentre)
+}
+
 // remoteCost returns the score lost by sending the call to another data centre.
 func (c *Chooser) remoteCost(req Requirements) float64 {
-	const bytesPerKB = 1000
 	return max(c.policy.MinRemoteCost, min(c.policy.MaxRemoteCost, c.policy.RemoteCostPerKB*float64(req.Bytes)/bytesPerKB))
 }
 
-// candidates returns the eligible endpoints of the own data centre and of the others.
-func (c *Chooser) candidates(now time.Time, endpoints []Endpoint, req Requirements, skipEjected bool) (near, far []*Endpoint) {
+// candidates returns the eligible endpoints of the own data centre and of the others. skipEjected leaves out those that are ejected or unavailable,
+// skipUnresponsive those that are ejected because they did not respond.
+func (c *Chooser) candidates(now time.Time, endpoints []Endpoint, req Requirements, skipEjected, skipUnresponsive bool) (near, far []*Endpoint) {
 	for i := range endpoints {
 		e := &endpoints[i]
 		if req.Excluded != nil && req.Excluded(e) {
@@ -257,6 +306,7 @@
 		probe := p.isPartitioned() && now.Sub(p.probedAt) >= probeInterval
 		switch {
 		case p.isPartitioned() && !probe:
+		case skipUnresponsive && !probe && s.unresponsive && now.Before(s.ejectedUntil):
 		case skipEjected && !probe && (now.Before(s.ejectedUntil) || now.Before(s.unavailableUntil)):
 		case e.DataCentre == c.dataCentre:
 			near = append(near, e)
@@ -304,8 +354,11 @@
 		slot = c.optimisticTime(req.Class)
 	}
 	times, slowness := s.classTimesOf(e, req.Class, slot), s.slowness(now)
-	wait := max(0, calls+1-limit) / limit * float64(slot)
-	duration := slowness * (wait + float64(times.mean))
+	wait := slowness * max(0, calls+1-limit) / limit * float64(slot)
+	duration := wait + slowness*float64(times.mean)
+	if req.LongResponse {
+		duration += float64(c.linkBacklog(now, s, req.Class))
+	}
 	inTime := probability(float64(req.TimeToTarget)-duration, slowness*float64(times.spread))
 	inTime *= c.answered(now, s, req.Class)
 	if e.Suspect {
@@ -315,7 +368,21 @@
 		inTime *= c.policy.LossFactor
 	}
 	// BusyCost is not capped, so that of two endpoints that would both be late, the less loaded one has the higher score.
-	return &Choice{Endpoint: e, chooser: c, state: s, class: req.Class, InTime: inTime, score: inTime - c.policy.BusyCost*calls/limit - req.DelayCost*min(1, duration/float64(req.TimeToTarget))}
+	score := inTime - c.policy.BusyCost*calls/limit - req.DelayCost*min(1, duration/float64(req.TimeToTarget))
+	return &Choice{Endpoint: e, chooser: c, state: s, class: req.Class, InTime: inTime, wait: time.Duration(wait), score: score, usage: calls / limit}
+}
+
+// linkBacklog estimates how long the link of an endpoint takes now to send what it has to send. Without a recent report, it assumes that of a typical
+// endpoint of the class.
+func (c *Chooser) linkBacklog(now time.Time, s *endpointState, class string) time.Duration {
+	typical := time.Duration(0)
+	if u := c.usages[class]; u != nil {
+		typical = u.linkBacklog
+	}
+	if s.reportedAt.IsZero() {
+		return typical
+	}
+	return typical + time.Duration(float64(s.report.LinkBacklog-typical)*reportWeight(now, s, c.policy.ReportDecay))
 }
 
 // slowness estimates how long work takes at the endpoint now, relative to the mean there.
@@ -397,6 +464,7 @@
 	}
 	u.answered += (l.Answered - u.answered) * usageWeight
 	u.mean += (float64(l.Running+l.Queued)/float64(max(1, l.Limit)) - u.mean) * usageWeight
+	u.linkBacklog += time.Duration(float64(l.LinkBacklog-u.linkBacklog) * usageWeight)
 	u.at = now
 	switch {
 	case l.ClassTime == 0:
@@ -449,9 +517,10 @@
 	}
 	switch o {
 	case Healthy:
-		s.failures, s.ejections = 0, 0
+		s.failures, s.ejections, s.unresponsive = 0, 0, false
 		s.answeredAt = now
 		c.recordResponse(now, ch.DataCentre)
+		c.observeDelay(now, ch.DataCentre, now.Sub(ch.sentAt))
 	case Unavailable:
 		s.unavailableUntil = now.Add(unavailableDuration)
 	case Failed:
@@ -461,6 +530,7 @@
 		}
 	case Unresponsive:
 		c.recordLoss(now, ch.DataCentre, s)
+		s.unresponsive = true
 		c.eject(now, s)
 	}
 }
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -325,3 +325,132 @@
 	f.report(slower, l)
 	assert.Greater(t, f.shares([]Endpoint{slower, fast}, time.Second)[slower.ID], 0.2)
 }
+
+// Pattern: a data centre is cut off, and the one endpoint of a service that is left is full, so that each call is refused there. Guards against calls that
+// are then sent to endpoints that did not respond, one after the other, instead of being refused at once; and against never trying these again.
+func TestPick_RefusedCallsAreNotSentToUnresponsiveEndpoints(t *testing.T) {
+	f := newFixture()
+	left, cutOff := endpoint("seeb", 1), []Endpoint{endpoint("nizwa", 2), endpoint("sohar", 3)}
+	endpoints := append([]Endpoint{left}, cutOff...)
+	lost := 0
+	const cut, interval = 6 * time.Second, 10 * time.Millisecond
+	for range int(cut / interval) {
+		f.now = f.now.Add(interval)
+		tried := map[string]bool{}
+		for {
+			choice := f.Pick(endpoints, Requirements{TimeToTarget: 500 * time.Millisecond, Excluded: func(e *Endpoint) bool { return tried[e.ID] }})
+			if choice == nil {
+				break
+			}
+			tried[choice.ID] = true
+			if choice.ID == left.ID {
+				load := fastLoad(30)
+				choice.Done(Healthy, &load)
+				continue
+			}
+			lost++
+			choice.Done(Unresponsive, nil)
+		}
+	}
+	perEndpoint := 4 // ejected for 1, 2 and 4 s in turn
+	assert.LessOrEqual(t, lost, perEndpoint*len(cutOff))
+	assert.GreaterOrEqual(t, lost, 2*len(cutOff))
+}
+
+// Pattern: downloads on slow links. Guards against sending them to an endpoint whose link is busy for most of their time, against short responses that avoid
+// it as well, and against one that is avoided long after its link is idle.
+func TestPick_LinkBacklogCountsForLongResponses(t *testing.T) {
+	f := newFixture()
+	full, idle := endpoint("seeb", 1), endpoint("seeb", 2)
+	backlog := fastLoad(0)
+	backlog.LinkBacklog = 400 * time.Millisecond
+	f.report(full, backlog)
+	f.report(idle, fastLoad(0))
+	share := func(long bool) float64 {
+		chosen := 0
+		const picks = 200
+		for range picks {
+			choice := f.Pick([]Endpoint{full, idle}, Requirements{Class: "eta", TimeToTarget: 300 * time.Millisecond, LongResponse: long})
+			if choice.ID == full.ID {
+				chosen++
+			}
+			choice.Done(Healthy, nil)
+		}
+		return float64(chosen) / picks
+	}
+	assert.Zero(t, share(true))
+	assert.Greater(t, share(false), 0.3)
+	f.now = f.now.Add(DefaultPolicy().ReportDecay)
+	assert.Greater(t, share(true), 0.3)
+}
+
+// Pattern: downloads from a service with one server in each data centre, while demand moves between them. Guards against callers who wait at
+// the full server at home since a download is large, and against calls that leave before anybody waits.
+func TestPick_DownloadLeavesBeforeItWaits(t *testing.T) {
+	for calls, want := range map[int]string{8: "seeb-1", 9: "nizwa-1", 12: "nizwa-1"} { // running and queued at home, of 9 slots
+		f := newFixture()
+		home, other := endpoint("seeb", 1), endpoint("nizwa", 1)
+		load := fastLoad(min(calls, 9))
+		load.Queued = calls - load.Running
+		f.report(home, load)
+		f.report(other, fastLoad(1))
+		choice := f.Pick([]Endpoint{home, other}, Requirements{Class: "eta", TimeToTarget: 500 * time.Millisecond, Bytes: 90_000})
+		assert.Equal(t, want, choice.ID, "%d calls at home", calls)
+	}
+}
+
+// Pattern: demand recedes after calls have left. Guards against a choice that alternates between data centres with every report, and against calls
+// that stay away from home when it has room.
+func TestPick_ReturnsHomeWithoutOscillation(t *testing.T) {
+	f := newFixture()
+	home, other := endpoint("seeb", 1), endpoint("nizwa", 1)
+	changes, last := 0, ""
+	for calls := 16; calls >= 6; calls-- {
+		load := fastLoad(min(calls, 9))
+		load.Queued = calls - load.Running
+		f.report(home, load)
+		f.report(other, fastLoad(5))
+		choice := f.Pick([]Endpoint{home, other}, Requirements{Class: "eta", TimeToTarget: 500 * time.Millisecond, Bytes: 1500})
+		if last != "" && choice.ID != last {
+			changes++
+		}
+		last = choice.ID
+		choice.Done(Healthy, nil)
+	}
+	assert.Equal(t, home.ID, last)
+	assert.Equal(t, 1, changes)
+}
+
+// Guards against calls that leave for a data centre so far away that the way takes longer than the wait at home.
+func TestPick_CountsTheMeasuredWay(t *testing.T) {
+	for way, want := range map[time.Duration]string{3 * time.Millisecond: "nizwa-1", 70 * time.Millisecond: "seeb-1"} {
+		f := newFixture()
+		home, other := endpoint("seeb", 1), endpoint("nizwa", 1)
+		for _, e := range []Endpoint{home, other} {
+			choice := f.Pick([]Endpoint{e}, Requirements{Class: "eta", TimeToTarget: time.Second})
+			load := fastLoad(9)
+			if e.ID == other.ID {
+				f.now = f.now.Add(way)
+				load = fastLoad(6)
+			} else {
+				f.now = f.now.Add(time.Millisecond)
+				load.Queued = 3 // 44 ms of waiting
+			}
+			choice.Done(Healthy, &load)
+		}
+		choice := f.Pick([]Endpoint{home, other}, Requirements{Class: "eta", TimeToTarget: time.Second, Bytes: 30_000})
+		assert.Equal(t, want, choice.ID, way)
+	}
+}
+
+// Guards against a way that counts as long for ever after the network has changed, and against one unusually short call that is forgotten at once.
+func TestDelay_FollowsTheNetwork(t *testing.T) {
+	d, start := &delay{since: time.Unix(1000, 0)}, time.Unix(1000, 0)
+	d.observe(start, 2*time.Millisecond)
+	d.observe(start.Add(delayWindow), 5*time.Millisecond)
+	assert.Equal(t, 2*time.Millisecond, d.shortest(start.Add(delayWindow)))
+	d.observe(start.Add(2*delayWindow), 5*time.Millisecond)
+	assert.Equal(t, 5*time.Millisecond, d.shortest(start.Add(2*delayWindow)))
+	assert.Zero(t, d.shortest(start.Add(5*delayWindow)))
+	assert.Zero(t, (*delay)(nil).shortest(start))
+}
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -25,6 +25,7 @@
 	Caller           string // service of the VM where the request originated
 	Key              string // request header with the caller's key; not forwarded if the configuration has teams
 	Team             string // name of the caller's team; set by nodes only
+	Challenge        string // value of WWW-Authenticate in a refusal of a request without a valid key
 }
 
 // Header fields between nodes.
@@ -46,6 +47,7 @@
 	noQueue           bool          // reject the call instead of queueing it if no slot is free
 	targetRemaining   time.Duration // time until the call counts as late; may be negative
 	deadlineRemaining time.Duration
+	mayBeLate         bool // no node can send the response in time; send it when the link has time for late ones
 
 	// Values in the extension of the header, which nodes may leave out.
 	lastNode   bool          // if the node refuses the call for lack of capacity, no other is asked
@@ -104,16 +106,21 @@
 	}, nil
 }
 
-// Names of optional values of a call.
+// Names of optional values in the extension.
 const (
-	extensionLastNode   = "last-node"
-	extensionParentRank = "parent-rank"
-	extensionMaxWaitMS  = "max-wait-ms"
+	extensionMayBeLate   = "late"
+	extensionLinkBacklog = "link" // milliseconds
+	extensionLastNode    = "last-node"
+	extensionParentRank  = "parent-rank"
+	extensionMaxWaitMS   = "max-wait-ms"
 )
 
 // extension returns the optional values of the call.
 func (c *call) extension() url.Values {
 	values := url.Values{}
+	if c.mayBeLate {
+		values.Set(extensionMayBeLate, formatBool(true))
+	}
 	if c.lastNode {
 		values.Set(extensionLastNode, formatBool(true))
 	}
@@ -128,6 +135,7 @@
 
 // readExtension reads the optional values of the call.
 func (c *call) readExtension(values url.Values) {
+	c.mayBeLate = values.Get(extensionMayBeLate) == formatBool(true)
 	c.lastNode = values.Get(extensionLastNode) == formatBool(true)
 	rank, err := strconv.Atoi(values.Get(extensionParentRank))
 	if err != nil || rank < 0 {
@@ -155,8 +163,10 @@
 	reasonBusy                reason = "busy"          // no free slot, and the call may not queue
 	reasonFull                reason = "full"          // no slot becomes free in time
 	reasonHoldsUpOthers       reason = "holds_up"      // more urgent requests behind it on the caller's connection would wait too long for its response
+	reasonServiceFull         reason = "service_full"  // other calls of the class were refused by all endpoints lately
 	reasonBackendLimit        reason = "backend_limit" // the backend server takes no more requests in time at the rate that it named
 	reasonLinkFull            reason = "link_full"     // long responses already queued for the VM's link would make this one late
+	reasonCallsNoRoom         reason = "calls_no_room" // calls that the backend server makes for such calls are refused for lack of room
 	reasonDeadlineUnreachable reason = "deadline_unreachable"
 	reasonDraining            reason = "draining"
 	reasonNoBackend           reason = "no_backend"    // no backend server has announced itself
@@ -174,6 +184,7 @@
 	reasonCancelled           reason = "cancelled" // the caller disconnected
 	reasonConnectionLost      reason = "connection_lost"
 	reasonMalformedResponse   reason = "response_garbled"
+	reasonInvalidStatus       reason = "response_status" // not between 100 and 599, or a second interim response
 	reasonTruncatedResponse   reason = "response_truncated"
 	reasonBodyFailed          reason = "body_failed" // the request body could not be read to its end
 	reasonUnsignedResponse    reason = "response_unsigned"
@@ -186,6 +197,10 @@
 	reasonHeaderTooLarge      reason = "header_too_large"
 	reasonBodyTimeout         reason = "body_timeout"
 	reasonBadRequest          reason = "bad_request"
+	reasonTeamLimit           reason = "team_limit"  // the team has used up its limit
+	reasonKeyMissing          reason = "key_missing" // the route is not public, and the request presents no key
+	reasonKeyUnknown          reason = "key_unknown" // no team holds the key
+	reasonBehind              reason = "behind"      // a later configuration, which another node has, may have the route or the key
 )
 
 // failureReason maps a failed exchange to a reason. It returns fallback if the connection was lost or could not be established.
@@ -197,6 +212,8 @@
 		return reasonDeadline
 	case hop.InvalidResponse:
 		return reasonMalformedResponse
+	case hop.InvalidStatus:
+		return reasonInvalidStatus
 	case hop.Truncated:
 		return reasonTruncatedResponse
 	case hop.RequestBodyFailed:
@@ -241,6 +258,24 @@
 	return strings.Join(fields, fieldSeparator)
 }
 
+// minToldBacklog is the shortest backlog of a link that is told. A few short responses cause shorter ones, which do not matter for a choice.
+const minToldBacklog = 10 * time.Millisecond
+
+// extension returns the optional values of the reply, or nil.
+func (r *callReply) extension() url.Values {
+	if r.load.LinkBacklog < minToldBacklog {
+		return nil
+	}
+	return url.Values{extensionLinkBacklog: {strconv.FormatInt(r.load.LinkBacklog.Milliseconds(), 10)}}
+}
+
+// readExtension reads the optional values of a reply. A value that is not readable counts as absent.
+func (r *callReply) readExtension(values url.Values) {
+	if ms, err := strconv.ParseInt(values.Get(extensionLinkBacklog), 10, 32); err == nil {
+		r.load.LinkBacklog = max(0, time.Duration(ms)*time.Millisecond)
+	}
+}
+
 // Number of fields of an encoded reply, without and with load.
 const (
 	replyFields     = 5
@@ -272,6 +307,7 @@
 			SlotTime: time.Duration(numbers[4]) * time.Millisecond, ClassTime: time.Duration(numbers[5]) * time.Millisecond,
 			ClassSpread: time.Duration(numbers[6]) * time.Millisecond, Answered: float64(numbers[7]) / percent, Slowness: float64(numbers[8]) / percent,
 		}
+		r.readExtension(extensionOf(header))
 	}
 	return r, true
 }
--- a/pkg/sidecar/follower.go
+++ b/pkg/sidecar/follower.go
@@ -75,6 +75,8 @@
 	generation    int64             // of the store that holds it; used by Run only
 	copiedAt      time.Time         // when it last wrote the copy; used by Run only
 	pulling       atomic.Bool
+	heardLaterAt  atomic.Int64  // clock.Now when another node was last known to have a later version; 0: never
+	unstated      atomic.Uint64 // highest version that arrived from a build without teams; 0: none since the store was last read
 	storeUp       atomic.Bool
 	storeLostAt   atomic.Int64 // clock.Now of the first failed call since the store was last reached; 0: never
 
@@ -136,6 +138,10 @@
 	if d.Version <= before {
 		return nil
 	}
+	if !d.StatesTeams() {
+		f.refuseUnstated(d.Version, from)
+		return nil
+	}
 	table, err := routing.Compile(d)
 	if err != nil {
 		f.metrics.Inc("configuration_rejected")
@@ -153,13 +159,33 @@
 		}
 	}
 	f.table.Store(table)
+	f.heardLaterAt.Store(0) // if there is a still later one, the next probe says so
 	f.metrics.Inc("configuration_activated", "from", from)
 	f.metrics.Gauge("configuration_version").Update(int64(d.Version))
 	f.logger.Info("configuration_activated", zap.Uint64("version", d.Version), zap.Uint64("before", before),
-		zap.String("from", from), zap.Int("routes", len(d.Routes)), zap.Int("services", len(d.Services)))
+		zap.String("from", from), zap.Int("routes", len(d.Routes)), zap.Int("services", len(d.Services)), zap.Int("teams", len(d.Teams)))
 	return change
 }
 
+// refuseUnstated records a version that arrived from a build without teams. It does not say which teams there are, so that keys and teams would be
+// lost with it; the store is read instead. The caller must hold mu.
+func (f *follower) refuseUnstated(version uint64, from string) {
+	f.metrics.Inc("configuration_without_teams", "from", from)
+	if version <= f.unstated.Load() {
+		return
+	}
+	f.unstated.Store(version)
+	f.logger.Warn("configuration_without_teams", zap.Uint64("version", version), zap.Uint64("kept", f.version()), zap.String("from", from),
+		zap.String("remedy", "run the same version on all nodes; this node reads the store"))
+}
+
+// noteUnstated records that a change of a build without teams arrived.
+func (f *follower) noteUnstated(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refuseUnstated(version, "relay")
+}
+
 // Run reads the source until ctx ends. A node that is not a reader reads it only as long as it has no configuration, and not before
 // firstRelayTimeout if the whole fleet starts for the first time.
 func (f *follower) Run(ctx context.Context) {
@@ -176,12 +202,14 @@
 	}
 	poll := newPoller(f.source, f.storeRecovery, f.isStandby)
 	for ctx.Err() == nil {
-		if !f.isReader() && (f.table.Load() != nil || time.Now().Before(readAlone)) {
+		unstated := f.unstated.Load()
+		if !f.isReader() && unstated == 0 && (f.table.Load() != nil || time.Now().Before(readAlone)) {
 			positionKnown = f.firstStart && f.table.Load() == nil
 			f.awaitReaderCheck(ctx)
 			continue
 		}
-		if start := f.substitute.takePosition(); start != nil && !positionKnown && f.table.Load() != nil {
+		positionKnown = positionKnown && unstated == 0
+		if start := f.substitute.takePosition(); start != nil && !positionKnown && unstated == 0 && f.table.Load() != nil {
 			position, positionKnown = *start, true
 		}
 		var p Published
@@ -198,13 +226,14 @@
 		if err != nil {
 			positionKnown = positionKnown && apierror.KindOf(err) != apierror.NotFound
 			f.storeFailed(err)
-			if f.table.Load() != nil && poll.isTurnedAway(err, f.substitute.isActive()) {
+			if f.isReader() && f.table.Load() != nil && poll.isTurnedAway(err, f.substitute.isActive()) {
 				f.onTurnedAway(ctx, knownPosition(position, positionKnown))
 			}
 			poll.failed(ctx, callStarted)
 			continue
 		}
 		f.storeReached()
+		f.unstated.CompareAndSwap(unstated, 0) // what the store says is complete; a version that it lacks cannot be completed
 		poll.succeeded()
 		f.onOrders(ctx, p.Orders)
 		// After a burst of versions, read the newest instead of each in turn.
@@ -260,6 +289,13 @@
 		return false
 	}
 	f.copyVersion, f.generation = document.Version, stored.End.Generation
+	if !document.StatesTeams() {
+		f.copyVersion = 0 // to be replaced
+		f.metrics.Inc("configuration_without_teams", "from", "copy")
+		f.logger.Info("configuration_without_teams", zap.Uint64("version", document.Version), zap.String("from", "copy"),
+			zap.String("remedy", "none; the published configuration is read instead"))
+		return false
+	}
 	if stored.IsEarlier {
 		f.metrics.Inc("configuration_copy_earlier")
 		f.logger.Warn("configuration_copy_earlier", zap.Uint64("version", document.Version), zap.String("remedy", "none; other nodes are asked for a newer one first"))
@@ -322,6 +358,7 @@
 // observeVersion records that another node has a version. If the version is newer and has not arrived otherwise after the delay, it is
 // pulled from that node. A node without a configuration pulls immediately.
 func (f *follower) observeVersion(ctx context.Context, version uint64, address string, delay time.Duration) {
+	f.hear(version)
 	if version <= f.version() || !f.pulling.CompareAndSwap(false, true) {
 		return
 	}
@@ -337,6 +374,23 @@
 	}()
 }
 
+// behindMemory is how long a node counts as behind after it has heard of a later version. Other nodes repeat what they have with each probe; a
+// version that only a lost node had is forgotten.
+const behindMemory = 5 * time.Second
+
+// hear records that another node has a version.
+func (f *follower) hear(version uint64) {
+	if version > f.version() {
+		f.heardLaterAt.Store(int64(clock.Now()))
+	}
+}
+
+// isBehind reports whether another node has a later version than the one in force here, as far as is known.
+func (f *follower) isBehind() bool {
+	at := f.heardLaterAt.Load()
+	return at != 0 && clock.Now()-time.Duration(at) < behindMemory
+}
+
 func (f *follower) pull(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -32,7 +32,7 @@
 var testHeaders = Headers{
 	RequestID: "Test-Id", DeadlineMS: "Test-Deadline", Signature: "Test-Signature", ExpectedInstance: "Test-Expected",
 	NotExecuted: "Test-Not-Executed", Instance: "Test-Instance", Caller: "Test-Caller",
-	Key: "Test-Key", Team: "Test-Team",
+	Key: "Test-Key", Team: "Test-Team", Challenge: "Test",
 }
 
 // fakePlatform is an in-memory store shared by all nodes of a test.
@@ -503,7 +503,7 @@
 	short := route("short", true)
 	short.TimeoutMS, short.TargetMS = 200, 100
 	return &routing.Document{
-		Version: version, Limits: routing.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20},
+		Version: version, Format: routing.FormatTeams, Limits: routing.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20},
 		Services: []routing.Service{{Name: "s"}}, Routes: []routing.Route{route("safe", true), route("unsafe", false), short},
 	}
 }
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -54,9 +54,12 @@
 	self      string        // node ID
 	service   func() string // service of the backend server on this VM
 	headers   Headers
+	key       func(http.Header) (string, bool) // Platform.Key
+	isBehind  func() bool                      // whether another node has a later configuration
 	table     func() *routing.Table
 	endpoints func(service string) []placement.Endpoint
 	chooser   *placement.Chooser
+	shortages *placement.Shortages
 	budget    *retry.Budget
 	local     *inbound
 	link      *link.Link
@@ -64,8 +67,10 @@
 	metrics   *metrics.Registry
 	logger    *zap.Logger
 	stats     routeStats
+	teamStats teamStats
 	refusals  callerretry.Tracker
 	starting  *starting
+	limits    *teamLimits
 	cutAt     atomic.Int64 // clock.Now at which a stopping process cuts the requests in flight; 0: not stopping
 	logLimit  *rate.Limiter
 }
@@ -84,9 +89,12 @@
 	version        uint64        // configuration version
 	route          *routing.Entry
 	team           *routing.Team // nil: none
+	counted        time.Duration // clock.Now at which it was counted towards the limit of the team; 0: it was not
+	hidesKey       bool          // the backend server must not see the key
 	rank           int           // of the team or the route
 	service        string        // destination service
 	out            *hop.Request
+	mayBeLate      bool                    // no node can serve it in time
 	verdict        quarantine.Verdict      // for the next attempt
 	fingerprint    *quarantine.Fingerprint // once it was needed
 }
@@ -138,7 +146,10 @@
 	o.metrics.Observe(time.Since(q.received), "outbound_latency", "rank", q.rankLabel(), "verdict", string(res.verdict))
 	o.metrics.Inc("outbound", "verdict", string(res.verdict), "reason", string(res.reason))
 	if q.route != nil && o.stats.isNested(q.route.Name) && !res.isSuccess() {
-		o.local.failedCalls.Add(1)
+		o.countFailedCall(res.reason)
+	}
+	if q.team != nil {
+		o.teamStats.observe(q.team.Name, res.verdict)
 	}
 	if q.callerRetry {
 		o.metrics.Inc("returned", "verdict", string(res.verdict), "reason", string(res.reason))
@@ -149,6 +160,14 @@
 	}
 }
 
+// countFailedCall counts a nested call that was not answered with a success.
+func (o *outbound) countFailedCall(r reason) {
+	o.local.failedCalls.Add(1)
+	if lacksCapacity(r) || r == reasonLinkFull {
+		o.local.callsNoRoom.Add(1)
+	}
+}
+
 func refuse(status int, cause reason) *result {
 	return &result{callReply: callReply{verdict: verdictNotRun, reason: cause}, status: status}
 }
@@ -170,7 +189,7 @@
 	}
 	q.route = table.Match(q.Host, q.URL.Path)
 	if q.route == nil {
-		return refuse(http.StatusNotFound, reasonUnknownRoute)
+		return o.refuseForGood(http.StatusNotFound, reasonUnknownRoute)
 	}
 	q.rank = q.route.Priority
 	if res := o.identify(q, table); res != nil {
@@ -249,9 +268,13 @@
 // keySeed is the per-process hash seed of retry keys.
 var keySeed = maphash.MakeSeed()
 
-// retryKey returns a hash of method, host and target, by which a caller's retry is recognised.
+// retryKey returns a hash of method, host, target and team, by which a caller's retry is recognised.
 func (q *request) retryKey() uint64 {
-	return maphash.String(keySeed, q.Method+" "+q.Host+" "+q.RequestURI)
+	key := q.Method + " " + q.Host + " " + q.RequestURI
+	if q.team != nil {
+		key += " " + q.team.Name
+	}
+	return maphash.String(keySeed, key)
 }
 
 // recordRefusal stores what is needed to recognise a retry by the caller.
@@ -273,6 +296,7 @@
 	out, err := newHopRequest(q.Request, q.id, limit)
 	switch {
 	case err == nil:
+		o.setTeamHeader(q, out.Header)
 		if out.Stream == nil && q.ContentLength != 0 {
 			_ = control.SetReadDeadline(time.Time{})
 		}
@@ -288,6 +312,9 @@
 
 // sendWithRetries sends the request to inbound nodes until one answers or no further attempt is allowed.
 func (o *outbound) sendWithRetries(q *request) *result {
+	if res := o.rejectEarly(q); res != nil {
+		return res
+	}
 	ctx := q.Context()
 	if !q.route.Idempotent {
 		// A disconnecting caller must not cancel a request that may already have taken effect.
@@ -297,6 +324,7 @@
 	defer func() { cancel() }()
 	attempted, busy := map[string]bool{}, map[string]bool{}
 	last := refuse(0, reasonNoEndpoint)
+	var links linkRefusals
 	attempts := o.budget.Attempts(retry.Call{Service: q.service, Idempotent: q.route.Idempotent, Returned: q.callerRetry, MaxArrivals: q.route.MaxAttempts})
 	if o.stats.isNested(q.route.Name) {
 		o.budget.CountRetries(q.service, o.local.retryShare()) // the call is a retry if that of its parent is one
@@ -328,7 +356,15 @@
 		}
 		attempted[choice.ID] = true
 		attempts.Observe(attemptOutcome(last))
+		links.observe(last)
 	}
+	if choice := o.pickForLateResponse(q, last, attempts, &links); choice != nil {
+		q.mayBeLate = true
+		o.metrics.Inc("outbound_late_attempt")
+		last = o.attempt(ctx, q, choice, attempts)
+		attempts.Observe(attemptOutcome(last))
+	}
+	o.observeShortage(q, attempts.Sent(), last)
 	last.attempts, last.arrivals = attempts.Sent(), attempts.Arrivals()
 	if last.verdict == verdictAnswered {
 		o.stats.observeResponse(q.route.Name, last.response.Length)
@@ -344,6 +380,63 @@
 	return last
 }
 
+// linkRefusals holds what the nodes told that refused a request because of their links.
+type linkRefusals struct {
+	roomiest string // ID of the node with the least backlog; empty: none
+	backlog  time.Duration
+}
+
+func (l *linkRefusals) observe(res *result) {
+	if res.reason != reasonLinkFull || l.roomiest != "" && res.load.LinkBacklog >= l.backlog {
+		return
+	}
+	l.roomiest, l.backlog = res.node, res.load.LinkBacklog
+}
+
+// pickForLateResponse returns the node with the least link backlog for a request that no node can answer in time because of the links, or nil if its
+// response cannot arrive before the deadline either. That node sends it when it has no response to send that can be in time.
+func (o *outbound) pickForLateResponse(q *request, last *result, attempts *retry.Attempts, links *linkRefusals) *placement.Choice {
+	if last.reason != reasonLinkFull || attempts.Arrivals() > 0 || attempts.MayHaveRun() || o.stopReason(q, last) != "" || links.backlog >= time.Until(q.deadline) {
+		return nil
+	}
+	choice := o.chooser.Pick(o.candidates(q, func(*placement.Endpoint) bool { return false }), placement.Requirements{
+		Class: q.route.Name, TimeToTarget: max(time.Until(q.deadline), time.Millisecond), LongResponse: true,
+		Excluded: func(e *placement.Endpoint) bool { return e.ID != links.roomiest },
+	})
+	if choice != nil {
+		choice.NoQueue = false // it is not offered to another node any more
+	}
+	return choice
+}
+
+// rejectEarly refuses a request that the endpoints of the service would refuse, without asking them. It lets nested calls pass, since the work of
+// their parents would be lost, and callers who have returned, since they will not return again.
+func (o *outbound) rejectEarly(q *request) *result {
+	if q.callerRetry || o.stats.isNested(q.route.Name) {
+		return nil
+	}
+	retryAfter, ok := o.shortages.Reject(shortageKey(q))
+	if !ok {
+		return nil
+	}
+	res := refuse(0, reasonServiceFull)
+	res.retryAfter = retryAfter
+	return res
+}
+
+// observeShortage records whether the endpoints accepted a request. A deadline that cannot be met says nothing about requests with later ones.
+func (o *outbound) observeShortage(q *request, sent int, last *result) {
+	refused := last.reason == reasonFull || last.reason == reasonBackendLimit
+	if sent == 0 || lacksCapacity(last.reason) && !refused {
+		return
+	}
+	o.shortages.ObserveCall(shortageKey(q), !refused, last.retryAfter)
+}
+
+func shortageKey(q *request) placement.ShortageKey {
+	return placement.ShortageKey{Service: q.service, Class: q.route.Name, Rank: q.rank}
+}
+
 // attemptOutcome returns what the result of an attempt shows about the call.
 func attemptOutcome(res *result) retry.Outcome {
 	return retry.Outcome{
@@ -355,7 +448,7 @@
 // lacksCapacity reports whether a call was refused because the backend server cannot serve it in time now.
 func lacksCapacity(r reason) bool {
 	switch r {
-	case reasonFull, reasonHoldsUpOthers, reasonBackendLimit, reasonSuspectWaits, reasonDeadlineUnreachable:
+	case reasonFull, reasonHoldsUpOthers, reasonBackendLimit, reasonCallsNoRoom, reasonSuspectWaits, reasonDeadlineUnreachable:
 		return true
 	}
 	return false
@@ -383,13 +476,19 @@
 	return o.chooser.Pick(o.candidates(q, excluded), placement.Requirements{
 		Class:        q.route.Name,
 		Bytes:        o.stats.callBytes(q.route.Name) + len(q.out.Body),
-		TimeToTarget: max(time.Until(q.target), time.Millisecond),
+		LongResponse: o.stats.meanResponseBytes(q.route.Name) > link.MaxShortBytes,
+		TimeToTarget: max(o.timeToTarget(q), time.Millisecond),
 		DelayCost:    o.latencyWeight(q),
 		Excluded:     excluded,
 		Busy:         busy,
 	})
 }
 
+// timeToTarget returns the time left until the response must reach this node's link to be in time.
+func (o *outbound) timeToTarget(q *request) time.Duration {
+	return time.Until(q.target) - o.link.EstimateWait(o.stats.meanResponseBytes(q.route.Name))
+}
+
 // latencyWeight returns the weight of latency in the choice of an endpoint: 1 if other work waits for the call, otherwise 0. That is so if
 // more urgent requests follow it on its connection, or if it is nested and the backend server on this VM has no free slot, since the parent
 // call occupies one meanwhile.
@@ -407,7 +506,7 @@
 		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: attempts.Arrivals() > 0, noQueue: choice.NoQueue && q.out.Stream == nil,
 		lastNode: attempts.LastForCapacity(), maxWait: q.maxWait, parentRank: admission.Nested,
 		fingerprint:     q.fingerprint,
-		targetRemaining: time.Until(q.target) - o.link.EstimateWait(o.stats.meanResponseBytes(q.route.Name)), deadlineRemaining: time.Until(q.deadline),
+		targetRemaining: o.timeToTarget(q), deadlineRemaining: time.Until(q.deadline), mayBeLate: q.mayBeLate,
 	}
 	if o.stats.isNested(q.route.Name) {
 		c.parentRank = o.local.runningRanks.MostUrgent()
@@ -424,11 +523,16 @@
 	default:
 		out.Header.Set(headerCall, c.encode())
 		setExtension(out.Header, c.extension())
+		o.link.CountShort(headerBytesPerMessage + int64(len(out.Body)))
 		out.FreshOnly = !q.route.Idempotent
 		response, failed := o.client.Do(ctx, choice.Address, &out)
 		o.readReply(res, response, failed)
 	}
 	choice.Done(endpointOutcome(res), reportedLoad(res))
+	if res.hasLoad {
+		o.shortages.ObserveReport(q.service, res.load)
+	}
+	o.metrics.Inc("outbound_tries", "rank", q.rankLabel())
 	return res
 }
 
@@ -469,7 +573,7 @@
 	switch res.reason {
 	case reasonNodeLost:
 		return placement.Unresponsive
-	case reasonMalformedResponse:
+	case reasonMalformedResponse, reasonInvalidStatus:
 		return placement.Failed
 	case reasonDraining, reasonNoBackend, reasonOtherService, reasonOtherNode, reasonStopping, reasonUnreachable, reasonOtherInstance,
 		reasonVersionHeld:
@@ -498,7 +602,7 @@
 			writeHead(w, res.response.Status, res.response.Length)
 			return true
 		}
-		return writeResponse(q.Context(), w, res.response, o.link)
+		return writeResponse(q.Context(), w, res.response, o.link, link.Due{Target: q.target, Deadline: q.deadline})
 	}
 	body, err := json.Marshal(refusalBody{res.verdict, res.reason})
 	if err != nil {
@@ -508,11 +612,14 @@
 		w.Header().Set(o.headers.RequestID, q.id)
 	}
 	status := httpStatus(res)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		after := cmp.Or(max(0, res.retryAfter), defaultRetryAfter)
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 		o.recordRefusal(q, after)
 	}
+	if status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", o.headers.Challenge)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	writeHead(w, status, int64(len(body)))
 	// A write error means that the caller has disconnected.
@@ -554,6 +661,9 @@
 		zap.String("verdict", string(res.verdict)), zap.String("reason", string(res.reason)), zap.String("to", res.node), zap.Uint64("version", res.version),
 		zap.Int("tries", res.attempts), zap.Int("arrivals", res.arrivals), zap.Bool("returned", q.callerRetry), zap.Int64("ms", time.Since(q.received).Milliseconds()),
 		zap.Int64("left_ms", time.Until(q.deadline).Milliseconds())}
+	if q.team != nil {
+		fields = append(fields, zap.String("team", q.team.Name))
+	}
 	if late > 0 {
 		fields = append(fields, zap.Int64("late_ms", late.Milliseconds()))
 	}
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -169,6 +169,7 @@
 	if p.To <= r.follower.version() {
 		return true, nil // already in force
 	}
+	r.follower.hear(p.To)
 	go r.forward(p)
 	change, err := decodeCompressed[routing.Change](p.Change)
 	if err != nil {
@@ -188,6 +189,9 @@
 		r.follower.activate(document, c, "relay")
 		return
 	}
+	if c.Format < routing.FormatTeams {
+		r.follower.noteUnstated(c.To)
+	}
 	r.metrics.Inc("configuration_change_unfit")
 	r.logger.Info("configuration_change_unfit", zap.Uint64("to", c.To), zap.Uint64("version", current.Version), zap.Error(err))
 	r.follower.observeVersion(context.Background(), c.To, from, 0)
--- a/standin/experiment/call.go
+++ b/standin/experiment/call.go
@@ -68,14 +68,20 @@
 	attempted   map[string]bool
 	busy        map[string]bool
 	last        reply
+	asked       bool // an endpoint was asked
 	done        func(reply)
 }
 
+func (c *call) shortageKey() placement.ShortageKey {
+	return placement.ShortageKey{Service: c.class.Service, Class: c.class.Name, Rank: c.class.Rank}
+}
+
 // reply is the outcome of an attempt.
 type reply struct {
 	status     status
 	arrived    bool
 	full, busy bool
+	hopeless   bool // refused since the deadline cannot be met
 	nested     bool // according to the inbound node
 	retryAfter time.Duration
 	outcome    placement.Outcome
@@ -146,6 +152,13 @@
 		n.budget.CountRetries(c.class.Service, n.retryShare())
 	}
 	n.fleet.tally.firstAttempt(n.fleet, c.class.Service)
+	if retryAfter, ok := n.shortages.Reject(c.shortageKey()); ok && !c.nested && !c.callerRetry && n.fleet.policies.has(EarlyRejection) {
+		c.last.retryAfter = retryAfter
+		n.fleet.tally.rejected++
+		n.end(c)
+		return
+	}
+	c.asked = true
 	n.next(c)
 }
 
@@ -180,6 +193,9 @@
 	n.exchange(c, choice, func(res reply) {
 		choice.Done(res.outcome, res.load)
 		c.last = res
+		if res.load != nil {
+			n.shortages.ObserveReport(c.class.Service, *res.load)
+		}
 		if res.busy {
 			c.busy[choice.ID] = true
 		} else {
@@ -194,9 +210,15 @@
 }
 
 func (n *node) end(c *call) {
+	if c.asked && c.attempts.Sent() > 0 && !c.last.hopeless {
+		n.shortages.ObserveCall(c.shortageKey(), !c.last.full, c.last.retryAfter)
+	}
 	if c.attempts.MayHaveRun() && c.last.status == notRun {
 		c.last.status = failed
 	}
+	if c.last.status == notRun && n.fleet.hasIdleSlot(n, n.fleet.scenario.service(c.class.Service)) {
+		n.fleet.tally.refusedBesideIdle++
+	}
 	c.done(c.last)
 }
 
@@ -212,6 +234,7 @@
 // exchange sends a call to the chosen node and passes the reply to done.
 func (n *node) exchange(c *call, choice *placement.Choice, done func(reply)) {
 	f := n.fleet
+	f.tally.tries++
 	to := f.byID[choice.ID]
 	if f.isCut(n, to) || !to.up {
 		f.after(dialTimeout, func() { done(reply{status: notRun, outcome: placement.Unresponsive}) })
@@ -250,7 +273,11 @@
 			rank = c.parentRank
 		}
 	}
-	arrived := f.now
+	if f.policies.has(ParentAdmission) && !n.parents.Admit(c.class.Name) {
+		respond(reply{status: notRun, full: true, nested: isNested, retryAfter: min(refusedReturn, c.deadline.Sub(f.now)/returnLimit), load: n.load(c.class.Name)})
+		return
+	}
+	arrived, besideIdle := f.now, false
 	ticket := &admission.Ticket{Call: admission.Call{
 		Class: c.class.Name, Rank: rank, Target: c.target, Deadline: c.deadline, IsRetry: c.callerRetry, NoQueue: choice.NoQueue,
 		Nested: isNested && f.policies.has(NestedFirst), Team: c.team, LastNode: c.lastNode,
@@ -260,16 +287,18 @@
 		f.after(0, func() {
 			if refusal != nil {
 				respond(reply{
-					status: notRun, busy: refusal.Reason == admission.Busy, full: refusal.Reason == admission.Overloaded || refusal.Reason == admission.RateLimited || refusal.Reason == admission.DeadlineUnreachable,
+					status: notRun, busy: refusal.Reason == admission.Busy, hopeless: refusal.Reason == admission.DeadlineUnreachable, full: refusal.Reason == admission.Overloaded || refusal.Reason == admission.RateLimited || refusal.Reason == admission.DeadlineUnreachable,
 					nested: isNested, retryAfter: refusal.RetryAfter, load: n.load(c.class.Name),
 				})
 				return
 			}
-			f.tally.waited(f.now.Sub(arrived))
+			f.tally.waited(f.now.Sub(arrived), besideIdle)
 			n.execute(&execution{node: n, call: c, ticket: ticket, isNested: isNested, isRetry: isRetry, respond: respond})
 		})
 	}
 	incarnation, scheduler := n.incarnation, n.scheduler
+	load := scheduler.Load(f.now, "")
+	besideIdle = (load.Queued > 0 || load.Running >= load.Limit) && f.hasIdleSlot(c.node, n.service)
 	scheduler.Offer(f.now, ticket)
 	n.scheduleGrant()
 	f.after(scheduler.MaxQueueTime(f.now, ticket.Call), func() {
@@ -290,6 +319,7 @@
 	granted  time.Time
 	pending  int  // parts of the work that have not ended
 	failed   bool // a call that the backend server made has failed
+	noRoom   bool // such a call was refused for lack of room
 	ended    bool
 }
 
@@ -360,6 +390,7 @@
 	c := &call{class: class, rank: class.Rank, parentRank: e.node.ranks.MostUrgent(), team: e.call.team, node: e.node, nested: true, repeated: e.isRetry, target: f.now.Add(milliseconds(class.TargetMS)), deadline: deadline}
 	c.done = func(res reply) {
 		e.failed = e.failed || res.status != succeeded
+		e.noRoom = e.noRoom || res.full
 		e.finishPart()
 	}
 	e.node.serve(c)
@@ -391,6 +422,12 @@
 	n.scheduler.Finish(f.now, e.ticket, result)
 	n.scheduleGrant()
 	f.tally.held(f, e, res.status)
+	switch {
+	case res.status == succeeded:
+		n.parents.Succeeded(e.call.class.Name)
+	case e.noRoom:
+		n.parents.Lost(e.call.class.Name)
+	}
 	res.load, res.nested = n.load(e.call.class.Name), e.isNested
 	e.respond(res)
 }
--- a/standin/experiment/node.go
+++ b/standin/experiment/node.go
@@ -7,6 +7,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/admission"
 	"github.com/laburnumcleat/laburnumcleat/pkg/callerretry"
+	"github.com/laburnumcleat/laburnumcleat/pkg/dependency"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
 	"github.com/laburnumcleat/laburnumcleat/pkg/retry"
 )
@@ -33,12 +34,14 @@
 	ranks       admission.RunningRanks // of the calls of running
 
 	chooser   *placement.Chooser
+	shortages *placement.Shortages
 	budget    *retry.Budget
 	refusals  *callerretry.Tracker
 	scheduler *admission.Scheduler
 	limited   bool // the backend server names a limit
 	ticking   bool // the next grant under that limit is scheduled
 	origins   *admission.OriginTracker
+	parents   *dependency.Admission
 }
 
 // answeredWeight is the weight of one call in the reported share of answered calls.
@@ -59,10 +62,14 @@
 	n.chooser = placement.New(placement.Options{
 		DataCentre: n.dataCentre, Policy: f.policies.placement, Now: func() time.Time { return f.now }, Random: f.random.IntN,
 	})
+	n.shortages = placement.NewShortages(f.policies.shortage, func() time.Time { return f.now }, f.random.Float64)
 	n.budget = retry.New(f.retryOptions())
 	n.refusals = &callerretry.Tracker{}
 	n.scheduler = admission.NewScheduler(n.service.Slots, f.policies.admission)
 	n.origins = admission.NewOriginTracker()
+	n.parents = dependency.New(dependency.Options{
+		Policy: f.policies.dependency, Now: func() time.Duration { return f.now.Sub(epoch) }, Random: f.random.Float64,
+	})
 }
 
 func (n *node) losePower() {
@@ -133,7 +140,7 @@
 	}
 	return &placement.Load{
 		Running: l.Running, Queued: l.Queued, Limit: l.Limit, SlotTime: l.SlotTime, ClassTime: l.ClassTime, ClassSpread: l.ClassSpread,
-		Slowness: l.Slowness, Answered: n.answered,
+		Slowness: l.Slowness, Answered: n.answered * n.parents.Share(class),
 	}
 }
 
