--- a/pkg/explain/losses.go
+++ b/pkg/explain/losses.go
@@ -75,6 +75,7 @@
 	CauseRetryRefused = "refused again after coming back"
 	CauseLate         = "answered late"
 	CauseLimit        = "limit of the backend server"
+	CauseTeamLimit    = "limit of the team"
 	CauseBlocked      = "crashes backend servers"
 	CauseLink         = "link of the machine full"
 	CauseCalls        = "called service short of room"
@@ -88,10 +89,11 @@
 // causes maps the field "reason" of request lines to a cause. Of the requests mapped to CauseSlots, the ones that the caller had
 // already retried count as CauseRetryRefused; see causeOf.
 var causes = map[string]string{
-	"full": CauseSlots, "deadline_unreachable": CauseSlots, "backend_limit": CauseLimit, "request_blocked": CauseBlocked, "suspect_waits": CauseBlocked, "link_full": CauseLink, "calls_no_room": CauseCalls,
+	"full": CauseSlots, "service_full": CauseSlots, "deadline_unreachable": CauseSlots, "backend_limit": CauseLimit, "request_blocked": CauseBlocked, "suspect_waits": CauseBlocked, "link_full": CauseLink, "calls_no_room": CauseCalls,
 	"backend_shed": CauseBackend, "connection_lost": CauseBackend, "response_garbled": CauseBackend, "response_truncated": CauseBackend,
 	"response_unsigned": CauseBackend, "backend_unreachable": CauseBackend, "deadline": CauseBackend, "other_instance": CauseBackend,
-	"node_lost": CauseNode, "other_node": CauseNode,
+	"team_limit": CauseTeamLimit,
+	"node_lost":  CauseNode, "other_node": CauseNode,
 	"no_endpoint": CauseNoEndpoint, "no_backend": CauseNoEndpoint, "draining": CauseNoEndpoint, "stopping": CauseNoEndpoint, "other_service": CauseNoEndpoint, "no_configuration": CauseNoEndpoint,
 	"cancelled": CauseCancelled,
 }
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/admission"
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
@@ -24,6 +25,7 @@
 	Caller           string // service of the VM where the request originated
 	Key              string // request header with the caller's key; not forwarded if the configuration has teams
 	Team             string // name of the caller's team; set by nodes only
+	Challenge        string // value of WWW-Authenticate in a refusal of a request without a valid key
 }
 
 // Header fields between nodes.
@@ -47,6 +49,11 @@
 	deadlineRemaining time.Duration
 	mayBeLate         bool // no node can send the response in time; send it when the link has time for late ones
 
+	// Values in the extension of the header, which nodes may leave out.
+	lastNode   bool          // if the node refuses the call for lack of capacity, no other is asked
+	maxWait    time.Duration // in the queue; 0: not limited
+	parentRank int           // most urgent rank that the calling backend server runs, if the call is nested; admission.Nested: unknown
+
 	fingerprint *quarantine.Fingerprint // of the request, once it was needed; not encoded
 }
 
@@ -103,18 +110,41 @@
 const (
 	extensionMayBeLate   = "late"
 	extensionLinkBacklog = "link" // milliseconds
+	extensionLastNode    = "last-node"
+	extensionParentRank  = "parent-rank"
+	extensionMaxWaitMS   = "max-wait-ms"
 )
 
-// extension returns the optional values of the call, or nil.
+// extension returns the optional values of the call.
 func (c *call) extension() url.Values {
-	if !c.mayBeLate {
-		return nil
+	values := url.Values{}
+	if c.mayBeLate {
+		values.Set(extensionMayBeLate, formatBool(true))
+	}
+	if c.lastNode {
+		values.Set(extensionLastNode, formatBool(true))
+	}
+	if c.maxWait > 0 {
+		values.Set(extensionMaxWaitMS, strconv.FormatInt(c.maxWait.Milliseconds(), 10))
 	}
-	return url.Values{extensionMayBeLate: {formatBool(true)}}
+	if c.parentRank >= 0 {
+		values.Set(extensionParentRank, strconv.Itoa(c.parentRank))
+	}
+	return values
 }
 
+// readExtension reads the optional values of the call.
 func (c *call) readExtension(values url.Values) {
 	c.mayBeLate = values.Get(extensionMayBeLate) == formatBool(true)
+	c.lastNode = values.Get(extensionLastNode) == formatBool(true)
+	rank, err := strconv.Atoi(values.Get(extensionParentRank))
+	if err != nil || rank < 0 {
+		rank = admission.Nested
+	}
+	c.parentRank = rank
+	if ms, err := strconv.ParseInt(values.Get(extensionMaxWaitMS), 10, 32); err == nil && ms > 0 {
+		c.maxWait = time.Duration(ms) * time.Millisecond
+	}
 }
 
 // verdict is the execution outcome of a call at the inbound node.
@@ -132,6 +162,8 @@
 const (
 	reasonBusy                reason = "busy"          // no free slot, and the call may not queue
 	reasonFull                reason = "full"          // no slot becomes free in time
+	reasonHoldsUpOthers       reason = "holds_up"      // more urgent requests behind it on the caller's connection would wait too long for its response
+	reasonServiceFull         reason = "service_full"  // other calls of the class were refused by all endpoints lately
 	reasonBackendLimit        reason = "backend_limit" // the backend server takes no more requests in time at the rate that it named
 	reasonLinkFull            reason = "link_full"     // long responses already queued for the VM's link would make this one late
 	reasonCallsNoRoom         reason = "calls_no_room" // calls that the backend server makes for such calls are refused for lack of room
@@ -152,6 +184,7 @@
 	reasonCancelled           reason = "cancelled" // the caller disconnected
 	reasonConnectionLost      reason = "connection_lost"
 	reasonMalformedResponse   reason = "response_garbled"
+	reasonInvalidStatus       reason = "response_status" // not between 100 and 599, or a second interim response
 	reasonTruncatedResponse   reason = "response_truncated"
 	reasonBodyFailed          reason = "body_failed" // the request body could not be read to its end
 	reasonUnsignedResponse    reason = "response_unsigned"
@@ -164,6 +197,10 @@
 	reasonHeaderTooLarge      reason = "header_too_large"
 	reasonBodyTimeout         reason = "body_timeout"
 	reasonBadRequest          reason = "bad_request"
+	reasonTeamLimit           reason = "team_limit"  // the team has used up its limit
+	reasonKeyMissing          reason = "key_missing" // the route is not public, and the request presents no key
+	reasonKeyUnknown          reason = "key_unknown" // no team holds the key
+	reasonBehind              reason = "behind"      // a later configuration, which another node has, may have the route or the key
 )
 
 // failureReason maps a failed exchange to a reason. It returns fallback if the connection was lost or could not be established.
@@ -175,6 +212,8 @@
 		return reasonDeadline
 	case hop.InvalidResponse:
 		return reasonMalformedResponse
+	case hop.InvalidStatus:
+		return reasonInvalidStatus
 	case hop.Truncated:
 		return reasonTruncatedResponse
 	case hop.RequestBodyFailed:
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -67,6 +67,7 @@
 	follower   *follower
 	rollouts   *rollouts
 	quarantine *quarantines
+	limits     *teamLimits
 	link       *link.Link
 	buffers    *hop.BufferBudget // for long responses of the backend server
 	inbound    *inbound
@@ -124,6 +125,7 @@
 		Metrics: n.metrics, Logger: n.logger,
 	})
 	n.setUpRelay()
+	n.limits = newTeamLimits(n)
 	n.outbound = n.newOutbound()
 	n.rpcServer.Handle(dryrun.Method, n.serveWhere)
 	if err := n.listen(); err != nil {
@@ -162,17 +164,20 @@
 
 func (n *Node) newOutbound() *outbound {
 	retryBound := retry.Bound{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: time.Duration(n.settings.Bounds.RetryWindow)}
-	return &outbound{
-		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(),
+	o := &outbound{
+		self: n.settings.ID, service: func() string { return *n.service.Load() }, headers: n.platform.Headers(), key: n.platform.Key, isBehind: n.follower.isBehind,
 		table: n.follower.Table, endpoints: n.endpoints, chooser: placement.New(placement.Options{DataCentre: n.settings.DataCentre, Policy: placement.DefaultPolicy()}),
-		budget: retry.New(retry.Options{Bound: retryBound, Policy: retry.DefaultPolicy(), Nodes: func() int { return len(n.membership.SharedMembers()) }}),
-		local:  n.inbound, link: n.link, starting: newStarting(),
+		shortages: placement.NewShortages(placement.DefaultShortagePolicy(), nil, nil),
+		budget:    retry.New(retry.Options{Bound: retryBound, Policy: retry.DefaultPolicy(), Nodes: func() int { return len(n.membership.SharedMembers()) }}),
+		local:     n.inbound, link: n.link, starting: newStarting(), limits: n.limits,
 		client: hop.New(hop.Options{
 			EchoHeader: n.platform.Headers().RequestID, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, DialOverrides: n.settings.DialOverrides,
 			MaxBufferedBytes: link.MaxShortBytes,
 		}),
 		metrics: n.metrics, logger: n.logger, logLimit: rate.NewLimiter(logLinesPerSecond, logBurst),
 	}
+	n.metrics.Collect(o.teamStats.collect)
+	return o
 }
 
 // endpointView caches the endpoints by service for one version of the membership table.
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -54,9 +54,12 @@
 	self      string        // node ID
 	service   func() string // service of the backend server on this VM
 	headers   Headers
+	key       func(http.Header) (string, bool) // Platform.Key
+	isBehind  func() bool                      // whether another node has a later configuration
 	table     func() *routing.Table
 	endpoints func(service string) []placement.Endpoint
 	chooser   *placement.Chooser
+	shortages *placement.Shortages
 	budget    *retry.Budget
 	local     *inbound
 	link      *link.Link
@@ -64,8 +67,10 @@
 	metrics   *metrics.Registry
 	logger    *zap.Logger
 	stats     routeStats
+	teamStats teamStats
 	refusals  callerretry.Tracker
 	starting  *starting
+	limits    *teamLimits
 	cutAt     atomic.Int64 // clock.Now at which a stopping process cuts the requests in flight; 0: not stopping
 	logLimit  *rate.Limiter
 }
@@ -75,14 +80,17 @@
 	*http.Request
 	id             string
 	received       time.Time
-	firstAttempt   time.Time // arrival of the caller's first attempt
-	callerDeadline time.Time // when the caller stops waiting
-	deadline       time.Time // the earlier of the caller's deadline and the route's timeout
-	target         time.Time // a response after this time counts as late
-	callerRetry    bool      // the caller is retrying after a refusal
-	version        uint64    // configuration version
+	firstAttempt   time.Time     // arrival of the caller's first attempt
+	callerDeadline time.Time     // when the caller stops waiting
+	deadline       time.Time     // the earlier of the caller's deadline and the route's timeout
+	target         time.Time     // a response after this time counts as late
+	maxWait        time.Duration // in a queue, for the requests behind it on the connection; 0: not limited
+	callerRetry    bool          // the caller is retrying after a refusal
+	version        uint64        // configuration version
 	route          *routing.Entry
 	team           *routing.Team // nil: none
+	counted        time.Duration // clock.Now at which it was counted towards the limit of the team; 0: it was not
+	hidesKey       bool          // the backend server must not see the key
 	rank           int           // of the team or the route
 	service        string        // destination service
 	out            *hop.Request
@@ -140,6 +148,9 @@
 	if q.route != nil && o.stats.isNested(q.route.Name) && !res.isSuccess() {
 		o.countFailedCall(res.reason)
 	}
+	if q.team != nil {
+		o.teamStats.observe(q.team.Name, res.verdict)
+	}
 	if q.callerRetry {
 		o.metrics.Inc("returned", "verdict", string(res.verdict), "reason", string(res.reason))
 	}
@@ -178,7 +189,7 @@
 	}
 	q.route = table.Match(q.Host, q.URL.Path)
 	if q.route == nil {
-		return refuse(http.StatusNotFound, reasonUnknownRoute)
+		return o.refuseForGood(http.StatusNotFound, reasonUnknownRoute)
 	}
 	q.rank = q.route.Priority
 	if res := o.identify(q, table); res != nil {
@@ -246,15 +257,24 @@
 		o.metrics.Observe(q.received.Sub(refusal.RetryAt).Abs(), "returned_off")
 	}
 	q.target = q.firstAttempt.Add(q.route.Target())
+	neighbours := pipeline.NeighboursOf(q.Context())
+	neighbours.Observe(q.route.Target())
+	if shortest := neighbours.ShortestTarget(); shortest < q.route.Target() {
+		q.maxWait = admission.WaitBeforeOthers(shortest)
+	}
 	return true
 }
 
 // keySeed is the per-process hash seed of retry keys.
 var keySeed = maphash.MakeSeed()
 
-// retryKey returns a hash of method, host and target, by which a caller's retry is recognised.
+// retryKey returns a hash of method, host, target and team, by which a caller's retry is recognised.
 func (q *request) retryKey() uint64 {
-	return maphash.String(keySeed, q.Method+" "+q.Host+" "+q.RequestURI)
+	key := q.Method + " " + q.Host + " " + q.RequestURI
+	if q.team != nil {
+		key += " " + q.team.Name
+	}
+	return maphash.String(keySeed, key)
 }
 
 // recordRefusal stores what is needed to recognise a retry by the caller.
@@ -276,6 +296,7 @@
 	out, err := newHopRequest(q.Request, q.id, limit)
 	switch {
 	case err == nil:
+		o.setTeamHeader(q, out.Header)
 		if out.Stream == nil && q.ContentLength != 0 {
 			_ = control.SetReadDeadline(time.Time{})
 		}
@@ -291,6 +312,9 @@
 
 // sendWithRetries sends the request to inbound nodes until one answers or no further attempt is allowed.
 func (o *outbound) sendWithRetries(q *request) *result {
+	if res := o.rejectEarly(q); res != nil {
+		return res
+	}
 	ctx := q.Context()
 	if !q.route.Idempotent {
 		// A disconnecting caller must not cancel a request that may already have taken effect.
@@ -325,7 +349,7 @@
 		if attempts.Sent() > 0 {
 			o.metrics.Inc("outbound_retry", "reason", string(last.reason))
 		}
-		last = o.attempt(ctx, q, choice, attempts.Arrivals() > 0)
+		last = o.attempt(ctx, q, choice, attempts)
 		if last.reason == reasonBusy {
 			busy[choice.ID] = true
 			continue
@@ -337,9 +361,10 @@
 	if choice := o.pickForLateResponse(q, last, attempts, &links); choice != nil {
 		q.mayBeLate = true
 		o.metrics.Inc("outbound_late_attempt")
-		last = o.attempt(ctx, q, choice, false)
+		last = o.attempt(ctx, q, choice, attempts)
 		attempts.Observe(attemptOutcome(last))
 	}
+	o.observeShortage(q, attempts.Sent(), last)
 	last.attempts, last.arrivals = attempts.Sent(), attempts.Arrivals()
 	if last.verdict == verdictAnswered {
 		o.stats.observeResponse(q.route.Name, last.response.Length)
@@ -384,6 +409,34 @@
 	return choice
 }
 
+// rejectEarly refuses a request that the endpoints of the service would refuse, without asking them. It lets nested calls pass, since the work of
+// their parents would be lost, and callers who have returned, since they will not return again.
+func (o *outbound) rejectEarly(q *request) *result {
+	if q.callerRetry || o.stats.isNested(q.route.Name) {
+		return nil
+	}
+	retryAfter, ok := o.shortages.Reject(shortageKey(q))
+	if !ok {
+		return nil
+	}
+	res := refuse(0, reasonServiceFull)
+	res.retryAfter = retryAfter
+	return res
+}
+
+// observeShortage records whether the endpoints accepted a request. A deadline that cannot be met says nothing about requests with later ones.
+func (o *outbound) observeShortage(q *request, sent int, last *result) {
+	refused := last.reason == reasonFull || last.reason == reasonBackendLimit
+	if sent == 0 || lacksCapacity(last.reason) && !refused {
+		return
+	}
+	o.shortages.ObserveCall(shortageKey(q), !refused, last.retryAfter)
+}
+
+func shortageKey(q *request) placement.ShortageKey {
+	return placement.ShortageKey{Service: q.service, Class: q.route.Name, Rank: q.rank}
+}
+
 // attemptOutcome returns what the result of an attempt shows about the call.
 func attemptOutcome(res *result) retry.Outcome {
 	return retry.Outcome{
@@ -395,7 +448,7 @@
 // lacksCapacity reports whether a call was refused because the backend server cannot serve it in time now.
 func lacksCapacity(r reason) bool {
 	switch r {
-	case reasonFull, reasonBackendLimit, reasonCallsNoRoom, reasonSuspectWaits, reasonDeadlineUnreachable:
+	case reasonFull, reasonHoldsUpOthers, reasonBackendLimit, reasonCallsNoRoom, reasonSuspectWaits, reasonDeadlineUnreachable:
 		return true
 	}
 	return false
@@ -445,14 +498,18 @@
 	return 0
 }
 
-// attempt sends the request to one inbound node. isRetry says that a backend server has received it before.
-func (o *outbound) attempt(ctx context.Context, q *request, choice *placement.Choice, isRetry bool) *result {
+// attempt sends the request to one inbound node.
+func (o *outbound) attempt(ctx context.Context, q *request, choice *placement.Choice, attempts *retry.Attempts) *result {
 	c := &call{
 		service: q.service, class: q.route.Name, caller: o.service(), node: choice.ID, rank: q.rank,
-		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: isRetry, noQueue: choice.NoQueue && q.out.Stream == nil,
+		idempotent: q.route.Idempotent, callerRetry: q.callerRetry, retry: attempts.Arrivals() > 0, noQueue: choice.NoQueue && q.out.Stream == nil,
+		lastNode: attempts.LastForCapacity(), maxWait: q.maxWait, parentRank: admission.Nested,
 		fingerprint:     q.fingerprint,
 		targetRemaining: o.timeToTarget(q), deadlineRemaining: time.Until(q.deadline), mayBeLate: q.mayBeLate,
 	}
+	if o.stats.isNested(q.route.Name) {
+		c.parentRank = o.local.runningRanks.MostUrgent()
+	}
 	res := &result{node: choice.ID}
 	out := *q.out
 	out.Header = q.out.Header.Clone()
@@ -471,6 +528,10 @@
 		o.readReply(res, response, failed)
 	}
 	choice.Done(endpointOutcome(res), reportedLoad(res))
+	if res.hasLoad {
+		o.shortages.ObserveReport(q.service, res.load)
+	}
+	o.metrics.Inc("outbound_tries", "rank", q.rankLabel())
 	return res
 }
 
@@ -511,7 +572,7 @@
 	switch res.reason {
 	case reasonNodeLost:
 		return placement.Unresponsive
-	case reasonMalformedResponse:
+	case reasonMalformedResponse, reasonInvalidStatus:
 		return placement.Failed
 	case reasonDraining, reasonNoBackend, reasonOtherService, reasonOtherNode, reasonStopping, reasonUnreachable, reasonOtherInstance,
 		reasonVersionHeld:
@@ -550,11 +611,14 @@
 		w.Header().Set(o.headers.RequestID, q.id)
 	}
 	status := httpStatus(res)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		after := cmp.Or(max(0, res.retryAfter), defaultRetryAfter)
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 		o.recordRefusal(q, after)
 	}
+	if status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", o.headers.Challenge)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	writeHead(w, status, int64(len(body)))
 	// A write error means that the caller has disconnected.
@@ -596,6 +660,9 @@
 		zap.String("verdict", string(res.verdict)), zap.String("reason", string(res.reason)), zap.String("to", res.node), zap.Uint64("version", res.version),
 		zap.Int("tries", res.attempts), zap.Int("arrivals", res.arrivals), zap.Bool("returned", q.callerRetry), zap.Int64("ms", time.Since(q.received).Milliseconds()),
 		zap.Int64("left_ms", time.Until(q.deadline).Milliseconds())}
+	if q.team != nil {
+		fields = append(fields, zap.String("team", q.team.Name))
+	}
 	if late > 0 {
 		fields = append(fields, zap.Int64("late_ms", late.Milliseconds()))
 	}
--- a/standin/experiment/fleet.go
+++ b/standin/experiment/fleet.go
@@ -26,6 +26,8 @@
 	detectionTime = 2 * time.Second
 	// slowShiftInterval is the length of a time in which a machine is slow.
 	slowShiftInterval = 600 * time.Millisecond
+	// usageInterval is the simulated time between two samples of the slots in use.
+	usageInterval = 50 * time.Millisecond
 	// cancelInterval is the simulated time between checks whether the play was cancelled.
 	cancelInterval = 100 * time.Millisecond
 )
@@ -44,6 +46,8 @@
 	endpoints map[string][]placement.Endpoint // by service
 	start     time.Time                       // end of the warm-up
 	rates     map[string]float64              // factor on the rate of a class
+	teams     []float64                       // calls of each team, in relation to those of the others
+	demand    map[string]float64              // phase of the demand, by data centre
 	cut       string                          // data centre that is cut off
 	returning Event                           // callers that return at once; zero value: none
 	slowShift *Event
@@ -54,7 +58,10 @@
 func newFleet(s *Scenario, p *policies, seed uint64) *fleet {
 	f := &fleet{
 		timeline: timeline{now: epoch}, scenario: s, policies: p, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*node),
-		endpoints: make(map[string][]placement.Endpoint), start: epoch.Add(warmUp), rates: make(map[string]float64), tally: newTally(s),
+		endpoints: make(map[string][]placement.Endpoint), start: epoch.Add(warmUp), rates: make(map[string]float64), demand: make(map[string]float64), tally: newTally(s),
+	}
+	for i, name := range s.DataCentres {
+		f.demand[name] = s.Demand.PhaseStep * float64(i)
 	}
 	placed := 0
 	for i := range s.Services {
@@ -78,12 +85,16 @@
 
 // play runs the load and the events, and returns the result, or the error of ctx if that ends first.
 func (f *fleet) play(ctx context.Context) (*Result, error) {
+	for _, team := range f.scenario.Teams {
+		f.teams = append(f.teams, team.Share)
+	}
 	for i := range f.scenario.Classes {
 		if c := &f.scenario.Classes[i]; c.PerSecond > 0 {
 			f.rates[c.Name] = 1
 			f.scheduleArrival(c)
 		}
 	}
+	f.after(warmUp, f.sampleUsage)
 	for i := range f.scenario.Events {
 		if e := &f.scenario.Events[i]; e.AtS < f.scenario.Seconds {
 			f.after(warmUp+seconds(e.AtS), func() { f.begin(e) })
@@ -110,25 +121,98 @@
 	if !ok {
 		return
 	}
-	f.after(time.Duration(f.random.ExpFloat64()/(c.PerSecond*rate)*float64(time.Second)), func() {
+	highest := c.PerSecond * rate * f.teamFactor() * (1 + f.scenario.Demand.Swing)
+	f.after(time.Duration(f.random.ExpFloat64()/highest*float64(time.Second)), func() {
 		if f.rates == nil {
 			return
 		}
 		f.scheduleArrival(c)
 		n := f.nodes[f.random.IntN(len(f.nodes))]
-		if !n.up {
+		if !n.up || !f.isDemanded(n.dataCentre) {
 			return // callers are on the same machines
 		}
 		f.requests++
 		r := &request{
 			class: c, key: f.requests, node: n, first: f.now, deadline: f.now.Add(milliseconds(c.DeadlineMS)),
-			returns: c.Returns, counted: !f.now.Before(f.start),
+			returns: c.Returns, counted: !f.now.Before(f.start), team: f.pickTeam(),
 		}
 		f.tally.asked(f, r)
 		f.send(r)
 	})
 }
 
+// teamFactor returns the calls of all teams, relative to those without a surge of a team.
+func (f *fleet) teamFactor() float64 {
+	now, usual := 0.0, 0.0
+	for i, share := range f.teams {
+		now, usual = now+share, usual+f.scenario.Teams[i].Share
+	}
+	if usual == 0 {
+		return 1
+	}
+	return now / usual
+}
+
+// pickTeam returns the team of a new request, or nil if there are no teams.
+func (f *fleet) pickTeam() *Team {
+	if len(f.teams) == 0 {
+		return nil
+	}
+	sum := 0.0
+	for _, share := range f.teams {
+		sum += share
+	}
+	at := f.random.Float64() * sum
+	for i, share := range f.teams {
+		if at -= share; at < 0 {
+			return &f.scenario.Teams[i]
+		}
+	}
+	return &f.scenario.Teams[len(f.teams)-1]
+}
+
+// isDemanded thins out the calls of a data centre that come at the highest rate of its demand.
+func (f *fleet) isDemanded(dataCentre string) bool {
+	d := f.scenario.Demand
+	if d.Swing == 0 {
+		return true
+	}
+	cycles := f.now.Sub(epoch).Seconds()/d.PeriodS - f.demand[dataCentre]
+	return f.random.Float64()*(1+d.Swing) < 1+d.Swing*math.Sin(2*math.Pi*cycles)
+}
+
+// hasIdleSlot reports whether a backend server of the service that the node can reach has a free slot and no queue.
+func (f *fleet) hasIdleSlot(from *node, service *Service) bool {
+	for _, n := range f.nodes {
+		if n.service != service || !n.up || n.draining || f.isCut(from, n) {
+			continue
+		}
+		if l := n.scheduler.Load(f.now, ""); l.Queued == 0 && l.Running < l.Limit {
+			return true
+		}
+	}
+	return false
+}
+
+// sampleUsage records, until the load ends, how evenly the slots of each service are in use.
+func (f *fleet) sampleUsage() {
+	if f.rates == nil {
+		return
+	}
+	for i := range f.scenario.Services {
+		var usages []float64
+		for _, n := range f.nodes {
+			if n.service != &f.scenario.Services[i] || !n.up || n.draining {
+				continue
+			}
+			l := n.scheduler.Load(f.now, "")
+			usages = append(usages, float64(l.Running)/float64(max(1, l.Limit)))
+		}
+		f.tally.usage(usages)
+	}
+	f.after(usageInterval, f.sampleUsage)
+}
+
 // updateEndpoints recomputes the endpoints that the nodes know.
 func (f *fleet) updateEndpoints() {
 	clear(f.endpoints)
@@ -186,6 +270,12 @@
 	}
 	switch e.Kind {
 	case Surge:
+		if e.Team != "" {
+			team := f.scenario.team(e.Team)
+			f.teams[team] *= e.Factor
+			end(func() { f.teams[team] /= e.Factor })
+			return
+		}
 		f.rates[e.Class] *= e.Factor
 		end(func() {
 			if f.rates != nil {
--- a/standin/experiment/node.go
+++ b/standin/experiment/node.go
@@ -31,8 +31,10 @@
 	failFrom    string  // data centre of the callers whose calls fail; empty: all
 	answered    float64 // moving average of the share of calls that the backend server answered
 	running     []*execution
+	ranks       admission.RunningRanks // of the calls of running
 
 	chooser   *placement.Chooser
+	shortages *placement.Shortages
 	budget    *retry.Budget
 	refusals  *callerretry.Tracker
 	scheduler *admission.Scheduler
@@ -60,6 +62,7 @@
 	n.chooser = placement.New(placement.Options{
 		DataCentre: n.dataCentre, Policy: f.policies.placement, Now: func() time.Time { return f.now }, Random: f.random.IntN,
 	})
+	n.shortages = placement.NewShortages(f.policies.shortage, func() time.Time { return f.now }, f.random.Float64)
 	n.budget = retry.New(f.retryOptions())
 	n.refusals = &callerretry.Tracker{}
 	n.scheduler = admission.NewScheduler(n.service.Slots, f.policies.admission)
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -114,6 +114,16 @@
 	{"keeps 64 MiB of a response header", []guarantee{guaranteeMemory}, []replacement{
 		{"pkg/hop/exchange.go", "maxResponseHeaderBytes = 64 << 10", "maxResponseHeaderBytes = 64 << 20"},
 	}, runEndlessResponses},
+	{"admits unknown keys", []guarantee{guaranteeTeams}, []replacement{
+		{"pkg/sidecar/teams.go", "\treturn o.refuseForGood(http.StatusUnauthorized, reasonKeyUnknown)\n", "\treturn nil\n"},
+	}, nil},
+	{"passes keys on", []guarantee{guaranteeTeams}, []replacement{
+		{"pkg/sidecar/teams.go", "delete(header, o.headers.Key)", "_ = o.key"},
+	}, nil},
+	{"keeps withdrawn keys", []guarantee{guaranteeConfigApplied}, []replacement{
+		{"pkg/sidecar/teams.go", "\t\tq.team = table.Team(key)\n", "\t\tif q.team = table.Team(key); q.team != nil {\n\t\t\tmutantTeams.Store(key, q.team)\n\t\t} else if held, ok := mutantTeams.Load(key); ok {\n\t\t\tq.team = held.(*routing.Team)\n\t\t}\n"},
+		{"pkg/sidecar/teams.go", "// identify decides", "var mutantTeams sync.Map\n\n// identify decides"},
+	}, nil},
 	{"keeps the first instance", []guarantee{guaranteeRecovery, guaranteeBackendsUsed}, []replacement{
 		{"pkg/sidecar/inbound.go", "if old == nil || old.ID != a.ID || old.StartTimeMS != a.StartTimeMS {", "if old == nil {"},
 	}, nil},
@@ -162,7 +172,7 @@
 	for _, g := range []guarantee{
 		guaranteeAtMostOnce, guaranteeNotExecuted, guaranteeResponseIntegrity, guaranteeRequestIntegrity, guaranteeConfiguredService, guaranteeRoutable, guaranteeMonotonicVersion, guaranteeConfigApplied, guaranteeDrain,
 		guaranteeDeadline, guaranteeRetryBudget, guaranteeGracefulStop, guaranteeProcessLifetime, guaranteeRecovery, guaranteeBackendsUsed,
-		guaranteeRollout, guaranteeLimit, guaranteeDeadlyRequests, guaranteeMemory,
+		guaranteeRollout, guaranteeLimit, guaranteeDeadlyRequests, guaranteeMemory, guaranteeTeams,
 	} {
 		found := slices.ContainsFunc(allMutants, func(m mutant) bool { return slices.Contains(m.violates, g) })
 		if !found {
