--- a/cli/cmd/where.go
+++ b/cli/cmd/where.go
@@ -72,11 +72,11 @@
 		fmt.Fprintf(out, "route %s to %s, rank %d, target %d ms, timeout %d ms, idempotent %t\n", a.Route, strings.Join(a.Services, ","), a.Rank, a.TargetMS, a.TimeoutMS, a.Idempotent)
 	}
 	if a.Team != "" {
-		left := "not known"
+		left := "has no limit"
 		if a.LimitLeft != nil {
-			left = strconv.FormatFloat(*a.LimitLeft, 'f', 1, 64) + " requests"
+			left = strconv.FormatFloat(*a.LimitLeft, 'f', 1, 64) + " requests left in this window, for all nodes"
 		}
-		fmt.Fprintf(out, "team %s, left of its limit: %s\n", a.Team, left)
+		fmt.Fprintf(out, "team %s: %s\n", a.Team, left)
 	}
 	if a.LinkBacklogMS > 0 {
 		fmt.Fprintf(out, "this node's link has %d ms to send\n", a.LinkBacklogMS)
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -274,9 +274,25 @@
 	defer l.mu.Unlock()
 	var all []Usage
 	for name, t := range l.teams {
-		t.advance(l.clock.sequence(now))
-		v := l.viewOf(now, name, t)
-		all = append(all, Usage{name, t.admitted.sum + v.used, l.options.Bound.Owed(t.limit), t.refusals})
+		all = append(all, l.usageOf(now, name, t))
 	}
 	return highest(all, n)
 }
+
+// UsageOf returns the state of a team. It reports false for one without a limit.
+func (l *Ledger) UsageOf(now time.Duration, name string) (Usage, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, ok := l.teams[name]
+	if !ok {
+		return Usage{}, false
+	}
+	return l.usageOf(now, name, t), true
+}
+
+// usageOf returns the state of a team. The caller must hold mu.
+func (l *Ledger) usageOf(now time.Duration, name string, t *team) Usage {
+	t.advance(l.clock.sequence(now))
+	v := l.viewOf(now, name, t)
+	return Usage{name, t.admitted.sum + v.used, l.options.Bound.Owed(t.limit), t.refusals}
+}
--- a/pkg/sidecar/where.go
+++ b/pkg/sidecar/where.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
+	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
 	"github.com/laburnumcleat/laburnumcleat/pkg/dryrun"
 	"github.com/laburnumcleat/laburnumcleat/pkg/link"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
@@ -55,6 +56,10 @@
 		a.Refusal = string(reasonUnknownTeam)
 		return a
 	}
+	if u, limited := o.limits.ledger.UsageOf(clock.Now(), q.Team); limited {
+		left := max(0, u.Allowed-u.Used)
+		a.LimitLeft = &left
+	}
 	left := route.Target()
 	if q.LeftMS > 0 {
 		left = time.Duration(q.LeftMS) * time.Millisecond
--- a/pkg/sidecar/where_test.go
+++ b/pkg/sidecar/where_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/apierror"
 	"github.com/laburnumcleat/laburnumcleat/pkg/dryrun"
+	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 )
 
 // Guards against an answer that differs from what the node does, and against one that sends or counts something.
@@ -51,3 +52,26 @@
 		}
 	}
 }
+
+// Guards against an answer that shows no limit, or one that uses up a part of it.
+func TestWhere_TellsWhatIsLeftOfALimit(t *testing.T) {
+	m := newMesh(t, 1)
+	n := m.nodes[0]
+	limited := testDocument(2)
+	limited.Teams = []routing.Team{{Name: "blue", Keys: []routing.KeyDigest{routing.DigestKey("blue-key")}, RatePerS: 10, Burst: 5}, {Name: "free", Keys: []routing.KeyDigest{routing.DigestKey("free-key")}}}
+	m.platform.publish(limited)
+	ask := func(team string) *dryrun.Answer {
+		return n.outbound.where(&dryrun.Query{Host: "h.example", Path: "/safe/x", Team: team})
+	}
+	whole := 10*defaultLimitBound.Window.Seconds() + 5
+	m.eventually("a node that has just started assumes the limit to be used for a window", func() bool {
+		left := ask("blue").LimitLeft
+		return left != nil && *left > whole-1
+	})
+	for range 3 {
+		a := ask("blue")
+		assert.Equal(t, "blue", a.Team)
+		assert.InDelta(t, whole, *a.LimitLeft, 1)
+	}
+	assert.Nil(t, ask("free").LimitLeft)
+}
