--- a/standin/experiment/pattern_test.go
+++ b/standin/experiment/pattern_test.go
@@ -146,6 +146,7 @@
 func TestRefusedByAll_AreRejectedAtTheFirstNode(t *testing.T) {
 	s, err := Load("refused-by-all")
 	require.NoError(t, err)
+	s.Seconds, s.Seeds = 14, 3
 	s.Variants = []Variant{{Name: "as it stands"}, {Name: "endpoints are asked", Without: []Mechanism{EarlyRejection}}}
 	results, err := Run(t.Context(), s, func(int, int) {})
 	require.NoError(t, err)
