--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -34,6 +34,7 @@
 	ClassTime              time.Duration // the same for the class of the call whose response contained the report; 0: unknown
 	ClassSpread            time.Duration // mean deviation from ClassTime
 	Slowness               float64       // time that work takes on its machine now, relative to the mean there; the times above are given for 1; 0: unknown
+	LinkBacklog            time.Duration // how long the machine's link takes to send what it already has to send
 	Answered               float64       // fraction of the recent calls that its backend server answered, 0 to 1
 }
 
@@ -43,6 +44,7 @@
 	TimeToTarget time.Duration          // time left until its target
 	DelayCost    float64                // score lost by a call that takes all of TimeToTarget; above 0 if other work waits for it
 	Bytes        int                    // of the request and the expected response
+	LongResponse bool                   // its response queues for the link of the endpoint
 	Excluded     func(e *Endpoint) bool // reports endpoints that must not be chosen again; may be nil
 	Busy         map[string]bool        // IDs of the endpoints that were probed for a free slot and had none; may be nil
 }
@@ -137,6 +139,7 @@
 	failures         int // consecutive
 	ejections        int // consecutive
 	ejectedUntil     time.Time
+	unresponsive     bool // it was ejected because it did not respond, and has not responded since
 	unavailableUntil time.Time
 	usedAt           time.Time
 }
@@ -161,13 +164,14 @@
 	sweptAt time.Time
 }
 
-// usage is the mean slot usage of the endpoints that serve a class, the mean fraction of calls that they answer, and the mean time for which
-// its calls hold a slot.
+// usage is the mean slot usage of the endpoints that serve a class, the mean fraction of calls that they answer, the mean time for which
+// its calls hold a slot, and the mean backlog of their links.
 type usage struct {
-	mean      float64
-	answered  float64
-	classTime time.Duration
-	at        time.Time // time of the latest report
+	mean        float64
+	answered    float64
+	classTime   time.Duration
+	linkBacklog time.Duration
+	at          time.Time // time of the latest report
 }
 
 // path holds the observations of the network path to another data centre.
@@ -242,7 +246,8 @@
 }
 
 func (c *Chooser) pick(now time.Time, endpoints []Endpoint, req Requirements, skipEjected bool) *Choice {
-	near, far := c.candidates(now, endpoints, req, skipEjected)
+	// A call that was refused elsewhere does not wait for an endpoint that probably does not respond.
+	near, far := c.candidates(now, endpoints, req, skipEjected, req.excludesAny(endpoints))
 	local, remote := c.bestOf(now, near, req), c.bestOf(now, far, req)
 	switch {
 	case local == nil:
@@ -257,6 +262,16 @@
 	return remote
 }
 
+// excludesAny reports whether one of the endpoints must not be chosen again.
+func (r *Requirements) excludesAny(endpoints []Endpoint) bool {
+	for i := range endpoints {
+		if r.Excluded != nil && r.Excluded(&endpoints[i]) {
+			return true
+		}
+	}
+	return false
+}
+
 // homeScore returns the score of a choice for the comparison with another data centre.
 func (c *Chooser) homeScore(ch *Choice) float64 {
 	return ch.score + (c.policy.BusyCost-c.policy.RemoteBusyCost)*ch.usage
@@ -278,8 +293,9 @@
 	return max(c.policy.MinRemoteCost, min(c.policy.MaxRemoteCost, c.policy.RemoteCostPerKB*float64(req.Bytes)/bytesPerKB))
 }
 
-// candidates returns the eligible endpoints of the own data centre and of the others.
-func (c *Chooser) candidates(now time.Time, endpoints []Endpoint, req Requirements, skipEjected bool) (near, far []*Endpoint) {
+// candidates returns the eligible endpoints of the own data centre and of the others. skipEjected leaves out those that are ejected or unavailable,
+// skipUnresponsive those that are ejected because they did not respond.
+func (c *Chooser) candidates(now time.Time, endpoints []Endpoint, req Requirements, skipEjected, skipUnresponsive bool) (near, far []*Endpoint) {
 	for i := range endpoints {
 		e := &endpoints[i]
 		if req.Excluded != nil && req.Excluded(e) {
@@ -290,6 +306,7 @@
 		probe := p.isPartitioned() && now.Sub(p.probedAt) >= probeInterval
 		switch {
 		case p.isPartitioned() && !probe:
+		case skipUnresponsive && !probe && s.unresponsive && now.Before(s.ejectedUntil):
 		case skipEjected && !probe && (now.Before(s.ejectedUntil) || now.Before(s.unavailableUntil)):
 		case e.DataCentre == c.dataCentre:
 			near = append(near, e)
@@ -342,6 +359,9 @@
 	times, slowness := s.classTimesOf(e, req.Class, slot), s.slowness(now)
 	wait := slowness * max(0, calls+1-limit) / limit * float64(slot)
 	duration := wait + slowness*float64(times.mean)
+	if req.LongResponse {
+		duration += float64(c.linkBacklog(now, s, req.Class))
+	}
 	inTime := probability(float64(req.TimeToTarget)-duration, slowness*float64(times.spread))
 	inTime *= c.answered(now, s, req.Class)
 	if e.Suspect {
@@ -355,6 +375,19 @@
 	return Choice{Endpoint: e, chooser: c, state: s, class: req.Class, InTime: inTime, wait: time.Duration(wait), score: score, usage: calls / limit}
 }
 
+// linkBacklog estimates how long the link of an endpoint takes now to send what it has to send. Without a recent report, it assumes that of a typical
+// endpoint of the class.
+func (c *Chooser) linkBacklog(now time.Time, s *endpointState, class string) time.Duration {
+	typical := time.Duration(0)
+	if u := c.usages[class]; u != nil {
+		typical = u.linkBacklog
+	}
+	if s.reportedAt.IsZero() {
+		return typical
+	}
+	return typical + time.Duration(float64(s.report.LinkBacklog-typical)*reportWeight(now, s, c.policy.ReportDecay))
+}
+
 // slowness estimates how long work takes at the endpoint now, relative to the mean there.
 func (s *endpointState) slowness(now time.Time) float64 {
 	if s.report.Slowness == 0 {
@@ -434,6 +467,7 @@
 	}
 	u.answered += (l.Answered - u.answered) * usageWeight
 	u.mean += (float64(l.Running+l.Queued)/float64(max(1, l.Limit)) - u.mean) * usageWeight
+	u.linkBacklog += time.Duration(float64(l.LinkBacklog-u.linkBacklog) * usageWeight)
 	u.at = now
 	switch {
 	case l.ClassTime == 0:
@@ -486,7 +520,7 @@
 	}
 	switch o {
 	case Healthy:
-		s.failures, s.ejections = 0, 0
+		s.failures, s.ejections, s.unresponsive = 0, 0, false
 		s.answeredAt = now
 		c.recordResponse(now, ch.DataCentre)
 		c.observeDelay(now, ch.DataCentre, now.Sub(ch.sentAt))
@@ -499,6 +533,7 @@
 		}
 	case Unresponsive:
 		c.recordLoss(now, ch.DataCentre, s)
+		s.unresponsive = true
 		c.eject(now, s)
 	}
 }
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -326,6 +326,64 @@
 	assert.Greater(t, f.shares([]Endpoint{slower, fast}, time.Second)[slower.ID], 0.2)
 }
 
+// Pattern: a data centre is cut off, and the one endpoint of a service that is left is full, so that each call is refused there. Guards against calls that
+// are then sent to endpoints that did not respond, one after the other, instead of being refused at once; and against never trying these again.
+func TestPick_RefusedCallsAreNotSentToUnresponsiveEndpoints(t *testing.T) {
+	f := newFixture()
+	left, cutOff := endpoint("seeb", 1), []Endpoint{endpoint("nizwa", 2), endpoint("sohar", 3)}
+	endpoints := append([]Endpoint{left}, cutOff...)
+	lost := 0
+	const cut, interval = 6 * time.Second, 10 * time.Millisecond
+	for range int(cut / interval) {
+		f.now = f.now.Add(interval)
+		tried := map[string]bool{}
+		for {
+			choice := f.Pick(endpoints, Requirements{TimeToTarget: 500 * time.Millisecond, Excluded: func(e *Endpoint) bool { return tried[e.ID] }})
+			if choice == nil {
+				break
+			}
+			tried[choice.ID] = true
+			if choice.ID == left.ID {
+				load := fastLoad(30)
+				choice.Done(Healthy, &load)
+				continue
+			}
+			lost++
+			choice.Done(Unresponsive, nil)
+		}
+	}
+	perEndpoint := 4 // ejected for 1, 2 and 4 s in turn
+	assert.LessOrEqual(t, lost, perEndpoint*len(cutOff))
+	assert.GreaterOrEqual(t, lost, 2*len(cutOff))
+}
+
+// Pattern: downloads on slow links. Guards against sending them to an endpoint whose link is busy for most of their time, against short responses that avoid
+// it as well, and against one that is avoided long after its link is idle.
+func TestPick_LinkBacklogCountsForLongResponses(t *testing.T) {
+	f := newFixture()
+	full, idle := endpoint("seeb", 1), endpoint("seeb", 2)
+	backlog := fastLoad(0)
+	backlog.LinkBacklog = 400 * time.Millisecond
+	f.report(full, backlog)
+	f.report(idle, fastLoad(0))
+	share := func(long bool) float64 {
+		chosen := 0
+		const picks = 200
+		for range picks {
+			choice := f.Pick([]Endpoint{full, idle}, Requirements{Class: "eta", TimeToTarget: 300 * time.Millisecond, LongResponse: long})
+			if choice.ID == full.ID {
+				chosen++
+			}
+			choice.Done(Healthy, nil)
+		}
+		return float64(chosen) / picks
+	}
+	assert.Zero(t, share(true))
+	assert.Greater(t, share(false), 0.3)
+	f.now = f.now.Add(DefaultPolicy().ReportDecay)
+	assert.Greater(t, share(true), 0.3)
+}
+
 // Pattern: downloads from a service with one server in each data centre, while demand moves between them. Guards against callers who wait at
 // the full server at home since a download is large, and against calls that leave before anybody waits.
 func TestPick_DownloadLeavesBeforeItWaits(t *testing.T) {
--- a/standin/experiment/scenario.go
+++ b/standin/experiment/scenario.go
@@ -30,6 +30,7 @@
 	Demand      Demand    `json:"demand"`
 	Services    []Service `json:"services"`
 	Classes     []Class   `json:"classes"`
+	Teams       []Team    `json:"teams"` // optional
 	Events      []Event   `json:"events"`
 	Weights     Weights   `json:"weights"`
 	Variants    []Variant `json:"variants"`
@@ -66,6 +67,13 @@
 	ColdFactor float64   `json:"cold_factor"` // on the work of a cold server; default 1
 }
 
+// Team is a group of callers.
+type Team struct {
+	Name  string  `json:"name"`
+	Share float64 `json:"share"` // of the calls of each class, in relation to the shares of the other teams
+	Rank  *int    `json:"rank"`  // replaces the ranks of the classes; default: no change
+}
+
 // Class is a class of calls.
 type Class struct {
 	Name        string       `json:"name"`
@@ -74,9 +82,10 @@
 	Rank        int          `json:"rank"`
 	WorkMS      Distribution `json:"work_ms"`
 	TargetMS    float64      `json:"target_ms"`
-	DeadlineMS  float64      `json:"deadline_ms"`
-	Worth       float64      `json:"worth"`      // of a response in time
-	LateWorth   float64      `json:"late_worth"` // of a late one
+	DeadlineMS  float64      `json:"deadline_ms"` // how long the caller waits
+	TimeoutMS   float64      `json:"timeout_ms"`  // how long one attempt may take; default: until the deadline
+	Worth       float64      `json:"worth"`       // of a response in time
+	LateWorth   float64      `json:"late_worth"`  // of a late one
 	Idempotent  bool         `json:"idempotent"`
 	MaxAttempts int          `json:"max_attempts"` // backend servers that may receive the call
 	Returns     int          `json:"returns"`      // how often a caller returns after a refusal, or after a failure if the call is idempotent
@@ -105,7 +114,7 @@
 
 // Kinds of events.
 const (
-	Surge     EventKind = "surge"      // the rate of a class is multiplied by Factor
+	Surge     EventKind = "surge"      // the rate of a class, or of a team, is multiplied by Factor
 	Returning EventKind = "returning"  // Share of the refused callers return at once and Factor times
 	Shed      EventKind = "shed"       // Share of the servers of a service turn away Factor of their calls, free slots or not
 	Fail      EventKind = "fail"       // Share of the servers of a service fail Factor of their calls; with DataCentre, only those from there
@@ -123,6 +132,7 @@
 	AtS        float64   `json:"at_s"`
 	Seconds    float64   `json:"seconds"`
 	Class      string    `json:"class"`
+	Team       string    `json:"team"`
 	Service    string    `json:"service"` // empty: all services
 	DataCentre string    `json:"data_centre"`
 	Share      float64   `json:"share"`
@@ -140,12 +150,13 @@
 
 // Variant changes parameters of the decisions. The zero value is the product as it is.
 type Variant struct {
-	Name      string                     `json:"name"`
-	Admission map[string]json.RawMessage `json:"admission"` // fields of admission.Policy
-	Placement map[string]json.RawMessage `json:"placement"` // fields of placement.Policy
-	Shortage  map[string]json.RawMessage `json:"shortage"`  // fields of placement.ShortagePolicy
-	Retry     map[string]json.RawMessage `json:"retry"`     // fields of retry.Policy
-	Without   []Mechanism                `json:"without"`
+	Name       string                     `json:"name"`
+	Admission  map[string]json.RawMessage `json:"admission"`  // fields of admission.Policy
+	Placement  map[string]json.RawMessage `json:"placement"`  // fields of placement.Policy
+	Shortage   map[string]json.RawMessage `json:"shortage"`   // fields of placement.ShortagePolicy
+	Retry      map[string]json.RawMessage `json:"retry"`      // fields of retry.Policy
+	Dependency map[string]json.RawMessage `json:"dependency"` // fields of dependency.Policy
+	Without    []Mechanism                `json:"without"`
 }
 
 // Mechanism is a mechanism around the decisions that a variant can switch off.
@@ -153,15 +164,17 @@
 
 // Mechanisms that can be switched off.
 const (
-	NestedFirst       Mechanism = "nested_first"       // calls of backend servers go before others
+	NestedFirst       Mechanism = "nested_first"       // calls of backend servers go before others of their rank
+	ParentRank        Mechanism = "parent_rank"        // calls of backend servers have the rank of the calls that they run, not one above all
 	ReturnsRecognised Mechanism = "returns_recognised" // a caller that returns keeps the target of its first attempt
 	DelayCost         Mechanism = "delay_cost"         // nested calls prefer the quickest endpoint while their parent's service is full
 	SlownessReports   Mechanism = "slowness_reports"   // backend servers tell how long work takes
 	EarlyRejection    Mechanism = "early_rejection"    // a node rejects calls that the endpoints would refuse
 	LimitReports      Mechanism = "limit_reports"      // load reports show a limit that the backend server names
+	ParentAdmission   Mechanism = "parent_admission"   // calls whose nested calls are refused for lack of room are admitted as far as these are served
 )
 
-var mechanisms = []Mechanism{NestedFirst, ReturnsRecognised, DelayCost, SlownessReports, LimitReports, EarlyRejection}
+var mechanisms = []Mechanism{NestedFirst, ParentRank, ReturnsRecognised, DelayCost, SlownessReports, LimitReports, ParentAdmission, EarlyRejection}
 
 // Parse reads and checks a scenario. An error is an apierror.Error, or an apierror.List with all errors of the scenario.
 func Parse(data []byte) (*Scenario, error) {
@@ -227,6 +240,9 @@
 	for i := range s.Classes {
 		s.checkClass(c, fmt.Sprintf("classes[%d]", i), &s.Classes[i])
 	}
+	for i, team := range s.Teams {
+		c.positive(team.Share, fmt.Sprintf("teams[%d].share", i))
+	}
 	for i := range s.Events {
 		s.checkEvent(c, fmt.Sprintf("events[%d]", i), &s.Events[i])
 	}
@@ -262,7 +278,8 @@
 	c.require(e.DataCentre == "" || slices.Contains(s.DataCentres, e.DataCentre), field+".data_centre", fmt.Sprintf("%q is not known", e.DataCentre), "name one of data_centres")
 	switch e.Kind {
 	case Surge:
-		c.require(s.class(e.Class) != nil, field+".class", fmt.Sprintf("%q is not known", e.Class), "name one of classes")
+		c.require(e.Team != "" || s.class(e.Class) != nil, field+".class", fmt.Sprintf("%q is not known", e.Class), "name one of classes")
+		c.require(e.Team == "" || s.team(e.Team) >= 0, field+".team", fmt.Sprintf("%q is not known", e.Team), "name one of teams")
 		c.positive(e.Factor, field+".factor")
 	case Shed, Fail:
 		c.fraction(e.Factor, field+".factor")
@@ -284,6 +301,11 @@
 	return &s.Services[i]
 }
 
+// team returns the index of a team, or -1.
+func (s *Scenario) team(name string) int {
+	return slices.IndexFunc(s.Teams, func(x Team) bool { return x.Name == name })
+}
+
 func (s *Scenario) class(name string) *Class {
 	i := slices.IndexFunc(s.Classes, func(x Class) bool { return x.Name == name })
 	if i < 0 {
