placement: a download leaves for an idle link

Cause: a wait for the link of the server at home counted only in the probability to be in time, against the full price of a late response, so that downloads of 90 KB queued for it while links of other data centres were idle. Change: the part of a link's backlog that outlasts the work is a wait like that for a slot; the call leaves for an endpoint whose slots and link have room.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -2,9 +2,10 @@
 // in each response, the number of outstanding calls, and failures. It does not use health or load that backend servers claim themselves.
 //
 // The score of an endpoint is the probability that the call is in time there, minus a cost for a busy endpoint and minus the cost of
-// bytes between data centres. A call also leaves its data centre if it would wait longer there than the way and its bytes are worth. The probability follows from the endpoint's queue and from how long calls of the same class take there,
-// which differs between backend servers. Only a few endpoints, sampled at random, are compared (power of d choices), so that callers
-// with the same reports do not all choose the same one.
+// bytes between data centres. The probability follows from the endpoint's queue and from how long calls of the same class take there,
+// which differs between backend servers. A call also leaves its data centre if it would wait longer there than the way and its bytes are
+// worth. Only a few endpoints, sampled at random, are compared (power of d choices), so that callers with the same reports do not all
+// choose the same one.
 package placement
 
 import (
@@ -221,7 +222,7 @@
 	NoQueue bool
 	score   float64       // InTime minus costs
 	usage   float64       // estimated slots in use and calls queued, relative to the slots
-	wait    time.Duration // expected time in the queue
+	wait    time.Duration // expected time in the queue, and until the link has room for the response
 }
 
 // Pick chooses one of the endpoints, or returns nil if none is eligible.
@@ -279,7 +280,8 @@
 
 const bytesPerKB = 1000
 
-// leavesQueue reports whether the call would wait so long in the own data centre that the way to a free slot of another one is worth it.
+// leavesQueue reports whether the call would wait so long in the own data centre, for a slot or the link, that the way to an endpoint of another one
+// which has room is worth it.
 func (c *Chooser) leavesQueue(now time.Time, local, remote *Choice, req Requirements) bool {
 	if c.policy.WaitPricePerKB == 0 || remote.wait > 0 || local.score >= remote.score {
 		return false
@@ -360,7 +362,9 @@
 	wait := slowness * max(0, calls+1-limit) / limit * float64(slot)
 	duration := wait + slowness*float64(times.mean)
 	if req.LongResponse {
-		duration += float64(c.linkBacklog(now, s, req.Class))
+		backlog := float64(c.linkBacklog(now, s, req.Class))
+		wait += max(0, backlog-duration) // the link sends what it has to send while the call is served
+		duration += backlog
 	}
 	inTime := probability(float64(req.TimeToTarget)-duration, slowness*float64(times.spread))
 	inTime *= c.answered(now, s, req.Class)
