--- a/model/team_limit.pml
+++ b/model/team_limit.pml
@@ -1,6 +1,7 @@
 /*
- * Limit of a team over two nodes that exchange counts through a collector. The link of one node to the collector is cut and comes back, the
- * collector may be late with its replies, and each node gets at most one request of the team and reports at most once in each tick. One window:
+ * Limit of a team over two nodes that exchange counts through a collector. The link of one node to the collector is cut, the
+ * collector may be late with its replies, and each node gets one request of the team in each tick after one of its own
+ * (a surge), and reports at most once in each tick. One window:
  * counts do not leave it.
  *
  * Property: both nodes together grant at most LIMIT requests, and what they can grant on counts of the age that the protocol accepts.
@@ -14,7 +15,7 @@
 #define TIMEOUT 1       /* ticks after which a reply does not count */
 #define MARGIN 4        /* GRACE + TIMEOUT, and the ticks in which counts are taken and a link is cut */
 #define TICKS 10
-#define CUTS 2         /* changes of the link */
+#define CUTS 1          /* changes of the link */
 #define SHARE (LIMIT / 2)
 
 byte granted[2];
@@ -26,6 +27,7 @@
 byte reply[2];
 byte delay[2];          /* ticks since the collector sent it */
 bit cut;                /* the link of node 1 */
+byte from[2];           /* tick after which a node gets requests */
 byte ticks = 0, cuts = 0;
 
 inline request(i) {
@@ -68,12 +70,14 @@
 
 inline older(x) { if :: x <= GRACE + TIMEOUT -> x++ :: else fi }
 
-inline maybe_request(i) { if :: request(i) :: skip fi }
+inline maybe_request(i) { if :: ticks > from[i] -> request(i) :: else fi }
 inline maybe_report(i) { if :: !asking[i] -> report(i) :: skip fi }
 inline maybe_arrive(i) { if :: asking[i] -> arrive(i) :: skip fi }
 
 active proctype Fleet() {
 	byte room;
+	do :: from[0] < TICKS -> from[0]++ :: break od;
+	do :: from[1] < TICKS -> from[1]++ :: break od;
 	do
 	:: atomic { ticks < TICKS -> ticks++;
 		if :: cuts < CUTS -> cuts++; cut = 1 - cut :: skip fi;
