--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -222,7 +222,7 @@
 	NoQueue bool
 	score   float64       // InTime minus costs
 	usage   float64       // estimated slots in use and calls queued, relative to the slots
-	wait    time.Duration // expected time in the queue, and until the link has room for the response
+	wait    time.Duration // expected time in the queue
 }
 
 // Pick chooses one of the endpoints, or returns nil if none is eligible.
@@ -280,8 +280,7 @@
 
 const bytesPerKB = 1000
 
-// leavesQueue reports whether the call would wait so long in the own data centre, for a slot or the link, that the way to an endpoint of another one
-// which has room is worth it.
+// leavesQueue reports whether the call would wait so long in the own data centre that the way to a free slot of another one is worth it.
 func (c *Chooser) leavesQueue(now time.Time, local, remote *Choice, req Requirements) bool {
 	if c.policy.WaitPricePerKB == 0 || remote.wait > 0 || local.score >= remote.score {
 		return false
@@ -362,9 +361,7 @@
 	wait := slowness * max(0, calls+1-limit) / limit * float64(slot)
 	duration := wait + slowness*float64(times.mean)
 	if req.LongResponse {
-		backlog := float64(c.linkBacklog(now, s, req.Class))
-		wait += max(0, backlog-duration) // the link sends what it has to send while the call is served
-		duration += backlog
+		duration += float64(c.linkBacklog(now, s, req.Class))
 	}
 	inTime := probability(float64(req.TimeToTarget)-duration, slowness*float64(times.spread))
 	inTime *= c.answered(now, s, req.Class)
