--- a/pkg/quota/exchange.go
+++ b/pkg/quota/exchange.go
@@ -424,6 +424,7 @@
 	if len(l.teams) == 0 {
 		return 0
 	}
+	l.learnBaselines(now)
 	near := l.near
 	l.near = false
 	if near || l.isCollector() && l.isAnyNear(now) {
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -89,7 +89,8 @@
 	mu      sync.Mutex
 	teams   map[string]*team
 	sources []*source
-	near    bool // a team was near its limit since the latest exchange
+	near    bool          // a team was near its limit since the latest exchange
+	learnt  time.Duration // when baselines were last sampled
 }
 
 // team is what a node counts itself.
@@ -100,6 +101,7 @@
 	refused  history
 	since    float64 // admitted and not reported, as far as is known
 	reported float64 // part of since that the latest report to an upper node holds
+	baseline baseline
 	view     view
 	refusals int64 // since the start
 }
@@ -149,6 +151,7 @@
 			t.began = now
 			l.teams[name] = t
 		}
+		t.scaleBaseline(l.options.Bound.target(t.limit), l.options.Bound.target(limit))
 		t.limit, t.view.valid = limit, false
 	}
 }
@@ -176,7 +179,7 @@
 	t.refused.add(sequence, 1) // until it is granted
 	demand := t.demand(v)
 	l.near = l.near || l.isNear(t, d.Used, demand)
-	if chance := t.chance(v, d, own, ending, demand); chance < 1 && l.options.Random() >= chance {
+	if chance := max(t.chance(v, d, own, ending, demand), l.baselineChance(t)); chance < 1 && l.options.Random() >= chance {
 		t.refusals++
 		d.RetryAfter = l.retryAfter(t, v, d, demand)
 		return d
