--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -179,7 +179,7 @@
 	t.refused.add(sequence, 1) // until it is granted
 	demand := t.demand(v)
 	l.near = l.near || l.isNear(t, d.Used, demand)
-	if chance := max(t.chance(v, d, own, ending, demand), l.baselineChance(t)); chance < 1 && l.options.Random() >= chance {
+	if chance := max(t.chance(v, d, own, ending, demand), t.baselineChance(v)); chance < 1 && l.options.Random() >= chance {
 		t.refusals++
 		d.RetryAfter = l.retryAfter(t, v, d, demand)
 		return d
--- a/pkg/sidecar/team_limit.go
+++ b/pkg/sidecar/team_limit.go
@@ -21,8 +21,9 @@
 )
 
 const (
-	// limitExchangeTimeout is the time after which a node counts as out of touch. Round trips take tens of milliseconds.
-	limitExchangeTimeout = 300 * time.Millisecond
+	// limitExchangeTimeout is the time after which a node counts as out of touch. Round trips take tens of milliseconds, but hundreds on a machine
+	// that is short of processor time, and a change of collector makes the counts of all its nodes late.
+	limitExchangeTimeout = 600 * time.Millisecond
 	// limitCheckInterval is the time between checks whether an exchange is due.
 	limitCheckInterval = 50 * time.Millisecond
 	// idleLimitCheckInterval is that while no team has a limit.
@@ -157,7 +158,7 @@
 	for i := range members {
 		m := &members[i]
 		if m.Status != membership.Left {
-			all = append(all, quota.Member{ID: m.ID, DataCentre: m.DataCentre, Address: m.ControlAddress, Alive: m.Status == membership.Alive})
+			all = append(all, quota.Member{ID: m.ID, DataCentre: m.DataCentre, Address: m.ControlAddress, Alive: m.Status == membership.Alive || m.Status == membership.Suspect})
 		}
 	}
 	return all
