--- a/pkg/quota/baseline.go
+++ b/pkg/quota/baseline.go
@@ -20,15 +20,13 @@
 // for others that callers below the limit are refused, return, and add to the load.
 type baseline struct {
 	requests float64 // in a window
-	learnt   time.Duration
 	samples  int
 }
 
 // add takes in a sample of the node's part, in requests in a window.
-func (b *baseline) add(now time.Duration, part float64) {
-	weight := max(float64(min(now-b.learnt, baselineTime))/float64(baselineTime), 1/float64(b.samples+1))
-	b.requests += (part - b.requests) * min(1, weight)
-	b.learnt, b.samples = now, b.samples+1
+func (b *baseline) add(part float64) {
+	b.samples++
+	b.requests += (part - b.requests) * max(1/float64(b.samples), float64(learnInterval)/float64(baselineTime))
 }
 
 // learnBaselines samples the teams whose use is calm.
@@ -43,7 +41,7 @@
 		own, _ := l.own(now, t)
 		used, calm := own+v.used, calmShare*l.options.Bound.target(t.limit)
 		if !v.alone && now-t.began >= l.options.Bound.Window && used <= calm {
-			t.baseline.add(now, t.admitted.sum*min(maxGrowth, calm/max(1, used)))
+			t.baseline.add(t.admitted.sum * min(maxGrowth, calm/max(1, used)))
 		}
 	}
 }
