--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -123,7 +124,8 @@
 	m.platform.copied = old
 	m.platform.mu.Unlock()
 	n := m.start(2)
-	m.eventually("the node starts with the copy", func() bool { return strings.Contains(m.log.String(), "before=0 from=copy") })
+	fromCopy := regexp.MustCompile(`node=` + n.settings.ID + ` .*before=0 from=copy`)
+	m.eventually("the node starts with the copy", func() bool { return fromCopy.MatchString(m.log.String()) })
 	m.eventually("the node moves to the newer version", func() bool { return n.follower.Table().Document.Version == 2 })
 
 	m.platform.mu.Lock()
