sidecar: settings with a zero window of limits have the defaults

Change: 0 stands for the default, as for bounds.store_recovery. Result: TestSettings_LimitWindowIsOptional fails before, passes after.

--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -65,7 +65,7 @@
 	ReadinessInterval Duration `json:"ready_checked_in"` // interval between readiness checks
 	ExposureShare     float64  `json:"exposure_share"`   // fraction of a service's requests that a version may get before it is known to be good
 	ExposureSlack     float64  `json:"exposure_slack"`   // additional requests that it may get
-	LimitWindow       Duration `json:"limit_window"`     // in which the limits of teams hold; default 5 s
+	LimitWindow       Duration `json:"limit_window"`     // in which the limits of teams hold; 0: 5 s, and the defaults of the two fields below
 	LimitOverage      float64  `json:"limit_overage"`    // fraction by which a limit of a team may be exceeded in a window; default 0.1
 	LimitSlack        float64  `json:"limit_slack"`      // requests by which it may be exceeded in addition; default 20
 }
@@ -176,7 +176,7 @@
 	}{
 		{"backend.announcement_interval", s.Backend.AnnouncementInterval}, {"bounds.grace_period", s.Bounds.GracePeriod},
 		{"bounds.drain", s.Bounds.Drain}, {"bounds.config_apply", s.Bounds.ConfigApply}, {"bounds.retry_window", s.Bounds.RetryWindow},
-		{"bounds.ready_checked_in", s.Bounds.ReadinessInterval}, {"bounds.limit_window", s.Bounds.LimitWindow},
+		{"bounds.ready_checked_in", s.Bounds.ReadinessInterval},
 	} {
 		require(f.value > 0, f.field, "missing or 0", "specify a duration, such as \"2s\"")
 	}
--- a/pkg/sidecar/team_limit_test.go
+++ b/pkg/sidecar/team_limit_test.go
@@ -112,3 +112,17 @@
 	}
 	return true
 }
+
+// Guards against settings that a program has written, with a zero for each field that is not set, and that are refused for a missing window of limits.
+func TestSettings_LimitWindowIsOptional(t *testing.T) {
+	duration := Duration(time.Second)
+	address := "127.0.0.1:7000"
+	data, err := json.Marshal(&Settings{
+		ID: "a", Region: "r", DataCentre: "d", Listen: Listen{address, address, address, address, address, address},
+		Backend: Backend{"s", address, duration}, Store: Store{address},
+		Bounds: Bounds{GracePeriod: duration, Drain: duration, ConfigApply: duration, RetryWindow: duration, ReadinessInterval: duration},
+	})
+	require.NoError(t, err)
+	_, err = ParseSettings(data)
+	assert.NoError(t, err)
+}
