--- a/review/standin-2/clock.go
+++ b/review/standin-2/clock.go
@@ -12,7 +12,7 @@
 	firstBoot    = 800 * time.Millisecond // until the server crashes; the time of day has jumped back
 	crashTime    = 400 * time.Millisecond // until it starts again
 	secondBoot   = 6 * time.Second        // until it says that it is leaving
-	stepClients  = 16
+	stepClients  = 49
 	clockServing = 8 * time.Second // for which it goes on serving then
 )
 
@@ -21,13 +21,14 @@
 func clockStep(f *fleet, trouble bool) (bool, error) {
 	var servers []*server
 	var all []*beats
-	for i, zone := range []string{"seeb", "nizwa", "sohar"} {
+	zones := []string{"seeb", "seeb", "seeb", "nizwa", "nizwa", "sohar", "sohar", "sohar"}
+	for i, zone := range zones {
 		s, err := newServer(f, fmt.Sprintf("i-%d", i+1), 50*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
 		service := "records"
-		if i == 2 {
+		if i == len(zones)-1 {
 			service = "tracker"
 		}
 		n := f.addNode(zone, service, s.address(), nil)
@@ -59,7 +60,7 @@
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for c := range stepClients {
-		n := f.nodes[1+c%2]
+		n := f.nodes[1+c%(len(zones)-1)]
 		clients.Go(func() {
 			for i := 0; ; i++ {
 				select {
