--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/platform/wire"
 )
 
 // answer is what a client saw of a request; status 0: no answer.
@@ -18,6 +20,12 @@
 	err    error
 }
 
+// requestHead returns the request line and the header of a client's request, without the last empty line.
+func requestHead(method, route, id string, deadline time.Duration) string {
+	return fmt.Sprintf("%s /%s/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
+		method, route, id, host, wire.Headers.RequestID, id, wire.Headers.DeadlineMS, deadline.Milliseconds())
+}
+
 // get sends a GET on the route "history" over a new connection.
 func get(n *node, id string) answer { return send(n, http.MethodGet, "history", id, 2*time.Second) }
 
@@ -32,14 +40,14 @@
 	if method == http.MethodPost {
 		length = "Content-Length: 0\r\n"
 	}
-	fmt.Fprintf(conn, "%s /%s/%s HTTP/1.1\r\nHost: %s\r\nLaburnumcleat-Request-Attempt-Id: %s\r\nLaburnumcleat-Deadline-Milliseconds: %d\r\n%s\r\n", method, route, id, host, id, deadline.Milliseconds(), length)
+	fmt.Fprintf(conn, "%s%s\r\n", requestHead(method, route, id, deadline), length)
 	_ = conn.SetReadDeadline(time.Now().Add(deadline))
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
 	if err != nil {
 		return answer{err: err}
 	}
 	body, err := io.ReadAll(response.Body)
-	signature := response.Header.Get("Laburnumcleat-Server-Signature")
+	signature := response.Header.Get(wire.Headers.Signature)
 	return answer{status: response.StatusCode, signed: signature != "", server: signature, body: string(body), err: err}
 }
 
@@ -59,12 +67,12 @@
 
 // get sends a request with a time budget and waits for its answer.
 func (k *keptConn) get(route, id string, deadline, wait time.Duration) answer {
-	fmt.Fprintf(k.conn, "GET /%s/%s HTTP/1.1\r\nHost: %s\r\nLaburnumcleat-Request-Attempt-Id: %s\r\nLaburnumcleat-Deadline-Milliseconds: %d\r\n\r\n", route, id, host, id, deadline.Milliseconds())
+	fmt.Fprintf(k.conn, "%s\r\n", requestHead(http.MethodGet, route, id, deadline))
 	_ = k.conn.SetReadDeadline(time.Now().Add(wait))
 	response, err := http.ReadResponse(k.reader, &http.Request{Method: http.MethodGet})
 	if err != nil {
 		return answer{err: err}
 	}
 	body, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, server: response.Header.Get("Laburnumcleat-Server-Signature"), body: string(body), err: err}
+	return answer{status: response.StatusCode, server: response.Header.Get(wire.Headers.Signature), body: string(body), err: err}
 }
--- a/review/standin-2/early.go
+++ b/review/standin-2/early.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/platform/wire"
 )
 
 // Doses of the disruption: garble with how "early" (long requests are rejected or answered before they are in).
@@ -77,17 +79,17 @@
 		if err != nil {
 			return
 		}
-		id := r.Header.Get("Laburnumcleat-Request-Attempt-Id")
+		id := r.Header.Get(wire.Headers.RequestID)
 		switch {
 		case r.URL.Path == healthPath:
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nLaburnumcleat-Instance-Id: %s\r\nLaburnumcleat-Server-Load: 0,0,9\r\nContent-Length: 0\r\n\r\n", s.id)
+			writeHealth(conn, "200 OK", s.id)
 			continue
-		case r.Header.Get("Laburnumcleat-Expected-Instance") != s.id:
-			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nLaburnumcleat-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id)
+		case r.Header.Get(wire.Headers.ExpectedInstance) != s.id:
+			writeMisdirected(conn, s.id)
 			continue
 		}
 		answer := func() {
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nLaburnumcleat-Request-Attempt-Id: %s\r\nLaburnumcleat-Server-Signature: %s.%s\r\nContent-Length: %d\r\n\r\n%s", id, s.id, id, answerBytes, strings.Repeat("a", answerBytes))
+			_ = writeAnswer(conn, s.id, id, strings.Repeat("a", answerBytes)) // the next read tells whether the connection is lost
 		}
 		if r.Method != http.MethodPost {
 			answer()
@@ -285,8 +287,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(uploadTimeout))
-	fmt.Fprintf(conn, "POST /upload/%s HTTP/1.1\r\nHost: %s\r\nLaburnumcleat-Request-Attempt-Id: %s\r\nLaburnumcleat-Deadline-Milliseconds: %d\r\nContent-Length: %d\r\n\r\n",
-		id, host, id, uploadTimeout.Milliseconds(), len(l.content))
+	fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", requestHead(http.MethodPost, "upload", id, uploadTimeout), len(l.content))
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -3,11 +3,13 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -19,6 +21,7 @@
 	"github.com/laburnumcleat/laburnumcleat/pkg/routing"
 	"github.com/laburnumcleat/laburnumcleat/pkg/sidecar"
 	"github.com/laburnumcleat/laburnumcleat/platform/standin"
+	"github.com/laburnumcleat/laburnumcleat/platform/wire"
 	"github.com/laburnumcleat/laburnumcleat/standin/child"
 )
 
@@ -261,11 +264,48 @@
 
 // send delivers a report and returns whether it was acknowledged.
 func (b *beats) send(a announce.Announcement) bool {
+	status, err := b.node.report(a, b.node.settings.DataCentre)
+	b.f.printf("report of %s to %s: sequence %d draining %v: status %d, error %v", a.ID, b.node.settings.ID, a.Sequence, a.Draining, status, err)
+	return err == nil && status/100 == 2
+}
+
+// report sends a liveness report to a node and returns the status of the answer. An empty zone is left out.
+func (n *node) report(a announce.Announcement, zone string) (int, error) {
+	state, cold := wire.StateReady, sidecar.Duration(a.ColdRemaining)
+	if a.Draining {
+		state = wire.StateDraining
+	}
+	known, err := json.Marshal(wire.Heartbeat{
+		Service: &a.Service, Address: &a.Address, Version: a.Version, Slots: &a.Slots, State: &state, ColdRemaining: &cold, Sequence: &a.Sequence, Born: &a.StartTimeMS,
+	})
+	if err != nil {
+		return 0, err
+	}
+	var fields map[string]any
+	decoder := json.NewDecoder(bytes.NewReader(known))
+	decoder.UseNumber()
+	if err := decoder.Decode(&fields); err != nil {
+		return 0, err
+	}
+	if zone != "" {
+		fields["zone"] = zone
+	}
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return 0, err
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	err := standin.Announce(ctx, b.node.settings.Listen.Announcements, a)
-	b.f.printf("report of %s to %s: sequence %d draining %v: acknowledged %v", a.ID, b.node.settings.ID, a.Sequence, a.Draining, err == nil)
-	return err == nil
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+n.settings.Listen.Announcements+wire.InstancesPath+a.ID, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
 }
 
 // leave sends DELETE and returns whether it was acknowledged.
--- a/review/standin-2/foreign.go
+++ b/review/standin-2/foreign.go
@@ -1,13 +1,12 @@
 package main
 
 import (
-	"bytes"
-	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/announce"
 )
 
 const (
@@ -94,24 +93,8 @@
 
 // reportOfAnotherWriter sends a report without the field "zone".
 func (f *fleet) reportOfAnotherWriter(n *node) error {
-	body, err := json.Marshal(map[string]any{
-		"service": "tracker", "address": n.settings.Backend.Address, "version": "v1", "slots": 9, "state": "ready", "cold_remaining": "0ms", "sequence": 1,
-		"born": time.Now().UnixMilli(),
-	})
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+n.settings.Listen.Announcements+"/-/instances/i-stray", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	f.printf("report of another writer to %s: %s: status %d", n.settings.ID, body, response.StatusCode)
-	return nil
+	a := announce.Announcement{ID: "i-stray", Service: "tracker", Address: n.settings.Backend.Address, Version: "v1", Slots: 9, Sequence: 1, StartTimeMS: time.Now().UnixMilli()}
+	status, err := n.report(a, "")
+	f.printf("report of another writer to %s, without a zone: %+v: status %d, error %v", n.settings.ID, a, status, err)
+	return err
 }
--- a/review/standin-2/gone.go
+++ b/review/standin-2/gone.go
@@ -74,7 +74,7 @@
 	}
 	defer conn.Close()
 	o.sent.Add(1)
-	fmt.Fprintf(conn, "POST /order/%s HTTP/1.1\r\nHost: %s\r\nLaburnumcleat-Request-Attempt-Id: %s\r\nLaburnumcleat-Deadline-Milliseconds: %d\r\nContent-Length: 0\r\n\r\n", id, host, id, time.Until(end).Milliseconds())
+	fmt.Fprintf(conn, "%sContent-Length: 0\r\n\r\n", requestHead(http.MethodPost, "order", id, time.Until(end)))
 	_ = conn.SetReadDeadline(leave)
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
 	if err != nil {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/platform/wire"
 )
 
 // run is one execution of a request at a server.
@@ -95,20 +97,20 @@
 		if err != nil {
 			return
 		}
-		id := r.Header.Get("Laburnumcleat-Request-Attempt-Id")
+		id := r.Header.Get(wire.Headers.RequestID)
 		switch {
 		case r.URL.Path == healthPath:
 			status := "200 OK"
 			if s.leaving.Load() {
 				status = "503 Service Unavailable"
 			}
-			fmt.Fprintf(conn, "HTTP/1.1 %s\r\nLaburnumcleat-Instance-Id: %s\r\nLaburnumcleat-Server-Load: 0,0,9\r\nContent-Length: 0\r\n\r\n", status, s.id)
+			writeHealth(conn, status, s.id)
 			continue
-		case r.Header.Get("Laburnumcleat-Expected-Instance") != "" && r.Header.Get("Laburnumcleat-Expected-Instance") != s.id:
-			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nLaburnumcleat-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id)
+		case r.Header.Get(wire.Headers.ExpectedInstance) != "" && r.Header.Get(wire.Headers.ExpectedInstance) != s.id:
+			writeMisdirected(conn, s.id)
 			continue
 		}
-		e := execution{id: id, method: r.Method, target: r.RequestURI, caller: r.Header.Get("Laburnumcleat-Caller-Service"), body: body, at: time.Now()}
+		e := execution{id: id, method: r.Method, target: r.RequestURI, caller: r.Header.Get(wire.Headers.Caller), body: body, at: time.Now()}
 		s.mu.Lock()
 		s.runs = append(s.runs, e)
 		s.mu.Unlock()
@@ -117,7 +119,7 @@
 		}
 		time.Sleep(s.work)
 		text := "answer to " + id
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nLaburnumcleat-Request-Attempt-Id: %s\r\nLaburnumcleat-Server-Signature: %s.%s\r\nLaburnumcleat-Server-Load: 1,0,9\r\nContent-Length: %d\r\n\r\n%s", id, s.id, id, len(text), text); err != nil {
+		if writeAnswer(conn, s.id, id, text) != nil {
 			return
 		}
 	}
@@ -129,3 +131,20 @@
 	defer s.mu.Unlock()
 	return append([]execution(nil), s.runs...)
 }
+
+// writeHealth answers a liveness check.
+func writeHealth(w io.Writer, status, instance string) {
+	fmt.Fprintf(w, "HTTP/1.1 %s\r\n%s: %s\r\n%s: 0,0,9\r\nContent-Length: 0\r\n\r\n", status, wire.Headers.Instance, instance, wire.LoadHeader)
+}
+
+// writeMisdirected turns away a request for another instance.
+func writeMisdirected(w io.Writer, instance string) {
+	fmt.Fprintf(w, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", wire.Headers.Instance, instance)
+}
+
+// writeAnswer answers a request that has run.
+func writeAnswer(w io.Writer, instance, id, text string) error {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\n%s: 1,0,9\r\nContent-Length: %d\r\n\r\n%s",
+		wire.Headers.RequestID, id, wire.Headers.Signature, instance, id, wire.LoadHeader, len(text), text)
+	return err
+}
