sidecar: a test reads the fake store's copy with its lock

A race of the test, not of the program. fakePlatform.copy takes the lock; the assertions are the same.

--- a/pkg/sidecar/mesh_test.go
+++ b/pkg/sidecar/mesh_test.go
@@ -308,6 +308,13 @@
 	return len(p.blocked)
 }
 
+// copy returns the copy of the configuration; nil if there is none.
+func (p *fakePlatform) copy() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.copied
+}
+
 func (p *forNode) PutCopy(_ context.Context, data []byte) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/sidecar/quarantine_store_test.go
+++ b/pkg/sidecar/quarantine_store_test.go
@@ -34,11 +34,7 @@
 // awaitCopy waits until the store has a copy of the configuration.
 func (m *mesh) awaitCopy() {
 	m.t.Helper()
-	m.eventually("the store has a copy of the configuration", func() bool {
-		m.platform.mu.Lock()
-		defer m.platform.mu.Unlock()
-		return m.platform.copied != nil
-	})
+	m.eventually("the store has a copy of the configuration", func() bool { return m.platform.copy() != nil })
 }
 
 // Guards against a request that crashes backend servers again after all nodes were restarted at the same time.
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -113,13 +113,9 @@
 func TestStart_FromConfigurationCopy(t *testing.T) {
 	m := newMesh(t, 2)
 	m.awaitCopy()
-	old := m.platform.copied
+	old := m.platform.copy()
 	m.platform.publish(testDocument(2))
-	m.eventually("the copy is updated", func() bool {
-		m.platform.mu.Lock()
-		defer m.platform.mu.Unlock()
-		return !bytes.Equal(m.platform.copied, old)
-	})
+	m.eventually("the copy is updated", func() bool { return !bytes.Equal(m.platform.copy(), old) })
 	m.platform.mu.Lock()
 	m.platform.copied = old
 	m.platform.mu.Unlock()
