--- a/pkg/sidecar/generation_test.go
+++ b/pkg/sidecar/generation_test.go
@@ -91,7 +91,7 @@
 		return m.platform.copied != nil && !m.platform.earlierCopy
 	})
 	assert.True(t, hasVersion(3)(), "a version fell")
-	document, err := decodeCompressed[routing.Document](m.platform.copied)
+	document, err := decodeCompressed[routing.Document](m.platform.copy())
 	require.NoError(t, err)
 	assert.EqualValues(t, 3, document.Version)
 	m.platform.publish(testDocument(4)) // at the position where version 3 was
