hop, inbound, outbound: a deadline is not taken for a caller who has left

What callers saw: 502 where 504 was due, if the deadline passed while the cause of a cut exchange was determined. Cause: causeOf read ctx.Err() twice; the deadline may pass between the two, so that the first read returned nil and the second one was taken for a cancellation. classifyUnsent, classifyInterrupted, failedReply and truncatedReply of laburnumd did the same. Each reads it once now.

--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -203,10 +203,10 @@
 
 // causeOf returns DeadlineExceeded or Cancelled if the context has ended, since err is then only a consequence; otherwise fallback.
 func causeOf(ctx context.Context, err error, fallback Cause) Cause {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	switch ended := ctx.Err(); { // read once: the deadline may pass between two reads
+	case errors.Is(ended, context.DeadlineExceeded):
 		return DeadlineExceeded
-	case ctx.Err() != nil:
+	case ended != nil:
 		return Cancelled
 	}
 	if deadline, ok := ctx.Deadline(); ok && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(deadline) {
--- a/pkg/inbound/backend_client.go
+++ b/pkg/inbound/backend_client.go
@@ -169,10 +169,10 @@
 // classifyUnsent returns the failure for an error before any byte of the request was written.
 func classifyUnsent(ctx context.Context, err error) *failure {
 	f := &failure{outcome: callctx.NotRun, reason: callctx.BackendUnreachable}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	switch ended := ctx.Err(); {
+	case errors.Is(ended, context.DeadlineExceeded):
 		f.reason = callctx.DeadlineExpired
-	case ctx.Err() != nil:
+	case ended != nil:
 		f.reason = callctx.CancelledBeforeForward
 	default:
 		f.shed = errors.Is(err, syscall.ECONNREFUSED)
@@ -183,11 +183,11 @@
 // classifyInterrupted returns the failure for an error after the request may have been written.
 func classifyInterrupted(ctx context.Context, reason callctx.Reason) *failure {
 	f := &failure{outcome: callctx.Unknown, reason: reason}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	switch ended := ctx.Err(); {
+	case errors.Is(ended, context.DeadlineExceeded):
 		f.reason = callctx.DeadlineInBackend
 		f.timedOut = true
-	case ctx.Err() != nil:
+	case ended != nil:
 		f.reason = callctx.CancelledInBackend
 	}
 	return f
--- a/pkg/outbound/attempt.go
+++ b/pkg/outbound/attempt.go
@@ -108,13 +108,14 @@
 	var transportErr *transport.Error
 	sent := !errors.As(err, &transportErr) || transportErr.Written
 	callerCancelled := c.request.Context().Err() != nil
-	deadlineExceeded := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	ended := ctx.Err() // read once: the deadline may pass between two reads
+	deadlineExceeded := errors.Is(ended, context.DeadlineExceeded)
 	switch {
 	case sent && callerCancelled:
 		return &reply{outcome: callctx.Unknown, reason: callctx.CancelledInBackend}
 	case sent && deadlineExceeded:
 		return &reply{outcome: callctx.Unknown, reason: callctx.DeadlineInBackend, noResponse: true}
-	case sent && ctx.Err() != nil:
+	case sent && ended != nil:
 		return &reply{outcome: callctx.Unknown, reason: callctx.CancelledInBackend}
 	case errors.Is(err, transport.ErrInvalidStatus):
 		return &reply{outcome: callctx.Unknown, reason: callctx.ResponseStatus}
@@ -124,7 +125,7 @@
 		return &reply{outcome: callctx.NotRun, reason: callctx.CancelledBeforeForward, notSent: true}
 	case deadlineExceeded:
 		return &reply{outcome: callctx.NotRun, reason: callctx.DeadlineExpired, notSent: true, noResponse: true}
-	case ctx.Err() != nil:
+	case ended != nil:
 		return &reply{outcome: callctx.NotRun, reason: callctx.CancelledBeforeForward, notSent: true}
 	default:
 		return &reply{outcome: callctx.NotRun, reason: callctx.BackendUnreachable, notSent: true, noResponse: true, retryAfter: defaultRetryAfter}
@@ -260,12 +261,12 @@
 
 func truncatedReply(ctx context.Context, c *call) *reply {
 	reason := callctx.ResponseTruncated
-	switch {
+	switch ended := ctx.Err(); {
 	case c.request.Context().Err() != nil:
 		reason = callctx.CancelledInBackend
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ended, context.DeadlineExceeded):
 		reason = callctx.DeadlineInBackend
-	case ctx.Err() != nil:
+	case ended != nil:
 		reason = callctx.CancelledInBackend
 	}
 	return &reply{outcome: callctx.Unknown, reason: reason}
