sidecar: a caller who leaves withdraws a non-idempotent request from the queue

Cause: sendWithRetries detached the context of a non-idempotent request from its caller before the first attempt, so the node in whose queue the request waited never learned that the caller had left. A late notice of the close was ruled out: idempotent requests left the queue at once in the same test. Change: the context stays attached. The node beside the backend server, which alone knows whether the backend server has the request, lets a non-idempotent request run on (inbound.forward), as before.

--- a/pkg/sidecar/caller_left_test.go
+++ b/pkg/sidecar/caller_left_test.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,6 +49,62 @@
 	}
 }
 
+// maxNoticeTime bounds the time until a request of a caller who has left is out of all queues.
+const maxNoticeTime = 500 * time.Millisecond
+
+// Guards against requests that wait in the queue of a backend server after their callers have left, and are executed when a slot is free.
+func TestQueuedRequest_OfCallerThatLeftIsNotExecuted(t *testing.T) {
+	const post = "POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\n"
+	for name, sent := range map[string]string{
+		"idempotent":     "GET /safe/ HTTP/1.1\r\nHost: h.example\r\n\r\n",
+		"not idempotent": post + "Content-Length: 0\r\n\r\n",
+	} {
+		for from := range 2 {
+			t.Run(fmt.Sprintf("%s at node %d", name, from), func(t *testing.T) {
+				m := newMesh(t, 2)
+				m.nodes[1].Leave(m.nodes[1].backend.id)
+				m.eventually("one backend server is used", func() bool { return len(m.nodes[from].endpoints("s")) == 1 })
+				release := m.occupySlots(m.nodes[0])
+				conn, err := net.Dial("tcp", m.nodes[from].settings.Listen.Callers)
+				require.NoError(t, err)
+				_, err = conn.Write([]byte(sent))
+				require.NoError(t, err)
+				m.eventually("the request waits", func() bool { return m.nodes[0].queued() == 1 })
+				before := len(m.nodes[0].backend.requests())
+				require.NoError(t, conn.Close())
+				assert.Eventually(t, func() bool { return m.nodes[0].queued() == 0 }, maxNoticeTime, time.Millisecond, "it waits on")
+				release()
+				a, id := m.call(m.nodes[0], http.MethodGet, "/safe/", "")
+				assert.Equal(t, http.StatusOK, a.status)
+				assert.Equal(t, []string{id}, m.nodes[0].backend.requests()[before:])
+			})
+		}
+	}
+}
+
+// occupySlots occupies all slots of the node's backend server until release is called.
+func (m *mesh) occupySlots(n *testNode) (release func()) {
+	held := make(chan struct{})
+	n.backend.setHandler(func(w http.ResponseWriter, r *http.Request, _ string) {
+		select {
+		case <-held:
+		case <-r.Context().Done():
+		}
+	})
+	var callers sync.WaitGroup
+	for range n.limit() {
+		callers.Go(func() { m.call(n, http.MethodGet, "/safe/", "") })
+	}
+	m.eventually("all slots are occupied", n.inbound.isFull)
+	return func() {
+		close(held)
+		callers.Wait()
+	}
+}
+
+// queued returns how many calls wait for a slot of the node's backend server.
+func (n *testNode) queued() int { return n.inbound.instance.Load().admission.Load("").Queued }
+
 func sendAndLeave(t *testing.T, address, request string) {
 	conn, err := net.Dial("tcp", address)
 	require.NoError(t, err)
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -315,12 +315,8 @@
 	if res := o.rejectEarly(q); res != nil {
 		return res
 	}
-	ctx := q.Context()
-	if !q.route.Idempotent {
-		// A disconnecting caller must not cancel a request that may already have taken effect.
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(peerGrace))
+	// A caller who leaves withdraws the request from the queue of the inbound node, which alone knows whether the backend server has received it.
+	ctx, cancel := context.WithDeadline(q.Context(), q.deadline.Add(peerGrace))
 	defer func() { cancel() }()
 	attempted, busy := map[string]bool{}, map[string]bool{}
 	last := refuse(0, reasonNoEndpoint)
