pipeline: a client's close is noticed while its connection is not read

What backend servers saw: requests that ran after their clients had left, if the node did not read the connection at the time: a long body whose request waits for a slot, or a request that must wait for earlier responses. Cause: the goroutine that reads the connection waits then, and only a read notices the close. Change: meanwhile the connection is examined every 100 ms without a read; the requests are cancelled as after a read, and one that waited is not started.

--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -220,10 +220,8 @@
 	hasBody := r.Body != nil && r.Body != http.NoBody
 	exclusive := hasBody || !isSafe(r.Method)
 	c.mu.Lock()
-	for !c.broken && ((exclusive || c.exclusive) && c.requestsStarted > c.responsesWritten || c.requestsStarted-c.responsesWritten >= maxPipelinedRequests) {
-		c.changed.Wait()
-	}
-	if c.closing || c.broken {
+	c.awaitTurn(exclusive)
+	if c.closing || c.broken || c.ctx.Err() != nil {
 		c.mu.Unlock()
 		return false
 	}
@@ -252,10 +250,52 @@
 		close(body)
 	}
 	go c.serveRequest(w, r, c.receivedAt)
-	<-body // the next request or the end of the connection can only be read after the body
+	if hasBody {
+		stop := c.watchClose()
+		<-body // the next request or the end of the connection can only be read after the body
+		stop()
+	}
 	return more
 }
 
+// awaitTurn waits until the next request may be served beside those in progress, or the connection is broken. The caller must hold mu.
+func (c *conn) awaitTurn(exclusive bool) {
+	mustWait := func() bool {
+		pending := c.requestsStarted - c.responsesWritten
+		return !c.broken && ((exclusive || c.exclusive) && pending > 0 || pending >= maxPipelinedRequests)
+	}
+	if !mustWait() {
+		return
+	}
+	stop := c.watchClose()
+	defer stop()
+	for mustWait() {
+		c.changed.Wait()
+	}
+}
+
+// watchClose cancels the requests if the client disconnects while the reading goroutine does not read, so that it cannot notice. The caller
+// must call stop.
+func (c *conn) watchClose() (stop func()) {
+	stopped := make(chan struct{})
+	timer := time.AfterFunc(closeCheckInterval, func() {
+		ticker := time.NewTicker(closeCheckInterval)
+		defer ticker.Stop()
+		for !socket.IsClosedByPeer(c.socket) {
+			select {
+			case <-stopped:
+				return
+			case <-ticker.C:
+			}
+		}
+		c.cancel()
+	})
+	return func() {
+		timer.Stop()
+		close(stopped)
+	}
+}
+
 // serveRequest calls the handler for one request and completes the response.
 func (c *conn) serveRequest(w *responseWriter, r *http.Request, receivedAt time.Time) {
 	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, receivedAtKey{}, receivedAt))
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -46,6 +46,7 @@
 	stopIdleTimeout         = 200 * time.Millisecond // after a response: the client may have sent the next request already
 	maxUnreadBodyBytes      = 64 << 10               // the longest unread body that is discarded to keep the connection open
 	unreadBodyTimeout       = 50 * time.Millisecond  // for discarding it
+	closeCheckInterval      = 100 * time.Millisecond // between checks whether the client has disconnected, while nothing is read
 )
 
 // Server serves connections. Create it with New.
--- a/pkg/sidecar/caller_left_test.go
+++ b/pkg/sidecar/caller_left_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -56,8 +57,10 @@
 func TestQueuedRequest_OfCallerThatLeftIsNotExecuted(t *testing.T) {
 	const post = "POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\n"
 	for name, sent := range map[string]string{
-		"idempotent":     "GET /safe/ HTTP/1.1\r\nHost: h.example\r\n\r\n",
-		"not idempotent": post + "Content-Length: 0\r\n\r\n",
+		"idempotent":                "GET /safe/ HTTP/1.1\r\nHost: h.example\r\n\r\n",
+		"not idempotent":            post + "Content-Length: 0\r\n\r\n",
+		"part of a long body":       post + "Content-Length: 1000000\r\n\r\n" + strings.Repeat("x", maxBufferedBody+1),
+		"another request behind it": post + "Content-Length: 0\r\n\r\n" + post + "Content-Length: 0\r\n\r\n",
 	} {
 		for from := range 2 {
 			t.Run(fmt.Sprintf("%s at node %d", name, from), func(t *testing.T) {
