sidecar, announce: late announcements do not bring back a server that left before a restart

Cause: the restarted node has no record of the departure. It had the first announcement confirmed by the liveness check and took a second, newer one without, on the assumption that only one can be late. The same on related paths: after any accepted announcement those of all other earlier processes were taken unchecked, and a check that said "not serving" counted like one without an answer. Change: the check is repeated for each announcement until one of the process is accepted. The log line names the result of the check. Changed test: TestRestart_RunningBackendAccepted asserted that a second announcement is taken although the check fails, which is the fault. It now asserts that it is not, that one is taken as soon as the check succeeds, and that one is taken after the delay if the check is not executed. Not covered: a service without a liveness check.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -31,8 +31,7 @@
 	Stale    Verdict = "stale"   // a newer announcement or a newer process is known
 	Ended    Verdict = "ended"   // the process has already left
 	Foreign  Verdict = "foreign" // it is not about the backend server of this node
-	// Unconfirmed is the verdict on the first announcement after a node restart if the instance may have left before the restart.
-	// That announcement is ignored and the next one is accepted.
+	// Unconfirmed is the verdict on an announcement after a node restart if the instance may have left before the restart; see IsConfirmed.
 	Unconfirmed Verdict = "unconfirmed"
 )
 
@@ -51,9 +50,9 @@
 	expires     time.Time // when this entry becomes ineffective; zero: never
 }
 
-// maxAnnouncementDelay is the longest expected delay of an announcement. When an unknown instance leaves, announcements
-// of its earlier processes are rejected for this long.
-const maxAnnouncementDelay = 30 * time.Second
+// MaxDelay is the longest expected delay of an announcement. When an unknown instance leaves, announcements of its earlier processes are
+// rejected for this long.
+const MaxDelay = 30 * time.Second
 
 // maxEndedProcesses bounds the list of ended processes. Announcements are delayed by seconds, and a machine does not start
 // this many processes in that time.
@@ -74,7 +73,7 @@
 			return Stale
 		}
 	}
-	if t.isOfCurrentProcess(a) {
+	if t.IsCurrentProcess(a) {
 		a.Draining = a.Draining || t.current.Draining // draining is final for a process
 	} else {
 		t.since = now
@@ -84,9 +83,9 @@
 	return Accepted
 }
 
-// isOfCurrentProcess reports whether the announcement is of the current process. If the start of that is unknown, it is of any process that started
+// IsCurrentProcess reports whether the announcement is of the current process. If the start of that is unknown, it is of any process that started
 // before it was observed.
-func (t *Tracker) isOfCurrentProcess(a Announcement) bool {
+func (t *Tracker) IsCurrentProcess(a Announcement) bool {
 	c := t.current
 	if c == nil || c.ID != a.ID {
 		return false
@@ -115,7 +114,7 @@
 // after a restart of this process, every process of the instance that started before now counts as ended. "Now" is the later of the wall
 // clock, which may have been set back, and the monotonic clock, which stops while the machine is suspended.
 func (t *Tracker) Leave(now time.Time, id string) bool {
-	ended := process{id, max(now.UnixMilli(), clock.UnixMilli(now)), now.Add(maxAnnouncementDelay)}
+	ended := process{id, max(now.UnixMilli(), clock.UnixMilli(now)), now.Add(MaxDelay)}
 	isCurrent := t.current != nil && t.current.ID == id
 	if isCurrent {
 		ended.expires = time.Time{}
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -62,7 +62,7 @@
 }
 
 // An unknown instance leaves while the wall clock of this machine is wrong by up to an hour. A delayed announcement of the instance is
-// rejected unless the clock is slow. A new process with the same id is accepted at the latest after maxAnnouncementDelay.
+// rejected unless the clock is slow. A new process with the same id is accepted at the latest after MaxDelay.
 func TestLeave_UnknownInstanceWithWrongClock(t *testing.T) {
 	started := time.Now()
 	for _, step := range []time.Duration{-time.Hour, 0, time.Hour} {
@@ -74,7 +74,7 @@
 			assert.Equal(t, Ended, tracker.Observe(now, late), step)
 		}
 		again := Announcement{ID: "i-1", Sequence: 1, StartTimeMS: started.Add(time.Second).UnixMilli()}
-		assert.Equal(t, Accepted, tracker.Observe(now.Add(maxAnnouncementDelay), again), step)
+		assert.Equal(t, Accepted, tracker.Observe(now.Add(MaxDelay), again), step)
 	}
 	// Covers a wall clock that is set back while this process runs: the monotonic clock still orders the two.
 	var tracker Tracker
--- a/pkg/sidecar/backend.go
+++ b/pkg/sidecar/backend.go
@@ -22,8 +22,11 @@
 		n.logger.Warn("announcement_foreign", zap.String("instance", a.ID), zap.String("service", a.Service), zap.String("address", a.Address))
 		return announce.Foreign
 	}
-	if n.recordUnconfirmed(a) && !n.isConfirmed(a) {
-		return n.rejectAnnouncement(a, announce.Unconfirmed, zap.String("cause", "this node has just started, and the liveness check did not confirm that the backend server is serving"))
+	if n.needsConfirmation(a) {
+		if liveness := n.confirm(a); !announce.IsConfirmed(liveness, time.Since(n.started), n.announcementTimeout()) {
+			return n.rejectAnnouncement(a, announce.Unconfirmed, zap.String("liveness", string(liveness)), zap.Duration("uptime", time.Since(n.started)),
+				zap.String("cause", "the backend server may have left before this node started"))
+		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -46,18 +49,17 @@
 	return verdict
 }
 
-// recordUnconfirmed stores an announcement that may be out of date, and reports whether it needs confirmation. The previous process of this
-// node may have acknowledged that the instance leaves; an announcement sent before the departure may arrive late, and this process has no
-// record of the departure. A second, newer announcement of the same instance is not late; it is recognised by the stored one.
-func (n *Node) recordUnconfirmed(a announce.Announcement) bool {
+// needsConfirmation reports whether an announcement may be one from before a departure that the previous process of this node has acknowledged. This
+// process has no record of that. Once an announcement of the backend server's process was accepted, the later ones need none.
+func (n *Node) needsConfirmation(a announce.Announcement) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.announced || n.settings.FirstStart || a.Draining || a.StartTimeMS >= n.started.UnixMilli() {
+	isKnown := n.tracker.IsCurrentProcess(a) && !n.provisional
+	if isKnown || n.settings.FirstStart || a.Draining || a.StartTimeMS >= n.started.UnixMilli() || time.Since(n.started) >= announce.MaxDelay {
 		return false
 	}
-	previous := n.unconfirmed
-	n.unconfirmed = &a
-	return previous == nil || previous.ID != a.ID || previous.StartTimeMS != a.StartTimeMS || a.Sequence <= previous.Sequence
+	n.unconfirmed = true
+	return true
 }
 
 const (
@@ -67,8 +69,8 @@
 	tablePollInterval = 10 * time.Millisecond
 )
 
-// isConfirmed reports whether the liveness check at the start of this process, or another one, shows that the instance accepts calls.
-func (n *Node) isConfirmed(a announce.Announcement) bool {
+// confirm returns what the liveness check at the start of this process, or another one, shows about the sender of an announcement.
+func (n *Node) confirm(a announce.Announcement) announce.Liveness {
 	select {
 	case <-n.found:
 	case <-time.After(checkTimeout):
@@ -76,23 +78,30 @@
 	n.mu.Lock()
 	confirmed := n.confirmed == a.ID
 	n.mu.Unlock()
-	return confirmed || n.isServing(a)
+	if confirmed {
+		return announce.Serving
+	}
+	return n.liveness(a)
 }
 
-// isServing queries the backend server's liveness check to find out whether the instance accepts calls. It returns true if no path is
-// configured.
-func (n *Node) isServing(a announce.Announcement) bool {
+// liveness queries the backend server's liveness check to find out whether the sender of an announcement accepts calls. Without a configured path
+// there is nothing that could confirm an announcement, and it is believed.
+func (n *Node) liveness(a announce.Announcement) announce.Liveness {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	header, err := n.checkLiveness(ctx, a.Service)
-	if errors.Is(err, errNoLivenessPath) {
-		return true
-	}
-	if err != nil {
+	response, err := n.checkLiveness(ctx, a.Service)
+	switch {
+	case errors.Is(err, errNoLivenessPath):
+		return announce.Serving
+	case err != nil:
 		n.logger.Info("liveness_check_failed", zap.String("instance", a.ID), zap.Error(err))
-		return false
+		return announce.Unknown
+	case response.Header.Get(n.inbound.headers.NotExecuted) != "":
+		return announce.Unknown
+	case response.Status != http.StatusOK || response.Header.Get(n.inbound.headers.Instance) != a.ID || n.isLeaving(response.Header):
+		return announce.NotServing
 	}
-	return header.Get(n.inbound.headers.Instance) == a.ID && !n.isLeaving(header)
+	return announce.Serving
 }
 
 // isLeaving reports whether a response header says that the backend server is leaving. An unreadable limit beside it is reported when calls get it.
@@ -104,8 +113,8 @@
 // errNoLivenessPath is returned if the configuration has no liveness check for a service.
 var errNoLivenessPath = eris.New("no liveness check is configured")
 
-// checkLiveness waits for the configuration and queries the liveness check of the backend server. It returns the header of a success.
-func (n *Node) checkLiveness(ctx context.Context, serviceName string) (http.Header, error) {
+// checkLiveness waits for the configuration and queries the liveness check of the backend server. It returns the response without its body.
+func (n *Node) checkLiveness(ctx context.Context, serviceName string) (*hop.Response, error) {
 	table := n.follower.Table()
 	for ; table == nil; table = n.follower.Table() { // it arrives within milliseconds after the start
 		if err := clock.Sleep(ctx, tablePollInterval); err != nil {
@@ -123,10 +132,7 @@
 		return nil, failed
 	}
 	discard(response)
-	if response.Status != http.StatusOK {
-		return nil, eris.Errorf("the liveness check returned status %d", response.Status)
-	}
-	return response.Header, nil
+	return response, nil
 }
 
 // findBackend makes a restarted node use the backend server that runs beside it before the next announcement, if the liveness check says
@@ -140,11 +146,15 @@
 	ctx, cancel := context.WithTimeout(ctx, startDuration) // a long configuration arrives late on a slow link
 	defer cancel()
 	a := announce.Announcement{Service: n.settings.Backend.Service, Address: n.settings.Backend.Address}
-	header, err := n.checkLiveness(ctx, a.Service)
+	response, err := n.checkLiveness(ctx, a.Service)
+	if err == nil && response.Status != http.StatusOK {
+		err = eris.Errorf("the liveness check returned status %d", response.Status)
+	}
 	if err != nil {
 		n.logger.Info("backend_not_found", zap.Error(err))
 		return
 	}
+	header := response.Header
 	report, ok, err := n.platform.Report(header)
 	a.ID, a.Slots = header.Get(n.inbound.headers.Instance), report.Slots
 	leaving := n.isLeaving(header)
@@ -159,7 +169,7 @@
 	}
 	n.confirmed = a.ID
 	time.AfterFunc(time.Duration(n.settings.Backend.AnnouncementInterval)+announcementSlack, n.dropProvisional)
-	if !ok || a.Slots < 1 || n.unconfirmed != nil || n.inbound.gate.Load() != nil {
+	if !ok || a.Slots < 1 || n.unconfirmed || n.inbound.gate.Load() != nil {
 		return // the slots, or the version that a roll-out depends on, are only known from an announcement
 	}
 	n.provisional = true
@@ -256,9 +266,14 @@
 	return membership.EndpointReady
 }
 
+// announcementTimeout returns how long announcements may fail to arrive before the backend server is considered gone.
+func (n *Node) announcementTimeout() time.Duration {
+	return maxMissedAnnouncements*time.Duration(n.settings.Backend.AnnouncementInterval) + announcementSlack
+}
+
 // expireBackend periodically removes a backend server whose announcements have stopped, until ctx ends.
 func (n *Node) expireBackend(ctx context.Context) {
-	timeout := maxMissedAnnouncements*time.Duration(n.settings.Backend.AnnouncementInterval) + announcementSlack
+	timeout := n.announcementTimeout()
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
 	for {
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -76,11 +76,11 @@
 
 	mu          sync.Mutex // guards the fields below
 	tracker     announce.Tracker
-	announced   bool                   // an announcement was accepted
-	left        bool                   // a backend server has left
-	confirmed   string                 // ID of the instance that the liveness check at the start has shown; "": none, or too long ago
-	provisional bool                   // that instance is in use and not announced yet
-	unconfirmed *announce.Announcement // latest announcement that was rejected because this node had just started
+	announced   bool   // an announcement was accepted
+	left        bool   // a backend server has left
+	confirmed   string // ID of the instance that the liveness check at the start has shown; "": none, or too long ago
+	provisional bool   // that instance is in use and not announced yet
+	unconfirmed bool   // an announcement needed confirmation
 	started     time.Time
 
 	found        chan struct{} // closed when the liveness check at the start has ended
--- a/pkg/sidecar/restart_test.go
+++ b/pkg/sidecar/restart_test.go
@@ -39,13 +39,16 @@
 	return m, n
 }
 
-// After a restart, a node cannot know whether its previous process acknowledged that the instance leaves. The first announcement, which may
-// be a late one, and a duplicate of it must stay unconfirmed; a newer one that reports draining is accepted, but brings no requests.
-func TestRestart_LateAnnouncementRejected(t *testing.T) {
+// After a restart, a node cannot know whether its previous process acknowledged that the instance leaves. Guards against late announcements, which
+// may be several, and duplicates of them that bring it back; one that reports draining is accepted, but brings no requests.
+func TestRestart_LateAnnouncementsRejected(t *testing.T) {
 	m, n := newRestartedNode(t, http.StatusServiceUnavailable, "", time.Minute)
 	assert.Equal(t, announce.Unconfirmed, n.announce(false))
 	n.announcements-- // a duplicate of the first announcement
 	assert.Equal(t, announce.Unconfirmed, n.announce(false))
+	for range 3 {
+		assert.Equal(t, announce.Unconfirmed, n.announce(false), "a newer one")
+	}
 	a, _ := m.call(n, "GET", "/safe/", "")
 	assert.Equal(t, http.StatusServiceUnavailable, a.status)
 	assert.Equal(t, announce.Accepted, n.announce(true))
@@ -54,7 +57,24 @@
 	assert.Empty(t, n.backend.requests())
 }
 
-// A backend server that keeps running is used again immediately, or after its second announcement if its liveness check fails.
+// Guards against late announcements of an instance that left before the restart and are taken because another one was accepted meanwhile, which has
+// ended as well.
+func TestRestart_LateAnnouncementsAfterThoseOfAnother(t *testing.T) {
+	m, n := newRestartedNode(t, http.StatusOK, "", time.Minute)
+	assert.Equal(t, announce.Accepted, n.announce(false))
+	n.Leave(n.backend.id)
+	for sequence := range 3 {
+		assert.Equal(t, announce.Unconfirmed, n.Announce(announce.Announcement{
+			ID: "i-earlier", Service: "s", Address: n.backend.address, Slots: 4, Sequence: int64(sequence), StartTimeMS: n.backendStart - 1000,
+		}))
+	}
+	a, _ := m.call(n, "GET", "/safe/", "")
+	assert.Equal(t, http.StatusServiceUnavailable, a.status)
+	assert.Empty(t, n.backend.requests())
+}
+
+// A backend server that keeps running is used again immediately, or as soon as its liveness check succeeds. If the check is not executed, it is used
+// when the announcement cannot be a late one.
 func TestRestart_RunningBackendAccepted(t *testing.T) {
 	m, n := newRestartedNode(t, http.StatusOK, "", time.Minute)
 	assert.Equal(t, announce.Accepted, n.announce(false))
@@ -64,9 +84,23 @@
 
 	m, n = newRestartedNode(t, http.StatusInternalServerError, "", time.Minute)
 	assert.Equal(t, announce.Unconfirmed, n.announce(false))
+	id := n.backend.id
+	n.backend.setHealth(func(w http.ResponseWriter) { w.Header().Set(testHeaders.Instance, id) })
 	assert.Equal(t, announce.Accepted, n.announce(false))
 	a, _ = m.call(n, "GET", "/safe/", "")
 	assert.Equal(t, http.StatusOK, a.status)
+	assert.Equal(t, announce.Accepted, n.announce(false))
+	assert.EqualValues(t, 3, n.metrics.Counter("liveness_check").Count(), "one at the start, one for each announcement until one is accepted")
+
+	_, n = newRestartedNode(t, http.StatusServiceUnavailable, "", 500*time.Millisecond)
+	n.backend.setHealth(func(w http.ResponseWriter) {
+		w.Header().Set(testHeaders.NotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	assert.Equal(t, announce.Unconfirmed, n.announce(false))
+	assert.Equal(t, announce.Unconfirmed, n.announce(false))
+	m.eventually("it is used", func() bool { return n.announce(false) == announce.Accepted })
+	assert.GreaterOrEqual(t, time.Since(n.started), n.announcementTimeout())
 }
 
 // Cold start of all nodes: a node that waited for the next announcement would have no endpoint for up to an interval. Guards also against
