pipeline: a request body has one reader at a time

Cause: two readers of one body. The connection discarded the unread part when the handler had returned, while pkg/hop still streamed the body to the backend server; and after a failed read of a body the connection went on and lent its buffered reader to another one although the body could still be read. Change: after the handler has returned, reads of others fail and one in progress is interrupted; then the connection handles the rest. It goes on when the body was read to its end or the handler has returned, not after an error. pkg/hop closes the connection to the backend server, whose body then ends early.

--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/socket"
@@ -43,6 +44,9 @@
 	lastRead  time.Time // time of the latest successful read
 }
 
+// pastDeadline is an expired deadline that interrupts pending reads.
+var pastDeadline = time.Unix(1, 0)
+
 var errHeaderTooLarge = errors.New("request header exceeds the size limit")
 
 func (h *headerLimitReader) Read(p []byte) (int, error) {
@@ -301,10 +305,15 @@
 	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, receivedAtKey{}, receivedAt))
 	defer cancel()
 	completed := false
+	body, hasBody := r.Body.(*requestBody)
 	defer func() {
 		if !completed {
 			recovered := recover()
 			c.abort()
+			if hasBody {
+				body.revoke()
+				body.markDone()
+			}
 			if recovered != http.ErrAbortHandler {
 				c.server.onPanic(recovered)
 			}
@@ -312,8 +321,8 @@
 	}()
 	r = r.WithContext(ctx)
 	c.server.handler.ServeHTTP(w, r)
-	if b, ok := r.Body.(*requestBody); ok {
-		b.discardUnread(w)
+	if hasBody {
+		body.discardUnread(w)
 	}
 	w.finish()
 	completed = true
@@ -426,18 +435,29 @@
 	<-responsesDone
 }
 
-// requestBody is a request body that signals on done when the next request can be read.
+// requestBody is a request body that signals on done when the next request can be read. The handler may leave a goroutine behind that still reads it,
+// for example to stream it to a server that has responded early. After revoke, only the connection reads it.
 type requestBody struct {
 	io.ReadCloser
 	conn            *conn
 	expectsContinue bool // the client waits for 100 Continue before it sends the body
-	done            chan struct{}
-	once            sync.Once
-	complete        bool
+	revoked         atomic.Bool
+
+	reading  sync.Mutex // held during a read; guards complete
+	complete bool       // it was read to its end
+
+	mu     sync.Mutex // guards isDone, and read deadlines against those for the next request
+	isDone bool
+	done   chan struct{}
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. After the handler has returned it fails with http.ErrBodyReadAfterClose.
 func (b *requestBody) Read(p []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if b.revoked.Load() {
+		return 0, http.ErrBodyReadAfterClose
+	}
 	if b.expectsContinue {
 		b.expectsContinue = false
 		if _, err := io.WriteString(b.conn.socket, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
@@ -445,23 +465,50 @@
 		}
 	}
 	n, err := b.ReadCloser.Read(p)
-	if err != nil {
-		if err == io.EOF {
-			b.complete = true
-		} else if !isTimeout(err) {
-			b.conn.cancel()
-		}
+	switch {
+	case err == io.EOF:
+		b.complete = true
 		b.markDone()
+	case err != nil && !isTimeout(err):
+		b.conn.cancel()
 	}
 	return n, err
 }
 
-func (b *requestBody) markDone() { b.once.Do(func() { close(b.done) }) }
+// Close implements io.Closer. It discards nothing: the connection handles what is unread.
+func (b *requestBody) Close() error {
+	b.revoke()
+	return nil
+}
+
+// revoke makes later reads fail, interrupts one in progress and waits for its end. The bytes that were read up to then are the beginning of the body.
+func (b *requestBody) revoke() {
+	b.revoked.Store(true)
+	b.mu.Lock()
+	if !b.isDone {
+		// If it fails, the connection is closed, and so is the read.
+		_ = b.conn.socket.SetReadDeadline(pastDeadline)
+	}
+	b.mu.Unlock()
+	b.reading.Lock()
+	defer b.reading.Unlock()
+}
+
+// markDone lets the reading goroutine go on.
+func (b *requestBody) markDone() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.isDone {
+		b.isDone = true
+		close(b.done)
+	}
+}
 
 // discardUnread handles a body that the handler has not read to its end. If the rest is short and arrives within unreadBodyTimeout
 // it is discarded; otherwise the connection is closed after the response.
 func (b *requestBody) discardUnread(w *responseWriter) {
 	defer b.markDone()
+	b.revoke()
 	if b.complete {
 		return
 	}
