hop, socket: a reset is not taken for the end of a response without a length

What callers saw (MIXED): a part of a 200 without a length as a complete response, if the backend server reset the connection while a long upload was still being written. Cause: the kernel reports a reset once. If the write of the upload gets it, the read gets the end of the stream, and errors of that write were ignored. Ruled out: that resets are not checked at all (without an upload they are found). Change: the end of such a response counts only if the upload was written completely, or is still being written on a connection that poll does not report as lost. Otherwise the response is truncated.

--- a/pkg/hop/exchange.go
+++ b/pkg/hop/exchange.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/laburnumcleat/laburnumcleat/pkg/socket"
 )
 
 const (
@@ -35,6 +37,7 @@
 var (
 	errResponseMismatch = errors.New("response belongs to another request")
 	errUnidentified     = errors.New("response without an id on a connection that carried other requests")
+	errResetBeforeEnd   = errors.New("connection lost before the end of a response without a length")
 )
 
 // pastDeadline is an expired deadline that interrupts pending reads and writes.
@@ -70,9 +73,36 @@
 		}
 		return nil, failed
 	}
+	if body != nil && !isDelimited(response) {
+		response.Body = &undelimitedBody{response.Body, cn, body}
+	}
 	return c.completeResponse(response, cn, stop, body)
 }
 
+// undelimitedBody is a response body that ends with its connection, beside a request body that is still being written. If the connection is reset,
+// the kernel reports that once: when a write gets the error, reads get the end of the stream, and a truncated body looks complete.
+type undelimitedBody struct {
+	io.ReadCloser
+	conn    *conn
+	request *bodyWriter
+}
+
+// Read implements io.Reader.
+func (b *undelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.isCutOff() {
+		err = errResetBeforeEnd
+	}
+	return n, err
+}
+
+func (b *undelimitedBody) isCutOff() bool {
+	if b.request.hasEnded() {
+		return !b.request.complete
+	}
+	return socket.IsReset(b.conn.Conn)
+}
+
 // bodyWriter is the state of a request body that is written while the response is read. A nil bodyWriter means that the body has been
 // written in full.
 type bodyWriter struct {
@@ -81,13 +111,16 @@
 	sourceErr error // of Request.Stream; valid after done is closed
 }
 
-func (b *bodyWriter) failed() bool {
+func (b *bodyWriter) failed() bool { return b.hasEnded() && b.sourceErr != nil }
+
+// hasEnded reports whether writing has ended, whether or not it was successful.
+func (b *bodyWriter) hasEnded() bool {
 	if b == nil {
 		return false
 	}
 	select {
 	case <-b.done:
-		return b.sourceErr != nil
+		return true
 	default:
 		return false
 	}
@@ -264,7 +297,7 @@
 
 // discardBody reads the response body to its end. It reports false if the end was not reached.
 func discardBody(cn *conn, response *http.Response) bool {
-	if response.ContentLength < 0 && !isChunked(response) {
+	if !isDelimited(response) {
 		return false
 	}
 	cn.source.remaining = maxMismatchedBodyBytes
@@ -273,6 +306,11 @@
 	return err == io.EOF && n < maxMismatchedBodyBytes
 }
 
+// isDelimited reports whether the end of the response body shows in its bytes. Otherwise, the body ends with the connection.
+func isDelimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || isChunked(response)
+}
+
 func isChunked(response *http.Response) bool {
 	return len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
 }
@@ -371,8 +409,8 @@
 
 // reusable reports whether the connection can carry another request after this response.
 func (cn *conn) reusable(response *http.Response, body *bodyWriter) bool {
-	if response.ContentLength < 0 && !isChunked(response) {
-		return false // the body is delimited by the end of the connection
+	if !isDelimited(response) {
+		return false
 	}
 	return body.isWritten() && cn.reader.Buffered() == 0 && !cn.unidentified
 }
--- a/pkg/socket/socket.go
+++ b/pkg/socket/socket.go
@@ -23,13 +23,21 @@
 
 // IsClosedByPeer reports whether the peer has closed its side of the connection, or the connection is lost. Unread bytes may precede the
 // close. It returns false if the socket cannot be examined.
-func IsClosedByPeer(conn net.Conn) bool {
-	closed := false
-	return control(conn, func(fd int) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds, 0)
-		closed = err == nil && n > 0
-	}) && closed
+func IsClosedByPeer(conn net.Conn) bool { return poll(conn, unix.POLLRDHUP) != 0 }
+
+// IsReset reports whether the connection is lost: no side can send any more. It returns false if the peer has only closed its side, and if the
+// socket cannot be examined.
+func IsReset(conn net.Conn) bool { return poll(conn, 0)&(unix.POLLHUP|unix.POLLERR) != 0 }
+
+// poll returns which of the events, and of those that are always reported, the connection has; 0 if it cannot be examined.
+func poll(conn net.Conn, events int16) (occurred int16) {
+	control(conn, func(fd int) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		if n, err := unix.Poll(fds, 0); err == nil && n > 0 {
+			occurred = fds[0].Revents
+		}
+	})
+	return occurred
 }
 
 // control calls examine with the descriptor of the connection and reports whether it could.
--- a/pkg/socket/socket_test.go
+++ b/pkg/socket/socket_test.go
@@ -42,3 +42,21 @@
 	assert.False(t, IsClosedByPeer(server), "the descriptor may belong to another connection")
 	assert.False(t, CallerLeft(t.Context()))
 }
+
+// Guards against a peer that has only closed its side and is taken for a lost connection, and the reverse.
+func TestIsReset(t *testing.T) {
+	client, server := connPair(t)
+	assert.False(t, IsReset(server))
+	require.NoError(t, client.(*net.TCPConn).CloseWrite())
+	require.Eventually(t, func() bool { return IsClosedByPeer(server) }, 10*time.Second, time.Millisecond)
+	assert.False(t, IsReset(server))
+
+	client, server = connPair(t)
+	require.NoError(t, client.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, client.Close())
+	require.Eventually(t, func() bool { return IsReset(server) }, 10*time.Second, time.Millisecond)
+	n, err := server.Write([]byte("x")) // takes the error
+	assert.Zero(t, n)
+	assert.Error(t, err)
+	assert.True(t, IsReset(server))
+}
