--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -44,9 +44,6 @@
 	lastRead  time.Time // time of the latest successful read
 }
 
-// pastDeadline is an expired deadline that interrupts pending reads.
-var pastDeadline = time.Unix(1, 0)
-
 var errHeaderTooLarge = errors.New("request header exceeds the size limit")
 
 func (h *headerLimitReader) Read(p []byte) (int, error) {
@@ -487,7 +484,7 @@
 	b.mu.Lock()
 	if !b.isDone {
 		// If it fails, the connection is closed, and so is the read.
-		_ = b.conn.socket.SetReadDeadline(pastDeadline)
+		_ = b.conn.socket.SetReadDeadline(time.Now())
 	}
 	b.mu.Unlock()
 	b.reading.Lock()
