--- a/pkg/sidecar/caller_left_test.go
+++ b/pkg/sidecar/caller_left_test.go
@@ -73,9 +73,11 @@
 				_, err = conn.Write([]byte(sent))
 				require.NoError(t, err)
 				m.eventually("the request waits", func() bool { return m.nodes[0].queued() == 1 })
-				before := len(m.nodes[0].backend.requests())
+				before := len(m.nodes[0].backend.requests()) // those that occupy the slots
 				require.NoError(t, conn.Close())
-				assert.Eventually(t, func() bool { return m.nodes[0].queued() == 0 }, maxNoticeTime, time.Millisecond, "it waits on")
+				closed := time.Now()
+				m.eventually("the request is withdrawn", func() bool { return m.nodes[0].queued() == 0 })
+				assert.Less(t, time.Since(closed), maxNoticeTime, "it waited on")
 				release()
 				a, id := m.call(m.nodes[0], http.MethodGet, "/safe/", "")
 				assert.Equal(t, http.StatusOK, a.status)
@@ -94,11 +96,12 @@
 		case <-r.Context().Done():
 		}
 	})
+	before := len(n.backend.requests())
 	var callers sync.WaitGroup
 	for range n.limit() {
 		callers.Go(func() { m.call(n, http.MethodGet, "/safe/", "") })
 	}
-	m.eventually("all slots are occupied", n.inbound.isFull)
+	m.eventually("all slots are occupied", func() bool { return n.inbound.isFull() && len(n.backend.requests())-before == n.limit() })
 	return func() {
 		close(held)
 		callers.Wait()
