pipeline: the server of the test of early responses keeps its connections

Cause, a fault of the test: its server closed each connection after one response without saying so. An upload that began after another one had ended was sent on the connection that was kept, crossed the close, and never reached the server, which the test then awaited without a limit. Change: the server keeps its connections and serves one request after another on them, as HTTP/1.1 says, and the wait for each body is bounded by testTimeout. The assertions are the same. It is as strict: the uploads are as many and begin as early, and a request that were sent into an unfinished body on a kept connection is now seen as other bytes in that body.

--- a/pkg/pipeline/early_response_test.go
+++ b/pkg/pipeline/early_response_test.go
@@ -34,8 +34,8 @@
 // earlyBytes is the length of an early response.
 const earlyBytes = 40_000
 
-// startEarlyServer starts a server that responds to each request when it has read a part of the body, and reads on. It sends what it has read of
-// each body.
+// startEarlyServer starts a server that responds to each request when it has read a part of the body, reads on, and keeps the connection. It sends
+// what it has read of each body.
 func startEarlyServer(t *testing.T, first int64) (address string, received <-chan []byte) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -49,23 +49,38 @@
 			}
 			go func() {
 				defer conn.Close()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				var body bytes.Buffer
-				_, err = io.CopyN(&body, r.Body, first)
-				if err == nil {
-					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", earlyBytes, strings.Repeat("e", earlyBytes))
-					io.Copy(&body, r.Body) // an error means that the rest was cut off
+				requests := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(requests)
+					if err != nil {
+						return
+					}
+					body, err := respondEarly(conn, r, first)
+					bodies <- body
+					if err != nil {
+						return
+					}
 				}
-				bodies <- body.Bytes()
 			}()
 		}
 	}()
 	return listener.Addr().String(), bodies
 }
 
+// respondEarly responds to a request when it has read the first bytes of the body. It returns all of the body that arrives, and an error if the rest
+// was cut off.
+func respondEarly(conn net.Conn, r *http.Request, first int64) ([]byte, error) {
+	var body bytes.Buffer
+	_, err := io.CopyN(&body, r.Body, first)
+	if err == nil {
+		_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", earlyBytes, strings.Repeat("e", earlyBytes))
+	}
+	if err == nil {
+		_, err = io.Copy(&body, r.Body)
+	}
+	return body.Bytes(), err
+}
+
 // Guards against other bytes where the rest of a body is due: a server responds early and reads on, while the connection discards the unread part of
 // the body that is still streamed to the server.
 func TestEarlyResponse_RestOfBodyHasNoGaps(t *testing.T) {
@@ -112,9 +127,13 @@
 			<-sent
 		})
 	}
-	for range uploads {
-		got := <-received
-		assert.True(t, bytes.HasPrefix(content, got), "other bytes in a body of %d bytes", len(got))
+	for i := range uploads {
+		select {
+		case got := <-received:
+			assert.True(t, bytes.HasPrefix(content, got), "other bytes in a body of %d bytes", len(got))
+		case <-time.After(testTimeout):
+			t.Fatalf("%d of %d bodies reached the server", i, uploads)
+		}
 	}
 	clients.Wait()
 }
