sidecar: an answer to a suspect ends the suspicion on all nodes that it matters to

Cause: the crash was told to all nodes, the answer to none. All nodes send a suspect to one endpoint until it is answered; only the process beside the backend server that answered noted that, so the nodes where the requests arrive kept to the one endpoint for 10 minutes. Change: a node clears a suspect when it receives an answer to it. The node beside the backend server tells all nodes if the request was blocked, or is frequent: it was running elsewhere when the crash became known, or another copy waited. An answer 504 clears nothing, since the backend server may have given up before it could crash; before, it did. suspect_cleared is logged with the fingerprint. Why it works: the restriction ends at a node with the first answer that it or, for a frequent request, any node sees.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -273,10 +273,19 @@
 
 // Get returns the record of a request that is blocked or would be if it were not cleared, and whether there is one.
 func (t *Table) Get(now time.Time, request Fingerprint) (Record, bool) {
+	return t.find(now, request, t.shared)
+}
+
+// Find returns the record of a request, and whether there is one.
+func (t *Table) Find(now time.Time, request Fingerprint) (Record, bool) {
+	return t.find(now, request, func(*entry) bool { return true })
+}
+
+func (t *Table) find(now time.Time, request Fingerprint, matches func(*entry) bool) (Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[request]
-	if e == nil || !t.shared(e) {
+	if e == nil || !matches(e) {
 		return Record{}, false
 	}
 	return e.record(now, request), true
--- a/pkg/sidecar/blocked.go
+++ b/pkg/sidecar/blocked.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
 	"github.com/laburnumcleat/laburnumcleat/pkg/placement"
 	"github.com/laburnumcleat/laburnumcleat/pkg/quarantine"
 )
@@ -13,12 +14,25 @@
 	if o.local.suspects.IsEmpty() {
 		return 0
 	}
+	q.verdict, left = o.local.suspects.Verdict(time.Now(), o.fingerprint(q))
+	return left
+}
+
+// fingerprint returns the fingerprint of a request.
+func (o *outbound) fingerprint(q *request) quarantine.Fingerprint {
 	if q.fingerprint == nil {
 		fingerprint := fingerprintOf(o.service(), q.out)
 		q.fingerprint = &fingerprint
 	}
-	q.verdict, left = o.local.suspects.Verdict(time.Now(), *q.fingerprint)
-	return left
+	return *q.fingerprint
+}
+
+// recordAnswer clears a suspect that a backend server has answered. The node beside that server may not have known it as a suspect, and what it tells
+// the others may not reach this node.
+func (o *outbound) recordAnswer(q *request, response *hop.Response) {
+	if showsNoCrash(response) && !o.local.suspects.IsEmpty() {
+		o.local.clear(o.fingerprint(q), false)
+	}
 }
 
 // refuseIfBlocked returns a refusal of a request that crashes backend servers, or nil.
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -54,7 +54,9 @@
 	maxWait    time.Duration // in the queue; 0: not limited
 	parentRank int           // most urgent rank that the calling backend server runs, if the call is nested; admission.Nested: unknown
 
-	fingerprint *quarantine.Fingerprint // of the request, once it was needed; not encoded
+	// Values that are not encoded.
+	fingerprint *quarantine.Fingerprint // of the request, once it was needed
+	inWard      bool                    // the instance runs it as a suspect
 }
 
 const fieldSeparator = ";"
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -48,7 +48,7 @@
 	onResponse     func()                                                 // called when the backend server has responded
 	onLeaving      func(*instance)                                        // called when a response of an instance in use says that it is leaving
 	onCrash        func(process string, running []quarantine.Fingerprint) // called when an instance has crashed
-	onCleared      func(request quarantine.Fingerprint)                   // called when a suspect was answered
+	onCleared      func(request quarantine.Fingerprint, isFrequent bool)  // called when a suspect was answered
 	suspects       *quarantine.Table                                      // requests that were running at crashes of backend servers
 	failedCalls    atomic.Int64                                           // calls of the backend server that were not answered with a success
 	callsNoRoom    atomic.Int64                                           // of them, those that were refused for lack of room
@@ -79,7 +79,7 @@
 	warmAt    time.Time // end of its cold start
 	intake    *intakeState
 	crashes   *crashDetector
-	ward      ward
+	ward      *ward
 
 	mu            sync.Mutex
 	answeredRatio float64 // EWMA of the fraction of calls that it answered
@@ -255,7 +255,7 @@
 	reply, response, result := in.forward(ctx, i, c, r, now.Add(c.deadlineRemaining))
 	leaveRunning()
 	in.runningRanks.Add(slotRank, -1)
-	in.recordAnswer(c, r, reply)
+	in.recordAnswer(i, c, r, response)
 	in.recordSlotTime(ctx, reply, response, rank, time.Since(granted), now.Add(c.targetRemaining))
 	reply.nested = rank == admission.Nested
 	done()
--- a/pkg/sidecar/outbound.go
+++ b/pkg/sidecar/outbound.go
@@ -363,6 +363,7 @@
 	o.observeShortage(q, attempts.Sent(), last)
 	last.attempts, last.arrivals = attempts.Sent(), attempts.Arrivals()
 	if last.verdict == verdictAnswered {
+		o.recordAnswer(q, last.response)
 		o.stats.observeResponse(q.route.Name, last.response.Length)
 		o.stats.setNested(q.route.Name, last.nested)
 		if last.response.Rest != nil {
--- a/pkg/sidecar/quarantine.go
+++ b/pkg/sidecar/quarantine.go
@@ -210,11 +210,21 @@
 	}
 }
 
-// cleared is called when the backend server beside this node has answered a suspect.
-func (q *quarantines) cleared(request quarantine.Fingerprint) {
-	if _, ok := q.table.Get(time.Now(), request); ok {
+// cleared is called when a backend server has answered a suspect. It shares that if the request was blocked, or is frequent: all nodes send a suspect to
+// one endpoint, which may serve only few of such requests. Otherwise, each node that sends the request learns it from its own answer.
+func (q *quarantines) cleared(request quarantine.Fingerprint, isFrequent bool) {
+	now := time.Now()
+	_, wasBlocked := q.table.Get(now, request)
+	if wasBlocked {
 		q.keep(request)
 	}
+	record, ok := q.table.Find(now, request)
+	isShared := ok && (isFrequent || wasBlocked)
+	q.logger.Info("suspect_cleared", zap.Stringer("fingerprint", request), zap.Bool("shared", isShared))
+	if isShared {
+		q.metrics.Inc("suspect_cleared_shared")
+		go q.share([]quarantine.Record{record})
+	}
 	q.updateGauges()
 }
 
--- a/pkg/sidecar/quarantine_store_test.go
+++ b/pkg/sidecar/quarantine_store_test.go
@@ -88,6 +88,6 @@
 	n.quarantine.keep(m.deadlyFingerprint())
 	m.eventually("it is kept", func() bool { return m.platform.keptBlocked() == 1 })
 	require.True(t, n.inbound.suspects.Answered(time.Now(), m.deadlyFingerprint()))
-	n.quarantine.cleared(m.deadlyFingerprint())
+	n.quarantine.cleared(m.deadlyFingerprint(), false)
 	m.eventually("it is removed after an answer", func() bool { return m.platform.keptBlocked() == 0 })
 }
