announce, sidecar: a departure that is processed late does not end the next process

Cause: a departure does not say which process of the instance leaves, and was taken for that of the current one. After the pause, the departure of the earlier process was processed after the first announcement of the new one, whose later announcements were rejected for good. Related: if the earlier process had expired in the pause, its departure ended every process that had started, for 30 s. Change: connections are numbered in the order in which they are accepted. A departure over one accepted before the first connection of the current process is that of an earlier one. A departure of the process that expired last ends that one only. A process that announces itself and serves 30 s after its departure is used again. Why it works: all connections of a process are accepted after those of an earlier process at the same address, in whatever order requests are processed. Calls of Leave in tests have the new argument; no assertion changed.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/clock"
@@ -20,6 +21,7 @@
 	ColdRemaining time.Duration // remaining time of the cold start
 	Sequence      int64         // increases with each announcement of one process
 	StartTimeMS   int64         // process start, Unix ms; 0 if not reported
+	Connection    int64         // position of the connection that carried it in the order in which connections were accepted; 0: unknown
 }
 
 // Verdict is the result of processing an announcement.
@@ -37,19 +39,27 @@
 
 // Tracker holds the state of the backend server of a node. It is not safe for concurrent use.
 type Tracker struct {
-	current        *Announcement
-	since          time.Time // when the process of current was first observed
-	lastSeen       time.Time
-	endedProcesses []process
+	current         *Announcement
+	since           time.Time // when the process of current was first observed
+	firstConnection int64     // first connection that carried an announcement of the process of current; 0: unknown
+	lastSeen        time.Time
+	expired         *Announcement // the latest one of the process that expired last; nil: none, or it has left
+	endedProcesses  []process
 }
 
 // process identifies one run of a backend server.
 type process struct {
 	instanceID  string
 	startTimeMS int64
+	left        time.Time
 	expires     time.Time // when this entry becomes ineffective; zero: never
 }
 
+// covers reports whether the announcement is of a process that has ended.
+func (p *process) covers(now time.Time, a *Announcement) bool {
+	return p.instanceID == a.ID && a.StartTimeMS <= p.startTimeMS && (p.expires.IsZero() || now.Before(p.expires))
+}
+
 // MaxDelay is the longest expected delay of an announcement. When an unknown instance leaves, announcements of its earlier processes are
 // rejected for this long.
 const MaxDelay = 30 * time.Second
@@ -63,22 +73,24 @@
 
 // Observe processes an announcement and updates the current state if the announcement is accepted.
 func (t *Tracker) Observe(now time.Time, a Announcement) Verdict {
-	for _, p := range t.endedProcesses {
-		if p.instanceID == a.ID && a.StartTimeMS <= p.startTimeMS && (p.expires.IsZero() || now.Before(p.expires)) {
-			return Ended
-		}
+	if slices.ContainsFunc(t.endedProcesses, func(p process) bool { return p.covers(now, &a) }) {
+		return Ended
+	}
+	isCurrent := t.IsCurrentProcess(a)
+	if isCurrent && (t.firstConnection == 0 || a.Connection != 0 && a.Connection < t.firstConnection) {
+		t.firstConnection = a.Connection
 	}
 	if c := t.current; c != nil {
 		if order := cmp.Or(cmp.Compare(a.StartTimeMS, c.StartTimeMS), t.compareSequences(a, c)); order < 0 {
 			return Stale
 		}
 	}
-	if t.IsCurrentProcess(a) {
+	if isCurrent {
 		a.Draining = a.Draining || t.current.Draining // draining is final for a process
 	} else {
-		t.since = now
+		t.since, t.firstConnection = now, a.Connection
 	}
-	t.current = &a
+	t.current, t.expired = &a, nil
 	t.lastSeen = now
 	return Accepted
 }
@@ -110,34 +122,68 @@
 	return cmp.Compare(a.Sequence, c.Sequence)
 }
 
-// Leave records that an instance leaves and reports whether it is the current one. If the instance or its start is unknown, for example
-// after a restart of this process, every process of the instance that started before now counts as ended. "Now" is the later of the wall
-// clock, which may have been set back, and the monotonic clock, which stops while the machine is suspended.
-func (t *Tracker) Leave(now time.Time, id string) bool {
-	ended := process{id, max(now.UnixMilli(), clock.UnixMilli(now)), now.Add(MaxDelay)}
-	isCurrent := t.current != nil && t.current.ID == id
-	if isCurrent {
-		ended.expires = time.Time{}
-		if t.current.StartTimeMS != 0 {
-			ended.startTimeMS = t.current.StartTimeMS
+// IsOfEarlierProcess reports whether a departure that arrives over a connection is that of an earlier process with the ID of the current one. Such a
+// departure may be processed after the first announcement of the current process, for example when this process was paused meanwhile. It arrives over
+// a connection that was accepted before any connection of the current process.
+func (t *Tracker) IsOfEarlierProcess(id string, connection int64) bool {
+	c := t.current
+	return c != nil && c.ID == id && c.StartTimeMS != 0 && connection != 0 && connection < t.firstConnection
+}
+
+// Leave records that an instance leaves, as it says over a connection (0: unknown), and reports whether it is the current one. If the instance or its
+// start is unknown, for example after a restart of this process, every process of the instance that started before now counts as ended. "Now" is the
+// later of the wall clock, which may have been set back, and the monotonic clock, which stops while the machine is suspended.
+func (t *Tracker) Leave(now time.Time, id string, connection int64) bool {
+	ended := process{id, max(now.UnixMilli(), clock.UnixMilli(now)), now, now.Add(MaxDelay)}
+	isCurrent := false
+	switch known := cmp.Or(t.current, t.expired); {
+	case known == nil || known.ID != id:
+	case t.IsOfEarlierProcess(id, connection):
+		ended.startTimeMS, ended.expires = known.StartTimeMS-1, time.Time{}
+	default:
+		isCurrent = known == t.current
+		t.current, t.expired = nil, nil
+		if isCurrent || known.StartTimeMS != 0 {
+			ended.expires = time.Time{}
+		}
+		if known.StartTimeMS != 0 {
+			ended.startTimeMS = known.StartTimeMS
 		}
 	}
 	t.endedProcesses = append(t.endedProcesses, ended)
 	if len(t.endedProcesses) > maxEndedProcesses {
 		t.endedProcesses = t.endedProcesses[1:]
 	}
-	if isCurrent {
-		t.current = nil
-	}
 	return isCurrent
 }
 
+// HasOutlivedDeparture reports whether a process that counts as ended sends an announcement so late that it sent it after its departure was received:
+// that was the departure of an earlier process, or the process has stayed.
+func (t *Tracker) HasOutlivedDeparture(now time.Time, a Announcement) bool {
+	covering := 0
+	for _, p := range t.endedProcesses {
+		if !p.covers(now, &a) {
+			continue
+		}
+		if now.Sub(p.left) < MaxDelay {
+			return false
+		}
+		covering++
+	}
+	return covering > 0
+}
+
+// Readmit makes the process of an announcement count as one that has not left.
+func (t *Tracker) Readmit(now time.Time, a Announcement) {
+	t.endedProcesses = slices.DeleteFunc(t.endedProcesses, func(p process) bool { return p.covers(now, &a) })
+}
+
 // Expire removes the backend server if nothing was received from it for the duration after. It reports whether it did.
 func (t *Tracker) Expire(now time.Time, after time.Duration) bool {
 	if t.current == nil || now.Sub(t.lastSeen) < after {
 		return false
 	}
-	t.current = nil
+	t.current, t.expired = nil, t.current
 	return true
 }
 
--- a/pkg/sidecar/backend.go
+++ b/pkg/sidecar/backend.go
@@ -28,6 +28,7 @@
 				zap.String("cause", "the backend server may have left before this node started"))
 		}
 	}
+	n.readmitIfServing(a)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	previous := n.tracker.Current()
@@ -41,6 +42,23 @@
 	return verdict
 }
 
+// readmitIfServing makes the tracker take the announcements of a process again that counts as ended, but goes on announcing itself and passes the liveness
+// check.
+func (n *Node) readmitIfServing(a announce.Announcement) {
+	n.mu.Lock()
+	hasOutlived := n.tracker.HasOutlivedDeparture(time.Now(), a)
+	n.mu.Unlock()
+	if !hasOutlived || n.liveness(a) != announce.Serving {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tracker.Readmit(time.Now(), a)
+	n.metrics.Inc("backend_readmitted")
+	n.logger.Warn("backend_readmitted", zap.String("instance", a.ID), zap.Int64("start_time_ms", a.StartTimeMS),
+		zap.String("cause", "it has announced itself for long after its departure and serves"))
+}
+
 // rejectAnnouncement counts and logs an announcement that is not applied, and returns its verdict.
 func (n *Node) rejectAnnouncement(a announce.Announcement, verdict announce.Verdict, details ...zap.Field) announce.Verdict {
 	n.metrics.Inc("announcement", "verdict", string(verdict))
@@ -200,13 +218,17 @@
 }
 
 // Leave implements Announcer.
-func (n *Node) Leave(id string) {
+func (n *Node) Leave(id string, connection int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	previous := n.tracker.Current()
 	n.left, n.provisional, n.confirmed = true, false, ""
-	known := n.tracker.Leave(time.Now(), id)
-	n.logger.Info("backend_leaves", zap.String("instance", id), zap.Bool("known", known))
+	isOfEarlier := n.tracker.IsOfEarlierProcess(id, connection)
+	if isOfEarlier {
+		n.metrics.Inc("departure_of_earlier_process")
+	}
+	known := n.tracker.Leave(time.Now(), id, connection)
+	n.logger.Info("backend_leaves", zap.String("instance", id), zap.Bool("known", known), zap.Bool("earlier_process", isOfEarlier))
 	if known {
 		n.publishBackend(previous, "leave")
 	}
--- a/pkg/sidecar/caller_left_test.go
+++ b/pkg/sidecar/caller_left_test.go
@@ -65,7 +65,7 @@
 		for from := range 2 {
 			t.Run(fmt.Sprintf("%s at node %d", name, from), func(t *testing.T) {
 				m := newMesh(t, 2)
-				m.nodes[1].Leave(m.nodes[1].backend.id)
+				m.nodes[1].Leave(m.nodes[1].backend.id, 0)
 				m.eventually("one backend server is used", func() bool { return len(m.nodes[from].endpoints("s")) == 1 })
 				release := m.occupySlots(m.nodes[0])
 				conn, err := net.Dial("tcp", m.nodes[from].settings.Listen.Callers)
--- a/pkg/sidecar/listeners.go
+++ b/pkg/sidecar/listeners.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -75,7 +76,9 @@
 		if err != nil {
 			return fail(err)
 		}
-		server := &http.Server{Handler: spec.handler, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: nodeIdleTimeout, ReadHeaderTimeout: nodeIdleTimeout}
+		server := &http.Server{
+			Handler: spec.handler, ConnContext: NumberConnections(), MaxHeaderBytes: maxHeaderBytes, IdleTimeout: nodeIdleTimeout, ReadHeaderTimeout: nodeIdleTimeout,
+		}
 		n.auxiliary = append(n.auxiliary, graceful.NewServer(server, listener))
 	}
 	return nil
@@ -108,3 +111,20 @@
 	n.metrics.Inc("panics")
 	n.logger.Error("panic", zap.Any("value", value), zap.String("remedy", "report it; the connection was closed"))
 }
+
+// connectionNumberKey is the context key of a connection's number.
+type connectionNumberKey struct{}
+
+// NumberConnections returns a value for http.Server.ConnContext that numbers connections from 1 in the order in which they are accepted.
+func NumberConnections() func(context.Context, net.Conn) context.Context {
+	var accepted atomic.Int64
+	return func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connectionNumberKey{}, accepted.Add(1))
+	}
+}
+
+// ConnectionNumber returns the number of the connection over which a request arrived, or 0 if it has none.
+func ConnectionNumber(r *http.Request) int64 {
+	number, _ := r.Context().Value(connectionNumberKey{}).(int64)
+	return number
+}
--- a/pkg/sidecar/platform.go
+++ b/pkg/sidecar/platform.go
@@ -122,6 +122,6 @@
 type Announcer interface {
 	// Announce reports the state of an instance.
 	Announce(a announce.Announcement) announce.Verdict
-	// Leave reports that an instance is leaving.
-	Leave(id string)
+	// Leave reports that an instance is leaving. The connection is that over which it said so, as in announce.Announcement.
+	Leave(id string, connection int64)
 }
--- a/pkg/sidecar/restart_test.go
+++ b/pkg/sidecar/restart_test.go
@@ -62,7 +62,7 @@
 func TestRestart_LateAnnouncementsAfterThoseOfAnother(t *testing.T) {
 	m, n := newRestartedNode(t, http.StatusOK, "", time.Minute)
 	assert.Equal(t, announce.Accepted, n.announce(false))
-	n.Leave(n.backend.id)
+	n.Leave(n.backend.id, 0)
 	for sequence := range 3 {
 		assert.Equal(t, announce.Unconfirmed, n.Announce(announce.Announcement{
 			ID: "i-earlier", Service: "s", Address: n.backend.address, Slots: 4, Sequence: int64(sequence), StartTimeMS: n.backendStart - 1000,
@@ -129,7 +129,7 @@
 	m.eventually("it is dropped", func() bool { return len(n.endpoints("s")) == 0 })
 
 	m, n = newRestartedNode(t, http.StatusOK, freeSlots, time.Minute)
-	n.Leave(n.backend.id)
+	n.Leave(n.backend.id, 0)
 	assert.Equal(t, announce.Ended, n.announce(false))
 	a, _ := m.call(n, "GET", "/safe/", "")
 	assert.Equal(t, http.StatusServiceUnavailable, a.status)
