quarantine: backend servers that crash at once are no independent evidence against a request

Cause: two crashes blocked a request, although at the second one no node knew of the first, so that nothing had been learnt by running it alone: one event counted as two. Change: a run counts as that of a suspect if the request was known as one when it was sent to the backend server. Only a crash of such a run is further evidence; those of other runs count as one. The record says in a new field which process that was; earlier builds ignore it. Why it works: what runs on all backend servers is present at each crash of the same moment, but not as a suspect; its first answer then clears it. Tests: Table.Crashed takes runs; the calls in tests pass runs of suspects, and what is asserted is the same.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -21,7 +21,7 @@
 
 // Policy holds the parameters of the decisions.
 type Policy struct {
-	BlockAfter   int           // crashes of backend servers that ran the request
+	BlockAfter   int           // independent crashes of backend servers that ran the request
 	BaseDuration time.Duration // how long a request is first blocked, and how long it stays a suspect
 	// MaxDoublings bounds how often the duration doubles: with each further crash, which shows that the request still crashes backend servers.
 	MaxDoublings int
@@ -33,10 +33,17 @@
 	return Policy{BlockAfter: 2, BaseDuration: 10 * time.Minute, MaxDoublings: 3, MaxRecords: 1024}
 }
 
+// Run is a request that a backend server was running when it crashed.
+type Run struct {
+	Request   Fingerprint
+	AsSuspect bool // it was known as a suspect when it was sent to the backend server
+}
+
 // Record is what is known of a request.
 type Record struct {
 	Request Fingerprint `json:"request"`
 	Crashed []string    `json:"crashed"`           // processes of backend servers that crashed while they ran it, in ascending order
+	Present string      `json:"present,omitempty"` // of them, the one that ran it before it was a suspect; builds before this field leave it out
 	Cleared bool        `json:"cleared,omitempty"` // a backend server has answered it
 	AgeMS   int64       `json:"age_ms,omitempty"`  // time since the latest change
 }
@@ -46,11 +53,34 @@
 
 // entry is a record with the time of its latest change.
 type entry struct {
-	crashed []string
+	// present is a process that crashed while it ran the request before that was a suspect; "" if there is none. Crashes of such runs are not
+	// independent: what runs everywhere is present at each of them if several backend servers crash at the same time, whatever the cause is. They count as
+	// one, for which the least name stands.
+	present string
+	crashed []string // processes that crashed while they ran it as a suspect, in ascending order
 	cleared bool
 	changed time.Time
 }
 
+// processes returns the processes whose crashes count, in ascending order.
+func (e *entry) processes() []string {
+	processes := slices.Clone(e.crashed)
+	if i, found := slices.BinarySearch(processes, e.present); !found && e.present != "" {
+		processes = slices.Insert(processes, i, e.present)
+	}
+	return processes
+}
+
+// crashes returns the number of independent crashes.
+func (e *entry) crashes() int {
+	if _, found := slices.BinarySearch(e.crashed, e.present); found || e.present == "" {
+		return len(e.crashed)
+	}
+	return len(e.crashed) + 1
+}
+
+func (e *entry) isNew() bool { return e.present == "" && len(e.crashed) == 0 }
+
 // Table holds the records of the requests that ran on backend servers when they crashed. It is safe for concurrent use.
 type Table struct {
 	policy Policy
@@ -72,7 +102,7 @@
 
 // blockDuration returns how long the request is blocked after its latest crash.
 func (t *Table) blockDuration(e *entry) time.Duration {
-	doublings := min(len(e.crashed)-t.policy.BlockAfter, t.policy.MaxDoublings)
+	doublings := min(e.crashes()-t.policy.BlockAfter, t.policy.MaxDoublings)
 	if doublings < 0 {
 		return 0
 	}
@@ -105,17 +135,24 @@
 
 // Crashed records that a process of a backend server crashed while it ran the requests. It returns the records that have changed. If several of
 // them were running at earlier crashes, this one does not show which of them is the cause, and counts for none of these.
-func (t *Table) Crashed(now time.Time, process string, requests []Fingerprint) []Record {
+func (t *Table) Crashed(now time.Time, process string, runs []Run) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	suspects := t.suspectsBefore(now, process, requests)
+	asSuspect := distinct(runs)
+	suspects := t.suspectsBefore(now, process, asSuspect)
 	var changed []Record
-	for _, request := range requests {
+	for request, ranAsSuspect := range asSuspect {
 		if len(suspects) > 1 && suspects[request] {
 			continue
 		}
 		e := t.entryOf(now, request)
-		if e.add([]string{process}, t.maxCrashes()) {
+		var isChange bool
+		if ranAsSuspect && suspects[request] {
+			isChange = e.add([]string{process}, t.maxCrashes())
+		} else {
+			isChange = e.addPresent(process)
+		}
+		if isChange {
 			e.changed = now
 			changed = append(changed, e.record(now, request))
 		}
@@ -124,16 +161,26 @@
 	return changed
 }
 
+// distinct returns for each request whether all of its runs were known as those of a suspect.
+func distinct(runs []Run) map[Fingerprint]bool {
+	asSuspect := make(map[Fingerprint]bool, len(runs))
+	for _, r := range runs {
+		known, isKnown := asSuspect[r.Request]
+		asSuspect[r.Request] = r.AsSuspect && (known || !isKnown)
+	}
+	return asSuspect
+}
+
 // suspectsBefore returns which of the requests were running when another process crashed, and were not answered since.
-func (t *Table) suspectsBefore(now time.Time, process string, requests []Fingerprint) map[Fingerprint]bool {
+func (t *Table) suspectsBefore(now time.Time, process string, requests map[Fingerprint]bool) map[Fingerprint]bool {
 	suspects := make(map[Fingerprint]bool)
-	for _, request := range requests {
+	for request := range requests {
 		e := t.entries[request]
 		if e == nil {
 			continue
 		}
 		verdict, _ := t.verdict(now, e)
-		if verdict != Clear && slices.ContainsFunc(e.crashed, func(p string) bool { return p != process }) {
+		if verdict != Clear && slices.ContainsFunc(e.processes(), func(p string) bool { return p != process }) {
 			suspects[request] = true
 		}
 	}
@@ -177,11 +224,16 @@
 
 // mergeRecord merges a record into the entry of its request, and reports whether the entry contains more than the record.
 func (t *Table) mergeRecord(now time.Time, e *entry, r Record) (more bool) {
-	if len(e.crashed) == 0 {
-		e.changed = now.Add(-r.age()) // the entry is new
+	if e.isNew() {
+		e.changed = now.Add(-r.age())
+	}
+	present, crashed := r.split()
+	more = e.cleared && !r.Cleared || e.present != "" && e.present < present ||
+		slices.ContainsFunc(e.processes(), func(p string) bool { return !slices.Contains(r.Crashed, p) })
+	if present != "" {
+		e.addPresent(present)
 	}
-	more = e.cleared && !r.Cleared || slices.ContainsFunc(e.crashed, func(p string) bool { return !slices.Contains(r.Crashed, p) })
-	e.add(r.Crashed, t.maxCrashes())
+	e.add(crashed, t.maxCrashes())
 	e.cleared = e.cleared || r.Cleared
 	if changed := now.Add(-r.age()); changed.After(e.changed) {
 		e.changed = changed
@@ -189,16 +241,35 @@
 	return more
 }
 
+// split returns the process that ran the request before it was a suspect, and the others. Builds that do not tell them apart do not know of any
+// suspect before the first crash.
+func (r Record) split() (present string, crashed []string) {
+	present = r.Present
+	if present == "" && len(r.Crashed) == 1 {
+		present = r.Crashed[0]
+	}
+	return present, slices.DeleteFunc(slices.Clone(r.Crashed), func(p string) bool { return p == present })
+}
+
 func (r Record) age() time.Duration { return time.Duration(r.AgeMS) * time.Millisecond }
 
 func (r Record) valid() bool {
-	return r.AgeMS >= 0 && len(r.Crashed) > 0 && !slices.ContainsFunc(r.Crashed, func(p string) bool { return p == "" || len(p) > maxProcessBytes })
+	return r.AgeMS >= 0 && len(r.Crashed) > 0 && (r.Present == "" || slices.Contains(r.Crashed, r.Present)) && !slices.ContainsFunc(r.Crashed, func(p string) bool { return p == "" || len(p) > maxProcessBytes })
 }
 
 // maxCrashes returns how many processes are kept in a record; more do not change the verdict.
 func (t *Table) maxCrashes() int { return t.policy.BlockAfter + t.policy.MaxDoublings }
 
-// add adds processes, and reports whether that changed the entry.
+// addPresent adds a process that ran the request before it was a suspect, and reports whether that changed the entry.
+func (e *entry) addPresent(process string) (changed bool) {
+	if e.present != "" && e.present <= process {
+		return false
+	}
+	e.present = process
+	return true
+}
+
+// add adds processes that ran the request as a suspect, and reports whether that changed the entry.
 func (e *entry) add(processes []string, most int) (changed bool) {
 	for _, p := range processes {
 		if i, found := slices.BinarySearch(e.crashed, p); !found {
@@ -213,7 +284,7 @@
 }
 
 func (e *entry) record(now time.Time, request Fingerprint) Record {
-	return Record{Request: request, Crashed: slices.Clone(e.crashed), Cleared: e.cleared, AgeMS: max(0, now.Sub(e.changed).Milliseconds())}
+	return Record{Request: request, Crashed: e.processes(), Present: e.present, Cleared: e.cleared, AgeMS: max(0, now.Sub(e.changed).Milliseconds())}
 }
 
 // entryOf returns the entry of a request, creating it if necessary. The caller must hold mu and call sweep afterwards.
@@ -255,7 +326,7 @@
 }
 
 // shared reports whether an entry is part of what all nodes must agree on: requests that are blocked, or would be if they were not cleared.
-func (t *Table) shared(e *entry) bool { return len(e.crashed) >= t.policy.BlockAfter }
+func (t *Table) shared(e *entry) bool { return e.crashes() >= t.policy.BlockAfter }
 
 // Shared returns the records that all nodes must agree on, and drops those that have expired.
 func (t *Table) Shared(now time.Time) []Record {
@@ -313,7 +384,7 @@
 		}
 		isEmpty = false
 		digest.Write(request[:])
-		for _, process := range e.crashed {
+		for _, process := range e.processes() {
 			digest.Write([]byte(process + "\n"))
 		}
 		if e.cleared {
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -18,6 +18,20 @@
 	return Request{Method: "GET", Host: "h", Target: fmt.Sprint("/", n), Caller: "s"}.Fingerprint()
 }
 
+// suspects returns runs of requests that were sent as suspects if they were any.
+func suspects(requests ...Fingerprint) []Run { return runs(true, requests...) }
+
+// unsuspected returns runs of requests that were sent before they were suspects.
+func unsuspected(requests ...Fingerprint) []Run { return runs(false, requests...) }
+
+func runs(asSuspect bool, requests ...Fingerprint) []Run {
+	var out []Run
+	for _, request := range requests {
+		out = append(out, Run{request, asSuspect})
+	}
+	return out
+}
+
 func verdictOf(t *Table, now time.Time, n int) Verdict {
 	v, _ := t.Verdict(now, fingerprint(n))
 	return v
@@ -58,11 +72,11 @@
 	now := start
 	assert.True(t, table.IsEmpty())
 	assert.Empty(t, table.Digest())
-	table.Crashed(now, "p1", []Fingerprint{fingerprint(1), fingerprint(2)})
-	table.Crashed(now, "p1", []Fingerprint{fingerprint(1)})
+	table.Crashed(now, "p1", suspects(fingerprint(1), fingerprint(2)))
+	table.Crashed(now, "p1", suspects(fingerprint(1)))
 	assert.Equal(t, Suspect, verdictOf(table, now, 1), "two attempts that ran on one process are one crash")
 	assert.Empty(t, table.Digest())
-	table.Crashed(now, "p2", []Fingerprint{fingerprint(1)})
+	table.Crashed(now, "p2", suspects(fingerprint(1)))
 	assert.Equal(t, Blocked, verdictOf(table, now, 1))
 	assert.Equal(t, Suspect, verdictOf(table, now, 2))
 	assert.Equal(t, Clear, verdictOf(table, now, 3))
@@ -70,11 +84,11 @@
 
 	now = now.Add(policy.BaseDuration)
 	assert.Equal(t, Suspect, verdictOf(table, now, 1), "it is tried again")
-	table.Crashed(now, "p3", []Fingerprint{fingerprint(1)})
+	table.Crashed(now, "p3", suspects(fingerprint(1)))
 	_, left := table.Verdict(now, fingerprint(1))
 	assert.Equal(t, 2*policy.BaseDuration, left, "it still crashes backend servers")
 	for i := range 10 {
-		table.Crashed(now, fmt.Sprint("p", 4+i), []Fingerprint{fingerprint(1)})
+		table.Crashed(now, fmt.Sprint("p", 4+i), suspects(fingerprint(1)))
 	}
 	_, left = table.Verdict(now, fingerprint(1))
 	assert.Equal(t, policy.BaseDuration<<policy.MaxDoublings, left)
@@ -88,16 +102,16 @@
 func TestTable_AnswerClears(t *testing.T) {
 	table := NewTable(DefaultPolicy())
 	assert.False(t, table.Answered(start, fingerprint(1)), "not a suspect")
-	table.Crashed(start, "p1", []Fingerprint{fingerprint(1)})
+	table.Crashed(start, "p1", suspects(fingerprint(1)))
 	assert.True(t, table.Answered(start, fingerprint(1)))
 	assert.False(t, table.Answered(start, fingerprint(1)))
-	table.Crashed(start, "p2", []Fingerprint{fingerprint(1)})
-	table.Crashed(start, "p3", []Fingerprint{fingerprint(1)})
+	table.Crashed(start, "p2", suspects(fingerprint(1)))
+	table.Crashed(start, "p3", suspects(fingerprint(1)))
 	assert.Equal(t, Clear, verdictOf(table, start, 1))
 
 	other := NewTable(DefaultPolicy())
-	other.Crashed(start, "p2", []Fingerprint{fingerprint(1)})
-	other.Crashed(start, "p3", []Fingerprint{fingerprint(1)})
+	other.Crashed(start, "p2", suspects(fingerprint(1)))
+	other.Crashed(start, "p3", suspects(fingerprint(1)))
 	require.Equal(t, Blocked, verdictOf(other, start, 1))
 	_, lacking := table.Merge(start, other.Shared(start))
 	require.Len(t, lacking, 1, "the other node does not know that it was answered")
@@ -109,14 +123,14 @@
 // run on one backend server meanwhile.
 func TestTable_CrashWithSeveralSuspectsCountsForNone(t *testing.T) {
 	table := NewTable(DefaultPolicy())
-	table.Crashed(start, "p1", []Fingerprint{fingerprint(1), fingerprint(2), fingerprint(3)})
-	table.Crashed(start, "p2", []Fingerprint{fingerprint(1), fingerprint(2), fingerprint(4)})
+	table.Crashed(start, "p1", suspects(fingerprint(1), fingerprint(2), fingerprint(3)))
+	table.Crashed(start, "p2", suspects(fingerprint(1), fingerprint(2), fingerprint(4)))
 	for n := 1; n <= 4; n++ {
 		assert.Equal(t, Suspect, verdictOf(table, start, n))
 	}
-	table.Crashed(start, "p3", []Fingerprint{fingerprint(1), fingerprint(5)})
+	table.Crashed(start, "p3", suspects(fingerprint(1), fingerprint(5)))
 	assert.Equal(t, Blocked, verdictOf(table, start, 1))
-	table.Crashed(start, "p4", []Fingerprint{fingerprint(1), fingerprint(2)})
+	table.Crashed(start, "p4", suspects(fingerprint(1), fingerprint(2)))
 	assert.Equal(t, Suspect, verdictOf(table, start, 2), "a blocked one that was still running is the likely cause")
 }
 
@@ -136,7 +150,7 @@
 			request := fingerprint(random.IntN(3))
 			switch random.IntN(4) {
 			case 0:
-				a.Crashed(now, fmt.Sprint("p", random.IntN(8)), []Fingerprint{request})
+				a.Crashed(now, fmt.Sprint("p", random.IntN(8)), runs(random.IntN(2) == 0, request))
 			case 1:
 				if random.IntN(4) == 0 {
 					a.Answered(now, request)
@@ -165,7 +179,7 @@
 	policy.MaxRecords = 3
 	table := NewTable(policy)
 	for i := range 10 {
-		table.Crashed(start.Add(time.Duration(i)*time.Second), "p", []Fingerprint{fingerprint(i)})
+		table.Crashed(start.Add(time.Duration(i)*time.Second), "p", suspects(fingerprint(i)))
 	}
 	suspects, blocked := table.Counts(start.Add(10 * time.Second))
 	assert.Equal(t, 3, suspects)
@@ -182,3 +196,55 @@
 	empty.Merge(start, []Record{{Request: fingerprint(1), Crashed: []string{"p", "q"}, AgeMS: (2 * policy.BaseDuration).Milliseconds()}})
 	assert.True(t, empty.IsEmpty(), "the record has expired")
 }
+
+// Guards against a popular request that is blocked because all backend servers that run it crash at the same time, for a reason that has nothing to do with
+// it: the nodes learn of the other crashes when it is too late to run it alone.
+func TestTable_CrashesAtOnceAreOne(t *testing.T) {
+	const nodes = 4
+	var tables []*Table
+	for i := range nodes {
+		table := NewTable(DefaultPolicy())
+		assert.Len(t, table.Crashed(start, fmt.Sprint("p", i), unsuspected(fingerprint(1))), 1)
+		tables = append(tables, table)
+	}
+	for range 2 {
+		for _, a := range tables {
+			for _, b := range tables {
+				record, ok := a.Find(start, fingerprint(1))
+				require.True(t, ok)
+				b.Merge(start, []Record{record})
+			}
+		}
+	}
+	for _, table := range tables {
+		assert.Equal(t, Suspect, verdictOf(table, start, 1))
+		assert.Empty(t, table.Shared(start))
+	}
+	tables[0].Crashed(start, "p9", unsuspected(fingerprint(1)))
+	assert.Equal(t, Suspect, verdictOf(tables[0], start, 1), "it was still running")
+	tables[0].Crashed(start, "p9", append(suspects(fingerprint(1)), unsuspected(fingerprint(1))...))
+	assert.Equal(t, Suspect, verdictOf(tables[0], start, 1), "of two copies, one was still running")
+	tables[0].Crashed(start, "p9", suspects(fingerprint(1), fingerprint(1)))
+	assert.Equal(t, Blocked, verdictOf(tables[0], start, 1), "it ran alone")
+	blocked, _ := tables[1].Merge(start, tables[0].Shared(start))
+	assert.Equal(t, []Fingerprint{fingerprint(1)}, blocked)
+}
+
+// Guards against records of the build before this one that are misread, and against records that this one cannot read: it does not tell crashes at the
+// same time from others.
+func TestRecord_OfEarlierBuild(t *testing.T) {
+	table := NewTable(DefaultPolicy())
+	for _, process := range []string{"p1", "p2"} {
+		table.Merge(start, []Record{{Request: fingerprint(1), Crashed: []string{process}}})
+	}
+	assert.Equal(t, Suspect, verdictOf(table, start, 1))
+	table.Merge(start, []Record{{Request: fingerprint(2), Crashed: []string{"p1", "p2"}}})
+	assert.Equal(t, Blocked, verdictOf(table, start, 2))
+	table.Crashed(start, "p3", suspects(fingerprint(1)))
+	record, ok := table.Get(start, fingerprint(1))
+	require.True(t, ok)
+	assert.Equal(t, []string{"p1", "p3"}, record.Crashed, "an earlier build reads both")
+	assert.Equal(t, "p1", record.Present)
+	table.Merge(start, []Record{{Request: fingerprint(3), Crashed: []string{"p1"}, Present: "p2"}})
+	assert.Equal(t, Clear, verdictOf(table, start, 3), "malformed")
+}
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -55,8 +55,9 @@
 	parentRank int           // most urgent rank that the calling backend server runs, if the call is nested; admission.Nested: unknown
 
 	// Values that are not encoded.
-	fingerprint *quarantine.Fingerprint // of the request, once it was needed
-	inWard      bool                    // the instance runs it as a suspect
+	fingerprint   *quarantine.Fingerprint // of the request, once it was needed
+	inWard        bool                    // no other suspect runs at the instance meanwhile
+	sentAsSuspect bool                    // it was known as a suspect when it was sent to the backend server
 }
 
 const fieldSeparator = ";"
--- a/pkg/sidecar/crash.go
+++ b/pkg/sidecar/crash.go
@@ -25,8 +25,8 @@
 
 // lostRequest is a request whose connection to the backend server broke.
 type lostRequest struct {
-	id          string
-	fingerprint quarantine.Fingerprint
+	id string
+	quarantine.Run
 }
 
 // crashDetector finds out whether an instance lost requests because it crashed. It is safe for concurrent use.
@@ -69,7 +69,7 @@
 // investigateLoss finds out whether an instance that lost a request has crashed. It returns when that is known, or after maxLossWait. If the request
 // is blocked then, the reply says so, and its sender does not send it again.
 func (in *inbound) investigateLoss(i *instance, c *call, r *hop.Request, reply *callReply) {
-	l, first := i.crashes.join(lostRequest{r.ID, c.identify(r)})
+	l, first := i.crashes.join(lostRequest{r.ID, quarantine.Run{Request: c.identify(r), AsSuspect: c.sentAsSuspect}})
 	if first {
 		in.resolveLoss(i, l)
 	} else {
@@ -107,14 +107,17 @@
 // reportCrash counts, logs and shares the crash of an instance and the requests that it was running.
 func (in *inbound) reportCrash(i *instance, requests []lostRequest) {
 	in.metrics.Inc("backend_crashed")
-	var ids, texts []string
-	var fingerprints []quarantine.Fingerprint
+	var ids, fingerprints, suspects []string
+	var runs []quarantine.Run
 	for _, q := range requests {
-		ids, texts, fingerprints = append(ids, q.id), append(texts, q.fingerprint.String()), append(fingerprints, q.fingerprint)
+		ids, fingerprints, runs = append(ids, q.id), append(fingerprints, q.Request.String()), append(runs, q.Run)
+		if q.AsSuspect {
+			suspects = append(suspects, q.Request.String())
+		}
 	}
 	in.logger.Info("backend_crashed", zap.String("instance", i.ID), zap.String("service", i.Service), zap.Int("running", len(requests)),
-		zap.Strings("ids", ids), zap.Strings("fingerprints", texts))
-	in.onCrash(i.process(), fingerprints)
+		zap.Strings("ids", ids), zap.Strings("fingerprints", fingerprints), zap.Strings("suspects", suspects))
+	in.onCrash(i.process(), runs)
 }
 
 // process returns a name for the process of the instance. A process crashes once, so the name also identifies the crash.
--- a/pkg/sidecar/crash_test.go
+++ b/pkg/sidecar/crash_test.go
@@ -104,7 +104,7 @@
 	m := newMesh(t, 6)
 	crashes := m.crashesOnDeadlyRequests(0)
 	m.call(m.nodes[0], "GET", "/safe/warm-up", "")
-	m.nodes[0].inbound.suspects.Crashed(time.Now(), "earlier", []quarantine.Fingerprint{m.deadlyFingerprint()})
+	m.nodes[0].inbound.suspects.Crashed(time.Now(), "earlier", []quarantine.Run{{Request: m.deadlyFingerprint()}})
 	m.nodes[0].quarantine.share([]quarantine.Record{{Request: m.deadlyFingerprint(), Crashed: []string{"earlier"}}})
 	var attempts sync.WaitGroup
 	for _, n := range m.nodes {
@@ -216,7 +216,7 @@
 // block makes one node block requests for deadlyPath without telling the others.
 func (m *mesh) block(n *testNode) {
 	for _, process := range []string{"p1", "p2"} {
-		n.inbound.suspects.Crashed(time.Now(), process, []quarantine.Fingerprint{m.deadlyFingerprint()})
+		n.inbound.suspects.Crashed(time.Now(), process, []quarantine.Run{{Request: m.deadlyFingerprint(), AsSuspect: true}})
 	}
 	require.True(m.t, m.isBlockedAt(n))
 }
--- a/pkg/sidecar/inbound.go
+++ b/pkg/sidecar/inbound.go
@@ -45,13 +45,13 @@
 	client         *hop.Client
 	metrics        *metrics.Registry
 	logger         *zap.Logger
-	onResponse     func()                                                 // called when the backend server has responded
-	onLeaving      func(*instance)                                        // called when a response of an instance in use says that it is leaving
-	onCrash        func(process string, running []quarantine.Fingerprint) // called when an instance has crashed
-	onCleared      func(request quarantine.Fingerprint, isFrequent bool)  // called when a suspect was answered
-	suspects       *quarantine.Table                                      // requests that were running at crashes of backend servers
-	failedCalls    atomic.Int64                                           // calls of the backend server that were not answered with a success
-	callsNoRoom    atomic.Int64                                           // of them, those that were refused for lack of room
+	onResponse     func()                                                // called when the backend server has responded
+	onLeaving      func(*instance)                                       // called when a response of an instance in use says that it is leaving
+	onCrash        func(process string, running []quarantine.Run)        // called when an instance has crashed
+	onCleared      func(request quarantine.Fingerprint, isFrequent bool) // called when a suspect was answered
+	suspects       *quarantine.Table                                     // requests that were running at crashes of backend servers
+	failedCalls    atomic.Int64                                          // calls of the backend server that were not answered with a success
+	callsNoRoom    atomic.Int64                                          // of them, those that were refused for lack of room
 	parents        *dependency.Admission
 	readLoadReport func(http.Header) (LoadReport, bool, error)
 	readIntake     func(http.Header) (Intake, error)
@@ -248,6 +248,8 @@
 		grant.Release(admission.NotSent)
 		return in.completeReply(i, c, r, &callReply{verdict: verdictNotRun, reason: reasonVersionHeld}), nil
 	}
+	verdict, _ := in.verdict(c, r)
+	c.sentAsSuspect = verdict == quarantine.Suspect
 	done := in.link.Expect(in.stats.meanResponseBytes(c.class))
 	granted := time.Now()
 	leaveRunning := in.countRunning(c)
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -111,7 +111,7 @@
 	n.buffers = hop.NewBufferBudget(s.bufferBytes())
 	n.inbound = newInbound(p, n.link, n.buffers, n.metrics, n.logger, n.backendResponded)
 	n.inbound.onLeaving = n.backendLeaves
-	n.inbound.onCrash = func(process string, running []quarantine.Fingerprint) { n.quarantine.crashed(process, running) }
+	n.inbound.onCrash = func(process string, running []quarantine.Run) { n.quarantine.crashed(process, running) }
 	n.inbound.onCleared = func(request quarantine.Fingerprint, isFrequent bool) { n.quarantine.cleared(request, isFrequent) }
 	n.membership = membership.New(membership.Options{
 		Self: n.self(), Directory: n.directory, ContactsInterval: contactsInterval, Exclusive: true, Timing: membership.RegionalTiming, Client: n.rpcClient, Server: n.rpcServer,
--- a/pkg/sidecar/quarantine.go
+++ b/pkg/sidecar/quarantine.go
@@ -66,10 +66,10 @@
 	return q
 }
 
-// crashed records and shares that a process of a backend server crashed while it ran the requests. It returns when the nodes that it sent the
+// crashed records and shares that a process of a backend server crashed with what it was running. It returns when the nodes that it sent the
 // records to have responded, or after maxShareWait.
-func (q *quarantines) crashed(process string, requests []quarantine.Fingerprint) {
-	changed := q.table.Crashed(time.Now(), process, requests)
+func (q *quarantines) crashed(process string, running []quarantine.Run) {
+	changed := q.table.Crashed(time.Now(), process, running)
 	if len(changed) == 0 {
 		return
 	}
--- a/pkg/sidecar/suspect_test.go
+++ b/pkg/sidecar/suspect_test.go
@@ -28,7 +28,7 @@
 
 // suspect makes one node suspect the requests for a path without telling the others.
 func (n *testNode) suspect(path string) {
-	n.inbound.suspects.Crashed(time.Now(), "earlier", []quarantine.Fingerprint{fingerprintOfPath(path)})
+	n.inbound.suspects.Crashed(time.Now(), "earlier", []quarantine.Run{{Request: fingerprintOfPath(path)}})
 }
 
 // callAlways sends requests for a path from each of the nodes, a number at a time, until the returned function is called.
@@ -148,3 +148,69 @@
 	w.leave(b)
 	assert.Empty(t, w.copies)
 }
+
+// Guards against a popular request that is refused for minutes because all backend servers that were running it crashed at the same moment.
+func TestFrequentRequest_NotBlockedByCrashesAtOnce(t *testing.T) {
+	m := newMesh(t, 3)
+	var running [3]atomic.Int64
+	for i, n := range m.nodes {
+		n.backend.setHandler(func(http.ResponseWriter, *http.Request, string) {
+			running[i].Add(1)
+			defer running[i].Add(-1)
+			time.Sleep(100 * time.Millisecond)
+		})
+	}
+	stop := m.callAlways(popularPath, 4, m.nodes...)
+	defer stop()
+	m.eventually("all backend servers run it", func() bool { return running[0].Load() > 0 && running[1].Load() > 0 && running[2].Load() > 0 })
+	var crashes sync.WaitGroup
+	for _, n := range m.nodes {
+		crashes.Go(n.backend.crash)
+	}
+	crashes.Wait()
+	for _, n := range m.nodes {
+		m.eventually("the crash is noticed", func() bool { return n.metrics.Counter("backend_crashed").Count() > 0 })
+	}
+	stop()
+	m.reviveBackends()
+	for _, n := range m.nodes {
+		assert.NotEqual(t, quarantine.Blocked, n.verdictOn(popularPath))
+		a, _ := m.call(n, "GET", popularPath, "")
+		assert.Equal(t, http.StatusOK, a.status)
+		assert.Equal(t, quarantine.Clear, n.verdictOn(popularPath))
+	}
+}
+
+// Guards against more crashes than necessary by copies of one request that are sent at the same moment: those that were sent before the first crash, and
+// one that runs alone.
+func TestDeadlyRequest_ConcurrentFirstAttempts(t *testing.T) {
+	m := newMesh(t, 4)
+	var crashes, arrived atomic.Int64
+	both := make(chan struct{})
+	for _, n := range m.nodes {
+		b := n.backend
+		b.setHandler(func(http.ResponseWriter, *http.Request, string) {
+			if arrived.Add(1) == 2 {
+				close(both)
+			}
+			<-both
+			crashes.Add(1)
+			b.crash()
+		})
+	}
+	var attempts sync.WaitGroup
+	for range 2 {
+		for _, n := range m.nodes {
+			attempts.Go(func() {
+				r, _ := m.request(context.Background(), n, "GET", deadlyPath, "")
+				send(r)
+			})
+		}
+		attempts.Wait()
+		m.reviveBackends()
+	}
+	assert.LessOrEqual(t, crashes.Load(), int64(len(m.nodes)+1))
+	for _, n := range m.nodes {
+		assert.Equal(t, quarantine.Blocked, n.verdictOn(deadlyPath))
+	}
+}
