--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -44,6 +44,7 @@
 	Request Fingerprint `json:"request"`
 	Crashed []string    `json:"crashed"`           // processes of backend servers that crashed while they ran it, in ascending order
 	Present string      `json:"present,omitempty"` // of them, the one that ran it before it was a suspect; builds before this field leave it out
+	Both    bool        `json:"both,omitempty"`    // another node has reported that Present ran it as a suspect
 	Cleared bool        `json:"cleared,omitempty"` // a backend server has answered it
 	AgeMS   int64       `json:"age_ms,omitempty"`  // time since the latest change
 }
@@ -228,8 +229,8 @@
 		e.changed = now.Add(-r.age())
 	}
 	present, crashed := r.split()
-	more = e.cleared && !r.Cleared || e.present != "" && e.present < present ||
-		slices.ContainsFunc(e.processes(), func(p string) bool { return !slices.Contains(r.Crashed, p) })
+	more = e.cleared && !r.Cleared || e.present != "" && (present == "" || e.present < present) ||
+		slices.ContainsFunc(e.crashed, func(p string) bool { return !slices.Contains(crashed, p) })
 	if present != "" {
 		e.addPresent(present)
 	}
@@ -241,14 +242,14 @@
 	return more
 }
 
-// split returns the process that ran the request before it was a suspect, and the others. Builds that do not tell them apart do not know of any
+// split returns the process that ran the request before it was a suspect, and those that ran it as one. Builds that do not tell them apart do not know of any
 // suspect before the first crash.
 func (r Record) split() (present string, crashed []string) {
 	present = r.Present
 	if present == "" && len(r.Crashed) == 1 {
 		present = r.Crashed[0]
 	}
-	return present, slices.DeleteFunc(slices.Clone(r.Crashed), func(p string) bool { return p == present })
+	return present, slices.DeleteFunc(slices.Clone(r.Crashed), func(p string) bool { return p == present && !r.Both })
 }
 
 func (r Record) age() time.Duration { return time.Duration(r.AgeMS) * time.Millisecond }
@@ -284,7 +285,7 @@
 }
 
 func (e *entry) record(now time.Time, request Fingerprint) Record {
-	return Record{Request: request, Crashed: e.processes(), Present: e.present, Cleared: e.cleared, AgeMS: max(0, now.Sub(e.changed).Milliseconds())}
+	return Record{Request: request, Crashed: e.processes(), Present: e.present, Both: slices.Contains(e.crashed, e.present), Cleared: e.cleared, AgeMS: max(0, now.Sub(e.changed).Milliseconds())}
 }
 
 // entryOf returns the entry of a request, creating it if necessary. The caller must hold mu and call sweep afterwards.
