quarantine: crashes that have expired are no evidence any more

Cause: an expired record was dropped at the end of the next change of the table only, after that change had been added to it. Change: an expired entry is replaced when a crash or a record is added. Evidence: TestTable_ExpiredCrashesDoNotCount failed before (Blocked instead of Suspect; "p1" instead of "p4" and "p5" alone), and passes.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -288,10 +288,15 @@
 	return Record{Request: request, Crashed: e.processes(), Present: e.present, Both: slices.Contains(e.crashed, e.present), Cleared: e.cleared, AgeMS: max(0, now.Sub(e.changed).Milliseconds())}
 }
 
-// entryOf returns the entry of a request, creating it if necessary. The caller must hold mu and call sweep afterwards.
+// isExpired reports whether what is known of a request no longer counts.
+func (t *Table) isExpired(now time.Time, e *entry) bool {
+	return now.Sub(e.changed) >= t.blockDuration(e)+t.policy.BaseDuration
+}
+
+// entryOf returns the entry of a request, creating it if there is none or it has expired. The caller must hold mu and call sweep afterwards.
 func (t *Table) entryOf(now time.Time, request Fingerprint) *entry {
 	e := t.entries[request]
-	if e == nil {
+	if e == nil || t.isExpired(now, e) {
 		e = &entry{changed: now}
 		t.entries[request] = e
 	}
@@ -301,7 +306,7 @@
 // sweep drops entries that have expired, and the oldest ones beyond Policy.MaxRecords. The caller must hold mu.
 func (t *Table) sweep(now time.Time) {
 	for request, e := range t.entries {
-		if now.Sub(e.changed) >= t.blockDuration(e)+t.policy.BaseDuration {
+		if t.isExpired(now, e) {
 			delete(t.entries, request)
 		}
 	}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -248,3 +248,23 @@
 	table.Merge(start, []Record{{Request: fingerprint(3), Crashed: []string{"p1"}, Present: "p2"}})
 	assert.Equal(t, Clear, verdictOf(table, start, 3), "malformed")
 }
+
+// Guards against evidence without an end: a request that was blocked long ago is blocked again because it is present at one crash.
+func TestTable_ExpiredCrashesDoNotCount(t *testing.T) {
+	table, policy := NewTable(DefaultPolicy()), DefaultPolicy()
+	table.Crashed(start, "p1", suspects(fingerprint(1)))
+	table.Crashed(start, "p2", suspects(fingerprint(1)))
+	require.Equal(t, Blocked, verdictOf(table, start, 1))
+	later := start.Add(2 * policy.BaseDuration)
+	require.Equal(t, Clear, verdictOf(table, later, 1))
+	table.Crashed(later, "p3", unsuspected(fingerprint(1)))
+	assert.Equal(t, Suspect, verdictOf(table, later, 1))
+
+	other := NewTable(policy)
+	other.Crashed(start, "p1", suspects(fingerprint(1)))
+	other.Merge(later, []Record{{Request: fingerprint(1), Crashed: []string{"p4"}, Present: "p4"}})
+	other.Crashed(later, "p5", suspects(fingerprint(1)))
+	record, ok := other.Get(later, fingerprint(1))
+	require.True(t, ok)
+	assert.Equal(t, []string{"p4", "p5"}, record.Crashed)
+}
