sidecar: a suspect goes on to another endpoint if it is not answered

What callers would see: a request that was running at a crash is not served for 10 minutes if the one endpoint that all nodes send it to does not answer. Cause: the endpoint depended on the request alone. Change: it depends on the turn of the suspicion, too; a turn lasts 5 s. Turns are counted from the age of the record, on which the nodes agree but for the time of a message. The first turn's endpoint is that of earlier builds. Evidence: TestSuspect_ServedBesideAnEndpointThatDoesNotAnswer failed before (not served within 30 s), and passes; TestDeadlyRequest tests pass.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -26,11 +26,14 @@
 	// MaxDoublings bounds how often the duration doubles: with each further crash, which shows that the request still crashes backend servers.
 	MaxDoublings int
 	MaxRecords   int // beyond it, the records that changed longest ago are dropped
+	// TurnDuration is how long all attempts of a suspect are sent to the same backend server. It is longer than most attempts take, so that few run at
+	// two of them around the end of a turn.
+	TurnDuration time.Duration
 }
 
 // DefaultPolicy returns the parameters that the nodes use.
 func DefaultPolicy() Policy {
-	return Policy{BlockAfter: 2, BaseDuration: 10 * time.Minute, MaxDoublings: 3, MaxRecords: 1024}
+	return Policy{BlockAfter: 2, BaseDuration: 10 * time.Minute, MaxDoublings: 3, MaxRecords: 1024, TurnDuration: 5 * time.Second}
 }
 
 // Run is a request that a backend server was running when it crashed.
@@ -134,6 +137,17 @@
 	return t.verdict(now, e)
 }
 
+// Turn returns the number of the present turn of a suspect. It is the same on all nodes, but for the time that messages between them take.
+func (t *Table) Turn(now time.Time, request Fingerprint) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[request]
+	if e == nil {
+		return 0
+	}
+	return int64(now.Sub(e.changed) / t.policy.TurnDuration)
+}
+
 // Crashed records that a process of a backend server crashed while it ran the requests. It returns the records that have changed. If several of
 // them were running at earlier crashes, this one does not show which of them is the cause, and counts for none of these.
 func (t *Table) Crashed(now time.Time, process string, runs []Run) []Record {
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -268,3 +268,18 @@
 	require.True(t, ok)
 	assert.Equal(t, []string{"p4", "p5"}, record.Crashed)
 }
+
+// Guards against nodes that send a suspect to different backend servers for longer than messages between them take, and against one backend server that gets
+// it for as long as it is a suspect.
+func TestTable_TurnsAgree(t *testing.T) {
+	const delay = 20 * time.Millisecond
+	a, b, policy := NewTable(DefaultPolicy()), NewTable(DefaultPolicy()), DefaultPolicy()
+	assert.Zero(t, a.Turn(start, fingerprint(1)))
+	b.Merge(start.Add(delay), a.Crashed(start, "p1", suspects(fingerprint(1))))
+	for turn := range 4 {
+		begin := start.Add(time.Duration(turn) * policy.TurnDuration)
+		assert.EqualValues(t, turn, a.Turn(begin, fingerprint(1)))
+		assert.EqualValues(t, turn, b.Turn(begin.Add(delay), fingerprint(1)))
+		assert.EqualValues(t, turn, b.Turn(begin.Add(policy.TurnDuration-1), fingerprint(1)))
+	}
+}
--- a/pkg/sidecar/blocked.go
+++ b/pkg/sidecar/blocked.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/laburnumcleat/laburnumcleat/pkg/hop"
@@ -47,11 +48,15 @@
 }
 
 // candidates returns the endpoints that the request may be sent to. All attempts of a suspect go to the same one, where they run one after the
-// other: two that ran on different backend servers could crash both.
+// other: two that ran on different backend servers could crash both. It changes from turn to turn, since that one may not answer at all.
 func (o *outbound) candidates(q *request, excluded func(*placement.Endpoint) bool) []placement.Endpoint {
 	endpoints := o.endpoints(q.service)
 	if q.verdict == quarantine.Suspect {
-		return placement.Rendezvous(endpoints, q.fingerprint.String(), excluded)
+		key := q.fingerprint.String()
+		if turn := o.local.suspects.Turn(time.Now(), *q.fingerprint); turn > 0 {
+			key += "/" + strconv.FormatInt(turn, 10) // builds that know no turns stay with the first one
+		}
+		return placement.Rendezvous(endpoints, key, excluded)
 	}
 	return endpoints
 }
--- a/pkg/sidecar/suspect_test.go
+++ b/pkg/sidecar/suspect_test.go
@@ -214,3 +214,25 @@
 		assert.Equal(t, quarantine.Blocked, n.verdictOn(deadlyPath))
 	}
 }
+
+// Guards against a suspect that is not served for minutes because the one endpoint that all nodes send it to does not answer.
+func TestSuspect_ServedBesideAnEndpointThatDoesNotAnswer(t *testing.T) {
+	const path = "/short/popular"
+	m := newMesh(t, 3)
+	var hanging atomic.Pointer[testNode]
+	for _, n := range m.nodes {
+		n.suspect(path)
+		n.backend.setHandler(func(_ http.ResponseWriter, r *http.Request, _ string) {
+			hanging.CompareAndSwap(nil, n)
+			if hanging.Load() == n {
+				<-r.Context().Done()
+			}
+		})
+	}
+	a, _ := m.call(m.nodes[0], "GET", path, "")
+	assert.Equal(t, http.StatusGatewayTimeout, a.status)
+	m.eventually("another endpoint serves it", func() bool {
+		a, _ := m.call(m.nodes[0], "GET", path, "")
+		return a.status == http.StatusOK
+	})
+}
