--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -51,7 +51,7 @@
 type process struct {
 	instanceID  string
 	startTimeMS int64
-	left        time.Time
+	left        time.Time // when its departure was received
 	expires     time.Time // when this entry becomes ineffective; zero: never
 }
 
@@ -160,7 +160,7 @@
 // HasOutlivedDeparture reports whether a process that counts as ended sends an announcement so late that it sent it after its departure was received:
 // that was the departure of an earlier process, or the process has stayed.
 func (t *Tracker) HasOutlivedDeparture(now time.Time, a Announcement) bool {
-	covering := 0
+	hasOutlived := false
 	for _, p := range t.endedProcesses {
 		if !p.covers(now, &a) {
 			continue
@@ -168,9 +168,9 @@
 		if now.Sub(p.left) < MaxDelay {
 			return false
 		}
-		covering++
+		hasOutlived = true
 	}
-	return covering > 0
+	return hasOutlived
 }
 
 // Readmit makes the process of an announcement count as one that has not left.
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -57,8 +57,8 @@
 
 // entry is a record with the time of its latest change.
 type entry struct {
-	// present is a process that crashed while it ran the request before that was a suspect; "" if there is none. Crashes of such runs are not
-	// independent: what runs everywhere is present at each of them if several backend servers crash at the same time, whatever the cause is. They count as
+	// present is a process that crashed while it ran the request, which was not known as a suspect when it was sent; "" if there is none. Crashes of such
+	// runs are not independent: if several backend servers crash at the same time for any reason, they were all running a popular request. They count as
 	// one, for which the least name stands.
 	present string
 	crashed []string // processes that crashed while they ran it as a suspect, in ascending order
@@ -299,7 +299,10 @@
 }
 
 func (e *entry) record(now time.Time, request Fingerprint) Record {
-	return Record{Request: request, Crashed: e.processes(), Present: e.present, Both: slices.Contains(e.crashed, e.present), Cleared: e.cleared, AgeMS: max(0, now.Sub(e.changed).Milliseconds())}
+	return Record{
+		Request: request, Crashed: e.processes(), Present: e.present, Both: slices.Contains(e.crashed, e.present),
+		Cleared: e.cleared, AgeMS: max(0, now.Sub(e.changed).Milliseconds()),
+	}
 }
 
 // isExpired reports whether what is known of a request no longer counts.
