--- a/pkg/sidecar/crash_test.go
+++ b/pkg/sidecar/crash_test.go
@@ -161,31 +161,14 @@
 func TestFrequentRequest_NotBlockedByCrashes(t *testing.T) {
 	m := newMesh(t, 3)
 	m.crashesOnDeadlyRequests(20 * time.Millisecond)
-	done := make(chan struct{})
-	var callers sync.WaitGroup
-	for _, n := range m.nodes {
-		for range 3 {
-			callers.Go(func() {
-				for {
-					select {
-					case <-done:
-						return
-					default:
-						r, _ := m.request(context.Background(), n, "GET", "/safe/popular", "")
-						send(r)
-					}
-				}
-			})
-		}
-	}
+	stop := m.keepCalling("/safe/popular", 3, m.nodes...)
 	for i := range 3 {
 		time.Sleep(200 * time.Millisecond)
 		m.nodes[i].backend.crash()
 		time.Sleep(200 * time.Millisecond)
 		m.reviveBackends()
 	}
-	close(done)
-	callers.Wait()
+	stop()
 	assert.Positive(t, m.nodes[0].metrics.Counter("backend_crashed").Count())
 	m.eventually("it is not blocked", func() bool { a, _ := m.call(m.nodes[0], "GET", "/safe/popular", ""); return a.status == http.StatusOK })
 }
--- a/pkg/sidecar/intake_test.go
+++ b/pkg/sidecar/intake_test.go
@@ -64,11 +64,11 @@
 	return s.limited
 }
 
-// keepCalling sends calls to all nodes from a number of callers each, until the test ends or the returned function is called.
-func (m *mesh) keepCalling(callersPerNode int) (stop func()) {
+// keepCalling sends calls for a path to nodes from a number of callers each, until the test ends or the returned function is called.
+func (m *mesh) keepCalling(path string, callersPerNode int, nodes ...*testNode) (stop func()) {
 	done := make(chan struct{})
 	var callers sync.WaitGroup
-	for _, n := range m.nodes {
+	for _, n := range nodes {
 		for range callersPerNode {
 			callers.Go(func() {
 				for {
@@ -76,7 +76,7 @@
 					case <-done:
 						return
 					default:
-						m.call(n, "GET", "/safe/", "")
+						m.call(n, "GET", path, "")
 					}
 				}
 			})
@@ -102,7 +102,7 @@
 	for _, n := range m.nodes {
 		logs = append(logs, n.nameLimit("20", 5*time.Millisecond))
 	}
-	m.keepCalling(20)
+	m.keepCalling("/safe/", 20, m.nodes...)
 	time.Sleep(limitSettles)
 	from := time.Now()
 	time.Sleep(2 * limitWindow)
@@ -137,7 +137,7 @@
 	l := n.nameLimit("0", 0)
 	m.call(n, "GET", "/safe/", "")
 	from := time.Now()
-	m.keepCalling(2)
+	m.keepCalling("/safe/", 2, m.nodes...)
 	m.eventually("a request is forwarded", func() bool { return l.most(from, testLimit) > 0 })
 	assert.LessOrEqual(t, l.most(from, 4*time.Second), limitBurst)
 }
@@ -260,7 +260,7 @@
 	<-n.found
 	l := n.nameLimit("20", 100*time.Millisecond)
 	begin := time.Now()
-	m.keepCalling(50)
+	m.keepCalling("/safe/", 50, m.nodes...)
 	time.Sleep(limitWindow)
 	assert.LessOrEqual(t, l.most(begin, limitWindow), int(namedLimit*limitWindow.Seconds())+limitBurst)
 }
--- a/pkg/sidecar/suspect_test.go
+++ b/pkg/sidecar/suspect_test.go
@@ -31,28 +31,6 @@
 	n.inbound.suspects.Crashed(time.Now(), "earlier", []quarantine.Run{{Request: fingerprintOfPath(path)}})
 }
 
-// callAlways sends requests for a path from each of the nodes, a number at a time, until the returned function is called.
-func (m *mesh) callAlways(path string, atATime int, nodes ...*testNode) (stop func()) {
-	done := make(chan struct{})
-	var callers sync.WaitGroup
-	for _, n := range nodes {
-		for range atATime {
-			callers.Go(func() {
-				for {
-					select {
-					case <-done:
-						return
-					default:
-						r, _ := m.request(context.Background(), n, "GET", path, "")
-						send(r)
-					}
-				}
-			})
-		}
-	}
-	return sync.OnceFunc(func() { close(done); callers.Wait() })
-}
-
 // Guards against a frequent request that all nodes send to a single endpoint for minutes, because it was running when a backend server crashed and
 // only the node beside the one that answered it next knows of the answer.
 func TestFrequentSuspect_ClearedOnAllNodes(t *testing.T) {
@@ -76,8 +54,7 @@
 			time.Sleep(50 * time.Millisecond)
 		})
 	}
-	stop := m.callAlways(popularPath, 6, callers...)
-	defer stop()
+	m.keepCalling(popularPath, 6, callers...)
 	m.eventually("it runs there", func() bool { return running.Load() > 0 })
 	victim.backend.crash()
 	m.eventually("the crash is noticed", func() bool { return victim.metrics.Counter("backend_crashed").Count() > 0 })
@@ -160,8 +137,7 @@
 			time.Sleep(100 * time.Millisecond)
 		})
 	}
-	stop := m.callAlways(popularPath, 4, m.nodes...)
-	defer stop()
+	stop := m.keepCalling(popularPath, 4, m.nodes...)
 	m.eventually("all backend servers run it", func() bool { return running[0].Load() > 0 && running[1].Load() > 0 && running[2].Load() > 0 })
 	var crashes sync.WaitGroup
 	for _, n := range m.nodes {
