pipeline: the test of early responses does not depend on the time of a dial

Cause, a fault of the test: its client has the default limit of 500 ms for a dial, which passes beside such load. Change: the client of this test has limits of testTimeout. What is asserted, bytes and their number, is the same.

--- a/pkg/pipeline/early_response_test.go
+++ b/pkg/pipeline/early_response_test.go
@@ -87,7 +87,7 @@
 	const size, piece, uploads = 1 << 20, 16 << 10, 40
 	content := numberedBody(size)
 	address, received := startEarlyServer(t, size/2)
-	client := hop.New(hop.Options{})
+	client := hop.New(hop.Options{DialTimeout: testTimeout, UserTimeout: testTimeout}) // the test checks bytes, not times
 	t.Cleanup(client.Close)
 	s := startServer(t, Limits{}, func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), testTimeout)
